Begin with the build, the checks and the interfaces between the parts

Cause: the repository was empty; the parts are to be built side by side, so their interfaces come first. Conclusion: the headers are promises without code yet, but for the codec and addresses.

--- /dev/null
+++ b/src/libknapweed/base/address.h
@@ -0,0 +1,25 @@
+// The address of a process: an IP number and a TCP port.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace knapweed
+{
+
+struct Address
+{
+    std::string ip;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const Address &) const = default;
+};
+
+/// "127.0.0.1:8080".
+std::string toString(const Address &address);
+
+/// Parses what toString() prints. Returns an address with port 0 when @p text is not one.
+Address parseAddress(const std::string &text);
+
+} // namespace knapweed
--- /dev/null
+++ b/src/libknapweed/base/logging.h
@@ -0,0 +1,21 @@
+// Structured logs over log4cplus: one event a line, with a stable event name and named fields. Callers must not pass secrets.
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <utility>
+
+namespace knapweed
+{
+
+enum class LogLevel { Debug, Info, Warning, Error };
+
+using LogField = std::pair<const char *, std::string>;
+
+/// Sets the process's name in each line and the lowest level written. Lines go to standard error.
+void initializeLogging(const std::string &process, LogLevel level);
+
+/// Writes "time level process event key=value ..."; values with blanks or quotes are quoted as JSON strings.
+void logEvent(LogLevel level, const char *event, std::initializer_list<LogField> fields = {});
+
+} // namespace knapweed
--- /dev/null
+++ b/src/libknapweed/peers/peers.thrift
@@ -0,0 +1,79 @@
+// The messages between the system's own processes. Regenerate with scripts/generate after a change; the generated code is committed.
+// Each message is sent as one byte of type (its place in codec.h's PeerMessage) followed by the compact form of the struct.
+// Times are relative durations in milliseconds, because processes share no clock. Every request is idempotent by its attempt and fence.
+
+namespace cpp knapweed.wire
+
+enum Role { Entry = 1, Agent = 2 }
+enum Adjacency { None = 0, Worker = 1, Rack = 2 }
+enum Outcome { Completed = 1, Failed = 2, Cancelled = 3, NotRun = 4, Unknown = 5 }
+enum StopReason { Cancelled = 1, Preempted = 2, Draining = 3, GangBroken = 4, Abandoned = 5 }
+
+/// Why a hold, an arm or a go was refused, or why an attempt ended as it did.
+enum Reason {
+  None = 0, Busy = 1, EndpointLeaving = 2, Reserved = 3, StaleFence = 4, LeaseLapsed = 5, WorkerFailed = 6, EndpointFailed = 7,
+  Abandoned = 8, Preempted = 9, Cancelled = 10, MemberLost = 11, NotFirst = 12, Expired = 13, Draining = 14, Unreachable = 15, LogUnavailable = 16
+}
+
+/// One try at running a job. owner is the random number of the entry process that made the attempt, so two entries never share one.
+struct AttemptId { 1: string job, 2: i64 owner, 3: i32 number }
+
+struct JobSpec {
+  1: string account, 2: string kind, 3: i32 tasks = 1, 4: i32 acceleratorsPerTask = 1,
+  5: i32 processorsPerTask, 6: i64 memoryMibPerTask, 7: Adjacency adjacency,
+  8: bool repeatable = true, 9: bool checkpointable, 10: i64 declaredRunMs, 11: bool urgent, 12: string input,
+}
+
+/// One part of a gang: the agent that has authority over it and the accelerators that it takes there.
+struct Member { 1: string agent, 2: string worker, 3: list<i32> accelerators }
+
+struct RosterEntry { 1: string address, 2: Role role, 3: i64 incarnation, 4: string region, 5: string failureDomain }
+
+struct Hello { 1: RosterEntry sender, 2: i32 protocolVersion }
+struct Heartbeat { 1: i64 sequence, 2: list<RosterEntry> roster, 3: i64 configurationVersion, 4: bool draining }
+struct HeartbeatReply { 1: i64 sequence }
+struct ConfigurationOffer { 1: i64 version, 2: string document }
+
+struct RunningPart {
+  1: AttemptId attempt, 2: string account, 3: string kind, 4: string lead, 5: list<i32> accelerators,
+  6: bool checkpointable, 7: bool repeatable, 8: i64 runningMs, 9: i64 sinceCheckpointMs, 10: i32 gangSize, 11: bool started
+}
+struct AgentReport {
+  1: i64 sequence, 2: string agent, 3: string worker, 4: string rack, 5: string failureDomain, 6: string region,
+  7: bool available, 8: i32 slots, 9: i32 accelerators, 10: i32 processors, 11: i64 memoryMib,
+  12: list<RunningPart> parts, 13: i64 startedTasks, 14: i64 failedTasks, 15: string endpointState
+}
+
+/// A home entry asks the planner for a placement; repeated until answered or withdrawn.
+struct PlacementRequest { 1: string job, 2: string home, 3: JobSpec spec, 4: i64 waitedMs, 5: i32 triedAttempts, 6: list<string> avoidWorkers }
+struct PlacementWithdrawal { 1: string job, 2: string home }
+struct Placement { 1: string job, 2: list<Member> members, 3: bool borrowed }
+struct PlacementRefusal { 1: string job, 2: string detail }
+
+/// Home entry to lead (the agent of the first member), repeated until acknowledged.
+struct GangRequest { 1: AttemptId attempt, 2: JobSpec spec, 3: list<Member> members, 4: string home, 5: i64 startWithinMs, 6: i64 leaseMs, 7: bool borrowed }
+struct GangAck { 1: AttemptId attempt }
+struct HoldRequest { 1: AttemptId attempt, 2: i32 member, 3: string lead, 4: JobSpec spec, 5: list<i32> accelerators, 6: i64 holdMs, 7: bool borrowed, 8: i32 gangSize }
+struct HoldReply { 1: AttemptId attempt, 2: i32 member, 3: bool granted, 4: i64 fence, 5: Reason reason }
+struct ArmRequest { 1: AttemptId attempt, 2: i32 member, 3: i64 fence, 4: i64 leaseMs }
+struct ArmReply { 1: AttemptId attempt, 2: i32 member, 3: i64 fence, 4: bool armed, 5: Reason reason }
+struct GoRequest { 1: AttemptId attempt, 2: i32 member, 3: i64 fence, 4: i64 leaseMs }
+struct GoReply { 1: AttemptId attempt, 2: i32 member, 3: i64 fence, 4: bool running, 5: Reason reason }
+struct RenewRequest { 1: AttemptId attempt, 2: i32 member, 3: i64 fence, 4: i64 leaseMs, 5: i64 sequence }
+struct RenewReply { 1: AttemptId attempt, 2: i32 member, 3: i64 fence, 4: i64 sequence, 5: bool alive }
+struct PartReport { 1: AttemptId attempt, 2: i32 member, 3: i64 fence, 4: bool succeeded, 5: Reason reason, 6: string output }
+struct PartAck { 1: AttemptId attempt, 2: i32 member, 3: i64 fence }
+struct StopRequest { 1: AttemptId attempt, 2: i32 member, 3: i64 fence, 4: StopReason reason, 5: i64 graceMs }
+struct StopReply { 1: AttemptId attempt, 2: i32 member, 3: i64 fence, 4: bool everStarted }
+
+/// To the lead: end the attempt. From the home entry (cancel, abandon) or the planner (preempt, after a checkpoint when the job can).
+struct EndAttempt { 1: AttemptId attempt, 2: StopReason reason, 3: i64 graceMs, 4: string replyTo }
+/// What the lead says of an attempt that it was asked to end: neverStarted holds a tombstone, so it stays true.
+struct EndAttemptReply { 1: AttemptId attempt, 2: bool neverStarted, 3: bool finished }
+
+struct PartResult { 1: string worker, 2: string output, 3: i64 length, 4: i64 digest }
+/// The end of an attempt, lead to home entry, repeated until acknowledged. NotRun means that no go was sent and none will be.
+struct OutcomeReport { 1: AttemptId attempt, 2: string lead, 3: Outcome outcome, 4: Reason reason, 5: string detail, 6: list<PartResult> parts, 7: i64 runMs }
+struct OutcomeAck { 1: AttemptId attempt }
+/// The home entry asks a lead about an attempt after a silent time or a take-over; a lead that does not know it answers EndAttemptReply with a tombstone.
+struct AttemptQuery { 1: AttemptId attempt, 2: string home }
--- /dev/null
+++ b/tests/peers/codectest.cpp
@@ -0,0 +1,47 @@
+// Contract of the codec: what is encoded decodes to the same message, and bytes of any kind never throw.
+
+#include "peers/codec.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <variant>
+
+using namespace knapweed;
+
+TEST_GROUP(Codec) {};
+
+TEST(Codec, keepsAllFieldsOfAMessage)
+{
+    wire::HoldRequest hold;
+    hold.attempt.job = "j-1";
+    hold.attempt.owner = 77;
+    hold.attempt.number = 3;
+    hold.member = 2;
+    hold.lead = "127.0.0.1:9";
+    hold.spec.account = "kothari-fit";
+    hold.spec.repeatable = false;
+    hold.accelerators = {1, 2, 5};
+    hold.holdMs = 2000;
+
+    const Result<PeerMessage, CodecError> decoded = decodeMessage(encodeMessage(hold));
+
+    CHECK(isOk(decoded));
+    CHECK(hold == std::get<wire::HoldRequest>(value(decoded)));
+}
+
+TEST(Codec, refusesEveryTruncation)
+{
+    wire::AttemptQuery query;
+    query.attempt.job = "j-1";
+    query.home = "127.0.0.1:9";
+    const std::string whole = encodeMessage(query);
+
+    for (std::size_t length = 0; length < whole.size(); ++length) {
+        CHECK(!isOk(decodeMessage(whole.substr(0, length))));
+    }
+}
+
+TEST(Codec, refusesAnUnknownType)
+{
+    CHECK(!isOk(decodeMessage("\xff\x01")));
+}
