--- a/src/libknapweed/logservice/records.h
+++ b/src/libknapweed/logservice/records.h
@@ -68,13 +68,17 @@
     std::string document; ///< the whole configuration, JSON
 };
 
-/// Restates a configuration and the live jobs, so that processes find them after older records have expired.
+/// Restates a configuration and the jobs, so that processes find them after older records have expired. A large snapshot is split into several
+/// records with the same snapshotId and throughOffset; each of them holds the configuration and some of the jobs.
 struct SnapshotRecord
 {
+    std::string snapshotId; ///< random for each snapshot, so that records of two snapshots are told apart
+    std::int32_t part = 0;
+    std::int32_t parts = 1; ///< records in the whole snapshot; invariant: 0 <= part < parts
     std::int64_t configurationVersion = 0;
     std::string configurationAuthor;
     std::string configurationDocument;
-    std::string jobs; ///< JSON of JobFold::snapshot()
+    std::string jobs; ///< JSON of JobFold::snapshot(), or one of JobFold::snapshotParts()
     std::int64_t throughOffset = 0; ///< the snapshot holds all records before this offset
 };
 
