--- a/src/libknapweed/base/eventloop.h
+++ b/src/libknapweed/base/eventloop.h
@@ -42,6 +42,9 @@
 
     lws_context *context() const;
 
+    /// Keeps @p object until the context is destroyed, for whatever libwebsockets callbacks may still use.
+    void retain(std::shared_ptr<void> object);
+
 private:
     struct Private;
     std::unique_ptr<Private> d_;
--- a/src/libknapweed/base/httpclient.h
+++ b/src/libknapweed/base/httpclient.h
@@ -38,9 +38,10 @@
     /// Sends @p request; request.path may hold a query string. @p callback runs exactly once, on the loop's thread, at the latest after @p timeout.
     void send(const Address &target, HttpRequest request, Milliseconds timeout, HttpCallback callback);
 
-private:
     struct Private;
-    std::unique_ptr<Private> d_;
+
+private:
+    std::shared_ptr<Private> d_;
 };
 
 } // namespace knapweed
--- /dev/null
+++ b/src/libknapweed/base/httpserver.cpp
@@ -0,0 +1,447 @@
+// Every connection's state by its libwebsockets handle. A responder names its request by number, so that an answer to a caller that has gone finds
+// nothing and does nothing.
+
+#include "base/httpserver.h"
+
+#include "base/listener.h"
+#include "base/lwsrequest.h"
+#include "base/websocketlink.h"
+
+#include <libwebsockets.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <unordered_map>
+#include <utility>
+
+namespace knapweed
+{
+
+namespace
+{
+
+constexpr std::size_t writeChunkBytes = 65536;
+constexpr std::size_t discardLimitBytes = std::size_t(64) << 20; ///< a refused body up to this is read, so that the refusal reaches its sender
+
+/// One HTTP connection and the request that it carries.
+struct HttpConnection
+{
+    /// Number of the open request; 0 between requests.
+    std::uint64_t requestId = 0;
+    HttpRequest request;
+    bool isBodyTooLarge = false;
+    bool isDispatched = false; ///< the handler, or a refusal, has the request
+    bool isAnswered = false; ///< output holds the whole answer
+    bool closesAfterAnswer = false;
+    HttpResponse response;
+    std::string output; ///< head and body that are still to be written, after LWS_PRE bytes of room
+    std::size_t written = 0; ///< bytes of output, without the room
+};
+
+struct PeerConnection
+{
+    lws *wsi = nullptr;
+    WebSocketLink link;
+    bool isClosing = false;
+};
+
+int serverCallback(lws *wsi, lws_callback_reasons reason, void *user, void *in, size_t length);
+
+const std::array<lws_protocols, 4> serverProtocols {{
+    {"http", serverCallback, 0, 0, 0, nullptr, 0},
+    {peerProtocol, serverCallback, 0, receiveBufferBytes, 0, nullptr, 0},
+    {listenerProtocol, serverCallback, 0, 0, 0, nullptr, 0},
+    {nullptr, nullptr, 0, 0, 0, nullptr, 0},
+}};
+
+} // namespace
+
+struct HttpServer::Private : std::enable_shared_from_this<HttpServer::Private>
+{
+    EventLoop *loop = nullptr;
+    HttpHandler handler;
+    HttpServerOptions options;
+    WebSocketHooks hooks;
+    std::unique_ptr<Listener> listener;
+    lws_vhost *vhost = nullptr;
+    Address address;
+    bool isDraining = false; ///< the listener is closed; each connection closes after its answer
+    bool isDestroyed = false; ///< the HttpServer is gone; callbacks only clean up
+
+    std::unordered_map<lws *, HttpConnection> connections;
+    /// Invariant: one entry for each connection whose requestId is not 0.
+    std::unordered_map<std::uint64_t, lws *> requests;
+    std::uint64_t lastRequestId = 0;
+
+    std::unordered_map<std::uint64_t, PeerConnection> peers;
+    std::unordered_map<lws *, std::uint64_t> peerNumbers;
+    std::uint64_t lastPeer = 0;
+
+    bool open(const Address &listen);
+    int serve(lws *wsi, lws_callback_reasons reason, const char *bytes, std::size_t length);
+    int serveHttp(lws *wsi, lws_callback_reasons reason, const char *bytes, std::size_t length);
+    int servePeer(lws *wsi, lws_callback_reasons reason, const char *bytes, std::size_t length);
+
+    int beginRequest(lws *wsi, const std::string &path);
+    int receiveBody(lws *wsi, const char *bytes, std::size_t length);
+    void dispatch(lws *wsi);
+    void refuse(lws *wsi, int status, const std::string &code, const std::string &detail, bool closes);
+    void answer(std::uint64_t requestId, HttpResponse response);
+    int writeAnswer(lws *wsi);
+    int finishAnswer(lws *wsi);
+    void forgetRequest(HttpConnection &connection);
+    void forgetConnection(lws *wsi);
+
+    int receivePeerMessage(lws *wsi, const char *bytes, std::size_t length);
+    void forgetPeer(lws *wsi);
+};
+
+namespace
+{
+
+bool isStatusless(lws_callback_reasons reason)
+{
+    return reason == LWS_CALLBACK_GET_THREAD_ID || reason == LWS_CALLBACK_EVENT_WAIT_CANCELLED || reason == LWS_CALLBACK_PROTOCOL_INIT
+        || reason == LWS_CALLBACK_PROTOCOL_DESTROY;
+}
+
+int serverCallback(lws *wsi, lws_callback_reasons reason, void *, void *in, size_t length)
+{
+    if (isStatusless(reason)) {
+        return 0;
+    }
+    const lws_protocols *protocol = lws_get_protocol(wsi);
+    if (protocol != nullptr && std::string(protocol->name) == listenerProtocol) {
+        return listenerCallback(wsi, reason);
+    }
+    lws_vhost *vhost = lws_get_vhost(wsi);
+    HttpServer::Private *server = vhost == nullptr ? nullptr : static_cast<HttpServer::Private *>(lws_vhost_user(vhost));
+    return server == nullptr ? 0 : server->serve(wsi, reason, static_cast<const char *>(in), length);
+}
+
+} // namespace
+
+bool HttpServer::Private::open(const Address &listen)
+{
+    listener = std::make_unique<Listener>(listen);
+    address = listener->address();
+    if (address.port == 0) {
+        return false;
+    }
+    const std::string name = "server-" + toString(address);
+    lws_context_creation_info info {};
+    info.port = CONTEXT_PORT_NO_LISTEN_SERVER;
+    info.protocols = serverProtocols.data();
+    info.vhost_name = name.c_str();
+    info.user = this;
+    info.keepalive_timeout = static_cast<int>(options.idleTimeout.count());
+    info.timeout_secs = static_cast<unsigned int>(options.idleTimeout.count());
+    vhost = lws_create_vhost(loop->context(), &info);
+    if (vhost == nullptr || !listener->attach(vhost)) {
+        address.port = 0;
+        return false;
+    }
+    return true;
+}
+
+int HttpServer::Private::serve(lws *wsi, lws_callback_reasons reason, const char *bytes, std::size_t length)
+{
+    const bool isPeer = peerNumbers.count(wsi) != 0 || reason == LWS_CALLBACK_ESTABLISHED;
+    return isPeer ? servePeer(wsi, reason, bytes, length) : serveHttp(wsi, reason, bytes, length);
+}
+
+int HttpServer::Private::serveHttp(lws *wsi, lws_callback_reasons reason, const char *bytes, std::size_t length)
+{
+    switch (reason) {
+    case LWS_CALLBACK_HTTP:
+        return beginRequest(wsi, std::string(bytes, length));
+    case LWS_CALLBACK_HTTP_BODY:
+        return receiveBody(wsi, bytes, length);
+    case LWS_CALLBACK_HTTP_BODY_COMPLETION:
+        lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
+        dispatch(wsi);
+        return 0;
+    case LWS_CALLBACK_HTTP_WRITEABLE:
+        return writeAnswer(wsi);
+    case LWS_CALLBACK_FILTER_PROTOCOL_CONNECTION:
+        return hooks.opened && !isDestroyed ? 0 : -1;
+    case LWS_CALLBACK_CLOSED_HTTP:
+    case LWS_CALLBACK_WSI_DESTROY:
+        forgetConnection(wsi);
+        return 0;
+    default:
+        return 0;
+    }
+}
+
+int HttpServer::Private::beginRequest(lws *wsi, const std::string &path)
+{
+    if (isDestroyed) {
+        return -1;
+    }
+    HttpConnection &connection = connections[wsi];
+    assert(connection.requestId == 0);
+    connection = HttpConnection();
+    connection.requestId = ++lastRequestId;
+    requests[connection.requestId] = wsi;
+    connection.request = readRequestHead(wsi, path);
+    connection.closesAfterAnswer = isDraining;
+    const std::size_t bodyBytes = declaredBodyBytes(wsi);
+    connection.isBodyTooLarge = bodyBytes > options.maximumBodyBytes;
+    if (hasChunkedBody(wsi)) {
+        refuse(wsi, 411, "length_required", "bodies need a content-length; chunked bodies are not read", true);
+    } else if (bodyBytes > discardLimitBytes) {
+        refuse(wsi, 413, "body_too_large", "the body may have at most " + std::to_string(options.maximumBodyBytes) + " bytes", true);
+    } else if (bodyBytes == 0) {
+        lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
+        dispatch(wsi);
+    } else if (!connection.isBodyTooLarge) {
+        connection.request.body.reserve(bodyBytes);
+    }
+    return 0;
+}
+
+int HttpServer::Private::receiveBody(lws *wsi, const char *bytes, std::size_t length)
+{
+    const auto found = connections.find(wsi);
+    if (found == connections.end() || found->second.isDispatched || found->second.isBodyTooLarge) {
+        return 0;
+    }
+    std::string &body = found->second.request.body;
+    if (body.size() + length > options.maximumBodyBytes) {
+        found->second.isBodyTooLarge = true;
+        return 0;
+    }
+    body.append(bytes, length);
+    return 0;
+}
+
+void HttpServer::Private::dispatch(lws *wsi)
+{
+    const auto found = connections.find(wsi);
+    if (found == connections.end() || found->second.requestId == 0 || found->second.isDispatched) {
+        return;
+    }
+    HttpConnection &connection = found->second;
+    if (connection.isBodyTooLarge) {
+        refuse(wsi, 413, "body_too_large", "the body may have at most " + std::to_string(options.maximumBodyBytes) + " bytes", false);
+        return;
+    }
+    if (connection.request.method.empty() || connection.request.method == "HEAD") {
+        refuse(wsi, 405, "method_not_allowed", "the methods are GET, POST, PUT and DELETE", true);
+        return;
+    }
+    connection.isDispatched = true;
+    const HttpRequest request = std::move(connection.request);
+    const std::uint64_t requestId = connection.requestId;
+    const std::weak_ptr<Private> server = weak_from_this();
+    handler(request, [server, requestId](HttpResponse response) {
+        const std::shared_ptr<Private> live = server.lock();
+        if (live != nullptr) {
+            live->answer(requestId, std::move(response));
+        }
+    });
+}
+
+void HttpServer::Private::refuse(lws *wsi, int status, const std::string &code, const std::string &detail, bool closes)
+{
+    HttpConnection &connection = connections.at(wsi);
+    connection.isDispatched = true;
+    connection.closesAfterAnswer = connection.closesAfterAnswer || closes;
+    answer(connection.requestId, jsonResponse(status, R"({"error":")" + code + R"(","outcome":"not_run","detail":")" + detail + "\"}"));
+}
+
+void HttpServer::Private::answer(std::uint64_t requestId, HttpResponse response)
+{
+    const auto found = requests.find(requestId);
+    if (isDestroyed || found == requests.end()) {
+        return;
+    }
+    HttpConnection &connection = connections.at(found->second);
+    assert(connection.requestId == requestId);
+    if (connection.isAnswered) {
+        return;
+    }
+    connection.isAnswered = true;
+    connection.closesAfterAnswer = connection.closesAfterAnswer || isDraining;
+    connection.response = std::move(response);
+    lws_callback_on_writable(found->second);
+}
+
+int HttpServer::Private::writeAnswer(lws *wsi)
+{
+    const auto found = connections.find(wsi);
+    if (found == connections.end() || !found->second.isAnswered) {
+        return 0;
+    }
+    HttpConnection &connection = found->second;
+    if (connection.output.empty()) {
+        connection.output.assign(LWS_PRE, '\0');
+        if (!appendResponseHead(wsi, connection.response, connection.closesAfterAnswer, connection.output)) {
+            return -1;
+        }
+        connection.output += connection.response.body;
+        connection.response = HttpResponse();
+    }
+    const std::size_t total = connection.output.size() - LWS_PRE;
+    if (connection.written < total) {
+        const std::size_t length = std::min(writeChunkBytes, total - connection.written);
+        unsigned char *chunk = reinterpret_cast<unsigned char *>(connection.output.data()) + LWS_PRE + connection.written;
+        if (lws_write(wsi, chunk, length, LWS_WRITE_HTTP_HEADERS) < static_cast<int>(length)) {
+            return -1;
+        }
+        connection.written += length;
+        lws_set_timeout(wsi, PENDING_TIMEOUT_HTTP_CONTENT, static_cast<int>(options.idleTimeout.count()));
+    }
+    if (connection.written < total || lws_partial_buffered(wsi) != 0) {
+        lws_callback_on_writable(wsi);
+        return 0;
+    }
+    return finishAnswer(wsi);
+}
+
+int HttpServer::Private::finishAnswer(lws *wsi)
+{
+    HttpConnection &connection = connections.at(wsi);
+    const bool closes = connection.closesAfterAnswer;
+    forgetRequest(connection);
+    connection = HttpConnection();
+    if (closes) {
+        return -1;
+    }
+    return lws_http_transaction_completed(wsi) != 0 ? -1 : 0;
+}
+
+void HttpServer::Private::forgetRequest(HttpConnection &connection)
+{
+    requests.erase(connection.requestId);
+    connection.requestId = 0;
+}
+
+void HttpServer::Private::forgetConnection(lws *wsi)
+{
+    const auto found = connections.find(wsi);
+    if (found != connections.end()) {
+        forgetRequest(found->second);
+        connections.erase(found);
+    }
+}
+
+int HttpServer::Private::servePeer(lws *wsi, lws_callback_reasons reason, const char *bytes, std::size_t length)
+{
+    if (reason == LWS_CALLBACK_ESTABLISHED) {
+        const lws_protocols *protocol = lws_get_protocol(wsi);
+        if (isDestroyed || !hooks.opened || protocol == nullptr || std::string(protocol->name) != peerProtocol) {
+            return -1;
+        }
+        forgetConnection(wsi);
+        const std::uint64_t number = ++lastPeer;
+        peers[number].wsi = wsi;
+        peerNumbers[wsi] = number;
+        hooks.opened(number);
+        return 0;
+    }
+    if (reason == LWS_CALLBACK_RECEIVE) {
+        return receivePeerMessage(wsi, bytes, length);
+    }
+    if (reason == LWS_CALLBACK_SERVER_WRITEABLE) {
+        PeerConnection &peer = peers.at(peerNumbers.at(wsi));
+        return !peer.isClosing && writeMessages(wsi, peer.link) ? 0 : -1;
+    }
+    if (reason == LWS_CALLBACK_CLOSED || reason == LWS_CALLBACK_WSI_DESTROY) {
+        forgetPeer(wsi);
+    }
+    return 0;
+}
+
+int HttpServer::Private::receivePeerMessage(lws *wsi, const char *bytes, std::size_t length)
+{
+    const std::uint64_t number = peerNumbers.at(wsi);
+    PeerConnection &peer = peers.at(number);
+    if (isDestroyed || peer.isClosing) {
+        return -1;
+    }
+    const Fragment fragment = receiveFragment(wsi, peer.link, bytes, length);
+    if (fragment == Fragment::TooLarge) {
+        return -1;
+    }
+    if (fragment == Fragment::Final) {
+        std::string message;
+        message.swap(peer.link.incoming);
+        hooks.received(number, std::move(message));
+    }
+    return 0;
+}
+
+void HttpServer::Private::forgetPeer(lws *wsi)
+{
+    const auto found = peerNumbers.find(wsi);
+    if (found == peerNumbers.end()) {
+        return;
+    }
+    const std::uint64_t number = found->second;
+    peerNumbers.erase(found);
+    peers.erase(number);
+    if (!isDestroyed && hooks.closed) {
+        hooks.closed(number);
+    }
+}
+
+HttpServer::HttpServer(EventLoop &loop, const Address &listen, HttpHandler handler, HttpServerOptions options, WebSocketHooks hooks)
+    : d_(std::make_shared<Private>())
+{
+    d_->loop = &loop;
+    d_->handler = std::move(handler);
+    d_->options = options;
+    d_->hooks = std::move(hooks);
+    loop.retain(d_);
+    d_->open(listen);
+}
+
+HttpServer::~HttpServer()
+{
+    d_->isDestroyed = true;
+    d_->listener->close();
+    if (d_->vhost != nullptr) {
+        lws_vhost_destroy(d_->vhost);
+    }
+}
+
+bool HttpServer::isListening() const
+{
+    return d_->address.port != 0 && !d_->isDraining;
+}
+
+Address HttpServer::address() const
+{
+    return d_->address;
+}
+
+std::size_t HttpServer::openRequests() const
+{
+    return d_->requests.size();
+}
+
+void HttpServer::closeListener()
+{
+    d_->isDraining = true;
+    d_->listener->close();
+}
+
+bool HttpServer::sendWebSocket(std::uint64_t connection, std::string message)
+{
+    const auto found = d_->peers.find(connection);
+    return found != d_->peers.end() && !found->second.isClosing && queueMessage(found->second.wsi, found->second.link, message);
+}
+
+void HttpServer::closeWebSocket(std::uint64_t connection)
+{
+    const auto found = d_->peers.find(connection);
+    if (found != d_->peers.end() && !found->second.isClosing) {
+        found->second.isClosing = true;
+        lws_set_timeout(found->second.wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    }
+}
+
+} // namespace knapweed
--- a/src/libknapweed/base/httpserver.h
+++ b/src/libknapweed/base/httpserver.h
@@ -52,9 +52,10 @@
     bool sendWebSocket(std::uint64_t connection, std::string message);
     void closeWebSocket(std::uint64_t connection);
 
-private:
     struct Private;
-    std::unique_ptr<Private> d_;
+
+private:
+    std::shared_ptr<Private> d_;
 };
 
 } // namespace knapweed
--- /dev/null
+++ b/src/libknapweed/base/listener.h
@@ -0,0 +1,54 @@
+// A listening TCP socket of its own, whose accepted connections a libwebsockets vhost adopts. libwebsockets can only close its own listener
+// together with the connections that it accepted; a graceful stop must close the first and keep the others.
+#pragma once
+
+#include "base/address.h"
+
+#include <memory>
+
+struct lws;
+struct lws_vhost;
+
+namespace knapweed
+{
+
+/// The name under which a vhost's protocols must list listenerCallback().
+constexpr const char *listenerProtocol = "knapweed-listener";
+
+class Listener
+{
+public:
+    /// Binds and listens; address().port is 0 when that failed.
+    explicit Listener(const Address &address);
+    ~Listener();
+    Listener(const Listener &) = delete;
+    Listener &operator=(const Listener &) = delete;
+
+    Address address() const;
+
+    /// Accepts for @p vhost from now on. Returns false when libwebsockets refuses the socket.
+    bool attach(lws_vhost *vhost);
+
+    /// Stops listening. Idempotent.
+    void close();
+
+    /// Accepts what waits; called by listenerCallback().
+    void acceptAll();
+
+    /// libwebsockets has closed the socket.
+    void forget();
+
+private:
+    void refuseOne();
+
+    Address address_;
+    int socket_ = -1; ///< owned until attached, then closed by libwebsockets
+    int reserve_ = -1; ///< an open descriptor to give up when none is left, so that a caller can be refused
+    lws *handle_ = nullptr; ///< not null while attached
+    lws_vhost *vhost_ = nullptr;
+};
+
+/// The callback of listenerProtocol; the descriptor's opaque user data is its Listener.
+int listenerCallback(lws *wsi, int reason);
+
+} // namespace knapweed
