Wake the event loop for a timer that comes due before the wait

Cause: the wake-up's callback did nothing. When it came due between runTimers() and the wait inside lws_service, it was used up before the poll and the loop slept until some other event; an endpoint stand-in left 2 of 6 answers unsent for 3 s. Ruled out: the HTTP server's late answers (they work when the timer runs). Change: the callback interrupts the wait. A test with 2000 timers of 1 ms in a row: stuck at its 20 s deadline before, 2.0 s after.

--- a/src/libknapweed/base/eventloop.cpp
+++ b/src/libknapweed/base/eventloop.cpp
@@ -89,8 +89,13 @@
         }
         const Microseconds wait = std::chrono::duration_cast<Microseconds>(due.begin()->first.first - std::chrono::steady_clock::now());
         const lws_usec_t delay = wait.count() > 0 ? wait.count() : 1;
-        lws_sul_schedule(
-            context, 0, &wakeUp, [](lws_sorted_usec_list_t *) {}, delay);
+        lws_sul_schedule(context, 0, &wakeUp, &Private::interruptWait, delay);
+    }
+
+    /// A wake-up that comes due before the wait begins must interrupt that wait too, so that run() looks at the timers.
+    static void interruptWait(lws_sorted_usec_list_t *wakeUp)
+    {
+        lws_cancel_service(reinterpret_cast<Private *>(wakeUp)->context);
     }
 
     void runTimers()
