Add the peer network with its contract tests

WebSocket connections with Hello, heartbeats and replies on each; entries are found by gossip of what a process is itself connected with, so that a dead process leaves every roster. Of two connections between the same two processes both sides prefer the one that the smaller address dialed, and its dialer closes the other after two heartbeats.

--- a/src/libknapweed/base/httpclient.cpp
+++ b/src/libknapweed/base/httpclient.cpp
@@ -18,6 +18,7 @@
 {
 
 constexpr std::size_t writeChunkBytes = 65536;
+constexpr unsigned int libraryTimeoutSeconds = 24 * 3600; ///< each exchange has its own, shorter timer
 constexpr std::uint16_t keepWarmSeconds = 20; ///< well under the server's idle timeout
 
 int clientCallback(lws *wsi, lws_callback_reasons reason, void *user, void *in, size_t length);
@@ -71,7 +72,6 @@
     bool isSent = false; ///< a byte of it may have left
     bool isCompleted = false;
     std::size_t bodyWritten = 0;
-    std::string host;
     HttpResponse response;
 };
 
@@ -95,6 +95,12 @@
     finish(exchange, HttpError {kind, detail});
 }
 
+/// libwebsockets never sends a DELETE on an idle connection, and one kept after it would only wait for its end.
+bool canReuse(const HttpRequest &request)
+{
+    return request.method != "DELETE";
+}
+
 /// Frees the exchange's place in the pool for the next one.
 void releaseSlot(Exchange &exchange)
 {
@@ -265,6 +271,8 @@
     info.protocols = clientProtocols.data();
     info.vhost_name = name.c_str();
     info.user = this;
+    info.timeout_secs = libraryTimeoutSeconds;
+    info.connect_timeout_secs = libraryTimeoutSeconds;
     return lws_create_vhost(loop->context(), &info);
 }
 
@@ -293,11 +301,11 @@
     info.address = exchange->target.ip.c_str();
     info.port = exchange->target.port;
     info.path = exchange->request.path.c_str();
-    info.host = exchange->host.c_str();
+    info.host = info.address; // libwebsockets finds an idle connection again by this name
     info.method = exchange->request.method.c_str();
     info.protocol = clientProtocols[0].name;
     info.local_protocol_name = clientProtocols[0].name;
-    info.ssl_connection = LCCSCF_PIPELINE | LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
+    info.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT | (canReuse(exchange->request) ? LCCSCF_PIPELINE : 0);
     info.userdata = exchange.get();
     info.pwsi = &exchange->wsi;
     info.keep_warm_secs = keepWarmSeconds;
@@ -359,7 +367,6 @@
     const std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>();
     exchange->client = d_;
     exchange->target = target;
-    exchange->host = toString(target);
     exchange->request = std::move(request);
     exchange->callback = std::move(callback);
     exchange->slot = d_->takeSlot(target);
--- /dev/null
+++ b/src/libknapweed/peers/peerlinks.cpp
@@ -0,0 +1,284 @@
+// The connections of the peer network: Hello first on each side, then heartbeats and the owner's messages. Of two connections between the same two
+// processes the one that the smaller address dialed is preferred, so that both choose the same; the other is closed by whoever dialed it, later, so
+// that nothing under way is lost.
+
+#include "peers/peernetworkprivate.h"
+
+#include "base/logging.h"
+
+#include <algorithm>
+#include <cassert>
+#include <chrono>
+#include <tuple>
+
+namespace knapweed
+{
+
+namespace
+{
+
+constexpr std::int32_t protocolVersion = 1;
+constexpr std::size_t gossipLimit = 256; ///< entries taken from one heartbeat
+constexpr int healthyHeartbeats = 3; ///< a link without a reply for this many intervals is used only when there is no other
+constexpr int rosterSharesOfExpiry = 4; ///< the roster is repeated this often within its expiry
+
+bool isDialedLink(LinkId id)
+{
+    return id % 2 != 0;
+}
+
+std::uint64_t connectionNumber(LinkId id)
+{
+    return id / 2;
+}
+
+} // namespace
+
+void PeerNetwork::Private::opened(LinkId id)
+{
+    PeerLink &link = links[id];
+    if (!isDialedLink(id)) {
+        link.id = id;
+        link.begun = std::chrono::steady_clock::now();
+    }
+    link.isOpen = true;
+    if (server != nullptr) {
+        sendHello(link);
+    }
+}
+
+void PeerNetwork::Private::received(LinkId id, const std::string &bytes)
+{
+    const auto found = links.find(id);
+    if (found == links.end()) {
+        return;
+    }
+    PeerLink &link = found->second;
+    const Result<PeerMessage, CodecError> decoded = decodeMessage(bytes);
+    if (!isOk(decoded)) {
+        dropLink(id, "malformed message");
+        return;
+    }
+    const PeerMessage &message = value(decoded);
+    if (const wire::Hello *hello = std::get_if<wire::Hello>(&message)) {
+        handleHello(link, *hello);
+    } else if (link.peer.empty()) {
+        dropLink(id, "no hello");
+    } else if (const wire::Heartbeat *heartbeat = std::get_if<wire::Heartbeat>(&message)) {
+        handleHeartbeat(link, *heartbeat);
+    } else if (std::holds_alternative<wire::HeartbeatReply>(message)) {
+        link.lastReply = std::chrono::steady_clock::now();
+    } else {
+        link.lastMessage = std::chrono::steady_clock::now();
+        const std::string peer = link.peer;
+        events.received(peer, message);
+    }
+}
+
+void PeerNetwork::Private::closed(LinkId id)
+{
+    if (links.count(id) != 0) {
+        logEvent(LogLevel::Debug, "peer_link_closed", {{"peer", links.at(id).peer}, {"dialed", links.at(id).dialed}});
+        eraseLink(id);
+    }
+}
+
+bool PeerNetwork::Private::sendOn(LinkId id, const std::string &bytes)
+{
+    if (isDialedLink(id)) {
+        return client->send(connectionNumber(id), bytes);
+    }
+    return server != nullptr && server->sendWebSocket(connectionNumber(id), bytes);
+}
+
+void PeerNetwork::Private::dropLink(LinkId id, const char *reason)
+{
+    const PeerLink &link = links.at(id);
+    logEvent(LogLevel::Info, "peer_link_dropped", {{"peer", link.peer}, {"dialed", link.dialed}, {"reason", reason}});
+    if (isDialedLink(id)) {
+        client->close(connectionNumber(id));
+    } else if (server != nullptr) {
+        server->closeWebSocket(connectionNumber(id));
+    }
+    eraseLink(id);
+}
+
+void PeerNetwork::Private::eraseLink(LinkId id)
+{
+    const PeerLink link = links.at(id);
+    links.erase(id);
+    const auto dialed = dials.find(link.dialed);
+    if (dialed != dials.end() && dialed->second.link == id) {
+        dialed->second.link = 0;
+        dialFailed(link.dialed);
+    }
+    const auto found = peers.find(link.peer);
+    if (link.peer.empty() || found == peers.end() || found->second.links.erase(id) == 0) {
+        return;
+    }
+    if (found->second.links.empty()) {
+        peers.erase(found);
+        isRosterNews = true;
+        if (events.disconnected) {
+            events.disconnected(link.peer);
+        }
+    }
+}
+
+void PeerNetwork::Private::sendHello(PeerLink &link)
+{
+    wire::Hello hello;
+    hello.sender = roster.self;
+    hello.protocolVersion = protocolVersion;
+    sendOn(link.id, encodeMessage(hello));
+}
+
+void PeerNetwork::Private::sendHeartbeat(PeerLink &link, MonotonicTime now)
+{
+    wire::Heartbeat heartbeat;
+    heartbeat.sequence = ++link.sequence;
+    heartbeat.configurationVersion = configurationVersion;
+    heartbeat.draining = isDraining;
+    const bool isRosterDue = now - link.lastRoster >= Milliseconds(options.rosterExpiry) / rosterSharesOfExpiry;
+    if (isRosterNews || isRosterDue) {
+        heartbeat.roster = gossip();
+        link.lastRoster = now;
+    }
+    link.lastHeartbeat = now;
+    sendOn(link.id, encodeMessage(heartbeat));
+}
+
+void PeerNetwork::Private::handleHello(PeerLink &link, const wire::Hello &hello)
+{
+    const LinkId id = link.id;
+    const bool isNamed = parseAddress(hello.sender.address).port != 0;
+    if (!isNamed || hello.protocolVersion != protocolVersion || !link.peer.empty()) {
+        dropLink(id, "bad hello");
+        return;
+    }
+    const auto dialed = dials.find(link.dialed);
+    if (dialed != dials.end()) {
+        dialed->second.backoff.failures = 0;
+        dialed->second.answersAsAnother = link.dialed != hello.sender.address;
+    }
+    if (hello.sender.address == roster.self.address) {
+        dropLink(id, "own address");
+        return;
+    }
+    joinPeer(link, hello.sender);
+}
+
+void PeerNetwork::Private::joinPeer(PeerLink &link, const wire::RosterEntry &entry)
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    const std::set<LinkId> others = peers[entry.address].links;
+    for (const LinkId other : others) {
+        const std::int64_t incarnation = links.at(other).incarnation;
+        if (incarnation > entry.incarnation) {
+            dropLink(link.id, "old incarnation");
+            return;
+        }
+        if (incarnation < entry.incarnation) {
+            dropLink(other, "replaced incarnation");
+        }
+    }
+    link.peer = entry.address;
+    link.incarnation = entry.incarnation;
+    link.lastReply = now;
+    link.lastMessage = now;
+    Peer &peer = peers[entry.address];
+    const bool isFirst = peer.links.empty();
+    peer.links.insert(link.id);
+    peer.entry = entry;
+    sendHeartbeat(link, now);
+    sendWaiting(peer);
+    if (noteEntry(roster, entry, now)) {
+        rosterChanged();
+    }
+    isRosterNews = isRosterNews || isFirst;
+    if (isFirst && events.connected) {
+        events.connected(entry);
+    }
+}
+
+void PeerNetwork::Private::sendWaiting(Peer &peer)
+{
+    const LinkId id = preferredLink(peer);
+    while (!peer.waiting.empty()) {
+        sendOn(id, peer.waiting.front());
+        peer.waiting.pop_front();
+    }
+    peer.waitingBytes = 0;
+}
+
+void PeerNetwork::Private::handleHeartbeat(PeerLink &link, const wire::Heartbeat &heartbeat)
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    wire::HeartbeatReply reply;
+    reply.sequence = heartbeat.sequence;
+    sendOn(link.id, encodeMessage(reply));
+    const std::string peer = link.peer;
+    peers.at(peer).isDraining = heartbeat.draining;
+    bool isChanged = false;
+    for (std::size_t place = 0; place < std::min(heartbeat.roster.size(), gossipLimit); ++place) {
+        const wire::RosterEntry &entry = heartbeat.roster[place];
+        if (entry.role == wire::Role::Entry && parseAddress(entry.address).port != 0) {
+            isChanged = noteEntry(roster, entry, now) || isChanged;
+        }
+    }
+    if (isChanged) {
+        rosterChanged();
+    }
+    if (heartbeat.configurationVersion > configurationVersion && events.configurationSeen) {
+        events.configurationSeen(peer, heartbeat.configurationVersion);
+    }
+}
+
+LinkId PeerNetwork::Private::preferredLink(const Peer &peer) const
+{
+    if (peer.links.size() == 1) {
+        return *peer.links.begin();
+    }
+    const MonotonicTime oldest = std::chrono::steady_clock::now() - options.heartbeatInterval * healthyHeartbeats;
+    LinkId best = 0;
+    std::tuple<bool, bool, MonotonicTime> bestRank;
+    for (const LinkId id : peer.links) {
+        const PeerLink &link = links.at(id);
+        const bool isCanonical = isDialedLink(id) == (roster.self.address < peer.entry.address);
+        const std::tuple<bool, bool, MonotonicTime> rank(link.lastReply >= oldest, isCanonical, link.begun);
+        if (best == 0 || rank > bestRank) {
+            best = id;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+bool PeerNetwork::Private::isRedundant(const PeerLink &link) const
+{
+    if (!isDialedLink(link.id) || link.peer.empty()) {
+        return false;
+    }
+    const bool isCanonical = roster.self.address < link.peer;
+    for (const LinkId id : peers.at(link.peer).links) {
+        const bool isBetter = isDialedLink(id) ? links.at(id).begun > link.begun : !isCanonical;
+        if (id != link.id && isBetter) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::vector<wire::RosterEntry> PeerNetwork::Private::gossip() const
+{
+    // Only what this process is connected with: hearsay that is passed on would keep dead processes in the roster for ever.
+    std::vector<wire::RosterEntry> entries;
+    for (const auto &[address, peer] : peers) {
+        if (!peer.links.empty() && peer.entry.role == wire::Role::Entry) {
+            entries.push_back(peer.entry);
+        }
+    }
+    return entries;
+}
+
+} // namespace knapweed
--- /dev/null
+++ b/src/libknapweed/peers/peernetwork.cpp
@@ -0,0 +1,344 @@
+// What to connect to and when: seeds, entries of the roster, and peers with waiting messages.
+
+#include "peers/peernetwork.h"
+
+#include "base/logging.h"
+#include "base/websocketlink.h"
+#include "peers/peernetworkprivate.h"
+
+#include <algorithm>
+#include <cassert>
+#include <chrono>
+#include <utility>
+
+namespace knapweed
+{
+
+namespace
+{
+
+constexpr std::size_t waitingMessagesLimit = 4096; ///< for one peer while connecting; the oldest go first
+constexpr std::size_t waitingBytesLimit = std::size_t(32) << 20;
+constexpr Seconds idleLimit {60}; ///< a connection that was made on demand is closed after this time without messages
+constexpr int seedRecheckFactor = 5; ///< a seed that turned out to be another address is dialed again after this many reconnect limits
+
+LinkId acceptedLink(std::uint64_t connection)
+{
+    return connection * 2;
+}
+
+LinkId dialedLink(std::uint64_t connection)
+{
+    return connection * 2 + 1;
+}
+
+} // namespace
+
+void PeerNetwork::Private::send(const std::string &peer, const PeerMessage &message)
+{
+    if (peer == roster.self.address) {
+        const std::weak_ptr<Private> network = weak_from_this();
+        loop->post([network, peer, message]() {
+            const std::shared_ptr<Private> live = network.lock();
+            if (live != nullptr) {
+                live->events.received(peer, message);
+            }
+        });
+        return;
+    }
+    std::string bytes = encodeMessage(message);
+    if (bytes.size() > webSocketMessageLimit) {
+        logEvent(LogLevel::Error, "peer_message_too_large", {{"peer", peer}, {"bytes", std::to_string(bytes.size())}});
+        return;
+    }
+    const auto found = peers.find(peer);
+    if (found == peers.end() || found->second.links.empty()) {
+        enqueue(peer, std::move(bytes));
+        return;
+    }
+    const LinkId id = preferredLink(found->second);
+    links.at(id).lastMessage = std::chrono::steady_clock::now();
+    if (!sendOn(id, bytes)) {
+        dropLink(id, "queue full");
+    }
+}
+
+void PeerNetwork::Private::enqueue(const std::string &name, std::string bytes)
+{
+    if (parseAddress(name).port == 0) {
+        logEvent(LogLevel::Error, "peer_address_malformed", {{"peer", name}});
+        return;
+    }
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    Peer &peer = peers[name];
+    if (peer.waiting.empty()) {
+        peer.waitingSince = now;
+    }
+    peer.waitingBytes += bytes.size();
+    peer.waiting.push_back(std::move(bytes));
+    while (peer.waiting.size() > waitingMessagesLimit || peer.waitingBytes > waitingBytesLimit) {
+        peer.waitingBytes -= peer.waiting.front().size();
+        peer.waiting.pop_front();
+    }
+    if (server != nullptr) {
+        const bool isNew = dials.count(name) == 0;
+        const Dial &target = dials[name];
+        if (target.link == 0 && (isNew || target.next <= now)) {
+            dial(name, now);
+        }
+    }
+}
+
+void PeerNetwork::Private::tick()
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    const std::chrono::steady_clock::duration pause = now - lastTick;
+    if (pause > options.silenceTimeout / 2) {
+        // This process did not run: the replies that came meanwhile have not been read yet.
+        for (auto &[id, link] : links) {
+            link.begun += pause;
+            link.lastReply += pause;
+        }
+    }
+    lastTick = now;
+    tickLinks(now);
+    if (expireEntries(roster, now - options.rosterExpiry)) {
+        rosterChanged();
+    }
+    tickWaiting(now);
+    tickDials(now);
+}
+
+void PeerNetwork::Private::tickLinks(MonotonicTime now)
+{
+    const bool isNews = isRosterNews;
+    std::vector<LinkId> ids;
+    for (const auto &[id, link] : links) {
+        ids.push_back(id);
+    }
+    for (const LinkId id : ids) {
+        const auto found = links.find(id);
+        if (found != links.end()) {
+            tickLink(found->second, now);
+        }
+    }
+    isRosterNews = isNews ? false : isRosterNews;
+}
+
+void PeerNetwork::Private::tickLink(PeerLink &link, MonotonicTime now)
+{
+    const MonotonicTime heard = link.peer.empty() ? link.begun : link.lastReply;
+    if (now - heard > options.silenceTimeout) {
+        dropLink(link.id, link.peer.empty() ? "no hello in time" : "silent");
+        return;
+    }
+    if (link.peer.empty()) {
+        return;
+    }
+    if (isRosterNews || now - link.lastHeartbeat >= options.heartbeatInterval) {
+        noteEntry(roster, peers.at(link.peer).entry, now);
+        sendHeartbeat(link, now);
+    }
+    const bool isOnDemand = roster.self.role == wire::Role::Agent && peers.at(link.peer).entry.role == wire::Role::Agent;
+    if (isOnDemand && !link.dialed.empty() && now - link.lastMessage > idleLimit) {
+        dropLink(link.id, "idle");
+        return;
+    }
+    if (!isRedundant(link)) {
+        link.redundantSince = MonotonicTime();
+    } else if (link.redundantSince == MonotonicTime()) {
+        link.redundantSince = now;
+    } else if (now - link.redundantSince > options.heartbeatInterval * 2) {
+        dropLink(link.id, "redundant");
+    }
+}
+
+void PeerNetwork::Private::tickWaiting(MonotonicTime now)
+{
+    const MonotonicTime oldest = now - options.rosterExpiry;
+    std::erase_if(peers, [oldest](const std::pair<const std::string, Peer> &peer) {
+        return peer.second.links.empty() && (peer.second.waiting.empty() || peer.second.waitingSince < oldest);
+    });
+}
+
+void PeerNetwork::Private::tickDials(MonotonicTime now)
+{
+    for (const auto &[address, item] : roster.items) {
+        if (item.entry.role == wire::Role::Entry) {
+            dials[address];
+        }
+    }
+    for (const auto &[name, peer] : peers) {
+        if (!peer.waiting.empty()) {
+            dials[name];
+        }
+    }
+    std::vector<std::string> due;
+    std::erase_if(dials, [&](const std::pair<const std::string, Dial> &target) {
+        const bool wanted = isWanted(target.first, target.second);
+        if (wanted && target.second.link == 0 && target.second.next <= now) {
+            due.push_back(target.first);
+        }
+        return !wanted && !target.second.isSeed && target.second.link == 0;
+    });
+    for (const std::string &address : due) {
+        dial(address, now);
+    }
+}
+
+bool PeerNetwork::Private::isWanted(const std::string &address, const Dial &dial) const
+{
+    if (address == roster.self.address || isConnected(address)) {
+        return false;
+    }
+    const auto known = roster.items.find(address);
+    const bool isEntry = known != roster.items.end() && known->second.entry.role == wire::Role::Entry;
+    const auto peer = peers.find(address);
+    const bool isAwaited = peer != peers.end() && !peer->second.waiting.empty();
+    return dial.isSeed || isEntry || isAwaited;
+}
+
+void PeerNetwork::Private::dial(const std::string &address, MonotonicTime now)
+{
+    Dial &target = dials[address];
+    target.backoff.first = options.reconnectDelay;
+    target.backoff.limit = options.reconnectLimit;
+    const LinkId id = dialedLink(client->connect(parseAddress(address)));
+    target.link = id;
+    PeerLink &link = links[id];
+    link.id = id;
+    link.dialed = address;
+    link.begun = now;
+}
+
+void PeerNetwork::Private::dialFailed(const std::string &address)
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    Dial &target = dials.at(address);
+    const Milliseconds delay = nextDelay(target.backoff, random);
+    // A balancer is asked again now and then only, as long as there is any peer.
+    const bool isRecheck = target.answersAsAnother && !peers.empty();
+    target.next = now + (isRecheck ? options.reconnectLimit * seedRecheckFactor : delay);
+}
+
+void PeerNetwork::Private::rosterChanged()
+{
+    if (events.rosterChanged) {
+        events.rosterChanged();
+    }
+}
+
+bool PeerNetwork::Private::isConnected(const std::string &peer) const
+{
+    const auto found = peers.find(peer);
+    return found != peers.end() && !found->second.links.empty();
+}
+
+PeerNetwork::PeerNetwork(EventLoop &loop, PeerNetworkOptions options, PeerNetworkEvents events)
+    : d_(std::make_shared<Private>())
+{
+    d_->loop = &loop;
+    d_->options = options;
+    d_->events = std::move(events);
+    Private *network = d_.get();
+    WebSocketHooks hooks;
+    hooks.opened = [network](std::uint64_t connection) {
+        network->opened(dialedLink(connection));
+    };
+    hooks.received = [network](std::uint64_t connection, std::string message) {
+        network->received(dialedLink(connection), message);
+    };
+    hooks.closed = [network](std::uint64_t connection) {
+        network->closed(dialedLink(connection));
+    };
+    d_->client = std::make_unique<WebSocketClient>(loop, std::move(hooks));
+}
+
+PeerNetwork::~PeerNetwork()
+{
+    d_->loop->cancelTimer(d_->timer);
+    d_->client.reset();
+}
+
+WebSocketHooks PeerNetwork::hooks()
+{
+    // Weak, because the server may outlive the network.
+    const std::weak_ptr<Private> weak = d_;
+    WebSocketHooks hooks;
+    hooks.opened = [weak](std::uint64_t connection) {
+        if (const std::shared_ptr<Private> network = weak.lock()) {
+            network->opened(acceptedLink(connection));
+        }
+    };
+    hooks.received = [weak](std::uint64_t connection, std::string message) {
+        if (const std::shared_ptr<Private> network = weak.lock()) {
+            network->received(acceptedLink(connection), message);
+        }
+    };
+    hooks.closed = [weak](std::uint64_t connection) {
+        if (const std::shared_ptr<Private> network = weak.lock()) {
+            network->closed(acceptedLink(connection));
+        }
+    };
+    return hooks;
+}
+
+void PeerNetwork::attach(HttpServer &server, const wire::RosterEntry &self, const std::vector<Address> &seeds)
+{
+    assert(d_->server == nullptr);
+    d_->server = &server;
+    d_->roster.self = self;
+    d_->lastTick = std::chrono::steady_clock::now();
+    for (const Address &seed : seeds) {
+        if (toString(seed) != self.address) {
+            d_->dials[toString(seed)].isSeed = true;
+        }
+    }
+    for (auto &[id, link] : d_->links) {
+        d_->sendHello(link);
+    }
+    const Milliseconds interval = std::min(d_->options.reconnectDelay, d_->options.heartbeatInterval);
+    Private *network = d_.get();
+    d_->timer = d_->loop->callEvery(interval, [network]() {
+        network->tick();
+    });
+    d_->tickDials(d_->lastTick);
+}
+
+void PeerNetwork::send(const std::string &peer, const PeerMessage &message)
+{
+    d_->send(peer, message);
+}
+
+bool PeerNetwork::isConnected(const std::string &peer) const
+{
+    return d_->isConnected(peer);
+}
+
+std::vector<wire::RosterEntry> PeerNetwork::roster() const
+{
+    return listEntries(d_->roster);
+}
+
+void PeerNetwork::setConfigurationVersion(std::int64_t version)
+{
+    d_->configurationVersion = version;
+}
+
+void PeerNetwork::setDraining(bool draining)
+{
+    d_->isDraining = draining;
+}
+
+bool PeerNetwork::isDraining(const std::string &peer) const
+{
+    const auto found = d_->peers.find(peer);
+    return found != d_->peers.end() && found->second.isDraining;
+}
+
+std::size_t PeerNetwork::connections() const
+{
+    return d_->links.size();
+}
+
+} // namespace knapweed
--- a/src/libknapweed/peers/peernetwork.h
+++ b/src/libknapweed/peers/peernetwork.h
@@ -48,7 +48,7 @@
 
     WebSocketHooks hooks();
 
-    /// Starts the network. self.address is what peers will call this process. Connects to @p seeds and keeps at it.
+    /// Starts the network; @p server must outlive it. self.address is what peers will call this process. Connects to @p seeds and keeps at it.
     void attach(HttpServer &server, const wire::RosterEntry &self, const std::vector<Address> &seeds);
 
     /// Sends on the live connection to @p peer; opens one when there is none and sends once it is up (a bounded number of messages waits).
@@ -66,9 +66,10 @@
 
     std::size_t connections() const;
 
-private:
     struct Private;
-    std::unique_ptr<Private> d_;
+
+private:
+    std::shared_ptr<Private> d_;
 };
 
 } // namespace knapweed
--- /dev/null
+++ b/tests/peers/networktest.cpp
@@ -0,0 +1,151 @@
+// Contract of the peer network between healthy processes: who connects to whom, order, and waiting messages.
+
+#include "peers/testnode.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace knapweed;
+
+TEST_GROUP(PeerNetwork) {};
+
+TEST(PeerNetwork, agentsFindAllEntriesThroughOneSeed)
+{
+    TestNode first(wire::Role::Entry, 1);
+    TestNode second(wire::Role::Entry, 2);
+    TestNode agent(wire::Role::Agent, 3);
+    first.start({});
+    second.start({first.listening()});
+    agent.start({second.listening()});
+
+    CHECK(agent.waitConnected(first.name()));
+    CHECK(agent.waitConnected(second.name()));
+    CHECK(first.waitConnected(second.name()));
+    CHECK(first.waitConnected(agent.name()));
+    const bool isKnown = agent.task().waitFor([&]() {
+        return agent.network().roster().size() == 3;
+    });
+    CHECK(isKnown);
+}
+
+TEST(PeerNetwork, agentsConnectToEachOtherToSend)
+{
+    TestNode first(wire::Role::Agent, 1);
+    TestNode second(wire::Role::Agent, 2);
+    first.start({});
+    second.start({});
+
+    first.send(second.name(), "j-1");
+
+    CHECK(second.waitReceived("j-1"));
+    CHECK(second.waitConnected(first.name()));
+}
+
+TEST(PeerNetwork, deliversToItself)
+{
+    TestNode node(wire::Role::Agent, 1);
+    node.start({});
+
+    node.send(node.name(), "j-1");
+
+    CHECK(node.waitReceived("j-1"));
+}
+
+TEST(PeerNetwork, keepsOrderWhenBothSidesConnectAtOnce)
+{
+    constexpr int messages = 500;
+    TestNode first(wire::Role::Agent, 1);
+    TestNode second(wire::Role::Agent, 2);
+    first.start({});
+    second.start({});
+    for (int number = 0; number < messages; ++number) {
+        first.send(second.name(), "a" + std::to_string(number));
+        second.send(first.name(), "b" + std::to_string(number));
+    }
+
+    CHECK(second.waitReceived("a" + std::to_string(messages - 1)));
+    CHECK(first.waitReceived("b" + std::to_string(messages - 1)));
+    std::vector<std::string> expected;
+    for (int number = 0; number < messages; ++number) {
+        expected.push_back("a" + std::to_string(number));
+    }
+    CHECK(expected == second.jobs());
+    LONGS_EQUAL(messages, first.jobs().size());
+    const bool isOne = first.task().waitFor([&]() {
+        return first.network().connections() == 1;
+    });
+    CHECK(isOne);
+    LONGS_EQUAL(1, first.timesConnected(second.name()));
+}
+
+TEST(PeerNetwork, connectsAgainAfterTheOtherProcessIsReplaced)
+{
+    TestNode entry(wire::Role::Entry, 1);
+    entry.start({});
+    std::unique_ptr<TestNode> other = std::make_unique<TestNode>(wire::Role::Entry, 2);
+    const Address address = other->listening();
+    other->start({entry.listening()});
+    CHECK(entry.waitConnected(toString(address)));
+    other.reset();
+    const bool isGone = entry.task().waitFor([&]() {
+        return !entry.network().isConnected(toString(address));
+    });
+    CHECK(isGone);
+
+    other = std::make_unique<TestNode>(wire::Role::Entry, 3, address);
+    other->start({});
+
+    CHECK(entry.waitConnected(toString(address)));
+    LONGS_EQUAL(2, entry.timesConnected(toString(address)));
+}
+
+TEST(PeerNetwork, forgetsAProcessThatNobodyHearsFrom)
+{
+    TestNode entry(wire::Role::Entry, 1);
+    TestNode agent(wire::Role::Agent, 2);
+    entry.start({});
+    agent.start({entry.listening()});
+    {
+        TestNode other(wire::Role::Entry, 3);
+        other.start({entry.listening()});
+        CHECK(agent.waitConnected(other.name()));
+    }
+
+    const bool isForgotten = agent.task().waitFor([&]() {
+        return agent.network().roster().size() == 2;
+    });
+    CHECK(isForgotten);
+}
+
+TEST(PeerNetwork, tellsConfigurationVersionAndDraining)
+{
+    TestNode entry(wire::Role::Entry, 1);
+    TestNode agent(wire::Role::Agent, 2);
+    entry.start({});
+    agent.start({entry.listening()});
+    CHECK(agent.waitConnected(entry.name()));
+    entry.task().call([&]() {
+        entry.network().setDraining(true);
+    });
+
+    const bool isDraining = agent.task().waitFor([&]() {
+        return agent.network().isDraining(entry.name());
+    });
+    CHECK(isDraining);
+}
+
+TEST(PeerNetwork, carriesLargeMessagesWhole)
+{
+    TestNode first(wire::Role::Agent, 1);
+    TestNode second(wire::Role::Agent, 2);
+    first.start({});
+    second.start({});
+    const std::string large(5 << 20, 'x');
+
+    first.send(second.name(), large);
+
+    CHECK(second.waitReceived(large));
+}
--- /dev/null
+++ b/tests/peers/testnode.h
@@ -0,0 +1,165 @@
+// One process of the system for tests: an event loop, a server and a peer network, and a record of what arrived.
+#pragma once
+
+#include "base/httpserver.h"
+#include "base/looptask.h"
+#include "peers/peernetwork.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace knapweed
+{
+
+/// Short times, so that tests of silence take a second rather than several.
+inline PeerNetworkOptions testOptions()
+{
+    PeerNetworkOptions options;
+    options.heartbeatInterval = Milliseconds(50);
+    options.silenceTimeout = Milliseconds(400);
+    options.reconnectDelay = Milliseconds(20);
+    options.reconnectLimit = Milliseconds(200);
+    options.rosterExpiry = Seconds(2);
+    return options;
+}
+
+class TestNode
+{
+public:
+    TestNode(wire::Role::type role, std::int64_t incarnation, Address listen = {"127.0.0.1", 0}, PeerNetworkOptions options = testOptions())
+    {
+        task_.call([&]() {
+            PeerNetworkEvents events;
+            events.received = [this](const std::string &peer, const PeerMessage &message) {
+                received(peer, message);
+            };
+            events.connected = [this](const wire::RosterEntry &peer) {
+                ++connected_[peer.address];
+            };
+            events.disconnected = [this](const std::string &peer) {
+                ++disconnected_[peer];
+            };
+            network_ = std::make_unique<PeerNetwork>(task_.loop(), options, events);
+            server_ = std::make_unique<HttpServer>(
+                task_.loop(),
+                listen,
+                [](const HttpRequest &, HttpResponder respond) {
+                    respond(jsonResponse(200, "{}"));
+                },
+                HttpServerOptions {},
+                network_->hooks());
+            self_.address = toString(server_->address());
+            self_.role = role;
+            self_.incarnation = incarnation;
+        });
+    }
+
+    ~TestNode()
+    {
+        task_.call([this]() {
+            network_.reset();
+            server_.reset();
+        });
+    }
+
+    /// @p address is what others call this node, when a relay stands before it.
+    void start(const std::vector<Address> &seeds, const std::string &address = {})
+    {
+        task_.call([&]() {
+            if (!address.empty()) {
+                self_.address = address;
+            }
+            network_->attach(*server_, self_, seeds);
+        });
+    }
+
+    Address listening() const
+    {
+        return server_->address();
+    }
+
+    const std::string &name() const
+    {
+        return self_.address;
+    }
+
+    LoopTask &task()
+    {
+        return task_;
+    }
+
+    PeerNetwork &network()
+    {
+        return *network_;
+    }
+
+    void send(const std::string &peer, const std::string &job)
+    {
+        task_.call([&]() {
+            wire::PlacementWithdrawal message;
+            message.job = job;
+            network_->send(peer, message);
+        });
+    }
+
+    bool waitConnected(const std::string &peer)
+    {
+        return task_.waitFor([&]() {
+            return network_->isConnected(peer);
+        });
+    }
+
+    bool waitReceived(const std::string &job)
+    {
+        return task_.waitFor([&]() {
+            return counts_[job] > 0;
+        });
+    }
+
+    std::vector<std::string> jobs()
+    {
+        std::vector<std::string> jobs;
+        task_.call([&]() {
+            jobs = jobs_;
+        });
+        return jobs;
+    }
+
+    int timesConnected(const std::string &peer)
+    {
+        int times = 0;
+        task_.call([&]() {
+            times = connected_[peer];
+        });
+        return times;
+    }
+
+private:
+    void received(const std::string &peer, const PeerMessage &message)
+    {
+        const wire::PlacementWithdrawal *withdrawal = std::get_if<wire::PlacementWithdrawal>(&message);
+        if (withdrawal == nullptr) {
+            return;
+        }
+        jobs_.push_back(withdrawal->job);
+        ++counts_[withdrawal->job];
+        if (withdrawal->home == "echo") {
+            wire::PlacementWithdrawal answer = *withdrawal;
+            answer.home.clear();
+            network_->send(peer, answer);
+        }
+    }
+
+    LoopTask task_;
+    std::unique_ptr<PeerNetwork> network_;
+    std::unique_ptr<HttpServer> server_;
+    wire::RosterEntry self_;
+    std::vector<std::string> jobs_; ///< of the messages, in the order of arrival
+    std::map<std::string, int> counts_;
+    std::map<std::string, int> connected_;
+    std::map<std::string, int> disconnected_;
+};
+
+} // namespace knapweed
