--- a/src/libknapweed/logservice/logclient.h
+++ b/src/libknapweed/logservice/logclient.h
@@ -24,6 +24,7 @@
     Milliseconds retryDelay {50}; ///< first delay after a failure; doubles with jitter up to retryLimit
     Milliseconds retryLimit {1000};
     std::size_t batchLimit = 256; ///< records in one append
+    std::size_t batchBytes = std::size_t(512) << 10; ///< of records in one append; one larger record goes alone
     std::size_t queueLimit = 20000; ///< appends that may wait; more are refused
 };
 
@@ -31,8 +32,8 @@
 struct LogClientEvents
 {
     std::function<void(std::int64_t offset, const Record &record)> record;
-    std::function<void()> caughtUp; ///< the first time that the follower has read to the end
-    std::function<void(bool isReachable)> reachability;
+    std::function<void()> caughtUp; ///< the follower has read to the end: the first time, and again after records that it could not read or had expired
+    std::function<void(bool isReachable)> reachability; ///< the first result, and each change; a service that refuses by its rate limit is reachable
 };
 
 class LogClient
--- /dev/null
+++ b/src/libknapweed/logservice/logfollower.cpp
@@ -0,0 +1,126 @@
+// Until it has caught up the follower asks without waiting, so that an empty answer shows the end of the log at once.
+
+#include "logservice/logfollower.h"
+
+#include "base/logging.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cassert>
+#include <string>
+
+namespace knapweed
+{
+
+namespace
+{
+
+constexpr int readLimit = 1000; ///< records
+constexpr int statusOk = 200;
+constexpr int statusGone = 410;
+
+} // namespace
+
+LogFollower::LogFollower(
+    EventLoop &loop, HttpClient &client, const LogClientOptions &options, const LogClientEvents &events, std::function<void(bool)> reachability)
+    : loop_(loop)
+    , client_(client)
+    , options_(options)
+    , events_(events)
+    , reachability_(std::move(reachability))
+    , backoff_ {options.retryDelay, options.retryLimit}
+    , random_(std::random_device()())
+{
+}
+
+void LogFollower::start()
+{
+    read();
+}
+
+void LogFollower::read()
+{
+    const Milliseconds wait = isCaughtUp_ ? options_.followWait : Milliseconds(0);
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/v1/streams/" + options_.stream + "/records?from=" + std::to_string(next_) + "&limit=" + std::to_string(readLimit)
+        + "&wait_ms=" + std::to_string(wait.count());
+    client_.send(options_.service, std::move(request), wait + options_.requestTimeout, [this](const HttpResult &result) {
+        receive(result);
+    });
+}
+
+void LogFollower::receive(const HttpResult &result)
+{
+    const int status = isOk(result) ? value(result).status : 0;
+    const bool isUsable = (status == statusOk && receiveRecords(value(result).body)) || (status == statusGone && skipExpired(value(result).body));
+    reachability_(isUsable);
+    if (!isUsable) {
+        retry();
+        return;
+    }
+    backoff_.failures = 0;
+    read();
+}
+
+bool LogFollower::receiveRecords(const std::string &body)
+{
+    const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+    try {
+        const nlohmann::json &records = answer.at("records");
+        for (const nlohmann::json &record : records) {
+            deliver(record.at("offset").get<std::int64_t>(), record.at("value").get_ref<const std::string &>());
+        }
+        if (records.empty() && !isCaughtUp_) {
+            isCaughtUp_ = true;
+            events_.caughtUp();
+        }
+        return true;
+    } catch (const nlohmann::json::exception &failure) {
+        logEvent(LogLevel::Warning, "log_answer_malformed", {{"stream", options_.stream}, {"detail", failure.what()}});
+        return false;
+    }
+}
+
+void LogFollower::deliver(std::int64_t offset, const std::string &text)
+{
+    if (offset < next_) {
+        return;
+    }
+    if (offset > next_) {
+        isCaughtUp_ = false;
+    }
+    next_ = offset + 1;
+    const Result<Record, RecordError> record = decodeRecord(text);
+    if (!isOk(record)) {
+        isCaughtUp_ = false;
+        logEvent(LogLevel::Warning, "log_record_unreadable", {{"offset", std::to_string(offset)}, {"detail", error(record).detail}});
+        return;
+    }
+    events_.record(offset, value(record));
+}
+
+bool LogFollower::skipExpired(const std::string &body)
+{
+    const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+    if (!answer.is_object() || !answer.contains("oldest_offset") || !answer.at("oldest_offset").is_number_integer()) {
+        return false;
+    }
+    const std::int64_t oldest = answer.at("oldest_offset").get<std::int64_t>();
+    if (oldest <= next_) {
+        return false;
+    }
+    logEvent(LogLevel::Warning, "log_records_expired", {{"from", std::to_string(next_)}, {"oldest", std::to_string(oldest)}});
+    next_ = oldest;
+    isCaughtUp_ = false;
+    return true;
+}
+
+void LogFollower::retry()
+{
+    loop_.callAfter(nextDelay(backoff_, random_), [this] {
+        read();
+    });
+}
+
+} // namespace knapweed
--- a/tests/standins/logstandin.cpp
+++ b/tests/standins/logstandin.cpp
@@ -14,6 +14,11 @@
 
 constexpr std::int64_t defaultReadLimit = 1000;
 
+double appendBurst(int appendsPerSecond)
+{
+    return std::max(1.0, appendsPerSecond / 10.0);
+}
+
 bool isAppend(const json &body)
 {
     if (!body.is_object() || !body.contains("records") || !body.at("records").is_array()) {
@@ -43,6 +48,7 @@
           [this](const std::string &name, const json &value) {
               return setFault(name, value);
           })
+    , appendTokens_(appendBurst(options.appendsPerSecond))
     , tokensAt_(std::chrono::steady_clock::now())
 {
 }
@@ -185,7 +191,7 @@
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
     const double rate = options_.appendsPerSecond;
-    const double burst = std::max(1.0, rate / 10);
+    const double burst = appendBurst(options_.appendsPerSecond);
     appendTokens_ = std::min(burst, appendTokens_ + rate * std::chrono::duration<double>(now - tokensAt_).count());
     tokensAt_ = now;
     if (appendTokens_ < 1) {
--- a/tests/standins/logstandin.h
+++ b/tests/standins/logstandin.h
@@ -59,7 +59,7 @@
     std::map<std::string, Stream> streams_;
     std::list<Waiter> waiters_;
     int appendsToRepeat_ = 0;
-    double appendTokens_ = 0; ///< invariant: between 0 and the burst
+    double appendTokens_; ///< invariant: between 0 and the burst
     MonotonicTime tokensAt_;
 };
 
