--- a/src/libknapweed/logservice/jobfold.cpp
+++ b/src/libknapweed/logservice/jobfold.cpp
@@ -26,6 +26,10 @@
 json jobToJson(const FoldedJob &job)
 {
     json value = {{"submit", recordjson::toJson(job.submit)}};
+    if (job.outcome) {
+        // A finished job is never run again; its digest still tells a retry from another request.
+        value["submit"]["spec"]["input"] = "";
+    }
     if (job.start) {
         value["start"] = recordjson::toJson(*job.start);
     }
--- a/src/libknapweed/logservice/jobfold.h
+++ b/src/libknapweed/logservice/jobfold.h
@@ -54,7 +54,7 @@
     /// it after every record with the same number forget the same jobs.
     void forgetFinished(std::size_t keepNewest);
 
-    /// JSON text of the state. A snapshot never overwrites what a complete fold knows.
+    /// JSON text of the state, without the inputs of finished jobs. A snapshot never overwrites what a complete fold knows.
     std::string snapshot() const;
 
     /// The same in several texts of about @p partBytes or, for one larger job, more. At least one.
--- a/src/libknapweed/logservice/logclient.h
+++ b/src/libknapweed/logservice/logclient.h
@@ -28,12 +28,14 @@
     std::size_t queueLimit = 20000; ///< appends that may wait; more are refused
 };
 
-/// All callbacks run on the log task's thread; give functions that post to the receiver's own loop.
+/// All callbacks run on the log task's thread; give functions that post to the receiver's own loop. The last two may be empty.
 struct LogClientEvents
 {
     std::function<void(std::int64_t offset, const Record &record)> record;
     std::function<void()> caughtUp; ///< the follower has read to the end: the first time, and again after records that it could not read or had expired
     std::function<void(bool isReachable)> reachability; ///< the first result, and each change; a service that refuses by its rate limit is reachable
+    std::function<void(std::int64_t offset)> skipped = {}; ///< records before this offset have expired unread; the next one read is at it or after it
+    std::function<void(std::int64_t offset)> oldest = {}; ///< the log's oldest record has moved to this offset
 };
 
 class LogClient
--- a/src/libknapweed/logservice/logfollower.cpp
+++ b/src/libknapweed/logservice/logfollower.cpp
@@ -71,6 +71,7 @@
         for (const nlohmann::json &record : records) {
             deliver(record.at("offset").get<std::int64_t>(), record.at("value").get_ref<const std::string &>());
         }
+        noteOldest(answer.value("oldest_offset", std::int64_t(0)));
         if (records.empty() && !isCaughtUp_) {
             isCaughtUp_ = true;
             events_.caughtUp();
@@ -113,9 +114,24 @@
     logEvent(LogLevel::Warning, "log_records_expired", {{"from", std::to_string(next_)}, {"oldest", std::to_string(oldest)}});
     next_ = oldest;
     isCaughtUp_ = false;
+    if (events_.skipped) {
+        events_.skipped(oldest);
+    }
+    noteOldest(oldest);
     return true;
 }
 
+void LogFollower::noteOldest(std::int64_t oldest)
+{
+    if (oldest <= oldest_) {
+        return;
+    }
+    oldest_ = oldest;
+    if (events_.oldest) {
+        events_.oldest(oldest);
+    }
+}
+
 void LogFollower::retry()
 {
     loop_.callAfter(nextDelay(backoff_, random_), [this] {
--- /dev/null
+++ b/src/libknapweed/logservice/snapshot.cpp
@@ -0,0 +1,106 @@
+// Division of a snapshot into records, and the rule that says when one is wanted.
+
+#include "logservice/snapshot.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace knapweed
+{
+
+std::vector<SnapshotRecord> makeSnapshot(const SnapshotRecord &configuration, const JobFold &jobs, const std::string &snapshotId, std::size_t partBytes)
+{
+    assert(jobs.isComplete());
+    assert(jobs.nextOffset() == configuration.throughOffset);
+    std::vector<std::string> texts = jobs.snapshotParts(partBytes);
+    std::vector<SnapshotRecord> records;
+    records.reserve(texts.size());
+    for (std::string &text : texts) {
+        SnapshotRecord record = configuration;
+        record.snapshotId = snapshotId;
+        record.part = static_cast<std::int32_t>(records.size());
+        record.parts = static_cast<std::int32_t>(texts.size());
+        record.jobs = std::move(text);
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+SnapshotSchedule::SnapshotSchedule(SnapshotPolicy policy, std::uint32_t seed)
+    : policy_(policy)
+    , random_(seed)
+{
+}
+
+void SnapshotSchedule::apply(MonotonicTime now, std::int64_t offset, const Record &record)
+{
+    next_ = std::max(next_, offset + 1);
+    if (!writtenAt_) {
+        writtenAt_ = now;
+    }
+    if (const SnapshotRecord *snapshot = std::get_if<SnapshotRecord>(&record)) {
+        applySnapshot(now, *snapshot);
+    }
+}
+
+void SnapshotSchedule::applySnapshot(MonotonicTime now, const SnapshotRecord &record)
+{
+    if (record.throughOffset <= through_) {
+        return;
+    }
+    if (record.snapshotId != partialId_) {
+        partialId_ = record.snapshotId;
+        partialParts_.clear();
+    }
+    partialParts_.insert(record.part);
+    dueAt_ = now + policy_.patience + jitter();
+    if (partialParts_.size() < static_cast<std::size_t>(std::max(1, record.parts))) {
+        return;
+    }
+    through_ = record.throughOffset;
+    writtenAt_ = now;
+    dueAt_.reset();
+}
+
+void SnapshotSchedule::setOldest(std::int64_t offset)
+{
+    oldest_ = std::max(oldest_, offset);
+}
+
+bool SnapshotSchedule::takeDue(MonotonicTime now)
+{
+    if (!isWanted(now)) {
+        dueAt_.reset();
+        return false;
+    }
+    if (!dueAt_) {
+        dueAt_ = now + jitter();
+    }
+    if (now < *dueAt_) {
+        return false;
+    }
+    dueAt_ = now + policy_.patience + jitter();
+    return true;
+}
+
+bool SnapshotSchedule::isWanted(MonotonicTime now) const
+{
+    if (!writtenAt_) {
+        return false;
+    }
+    return next_ - through_ >= policy_.records || now - *writtenAt_ >= policy_.interval || isNearExpiry();
+}
+
+bool SnapshotSchedule::isNearExpiry() const
+{
+    // Records expire, and the newest snapshot stands in the older half of those that are left.
+    return oldest_ > 0 && 2 * (through_ - oldest_) < next_ - oldest_;
+}
+
+Milliseconds SnapshotSchedule::jitter()
+{
+    std::uniform_int_distribution<Milliseconds::rep> delay(0, policy_.jitter.count());
+    return Milliseconds(delay(random_));
+}
+
+} // namespace knapweed
