Mend the demo's racks and the stand-ins' end

The endpoint stand-in crashed on SIGTERM: the server's handler owned the role, so the role outlived the loop that its HTTP client needs. The roles now live shorter than the loop. The demo's racks lay across failure domains; the planner takes a rack as part of one, so a gang in a rack was refused.

--- a/scripts/demolib/fleet.py
+++ b/scripts/demolib/fleet.py
@@ -13,7 +13,7 @@
 STREAM = "knapweedstage"
 ACCELERATORS = 8
 RACKS = {"w1": "r1", "w2": "r1", "w3": "r2", "w4": "r2"}
-DOMAINS = {"w1": "west-1", "w2": "west-2", "w3": "west-3", "w4": "west-4"}
+DOMAINS = {"r1": "west-1", "r2": "west-2"}  # a rack stands in one failure domain
 ENTRIES = 3
 
 CONFIGURATION: dict[str, Any] = {
@@ -116,7 +116,7 @@
     """Starts a worker, the agent with authority over it, and the endpoint beside that agent."""
     processes = fleet.processes
     fleet.workers[worker] = processes.start(f"worker-{worker}", [standins, "--role", "worker", "--accelerators", str(ACCELERATORS)])
-    settings = common_settings("agent", DOMAINS[worker], [entry.address for entry in fleet.entries], fleet.log.address)
+    settings = common_settings("agent", DOMAINS[rack], [entry.address for entry in fleet.entries], fleet.log.address)
     settings["worker"] = {
         "id": worker,
         **socket_address(fleet.workers[worker].address),
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -79,25 +79,36 @@
     return arguments;
 }
 
-/// The role's handler; it keeps the role alive.
-HttpHandler makeRole(EventLoop &loop, const Arguments &arguments, std::shared_ptr<standins::EndpointStandin> &endpoint)
+/// The one role of this process. Lives shorter than the loop.
+struct Role
 {
+    std::unique_ptr<standins::LogStandin> log;
+    std::unique_ptr<standins::WorkerStandin> worker;
+    std::unique_ptr<standins::EndpointStandin> endpoint;
+};
+
+Role makeRole(EventLoop &loop, const Arguments &arguments)
+{
+    Role role;
     if (arguments.role == "log") {
-        const std::shared_ptr<standins::LogStandin> role = std::make_shared<standins::LogStandin>(loop, arguments.log);
-        return [role](const HttpRequest &request, const HttpResponder &respond) {
-            role->handle(request, respond);
-        };
+        role.log = std::make_unique<standins::LogStandin>(loop, arguments.log);
+    } else if (arguments.role == "worker") {
+        role.worker = std::make_unique<standins::WorkerStandin>(loop, arguments.worker);
+    } else {
+        role.endpoint = std::make_unique<standins::EndpointStandin>(loop, arguments.endpoint);
     }
-    if (arguments.role == "worker") {
-        const std::shared_ptr<standins::WorkerStandin> role = std::make_shared<standins::WorkerStandin>(loop, arguments.worker);
-        return [role](const HttpRequest &request, const HttpResponder &respond) {
-            role->handle(request, respond);
-        };
+    return role;
+}
+
+void handle(const Role &role, const HttpRequest &request, const HttpResponder &respond)
+{
+    if (role.log) {
+        role.log->handle(request, respond);
+    } else if (role.worker) {
+        role.worker->handle(request, respond);
+    } else {
+        role.endpoint->handle(request, respond);
     }
-    endpoint = std::make_shared<standins::EndpointStandin>(loop, arguments.endpoint);
-    return [endpoint](const HttpRequest &request, const HttpResponder &respond) {
-        endpoint->handle(request, respond);
-    };
 }
 
 int serve(const Arguments &arguments)
@@ -109,17 +120,20 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 
     EventLoop loop;
-    std::shared_ptr<standins::EndpointStandin> endpoint;
+    const Role role = makeRole(loop, arguments);
     HttpServerOptions options;
     options.maximumBodyBytes = maximumBodyBytes;
-    HttpServer server(loop, {"127.0.0.1", static_cast<std::uint16_t>(arguments.port)}, makeRole(loop, arguments, endpoint), options);
+    const HttpHandler handler = [&role](const HttpRequest &request, const HttpResponder &respond) {
+        handle(role, request, respond);
+    };
+    HttpServer server(loop, {"127.0.0.1", static_cast<std::uint16_t>(arguments.port)}, handler, options);
     if (!server.isListening()) {
         std::cerr << "can't listen on port " << arguments.port << '\n';
         return 1;
     }
     std::cout << "listening " << toString(server.address()) << std::endl;
-    if (endpoint) {
-        endpoint->announceAs(server.address());
+    if (role.endpoint) {
+        role.endpoint->announceAs(server.address());
     }
     std::thread watcher([&loop, &signals] {
         int received = 0;
