Read settings and configurations completely, fold versions, serve operators

Cause: the path needs settings checked at start, the configuration as a fold of the log, and the operators' interface to it.

Ruled out: judging a change in a process that starts after older records have expired. It does not know the version at its first place, and a wrong guess lets two processes accept different changes as one version.

--- a/src/libknapweed/base/settings.h
+++ b/src/libknapweed/base/settings.h
@@ -3,6 +3,7 @@
 
 #include "base/address.h"
 #include "base/clock.h"
+#include "base/jsonreader.h"
 #include "base/logging.h"
 #include "base/result.h"
 
@@ -51,4 +52,7 @@
 Result<Settings, SettingsError> parseSettings(const std::string &json);
 Result<Settings, SettingsError> readSettings(const std::string &fileName);
 
+/// Every key with what it allows and its default, for the reference page docs/settings.md.
+std::vector<FieldDescription> describeSettings();
+
 } // namespace knapweed
--- a/src/libknapweed/operators/configuration.h
+++ b/src/libknapweed/operators/configuration.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/jsonreader.h"
 #include "base/result.h"
 #include "peers/gen/peers_types.h"
 
@@ -70,9 +71,21 @@
 };
 
 Result<Configuration, ConfigurationError> parseConfiguration(const std::string &json);
+/// The canonical text: equal configurations have equal texts, and parsing it gives the configuration back.
 std::string formatConfiguration(const Configuration &configuration);
 
+/// "none", "worker" or "rack".
+std::string nameOf(wire::Adjacency::type adjacency);
+
+bool isInForce(const ConfigurationException &exception, WallTime now);
+
 /// The configuration with the exceptions that are in force at @p now applied to accounts.
 Configuration effectiveConfiguration(const Configuration &configuration, WallTime now);
 
+/// The ids of the workers that an exception in force at @p now excludes from new work.
+std::vector<std::string> excludedWorkers(const Configuration &configuration, WallTime now);
+
+/// Every key with what it allows and its default, for the reference page docs/interfaces/operators.md.
+std::vector<FieldDescription> describeConfiguration();
+
 } // namespace knapweed
--- /dev/null
+++ b/src/libknapweed/operators/configurationfold.cpp
@@ -0,0 +1,207 @@
+// Folding of configuration changes and snapshots.
+
+#include "operators/configurationfold.h"
+
+#include "base/invariant.h"
+
+#include <algorithm>
+
+namespace knapweed
+{
+
+namespace
+{
+
+constexpr std::size_t historyLimit = 100;
+constexpr std::size_t pendingLimit = 1000;
+
+ConfigurationVersion emptyVersion()
+{
+    return {0, "", "", formatConfiguration({})};
+}
+
+} // namespace
+
+ConfigurationFold::ConfigurationFold()
+    : current_(emptyVersion())
+    , logVersion_(0)
+{
+}
+
+ConfigurationFold::Verdict ConfigurationFold::apply(std::int64_t offset, const Record &record)
+{
+    if (offset < nextOffset_) {
+        return Verdict::Ignored;
+    }
+    if (nextOffset_ == 0 && offset > 0) {
+        skipTo(offset);
+    }
+    nextOffset_ = offset + 1;
+    if (const ConfigurationRecord *change = std::get_if<ConfigurationRecord>(&record)) {
+        return applyChange(offset, *change);
+    }
+    if (const SnapshotRecord *snapshot = std::get_if<SnapshotRecord>(&record)) {
+        return applySnapshot(*snapshot);
+    }
+    return Verdict::Ignored;
+}
+
+void ConfigurationFold::skipTo(std::int64_t offset)
+{
+    if (offset <= nextOffset_) {
+        return;
+    }
+    logVersion_.reset();
+    pending_.clear();
+    firstOffset_ = offset;
+    nextOffset_ = offset;
+}
+
+bool ConfigurationFold::adopt(std::int64_t version, const std::string &document)
+{
+    if (version <= current_.version) {
+        return false;
+    }
+    Result<Configuration, ConfigurationError> parsed = parseConfiguration(document);
+    if (!isOk(parsed)) {
+        return false;
+    }
+    const std::string canonical = formatConfiguration(value(parsed));
+    enforce({version, "", "", canonical}, std::move(value(parsed)));
+    return true;
+}
+
+std::int64_t ConfigurationFold::version() const
+{
+    return current_.version;
+}
+
+const ConfigurationVersion &ConfigurationFold::current() const
+{
+    return current_;
+}
+
+const Configuration &ConfigurationFold::configuration() const
+{
+    return configuration_;
+}
+
+bool ConfigurationFold::isPlaceKnown() const
+{
+    return logVersion_.has_value();
+}
+
+void ConfigurationFold::fillSnapshot(SnapshotRecord &snapshot) const
+{
+    assertInvariant(isPlaceKnown(), "only a process that knows its place of the log writes a snapshot");
+    // Not current_: a version adopted from a peer may stand further on in the log than throughOffset, and readers judge the changes from there on.
+    const ConfigurationVersion folded = history_.empty() ? emptyVersion() : history_.back();
+    assertInvariant(folded.version == *logVersion_, "the newest version of the history is the one at the place folded");
+    snapshot.configurationVersion = folded.version;
+    snapshot.configurationAuthor = folded.author;
+    snapshot.configurationDocument = folded.document;
+    snapshot.throughOffset = nextOffset_;
+}
+
+const std::vector<ConfigurationVersion> &ConfigurationFold::history() const
+{
+    return history_;
+}
+
+const ConfigurationVersion *ConfigurationFold::accepted(const std::string &changeId) const
+{
+    const std::vector<ConfigurationVersion>::const_iterator found = std::find_if(history_.begin(), history_.end(), [&](const ConfigurationVersion &version) {
+        return version.changeId == changeId;
+    });
+    return found == history_.end() ? nullptr : &*found;
+}
+
+ConfigurationFold::Verdict ConfigurationFold::applyChange(std::int64_t offset, const ConfigurationRecord &change)
+{
+    if (logVersion_) {
+        return judge(change);
+    }
+    if (pending_.size() == pendingLimit) {
+        firstOffset_ = pending_.front().first + 1; // as if the oldest had not been read: a later snapshot must cover it
+        pending_.pop_front();
+    }
+    pending_.emplace_back(offset, change);
+    return Verdict::Ignored;
+}
+
+ConfigurationFold::Verdict ConfigurationFold::applySnapshot(const SnapshotRecord &snapshot)
+{
+    Result<Configuration, ConfigurationError> parsed = parseConfiguration(snapshot.configurationDocument);
+    if (!isOk(parsed) || snapshot.configurationVersion < 0) {
+        return Verdict::Invalid;
+    }
+    const bool isNewer = snapshot.configurationVersion > current_.version;
+    const ConfigurationVersion version {snapshot.configurationVersion, "", snapshot.configurationAuthor, formatConfiguration(value(parsed))};
+    if (isNewer) {
+        enforce(version, std::move(value(parsed)));
+    }
+    const bool fallsBehind = !history_.empty() && snapshot.configurationVersion < history_.back().version;
+    if (!logVersion_ && snapshot.throughOffset >= firstOffset_ && !fallsBehind) {
+        logVersion_ = snapshot.configurationVersion;
+        remember(version);
+        judgePending(snapshot.throughOffset);
+        return Verdict::Accepted;
+    }
+    if (logVersion_ && snapshot.configurationVersion > *logVersion_) {
+        logVersion_ = snapshot.configurationVersion;
+        remember(version);
+        return Verdict::Accepted;
+    }
+    return isNewer ? Verdict::Accepted : Verdict::Stale;
+}
+
+ConfigurationFold::Verdict ConfigurationFold::judge(const ConfigurationRecord &change)
+{
+    if (change.baseVersion != *logVersion_) {
+        return Verdict::Stale;
+    }
+    Result<Configuration, ConfigurationError> parsed = parseConfiguration(change.document);
+    if (!isOk(parsed)) {
+        return Verdict::Invalid;
+    }
+    logVersion_ = change.baseVersion + 1;
+    const ConfigurationVersion version {*logVersion_, change.changeId, change.author, formatConfiguration(value(parsed))};
+    remember(version);
+    if (version.version >= current_.version) {
+        enforce(version, std::move(value(parsed)));
+    }
+    return Verdict::Accepted;
+}
+
+void ConfigurationFold::judgePending(std::int64_t fromOffset)
+{
+    std::deque<std::pair<std::int64_t, ConfigurationRecord>> pending;
+    pending.swap(pending_);
+    for (const auto &[offset, change] : pending) {
+        if (offset >= fromOffset) {
+            judge(change);
+        }
+    }
+}
+
+void ConfigurationFold::remember(ConfigurationVersion version)
+{
+    assertInvariant(history_.empty() || history_.back().version <= version.version, "versions folded from the log only rise");
+    if (!history_.empty() && history_.back().version == version.version) {
+        return;
+    }
+    history_.push_back(std::move(version));
+    if (history_.size() > historyLimit) {
+        history_.erase(history_.begin());
+    }
+}
+
+void ConfigurationFold::enforce(ConfigurationVersion version, Configuration configuration)
+{
+    assertInvariant(version.version >= current_.version, "the configuration version never falls");
+    current_ = std::move(version);
+    configuration_ = std::move(configuration);
+    assertInvariant(!logVersion_ || *logVersion_ <= current_.version, "the version folded from the log is at most the version in force");
+}
+
+} // namespace knapweed
--- a/src/libknapweed/operators/configurationfold.h
+++ b/src/libknapweed/operators/configurationfold.h
@@ -1,11 +1,18 @@
 // The configuration in force, from the log's records in order and from what peers pass on. Versions only rise.
+//
+// Each accepted change is a compare-and-set on the version at its place of the log, so all processes that fold the log accept the same changes. A process
+// that starts after older records have expired does not know the version at its first place. It then keeps the changes that it reads and judges them once a
+// snapshot tells it a version that covers everything before its first place.
 #pragma once
 
 #include "logservice/records.h"
 #include "operators/configuration.h"
 
 #include <cstdint>
+#include <deque>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace knapweed
@@ -16,7 +23,7 @@
     std::int64_t version = 0; ///< 0 is the empty configuration that every process starts with
     std::string changeId;
     std::string author;
-    std::string document;
+    std::string document; ///< canonical, as formatConfiguration() writes it
 };
 
 class ConfigurationFold
@@ -24,10 +31,18 @@
 public:
     enum class Verdict { Accepted, Stale, Invalid, Ignored };
 
-    /// Applies the next record of the log. Accepted when it is based on the version at that place of the log and is well formed.
+    /// Starts with version 0, the empty configuration.
+    ConfigurationFold();
+
+    /// Applies the next record of the log; a record at or below the newest offset applied is ignored. A change is accepted when it is based on the
+    /// version at its place of the log and is well formed; it is ignored for now when that version is not known. A snapshot is accepted when it
+    /// raises the version or makes the place known.
     Verdict apply(std::int64_t offset, const Record &record);
 
-    /// Takes a configuration that a peer offers; does so only when it is newer than the one in force.
+    /// The follower has found that the records before @p offset have expired unread.
+    void skipTo(std::int64_t offset);
+
+    /// Takes a configuration that a peer offers; does so only when it is newer than the one in force and well formed.
     bool adopt(std::int64_t version, const std::string &document);
 
     /// Invariant: the version never falls.
@@ -35,13 +50,32 @@
     const ConfigurationVersion &current() const;
     const Configuration &configuration() const;
 
+    /// True when the version at the place of the log that has been folded is known. Only then may this process write a snapshot.
+    bool isPlaceKnown() const;
+
+    /// Puts the configuration at the place folded into @p snapshot and sets the offset that it covers. Contract: isPlaceKnown().
+    void fillSnapshot(SnapshotRecord &snapshot) const;
+
     /// The newest versions folded from the log, oldest first, at most 100.
     const std::vector<ConfigurationVersion> &history() const;
 
+    /// The folded version that change @p changeId became, or null.
+    const ConfigurationVersion *accepted(const std::string &changeId) const;
+
 private:
+    Verdict applyChange(std::int64_t offset, const ConfigurationRecord &change);
+    Verdict applySnapshot(const SnapshotRecord &snapshot);
+    Verdict judge(const ConfigurationRecord &change);
+    void judgePending(std::int64_t fromOffset);
+    void remember(ConfigurationVersion version);
+    void enforce(ConfigurationVersion version, Configuration configuration);
+
     ConfigurationVersion current_;
-    Configuration configuration_;
-    std::int64_t logVersion_ = 0; ///< the version at the place of the log that has been folded; invariant: at most version()
+    Configuration configuration_; ///< invariant: what current_.document says
+    std::optional<std::int64_t> logVersion_; ///< the version at the place folded, when known; invariant: never falls, at most version()
+    std::int64_t firstOffset_ = 0; ///< everything from here on has been read; invariant: at most nextOffset_
+    std::int64_t nextOffset_ = 0; ///< one past the newest record applied; invariant: never falls
+    std::deque<std::pair<std::int64_t, ConfigurationRecord>> pending_; ///< changes not yet judged; invariant: empty when logVersion_ is known
     std::vector<ConfigurationVersion> history_;
 };
 
