Run gangs by holds, arms, go and a gang lease in a pure core

The agent's core is sans-IO: events and the time come in, typed actions go out. The member has authority over accelerators and slots; the lead takes the holds of all members, arms all, has the log decide the start of a not repeatable job, sends go and renews the gang lease. A renewal counts from when the member sent the reply that the lead has heard, and is cut to the member heard from least recently, so a delayed message never lengthens it. Tests: a world of several cores on a driven clock with fake workers and endpoints.

--- /dev/null
+++ b/src/libknapweed/gangs/lead.h
@@ -0,0 +1,76 @@
+// The lead: takes the holds of all members, arms all, has a not repeatable job's start decided by the log, sends go, renews the gang lease, and reports
+// one outcome until it is acknowledged. Pure: time and events come in, actions go out.
+#pragma once
+
+#include "gangs/gang.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace knapweed::gangs
+{
+
+class Lead
+{
+public:
+    /// @p nonce gives a new random number for each start record.
+    Lead(CoreOptions options, std::function<std::int64_t()> nonce);
+
+    /// Ends the gangs whose leases or limits have lapsed. Must run before any event is handled, because the process may have been paused.
+    void expire(MonotonicTime now, Actions &actions);
+    /// Repeats messages that have no answer and renews gang leases.
+    void advance(MonotonicTime now, Actions &actions);
+
+    void handle(MonotonicTime now, const std::string &peer, const wire::GangRequest &request, Actions &actions);
+    void handle(MonotonicTime now, const std::string &peer, const wire::HoldReply &reply, Actions &actions);
+    void handle(MonotonicTime now, const std::string &peer, const wire::ArmReply &reply, Actions &actions);
+    void handle(MonotonicTime now, const std::string &peer, const wire::GoReply &reply, Actions &actions);
+    void handle(MonotonicTime now, const std::string &peer, const wire::RenewReply &reply, Actions &actions);
+    void handle(MonotonicTime now, const std::string &peer, const wire::PartReport &report, Actions &actions);
+    void handle(MonotonicTime now, const std::string &peer, const wire::StopReply &reply, Actions &actions);
+    void handle(MonotonicTime now, const std::string &peer, const wire::EndAttempt &request, Actions &actions);
+    void handle(MonotonicTime now, const std::string &peer, const wire::AttemptQuery &query, Actions &actions);
+    void handle(MonotonicTime now, const std::string &peer, const wire::OutcomeAck &ack, Actions &actions);
+    void handle(MonotonicTime now, const StartDecision &decision, Actions &actions);
+
+    /// Takes no more gangs and ends those that have not gone.
+    void drain(MonotonicTime now, Actions &actions);
+    void stopAll(MonotonicTime now, Actions &actions);
+
+    /// Gangs that run or whose outcome is not acknowledged.
+    std::size_t openGangs() const;
+    const std::map<AttemptKey, Gang> &gangs() const;
+
+private:
+    Gang *findGang(const wire::AttemptId &attempt);
+    GangMember *findMember(Gang &gang, const std::string &peer, std::int32_t member);
+    void enter(MonotonicTime now, Gang &gang, GangPhase phase, Actions &actions);
+    void advanceGang(MonotonicTime now, Gang &gang, Actions &actions);
+    void sendPending(MonotonicTime now, Gang &gang, Actions &actions);
+    void sendRenewals(MonotonicTime now, Gang &gang, Actions &actions);
+    MonotonicTime oldestHeard(const Gang &gang) const;
+    void go(MonotonicTime now, Gang &gang, Actions &actions);
+    /// Before go: the gang is a tombstone from here on. After go: all members stop.
+    void end(MonotonicTime now, Gang &gang, wire::StopReason::type stopReason, wire::Reason::type reason, const std::string &detail, Actions &actions);
+    void expireGang(MonotonicTime now, Gang &gang, Actions &actions);
+    void checkEnded(MonotonicTime now, Gang &gang, Actions &actions);
+    void conclude(MonotonicTime now, Gang &gang, wire::Outcome::type outcome, wire::Reason::type reason, Actions &actions);
+    wire::Outcome::type outcomeOfStopped(const Gang &gang, bool confirmed) const;
+    void answerDone(MonotonicTime now, Gang &gang, const std::string &asker, Actions &actions);
+    void sendOutcome(MonotonicTime now, Gang &gang, Actions &actions);
+    Gang &bury(MonotonicTime now, const wire::AttemptId &attempt, const std::string &home, bool neverStarted);
+    void sendEndReply(const std::string &peer, const Gang &gang, Actions &actions) const;
+    Milliseconds stopLimit(const Gang &gang) const;
+    void forgetTombstones(MonotonicTime now);
+
+    CoreOptions options_;
+    std::function<std::int64_t()> nonce_;
+    std::map<AttemptKey, Gang> open_; ///< gangs with work to do; see gang.h for the invariants
+    std::map<AttemptKey, Gang> tombstones_; ///< acknowledged or retained outcomes; invariant: disjoint from open_, every key is in tombstoneOrder_
+    std::deque<AttemptKey> tombstoneOrder_; ///< oldest first
+    bool draining_ = false;
+};
+
+} // namespace knapweed::gangs
--- /dev/null
+++ b/tests/gangs/platform.h
@@ -0,0 +1,79 @@
+// Fakes of a worker and an endpoint for tests on a driven clock. Both hold to their interface: leases lapse by themselves, fences rise, a part runs once.
+#pragma once
+
+#include "gangs/actions.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace knapweed::gangs::test
+{
+
+/// One run of a part, as the endpoint saw it.
+struct Run
+{
+    MonotonicTime begin;
+    MonotonicTime end = MonotonicTime::max(); ///< max() while it runs
+    bool completed = false;
+};
+
+class FakeWorker
+{
+public:
+    WorkerAnswer call(MonotonicTime now, const WorkerCall &call);
+    void expire(MonotonicTime now);
+
+    bool failsTasks = false;
+
+    struct Lease
+    {
+        std::int64_t fence = 0;
+        std::vector<std::int32_t> accelerators;
+        bool started = false;
+        MonotonicTime until;
+    };
+    std::map<std::string, Lease> leases;
+
+private:
+    WorkerAnswer::Status grant(MonotonicTime now, const WorkerCall &call);
+
+    std::set<std::string> ended_;
+    std::map<std::int32_t, std::int64_t> fences_;
+};
+
+class FakeEndpoint
+{
+public:
+    /// Performs everything but waiting.
+    EndpointAnswer call(MonotonicTime now, const EndpointCall &call);
+    /// Ends parts whose lease or run time is over.
+    void expire(MonotonicTime now);
+    bool isRunning(const std::string &part) const;
+    /// Called at the first start of a part.
+    std::function<void(const std::string &part)> started;
+
+    int slots = 8;
+    std::map<std::string, Run> runs; ///< every part that ever started
+
+private:
+    struct Part
+    {
+        EndpointPartState state = EndpointPartState::Reserved;
+        MonotonicTime leaseUntil;
+        MonotonicTime runUntil;
+        std::string input; ///< "MS" or "MS fail"
+    };
+    void end(MonotonicTime at, const std::string &id, Part &part, EndpointPartState state);
+    EndpointAnswer::Status reserve(MonotonicTime now, const EndpointCall &call);
+    EndpointAnswer::Status start(MonotonicTime now, const EndpointCall &call);
+
+    std::map<std::string, Part> parts_;
+};
+
+/// What the fake endpoint gives as the output of a part.
+std::string expectedOutput(const std::string &part);
+
+} // namespace knapweed::gangs::test
