--- a/src/libknapweed/peers/codec.h
+++ b/src/libknapweed/peers/codec.h
@@ -38,7 +38,8 @@
     wire::EndAttemptReply,
     wire::OutcomeReport,
     wire::OutcomeAck,
-    wire::AttemptQuery>;
+    wire::AttemptQuery,
+                                 wire::JobCancel>;
 
 struct CodecError
 {
--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -1987,6 +1987,10 @@
 void AgentReport::__set_endpointState(const std::string& val) {
   this->endpointState = val;
 }
+
+void AgentReport::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
 std::ostream& operator<<(std::ostream& out, const AgentReport& obj)
 {
   obj.printTo(out);
@@ -2147,6 +2151,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2232,6 +2244,10 @@
   xfer += oprot->writeString(this->endpointState);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2254,6 +2270,7 @@
   swap(a.startedTasks, b.startedTasks);
   swap(a.failedTasks, b.failedTasks);
   swap(a.endpointState, b.endpointState);
+  swap(a.incarnation, b.incarnation);
   swap(a.__isset, b.__isset);
 }
 
@@ -2273,6 +2290,7 @@
   startedTasks = other62.startedTasks;
   failedTasks = other62.failedTasks;
   endpointState = other62.endpointState;
+  incarnation = other62.incarnation;
   __isset = other62.__isset;
 }
 AgentReport::AgentReport(AgentReport&& other63) noexcept {
@@ -2291,6 +2309,7 @@
   startedTasks = other63.startedTasks;
   failedTasks = other63.failedTasks;
   endpointState = std::move(other63.endpointState);
+  incarnation = other63.incarnation;
   __isset = other63.__isset;
 }
 AgentReport& AgentReport::operator=(const AgentReport& other64) {
@@ -2309,6 +2328,7 @@
   startedTasks = other64.startedTasks;
   failedTasks = other64.failedTasks;
   endpointState = other64.endpointState;
+  incarnation = other64.incarnation;
   __isset = other64.__isset;
   return *this;
 }
@@ -2328,6 +2348,7 @@
   startedTasks = other65.startedTasks;
   failedTasks = other65.failedTasks;
   endpointState = std::move(other65.endpointState);
+  incarnation = other65.incarnation;
   __isset = other65.__isset;
   return *this;
 }
@@ -2349,6 +2370,7 @@
   out << ", " << "startedTasks=" << to_string(startedTasks);
   out << ", " << "failedTasks=" << to_string(failedTasks);
   out << ", " << "endpointState=" << to_string(endpointState);
+  out << ", " << "incarnation=" << to_string(incarnation);
   out << ")";
 }
 
@@ -3026,6 +3048,10 @@
 void GangRequest::__set_borrowed(const bool val) {
   this->borrowed = val;
 }
+
+void GangRequest::__set_leadIncarnation(const int64_t val) {
+  this->leadIncarnation = val;
+}
 std::ostream& operator<<(std::ostream& out, const GangRequest& obj)
 {
   obj.printTo(out);
@@ -3122,6 +3148,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leadIncarnation);
+          this->__isset.leadIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3175,6 +3209,10 @@
   xfer += oprot->writeBool(this->borrowed);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leadIncarnation", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->leadIncarnation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3189,6 +3227,7 @@
   swap(a.startWithinMs, b.startWithinMs);
   swap(a.leaseMs, b.leaseMs);
   swap(a.borrowed, b.borrowed);
+  swap(a.leadIncarnation, b.leadIncarnation);
   swap(a.__isset, b.__isset);
 }
 
@@ -3200,6 +3239,7 @@
   startWithinMs = other100.startWithinMs;
   leaseMs = other100.leaseMs;
   borrowed = other100.borrowed;
+  leadIncarnation = other100.leadIncarnation;
   __isset = other100.__isset;
 }
 GangRequest::GangRequest(GangRequest&& other101) noexcept {
@@ -3210,6 +3250,7 @@
   startWithinMs = other101.startWithinMs;
   leaseMs = other101.leaseMs;
   borrowed = other101.borrowed;
+  leadIncarnation = other101.leadIncarnation;
   __isset = other101.__isset;
 }
 GangRequest& GangRequest::operator=(const GangRequest& other102) {
@@ -3220,6 +3261,7 @@
   startWithinMs = other102.startWithinMs;
   leaseMs = other102.leaseMs;
   borrowed = other102.borrowed;
+  leadIncarnation = other102.leadIncarnation;
   __isset = other102.__isset;
   return *this;
 }
@@ -3231,6 +3273,7 @@
   startWithinMs = other103.startWithinMs;
   leaseMs = other103.leaseMs;
   borrowed = other103.borrowed;
+  leadIncarnation = other103.leadIncarnation;
   __isset = other103.__isset;
   return *this;
 }
@@ -3244,6 +3287,7 @@
   out << ", " << "startWithinMs=" << to_string(startWithinMs);
   out << ", " << "leaseMs=" << to_string(leaseMs);
   out << ", " << "borrowed=" << to_string(borrowed);
+  out << ", " << "leadIncarnation=" << to_string(leadIncarnation);
   out << ")";
 }
 
@@ -4554,6 +4598,10 @@
 void RenewRequest::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
+
+void RenewRequest::__set_heardSequence(const int64_t val) {
+  this->heardSequence = val;
+}
 std::ostream& operator<<(std::ostream& out, const RenewRequest& obj)
 {
   obj.printTo(out);
@@ -4622,6 +4670,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heardSequence);
+          this->__isset.heardSequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4659,6 +4715,10 @@
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("heardSequence", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->heardSequence);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4671,6 +4731,7 @@
   swap(a.fence, b.fence);
   swap(a.leaseMs, b.leaseMs);
   swap(a.sequence, b.sequence);
+  swap(a.heardSequence, b.heardSequence);
   swap(a.__isset, b.__isset);
 }
 
@@ -4680,6 +4741,7 @@
   fence = other141.fence;
   leaseMs = other141.leaseMs;
   sequence = other141.sequence;
+  heardSequence = other141.heardSequence;
   __isset = other141.__isset;
 }
 RenewRequest::RenewRequest(RenewRequest&& other142) noexcept {
@@ -4688,6 +4750,7 @@
   fence = other142.fence;
   leaseMs = other142.leaseMs;
   sequence = other142.sequence;
+  heardSequence = other142.heardSequence;
   __isset = other142.__isset;
 }
 RenewRequest& RenewRequest::operator=(const RenewRequest& other143) {
@@ -4696,6 +4759,7 @@
   fence = other143.fence;
   leaseMs = other143.leaseMs;
   sequence = other143.sequence;
+  heardSequence = other143.heardSequence;
   __isset = other143.__isset;
   return *this;
 }
@@ -4705,6 +4769,7 @@
   fence = other144.fence;
   leaseMs = other144.leaseMs;
   sequence = other144.sequence;
+  heardSequence = other144.heardSequence;
   __isset = other144.__isset;
   return *this;
 }
@@ -4716,6 +4781,7 @@
   out << ", " << "fence=" << to_string(fence);
   out << ", " << "leaseMs=" << to_string(leaseMs);
   out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "heardSequence=" << to_string(heardSequence);
   out << ")";
 }
 
@@ -5644,6 +5710,10 @@
 void EndAttempt::__set_replyTo(const std::string& val) {
   this->replyTo = val;
 }
+
+void EndAttempt::__set_leadIncarnation(const int64_t val) {
+  this->leadIncarnation = val;
+}
 std::ostream& operator<<(std::ostream& out, const EndAttempt& obj)
 {
   obj.printTo(out);
@@ -5706,6 +5776,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leadIncarnation);
+          this->__isset.leadIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5739,6 +5817,10 @@
   xfer += oprot->writeString(this->replyTo);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leadIncarnation", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->leadIncarnation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5750,6 +5832,7 @@
   swap(a.reason, b.reason);
   swap(a.graceMs, b.graceMs);
   swap(a.replyTo, b.replyTo);
+  swap(a.leadIncarnation, b.leadIncarnation);
   swap(a.__isset, b.__isset);
 }
 
@@ -5758,6 +5841,7 @@
   reason = other168.reason;
   graceMs = other168.graceMs;
   replyTo = other168.replyTo;
+  leadIncarnation = other168.leadIncarnation;
   __isset = other168.__isset;
 }
 EndAttempt::EndAttempt(EndAttempt&& other169) noexcept {
@@ -5765,6 +5849,7 @@
   reason = other169.reason;
   graceMs = other169.graceMs;
   replyTo = std::move(other169.replyTo);
+  leadIncarnation = other169.leadIncarnation;
   __isset = other169.__isset;
 }
 EndAttempt& EndAttempt::operator=(const EndAttempt& other170) {
@@ -5772,6 +5857,7 @@
   reason = other170.reason;
   graceMs = other170.graceMs;
   replyTo = other170.replyTo;
+  leadIncarnation = other170.leadIncarnation;
   __isset = other170.__isset;
   return *this;
 }
@@ -5780,6 +5866,7 @@
   reason = other171.reason;
   graceMs = other171.graceMs;
   replyTo = std::move(other171.replyTo);
+  leadIncarnation = other171.leadIncarnation;
   __isset = other171.__isset;
   return *this;
 }
@@ -5790,6 +5877,7 @@
   out << ", " << "reason=" << to_string(reason);
   out << ", " << "graceMs=" << to_string(graceMs);
   out << ", " << "replyTo=" << to_string(replyTo);
+  out << ", " << "leadIncarnation=" << to_string(leadIncarnation);
   out << ")";
 }
 
@@ -6475,6 +6563,10 @@
 void AttemptQuery::__set_home(const std::string& val) {
   this->home = val;
 }
+
+void AttemptQuery::__set_leadIncarnation(const int64_t val) {
+  this->leadIncarnation = val;
+}
 std::ostream& operator<<(std::ostream& out, const AttemptQuery& obj)
 {
   obj.printTo(out);
@@ -6519,6 +6611,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leadIncarnation);
+          this->__isset.leadIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6544,6 +6644,10 @@
   xfer += oprot->writeString(this->home);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leadIncarnation", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->leadIncarnation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6553,28 +6657,33 @@
   using ::std::swap;
   swap(a.attempt, b.attempt);
   swap(a.home, b.home);
+  swap(a.leadIncarnation, b.leadIncarnation);
   swap(a.__isset, b.__isset);
 }
 
 AttemptQuery::AttemptQuery(const AttemptQuery& other196) {
   attempt = other196.attempt;
   home = other196.home;
+  leadIncarnation = other196.leadIncarnation;
   __isset = other196.__isset;
 }
 AttemptQuery::AttemptQuery(AttemptQuery&& other197) noexcept {
   attempt = std::move(other197.attempt);
   home = std::move(other197.home);
+  leadIncarnation = other197.leadIncarnation;
   __isset = other197.__isset;
 }
 AttemptQuery& AttemptQuery::operator=(const AttemptQuery& other198) {
   attempt = other198.attempt;
   home = other198.home;
+  leadIncarnation = other198.leadIncarnation;
   __isset = other198.__isset;
   return *this;
 }
 AttemptQuery& AttemptQuery::operator=(AttemptQuery&& other199) noexcept {
   attempt = std::move(other199.attempt);
   home = std::move(other199.home);
+  leadIncarnation = other199.leadIncarnation;
   __isset = other199.__isset;
   return *this;
 }
@@ -6583,6 +6692,108 @@
   out << "AttemptQuery(";
   out << "attempt=" << to_string(attempt);
   out << ", " << "home=" << to_string(home);
+  out << ", " << "leadIncarnation=" << to_string(leadIncarnation);
+  out << ")";
+}
+
+
+JobCancel::~JobCancel() noexcept {
+}
+
+
+void JobCancel::__set_job(const std::string& val) {
+  this->job = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobCancel& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobCancel::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JobCancel::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobCancel");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobCancel &a, JobCancel &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.__isset, b.__isset);
+}
+
+JobCancel::JobCancel(const JobCancel& other200) {
+  job = other200.job;
+  __isset = other200.__isset;
+}
+JobCancel::JobCancel(JobCancel&& other201) noexcept {
+  job = std::move(other201.job);
+  __isset = other201.__isset;
+}
+JobCancel& JobCancel::operator=(const JobCancel& other202) {
+  job = other202.job;
+  __isset = other202.__isset;
+  return *this;
+}
+JobCancel& JobCancel::operator=(JobCancel&& other203) noexcept {
+  job = std::move(other203.job);
+  __isset = other203.__isset;
+  return *this;
+}
+void JobCancel::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobCancel(";
+  out << "job=" << to_string(job);
   out << ")";
 }
 
--- a/src/libknapweed/peers/gen/peers_types.h
+++ b/src/libknapweed/peers/gen/peers_types.h
@@ -176,6 +176,8 @@
 
 class AttemptQuery;
 
+class JobCancel;
+
 typedef struct _AttemptId__isset {
   _AttemptId__isset() : job(false), owner(false), number(false) {}
   bool job :1;
@@ -823,7 +825,7 @@
 std::ostream& operator<<(std::ostream& out, const RunningPart& obj);
 
 typedef struct _AgentReport__isset {
-  _AgentReport__isset() : sequence(false), agent(false), worker(false), rack(false), failureDomain(false), region(false), available(false), slots(false), accelerators(false), processors(false), memoryMib(false), parts(false), startedTasks(false), failedTasks(false), endpointState(false) {}
+  _AgentReport__isset() : sequence(false), agent(false), worker(false), rack(false), failureDomain(false), region(false), available(false), slots(false), accelerators(false), processors(false), memoryMib(false), parts(false), startedTasks(false), failedTasks(false), endpointState(false), incarnation(false) {}
   bool sequence :1;
   bool agent :1;
   bool worker :1;
@@ -839,6 +841,7 @@
   bool startedTasks :1;
   bool failedTasks :1;
   bool endpointState :1;
+  bool incarnation :1;
 } _AgentReport__isset;
 
 class AgentReport : public virtual ::apache::thrift::TBase {
@@ -862,7 +865,8 @@
                 memoryMib(0),
                 startedTasks(0),
                 failedTasks(0),
-                endpointState() {
+                endpointState(),
+                incarnation(0) {
   }
 
   virtual ~AgentReport() noexcept;
@@ -881,6 +885,7 @@
   int64_t startedTasks;
   int64_t failedTasks;
   std::string endpointState;
+  int64_t incarnation;
 
   _AgentReport__isset __isset;
 
@@ -914,6 +919,8 @@
 
   void __set_endpointState(const std::string& val);
 
+  void __set_incarnation(const int64_t val);
+
   bool operator == (const AgentReport & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -946,6 +953,8 @@
       return false;
     if (!(endpointState == rhs.endpointState))
       return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
     return true;
   }
   bool operator != (const AgentReport &rhs) const {
@@ -1205,7 +1214,7 @@
 std::ostream& operator<<(std::ostream& out, const PlacementRefusal& obj);
 
 typedef struct _GangRequest__isset {
-  _GangRequest__isset() : attempt(false), spec(false), members(false), home(false), startWithinMs(false), leaseMs(false), borrowed(false) {}
+  _GangRequest__isset() : attempt(false), spec(false), members(false), home(false), startWithinMs(false), leaseMs(false), borrowed(false), leadIncarnation(false) {}
   bool attempt :1;
   bool spec :1;
   bool members :1;
@@ -1213,6 +1222,7 @@
   bool startWithinMs :1;
   bool leaseMs :1;
   bool borrowed :1;
+  bool leadIncarnation :1;
 } _GangRequest__isset;
 
 class GangRequest : public virtual ::apache::thrift::TBase {
@@ -1226,7 +1236,8 @@
               : home(),
                 startWithinMs(0),
                 leaseMs(0),
-                borrowed(0) {
+                borrowed(0),
+                leadIncarnation(0) {
   }
 
   virtual ~GangRequest() noexcept;
@@ -1237,6 +1248,7 @@
   int64_t startWithinMs;
   int64_t leaseMs;
   bool borrowed;
+  int64_t leadIncarnation;
 
   _GangRequest__isset __isset;
 
@@ -1254,6 +1266,8 @@
 
   void __set_borrowed(const bool val);
 
+  void __set_leadIncarnation(const int64_t val);
+
   bool operator == (const GangRequest & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -1270,6 +1284,8 @@
       return false;
     if (!(borrowed == rhs.borrowed))
       return false;
+    if (!(leadIncarnation == rhs.leadIncarnation))
+      return false;
     return true;
   }
   bool operator != (const GangRequest &rhs) const {
@@ -1782,12 +1798,13 @@
 std::ostream& operator<<(std::ostream& out, const GoReply& obj);
 
 typedef struct _RenewRequest__isset {
-  _RenewRequest__isset() : attempt(false), member(false), fence(false), leaseMs(false), sequence(false) {}
+  _RenewRequest__isset() : attempt(false), member(false), fence(false), leaseMs(false), sequence(false), heardSequence(false) {}
   bool attempt :1;
   bool member :1;
   bool fence :1;
   bool leaseMs :1;
   bool sequence :1;
+  bool heardSequence :1;
 } _RenewRequest__isset;
 
 class RenewRequest : public virtual ::apache::thrift::TBase {
@@ -1801,7 +1818,8 @@
                : member(0),
                  fence(0),
                  leaseMs(0),
-                 sequence(0) {
+                 sequence(0),
+                 heardSequence(0) {
   }
 
   virtual ~RenewRequest() noexcept;
@@ -1810,6 +1828,7 @@
   int64_t fence;
   int64_t leaseMs;
   int64_t sequence;
+  int64_t heardSequence;
 
   _RenewRequest__isset __isset;
 
@@ -1823,6 +1842,8 @@
 
   void __set_sequence(const int64_t val);
 
+  void __set_heardSequence(const int64_t val);
+
   bool operator == (const RenewRequest & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -1835,6 +1856,8 @@
       return false;
     if (!(sequence == rhs.sequence))
       return false;
+    if (!(heardSequence == rhs.heardSequence))
+      return false;
     return true;
   }
   bool operator != (const RenewRequest &rhs) const {
@@ -2208,11 +2231,12 @@
 std::ostream& operator<<(std::ostream& out, const StopReply& obj);
 
 typedef struct _EndAttempt__isset {
-  _EndAttempt__isset() : attempt(false), reason(false), graceMs(false), replyTo(false) {}
+  _EndAttempt__isset() : attempt(false), reason(false), graceMs(false), replyTo(false), leadIncarnation(false) {}
   bool attempt :1;
   bool reason :1;
   bool graceMs :1;
   bool replyTo :1;
+  bool leadIncarnation :1;
 } _EndAttempt__isset;
 
 class EndAttempt : public virtual ::apache::thrift::TBase {
@@ -2225,7 +2249,8 @@
   EndAttempt() noexcept
              : reason(static_cast<StopReason::type>(0)),
                graceMs(0),
-               replyTo() {
+               replyTo(),
+               leadIncarnation(0) {
   }
 
   virtual ~EndAttempt() noexcept;
@@ -2237,6 +2262,7 @@
   StopReason::type reason;
   int64_t graceMs;
   std::string replyTo;
+  int64_t leadIncarnation;
 
   _EndAttempt__isset __isset;
 
@@ -2248,6 +2274,8 @@
 
   void __set_replyTo(const std::string& val);
 
+  void __set_leadIncarnation(const int64_t val);
+
   bool operator == (const EndAttempt & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -2258,6 +2286,8 @@
       return false;
     if (!(replyTo == rhs.replyTo))
       return false;
+    if (!(leadIncarnation == rhs.leadIncarnation))
+      return false;
     return true;
   }
   bool operator != (const EndAttempt &rhs) const {
@@ -2538,9 +2568,10 @@
 std::ostream& operator<<(std::ostream& out, const OutcomeAck& obj);
 
 typedef struct _AttemptQuery__isset {
-  _AttemptQuery__isset() : attempt(false), home(false) {}
+  _AttemptQuery__isset() : attempt(false), home(false), leadIncarnation(false) {}
   bool attempt :1;
   bool home :1;
+  bool leadIncarnation :1;
 } _AttemptQuery__isset;
 
 class AttemptQuery : public virtual ::apache::thrift::TBase {
@@ -2551,12 +2582,14 @@
   AttemptQuery& operator=(const AttemptQuery&);
   AttemptQuery& operator=(AttemptQuery&&) noexcept;
   AttemptQuery() noexcept
-               : home() {
+               : home(),
+                 leadIncarnation(0) {
   }
 
   virtual ~AttemptQuery() noexcept;
   AttemptId attempt;
   std::string home;
+  int64_t leadIncarnation;
 
   _AttemptQuery__isset __isset;
 
@@ -2564,12 +2597,16 @@
 
   void __set_home(const std::string& val);
 
+  void __set_leadIncarnation(const int64_t val);
+
   bool operator == (const AttemptQuery & rhs) const
   {
     if (!(attempt == rhs.attempt))
       return false;
     if (!(home == rhs.home))
       return false;
+    if (!(leadIncarnation == rhs.leadIncarnation))
+      return false;
     return true;
   }
   bool operator != (const AttemptQuery &rhs) const {
@@ -2588,6 +2625,51 @@
 
 std::ostream& operator<<(std::ostream& out, const AttemptQuery& obj);
 
+typedef struct _JobCancel__isset {
+  _JobCancel__isset() : job(false) {}
+  bool job :1;
+} _JobCancel__isset;
+
+class JobCancel : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobCancel(const JobCancel&);
+  JobCancel(JobCancel&&) noexcept;
+  JobCancel& operator=(const JobCancel&);
+  JobCancel& operator=(JobCancel&&) noexcept;
+  JobCancel() noexcept
+            : job() {
+  }
+
+  virtual ~JobCancel() noexcept;
+  std::string job;
+
+  _JobCancel__isset __isset;
+
+  void __set_job(const std::string& val);
+
+  bool operator == (const JobCancel & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    return true;
+  }
+  bool operator != (const JobCancel &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobCancel & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobCancel &a, JobCancel &b);
+
+std::ostream& operator<<(std::ostream& out, const JobCancel& obj);
+
 }} // namespace
 
 #endif
--- /dev/null
+++ b/src/libknapweed/peers/messages.h
@@ -0,0 +1,15 @@
+// Makers for the short messages, since the generated types have no constructors with members.
+#pragma once
+
+#include "peers/gen/peers_types.h"
+
+#include <string>
+
+namespace knapweed
+{
+
+wire::OutcomeAck makeOutcomeAck(const wire::AttemptId &attempt);
+wire::PlacementWithdrawal makePlacementWithdrawal(const std::string &job, const std::string &home);
+wire::JobCancel makeJobCancel(const std::string &job);
+
+} // namespace knapweed
--- a/src/libknapweed/peers/peers.thrift
+++ b/src/libknapweed/peers/peers.thrift
@@ -41,7 +41,7 @@
 struct AgentReport {
   1: i64 sequence, 2: string agent, 3: string worker, 4: string rack, 5: string failureDomain, 6: string region,
   7: bool available, 8: i32 slots, 9: i32 accelerators, 10: i32 processors, 11: i64 memoryMib,
-  12: list<RunningPart> parts, 13: i64 startedTasks, 14: i64 failedTasks, 15: string endpointState
+  12: list<RunningPart> parts, 13: i64 startedTasks, 14: i64 failedTasks, 15: string endpointState, 16: i64 incarnation
 }
 
 /// A home entry asks the planner for a placement; repeated until answered or withdrawn.
@@ -50,8 +50,9 @@
 struct Placement { 1: string job, 2: list<Member> members, 3: bool borrowed }
 struct PlacementRefusal { 1: string job, 2: string detail }
 
-/// Home entry to lead (the agent of the first member), repeated until acknowledged.
-struct GangRequest { 1: AttemptId attempt, 2: JobSpec spec, 3: list<Member> members, 4: string home, 5: i64 startWithinMs, 6: i64 leaseMs, 7: bool borrowed }
+/// Home entry to lead (the agent of the first member), repeated until acknowledged. leadIncarnation is what the lead's latest AgentReport named: a lead
+/// that has restarted since can't tell whether the attempt ran before and says unknown, never not run. 0 means that the home doesn't know it.
+struct GangRequest { 1: AttemptId attempt, 2: JobSpec spec, 3: list<Member> members, 4: string home, 5: i64 startWithinMs, 6: i64 leaseMs, 7: bool borrowed, 8: i64 leadIncarnation }
 struct GangAck { 1: AttemptId attempt }
 struct HoldRequest { 1: AttemptId attempt, 2: i32 member, 3: string lead, 4: JobSpec spec, 5: list<i32> accelerators, 6: i64 holdMs, 7: bool borrowed, 8: i32 gangSize }
 struct HoldReply { 1: AttemptId attempt, 2: i32 member, 3: bool granted, 4: i64 fence, 5: Reason reason }
@@ -59,7 +60,9 @@
 struct ArmReply { 1: AttemptId attempt, 2: i32 member, 3: i64 fence, 4: bool armed, 5: Reason reason }
 struct GoRequest { 1: AttemptId attempt, 2: i32 member, 3: i64 fence, 4: i64 leaseMs }
 struct GoReply { 1: AttemptId attempt, 2: i32 member, 3: i64 fence, 4: bool running, 5: Reason reason }
-struct RenewRequest { 1: AttemptId attempt, 2: i32 member, 3: i64 fence, 4: i64 leaseMs, 5: i64 sequence }
+/// heardSequence is the newest reply of this member that the lead has: the lease runs for leaseMs from when the member sent that reply, so a delayed
+/// renewal never lengthens it. 0 stands for the HoldReply.
+struct RenewRequest { 1: AttemptId attempt, 2: i32 member, 3: i64 fence, 4: i64 leaseMs, 5: i64 sequence, 6: i64 heardSequence }
 struct RenewReply { 1: AttemptId attempt, 2: i32 member, 3: i64 fence, 4: i64 sequence, 5: bool alive }
 struct PartReport { 1: AttemptId attempt, 2: i32 member, 3: i64 fence, 4: bool succeeded, 5: Reason reason, 6: string output }
 struct PartAck { 1: AttemptId attempt, 2: i32 member, 3: i64 fence }
@@ -67,7 +70,7 @@
 struct StopReply { 1: AttemptId attempt, 2: i32 member, 3: i64 fence, 4: bool everStarted }
 
 /// To the lead: end the attempt. From the home entry (cancel, abandon) or the planner (preempt, after a checkpoint when the job can).
-struct EndAttempt { 1: AttemptId attempt, 2: StopReason reason, 3: i64 graceMs, 4: string replyTo }
+struct EndAttempt { 1: AttemptId attempt, 2: StopReason reason, 3: i64 graceMs, 4: string replyTo, 5: i64 leadIncarnation }
 /// What the lead says of an attempt that it was asked to end: neverStarted holds a tombstone, so it stays true.
 struct EndAttemptReply { 1: AttemptId attempt, 2: bool neverStarted, 3: bool finished }
 
@@ -76,4 +79,7 @@
 struct OutcomeReport { 1: AttemptId attempt, 2: string lead, 3: Outcome outcome, 4: Reason reason, 5: string detail, 6: list<PartResult> parts, 7: i64 runMs }
 struct OutcomeAck { 1: AttemptId attempt }
 /// The home entry asks a lead about an attempt after a silent time or a take-over; a lead that does not know it answers EndAttemptReply with a tombstone.
-struct AttemptQuery { 1: AttemptId attempt, 2: string home }
+struct AttemptQuery { 1: AttemptId attempt, 2: string home, 3: i64 leadIncarnation }
+
+/// To the home entry: a caller cancelled its job at another entry.
+struct JobCancel { 1: string job }
