--- /dev/null
+++ b/src/knapweedstaged/entrytask.cpp
@@ -0,0 +1,383 @@
+// Wiring of the entry. Decisions live in the parts; here they are only carried.
+
+#include "entrytask.h"
+
+#include "base/logging.h"
+#include "callers/jobid.h"
+#include "placement/rendezvous.h"
+#include "status.h"
+
+#include <chrono>
+#include <utility>
+
+namespace knapweed
+{
+
+namespace
+{
+
+constexpr Milliseconds tickInterval {10};
+constexpr Milliseconds slowTickInterval {500};
+constexpr std::size_t finishedJobsFolded = 20000;
+
+const std::string cell = "cell";
+
+MonotonicTime monotonicNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+HttpResponse unknownPath()
+{
+    return jsonResponse(404, R"({"error":"not_found","detail":"no such path; see docs/interfaces"})");
+}
+
+} // namespace
+
+EntryTask::EntryTask(const Settings &settings)
+    : settings_(settings)
+    , nonce_(randomNonce())
+{
+    PeerNetworkEvents events;
+    events.received = [this](const std::string &peer, const PeerMessage &message) {
+        receive(peer, message);
+    };
+    events.connected = [this](const wire::RosterEntry &peer) {
+        offerConfiguration(peer.address);
+        updateRoster();
+    };
+    events.disconnected = [this](const std::string &) {
+        updateRoster();
+    };
+    events.rosterChanged = [this]() {
+        updateRoster();
+    };
+    events.configurationSeen = [this](const std::string &peer, std::int64_t) {
+        wire::ConfigurationOffer ask;
+        ask.version = configurationFold_.version();
+        peers_->send(peer, ask);
+    };
+    peers_ = std::make_unique<PeerNetwork>(loop_, PeerNetworkOptions {}, std::move(events));
+    HttpServerOptions serverOptions;
+    serverOptions.maximumBodyBytes = settings_.maximumBodyBytes;
+    const HttpHandler handler = [this](const HttpRequest &request, HttpResponder respond) {
+        handleHttp(request, std::move(respond));
+    };
+    server_ = std::make_unique<HttpServer>(loop_, settings_.listen, handler, serverOptions, peers_->hooks());
+    if (!server_->isListening()) {
+        return;
+    }
+    self_ = toString(server_->address());
+
+    JobBoardOptions boardOptions;
+    boardOptions.address = self_;
+    boardOptions.nonce = nonce_;
+    boardOptions.incarnationOf = [this](const std::string &agent) -> std::int64_t {
+        const auto report = plannerHost_.reports().find(agent);
+        return report == plannerHost_.reports().end() ? 0 : report->second.incarnation;
+    };
+    board_ = std::make_unique<JobBoard>(std::move(boardOptions), jobFold_);
+    callerApi_ = std::make_unique<CallerApi>(loop_, *board_, jobFold_, plannerHost_, metrics_);
+
+    OperatorApiHooks hooks;
+    hooks.append = [this](const ConfigurationRecord &record) {
+        return log_->append(record);
+    };
+    hooks.callAfter = [this](Milliseconds delay, std::function<void()> callback) {
+        loop_.callAfter(delay, std::move(callback));
+    };
+    OperatorApiOptions operatorOptions;
+    operatorOptions.operatorToken = settings_.operatorToken;
+    operatorApi_ = std::make_unique<OperatorApi>(configurationFold_, operatorOptions, std::move(hooks));
+
+    wire::RosterEntry roster;
+    roster.address = self_;
+    roster.role = wire::Role::Entry;
+    roster.incarnation = nonce_;
+    roster.region = settings_.region;
+    roster.failureDomain = settings_.failureDomain;
+    peers_->attach(*server_, roster, settings_.seeds);
+
+    LogClientOptions logOptions;
+    logOptions.service = settings_.logService;
+    logOptions.stream = settings_.logStream;
+    LogClientEvents logEvents;
+    logEvents.record = [this](std::int64_t offset, const Record &record) {
+        loop_.post([this, offset, record]() {
+            recordFolded(offset, record);
+        });
+    };
+    logEvents.caughtUp = [this]() {
+        loop_.post([this]() {
+            isCaughtUp_ = true;
+            jobFold_.setCaughtUp();
+            logEvent(LogLevel::Info, "log.caught_up", {{"next_offset", std::to_string(jobFold_.nextOffset())}});
+        });
+    };
+    logEvents.reachability = [this](bool isReachable) {
+        loop_.post([this, isReachable]() {
+            isLogReachable_ = isReachable;
+            board_->setLogReachable(isReachable);
+            logEvent(isReachable ? LogLevel::Info : LogLevel::Warning, isReachable ? "log.reachable" : "log.unreachable");
+        });
+    };
+    log_ = std::make_unique<LogClient>(std::move(logOptions), std::move(logEvents));
+    updateRoster();
+    configurationChanged();
+    loop_.callEvery(tickInterval, [this]() {
+        tick();
+    });
+    loop_.callEvery(slowTickInterval, [this]() {
+        tickSlowly();
+    });
+}
+
+EntryTask::~EntryTask() = default;
+
+bool EntryTask::isListening() const
+{
+    return server_->isListening();
+}
+
+Address EntryTask::address() const
+{
+    return server_->address();
+}
+
+EventLoop &EntryTask::loop()
+{
+    return loop_;
+}
+
+void EntryTask::run()
+{
+    loop_.run();
+}
+
+void EntryTask::handleHttp(const HttpRequest &request, HttpResponder respond)
+{
+    if (request.path == "/healthz") {
+        respond(jsonResponse(200, R"({"status":"alive"})"));
+    } else if (request.path == "/readyz") {
+        answerReadiness(respond);
+    } else if (request.path == "/metrics") {
+        respond({200, {{"content-type", "text/plain; version=0.0.4"}}, metrics_.text()});
+    } else if (request.path == "/v1/status") {
+        if (!operatorApi_->isAuthorized(request)) {
+            respond(unauthorizedResponse());
+            return;
+        }
+        const StatusSources sources {
+            configurationFold_, plannerHost_, *board_, peers_->roster(), planner_, isLogReachable_, log_->pendingAppends(), jobFold_.nextOffset()};
+        respond(statusResponse(sources, std::chrono::system_clock::now()));
+    } else if (callerApi_->handle(request, respond)) {
+        pump();
+    } else if (!operatorApi_->handle(request, respond)) {
+        respond(unknownPath());
+    }
+}
+
+void EntryTask::answerReadiness(const HttpResponder &respond) const
+{
+    if (isDraining_) {
+        respond(jsonResponse(503, R"({"status":"draining"})"));
+    } else if (configurationFold_.version() == 0 && !isCaughtUp_) {
+        respond(jsonResponse(503, R"({"status":"waiting for the log or a peer's configuration"})"));
+    } else {
+        respond(jsonResponse(200, R"({"status":"ready"})"));
+    }
+}
+
+void EntryTask::receive(const std::string &peer, const PeerMessage &message)
+{
+    if (const wire::ConfigurationOffer *offer = std::get_if<wire::ConfigurationOffer>(&message)) {
+        receiveOffer(peer, *offer);
+        return;
+    }
+    const MonotonicTime now = monotonicNow();
+    plannerHost_.receive(now, message);
+    board_->receive(now, peer, message);
+    pump();
+}
+
+void EntryTask::receiveOffer(const std::string &peer, const wire::ConfigurationOffer &offer)
+{
+    // An offer without a document asks for ours.
+    if (offer.document.empty()) {
+        if (offer.version < configurationFold_.version()) {
+            offerConfiguration(peer);
+        }
+    } else if (configurationFold_.adopt(offer.version, offer.document)) {
+        configurationChanged();
+    }
+}
+
+void EntryTask::offerConfiguration(const std::string &peer)
+{
+    if (configurationFold_.version() == 0) {
+        return;
+    }
+    wire::ConfigurationOffer offer;
+    offer.version = configurationFold_.version();
+    offer.document = configurationFold_.current().document;
+    peers_->send(peer, offer);
+}
+
+void EntryTask::recordFolded(std::int64_t offset, const Record &record)
+{
+    const std::int64_t versionBefore = configurationFold_.version();
+    jobFold_.apply(offset, record);
+    jobFold_.forgetFinished(finishedJobsFolded);
+    const ConfigurationFold::Verdict verdict = configurationFold_.apply(offset, record);
+    if (configurationFold_.version() != versionBefore) {
+        configurationChanged();
+    }
+    if (const ConfigurationRecord *change = std::get_if<ConfigurationRecord>(&record)) {
+        operatorApi_->applied(*change, verdict);
+    }
+    board_->applied(monotonicNow(), record);
+    pump();
+}
+
+void EntryTask::configurationChanged()
+{
+    const WallTime now = std::chrono::system_clock::now();
+    const Configuration effective = effectiveConfiguration(configurationFold_.configuration(), now);
+    callerApi_->setConfiguration(effective);
+    plannerHost_.setConfiguration(effective);
+    board_->setDefaults(effective.defaults);
+    peers_->setConfigurationVersion(configurationFold_.version());
+    metrics_.set("configuration_version", static_cast<double>(configurationFold_.version()));
+    for (const wire::RosterEntry &peer : peers_->roster()) {
+        if (peer.address != self_ && peers_->isConnected(peer.address)) {
+            offerConfiguration(peer.address);
+        }
+    }
+    logEvent(LogLevel::Info, "configuration.in_force", {{"version", std::to_string(configurationFold_.version())}});
+    scheduleDecision();
+}
+
+void EntryTask::updateRoster()
+{
+    std::map<std::int64_t, std::string> entries;
+    for (const wire::RosterEntry &process : peers_->roster()) {
+        if (process.role == wire::Role::Entry && !peers_->isDraining(process.address)) {
+            entries.emplace(process.incarnation, process.address);
+        }
+    }
+    if (isDraining_) {
+        entries.erase(nonce_);
+    }
+    board_->setLiveEntries(entries);
+    planner_ = rendezvousChoice(cell, entries);
+    board_->setPlanner(monotonicNow(), planner_);
+}
+
+void EntryTask::deliver(const std::string &peer, PeerMessage message)
+{
+    if (peer != self_) {
+        peers_->send(peer, message);
+        return;
+    }
+    const MonotonicTime now = monotonicNow();
+    plannerHost_.receive(now, message);
+    board_->receive(now, self_, message);
+}
+
+void EntryTask::pump()
+{
+    pumpBoard();
+    if (plannerHost_.isDue()) {
+        scheduleDecision();
+    }
+    if (isDraining_) {
+        finishDrain();
+    }
+}
+
+void EntryTask::pumpBoard()
+{
+    for (std::vector<BoardAction> actions = board_->takeActions(); !actions.empty(); actions = board_->takeActions()) {
+        for (BoardAction &action : actions) {
+            if (SendPeer *send = std::get_if<SendPeer>(&action)) {
+                deliver(send->peer, std::move(send->message));
+            } else if (const AppendRecord *append = std::get_if<AppendRecord>(&action)) {
+                if (!log_->append(append->record)) {
+                    logEvent(LogLevel::Error, "log.queue_full");
+                }
+            } else if (const JobChanged *change = std::get_if<JobChanged>(&action)) {
+                if (change->hasFinished) {
+                    callerApi_->recordOutcome(*board_->job(change->job));
+                }
+                callerApi_->jobChanged(change->job);
+            }
+        }
+    }
+}
+
+void EntryTask::scheduleDecision()
+{
+    if (isDecisionPosted_) {
+        return;
+    }
+    isDecisionPosted_ = true;
+    loop_.post([this]() {
+        isDecisionPosted_ = false;
+        decide();
+    });
+}
+
+void EntryTask::decide()
+{
+    PlannerHost::Messages messages = plannerHost_.decide(monotonicNow());
+    for (auto &[peer, message] : messages) {
+        deliver(peer, std::move(message));
+    }
+    pumpBoard();
+}
+
+void EntryTask::tick()
+{
+    board_->tick(monotonicNow());
+    pump();
+}
+
+void EntryTask::tickSlowly()
+{
+    updateRoster();
+    callerApi_->setConfiguration(effectiveConfiguration(configurationFold_.configuration(), std::chrono::system_clock::now()));
+    metrics_.set("queue_length", static_cast<double>(plannerHost_.waitingJobs()));
+    metrics_.set("unfinished_jobs", static_cast<double>(board_->unfinishedJobs()));
+    metrics_.set("peer_connections", static_cast<double>(peers_->connections()));
+    metrics_.set("log_pending_appends", static_cast<double>(log_->pendingAppends()));
+    metrics_.set("log_reachable", isLogReachable_ ? 1 : 0);
+    scheduleDecision();
+}
+
+void EntryTask::drain()
+{
+    if (isDraining_) {
+        return;
+    }
+    isDraining_ = true;
+    drainStartedAt_ = monotonicNow();
+    logEvent(LogLevel::Info, "entry.draining", {{"unfinished_jobs", std::to_string(board_->unfinishedJobs())}});
+    peers_->setDraining(true);
+    updateRoster();
+    callerApi_->drain();
+    pump();
+}
+
+void EntryTask::finishDrain()
+{
+    const bool isIdle = callerApi_->waitingSubmitters() == 0 && server_->openRequests() == 0 && log_->pendingAppends() == 0;
+    const bool isOverdue = monotonicNow() - drainStartedAt_ > settings_.drainLimit;
+    if (isStopping_ || !(isIdle || isOverdue)) {
+        return;
+    }
+    isStopping_ = true;
+    logEvent(LogLevel::Info, "entry.stopped", {{"unfinished_jobs", std::to_string(board_->unfinishedJobs())}});
+    loop_.stop();
+}
+
+} // namespace knapweed
--- /dev/null
+++ b/src/knapweedstaged/entrytask.h
@@ -0,0 +1,81 @@
+// The entry's core task: owns the sockets, the folds, the job board and the planner host, and moves messages between them. One thread.
+#pragma once
+
+#include "base/eventloop.h"
+#include "base/httpserver.h"
+#include "base/metrics.h"
+#include "base/settings.h"
+#include "callers/callerapi.h"
+#include "callers/jobboard.h"
+#include "logservice/jobfold.h"
+#include "logservice/logclient.h"
+#include "operators/configurationfold.h"
+#include "operators/operatorapi.h"
+#include "peers/peernetwork.h"
+#include "placement/plannerhost.h"
+
+#include <memory>
+#include <string>
+
+namespace knapweed
+{
+
+class EntryTask
+{
+public:
+    explicit EntryTask(const Settings &settings);
+    ~EntryTask();
+
+    /// False when the listening port can't be had.
+    bool isListening() const;
+    Address address() const;
+    EventLoop &loop();
+
+    /// Serves on the calling thread until a drain has ended.
+    void run();
+
+    /// Starts the graceful shutdown; called again, it changes nothing.
+    void drain();
+
+private:
+    void handleHttp(const HttpRequest &request, HttpResponder respond);
+    void answerReadiness(const HttpResponder &respond) const;
+    void receive(const std::string &peer, const PeerMessage &message);
+    void receiveOffer(const std::string &peer, const wire::ConfigurationOffer &offer);
+    void offerConfiguration(const std::string &peer);
+    void recordFolded(std::int64_t offset, const Record &record);
+    void configurationChanged();
+    void updateRoster();
+    void pump();
+    void pumpBoard();
+    void scheduleDecision();
+    void decide();
+    void tick();
+    void tickSlowly();
+    void finishDrain();
+    void deliver(const std::string &peer, PeerMessage message);
+
+    Settings settings_;
+    EventLoop loop_;
+    Metrics metrics_;
+    JobFold jobFold_;
+    ConfigurationFold configurationFold_;
+    PlannerHost plannerHost_;
+    std::int64_t nonce_;
+    std::string self_;
+    std::string planner_;
+    bool isCaughtUp_ = false;
+    bool isLogReachable_ = false;
+    bool isDecisionPosted_ = false;
+    bool isDraining_ = false;
+    bool isStopping_ = false;
+    MonotonicTime drainStartedAt_;
+    std::unique_ptr<PeerNetwork> peers_;
+    std::unique_ptr<HttpServer> server_;
+    std::unique_ptr<JobBoard> board_;
+    std::unique_ptr<CallerApi> callerApi_;
+    std::unique_ptr<OperatorApi> operatorApi_;
+    std::unique_ptr<LogClient> log_; ///< last, so that its thread stops before anything that it posts to is gone
+};
+
+} // namespace knapweed
--- a/src/libknapweed/callers/callerapi.cpp
+++ b/src/libknapweed/callers/callerapi.cpp
@@ -17,8 +17,8 @@
 namespace
 {
 
-constexpr Milliseconds acceptanceLimit{10000};
-constexpr Milliseconds longestPoll{60000};
+constexpr Milliseconds acceptanceLimit {10000};
+constexpr Milliseconds longestPoll {60000};
 constexpr std::size_t keyLimit = 256; ///< characters
 
 const std::string jobsPath = "/v1/jobs";
@@ -47,9 +47,9 @@
 HttpResponse acceptanceUnknown(const std::string &id)
 {
     const nlohmann::json document = {{"error", "unknown"},
-                                     {"outcome", "unknown"},
-                                     {"job", id},
-                                     {"detail", "the log service did not confirm the request in time; it may still be accepted, ask for the job"}};
+        {"outcome", "unknown"},
+        {"job", id},
+        {"detail", "the log service did not confirm the request in time; it may still be accepted, ask for the job"}};
     HttpResponse response = jsonResponse(504, document.dump());
     response.headers["location"] = jobsPath + '/' + id;
     return response;
@@ -93,7 +93,8 @@
     }
     const ClientAccount *account = accountOf(request);
     if (account == nullptr) {
-        respond(refusalResponse({401, "unauthorized", "authorization", "authorization: found no known token, allowed is \"Bearer TOKEN\" of a client account"}));
+        respond(
+            refusalResponse({401, "unauthorized", "authorization", "authorization: found no known token, allowed is \"Bearer TOKEN\" of a client account"}));
         return true;
     }
     const std::string id = isCollection ? std::string() : request.path.substr(jobsPath.size() + 1);
@@ -306,7 +307,7 @@
 
 void CallerApi::recordOutcome(const Job &job)
 {
-    if (job.finishedAt == MonotonicTime{} || !job.outcome) {
+    if (job.finishedAt == MonotonicTime {} || !job.outcome) {
         return;
     }
     const MetricLabels labels = {{"account", job.spec.account}, {"kind", job.spec.kind}};
@@ -314,18 +315,18 @@
     outcomeLabels["outcome"] = outcomeName(job.outcome->outcome);
     metrics_.increment("jobs_total", outcomeLabels);
     metrics_.observe("completion_time_seconds", std::chrono::duration_cast<Microseconds>(job.finishedAt - job.submittedAt), labels);
-    if (job.placedAt != MonotonicTime{}) {
+    if (job.placedAt != MonotonicTime {}) {
         metrics_.observe("queue_time_seconds", std::chrono::duration_cast<Microseconds>(job.placedAt - job.submittedAt), labels);
     }
     logEvent(LogLevel::Info,
-             "job.finished",
-             {{"job", job.id},
-              {"account", job.spec.account},
-              {"kind", job.spec.kind},
-              {"outcome", outcomeName(job.outcome->outcome)},
-              {"reason", reasonName(job.outcome->reason)},
-              {"attempts", std::to_string(job.attemptsMade)},
-              {"detail", job.outcome->detail}});
+        "job.finished",
+        {{"job", job.id},
+            {"account", job.spec.account},
+            {"kind", job.spec.kind},
+            {"outcome", outcomeName(job.outcome->outcome)},
+            {"reason", reasonName(job.outcome->reason)},
+            {"attempts", std::to_string(job.attemptsMade)},
+            {"detail", job.outcome->detail}});
 }
 
 void CallerApi::drain()
--- a/src/libknapweed/callers/job.cpp
+++ b/src/libknapweed/callers/job.cpp
@@ -51,22 +51,22 @@
 const char *reasonName(wire::Reason::type reason)
 {
     static constexpr std::array<const char *, 17> names = {"none",
-                                                           "busy",
-                                                           "endpoint_leaving",
-                                                           "reserved",
-                                                           "stale_fence",
-                                                           "lease_lapsed",
-                                                           "worker_failed",
-                                                           "endpoint_failed",
-                                                           "abandoned",
-                                                           "preempted",
-                                                           "cancelled",
-                                                           "member_lost",
-                                                           "not_first",
-                                                           "expired",
-                                                           "draining",
-                                                           "unreachable",
-                                                           "log_unavailable"};
+        "busy",
+        "endpoint_leaving",
+        "reserved",
+        "stale_fence",
+        "lease_lapsed",
+        "worker_failed",
+        "endpoint_failed",
+        "abandoned",
+        "preempted",
+        "cancelled",
+        "member_lost",
+        "not_first",
+        "expired",
+        "draining",
+        "unreachable",
+        "log_unavailable"};
     const std::size_t place = static_cast<std::size_t>(reason);
     return place < names.size() ? names.at(place) : "none";
 }
--- a/src/libknapweed/callers/jobattempts.cpp
+++ b/src/libknapweed/callers/jobattempts.cpp
@@ -17,7 +17,7 @@
 
 Milliseconds jittered(Milliseconds delay)
 {
-    static thread_local std::minstd_rand generator{std::random_device{}()};
+    static thread_local std::minstd_rand generator {std::random_device {}()};
     std::uniform_int_distribution<std::int64_t> spread(delay.count() / 2, delay.count());
     return Milliseconds(spread(generator));
 }
@@ -262,7 +262,7 @@
         return;
     }
     job.phase = JobPhase::Abandoning;
-    actions_.emplace_back(AppendRecord{AbandonRecord{job.attempt, options_.address}});
+    actions_.emplace_back(AppendRecord {AbandonRecord {job.attempt, options_.address}});
     schedule(job, now + options_.queryInterval);
 }
 
--- a/src/libknapweed/callers/jobboard.cpp
+++ b/src/libknapweed/callers/jobboard.cpp
@@ -15,8 +15,8 @@
 namespace
 {
 
-constexpr MonotonicTime notDue{};
-constexpr Milliseconds placementRepeat{1000};
+constexpr MonotonicTime notDue {};
+constexpr Milliseconds placementRepeat {1000};
 
 bool isConsistent(const Job &job)
 {
@@ -40,7 +40,7 @@
     const FoldedJob *folded = fold_.job(id);
     const std::string knownDigest = known != nullptr ? known->requestDigest : folded != nullptr ? folded->submit.requestDigest : submission.digest;
     if (knownDigest != submission.digest) {
-        return RequestError{409, "key_reused", "idempotency-key", "the key was used before with another request"};
+        return RequestError {409, "key_reused", "idempotency-key", "the key was used before with another request"};
     }
     if (known != nullptr) {
         return id;
@@ -105,7 +105,7 @@
 {
     while (!due_.empty() && due_.begin()->first <= now) {
         const auto found = jobs_.find(due_.begin()->second);
-        assertInvariant(found != jobs_.end(), "found != jobs_.end()");
+        assertInvariant(found != jobs_.end(), "every due job is known");
         schedule(found->second, notDue);
         advance(now, found->second);
     }
@@ -211,9 +211,9 @@
 
 void JobBoard::finish(MonotonicTime now, Job &job, JobOutcome outcome)
 {
-    assertInvariant(!job.outcome, "!job.outcome");
+    assertInvariant(!job.outcome, "an outcome is set once");
     job.outcome = std::move(outcome);
-    assertInvariant(isConsistent(job), "isConsistent(job)");
+    assertInvariant(isConsistent(job), "a job that may have run never ends as not run");
     schedule(job, notDue);
     if (job.isDurable) {
         appendOutcome(job);
@@ -233,7 +233,7 @@
     job.finishedAt = now;
     finishedOrder_.emplace(now, job.id);
     --unfinished_[job.spec.account];
-    actions_.emplace_back(JobChanged{job.id, true});
+    actions_.emplace_back(JobChanged {job.id, true});
     forgetOldest();
 }
 
@@ -261,13 +261,13 @@
 void JobBoard::send(const std::string &peer, PeerMessage message)
 {
     if (!peer.empty()) {
-        actions_.emplace_back(SendPeer{peer, std::move(message)});
+        actions_.emplace_back(SendPeer {peer, std::move(message)});
     }
 }
 
 void JobBoard::changed(const Job &job)
 {
-    actions_.emplace_back(JobChanged{job.id, false});
+    actions_.emplace_back(JobChanged {job.id, false});
 }
 
 void JobBoard::setPlanner(MonotonicTime now, const std::string &address)
--- a/src/libknapweed/callers/jobboard.h
+++ b/src/libknapweed/callers/jobboard.h
@@ -47,14 +47,14 @@
 {
     std::string address; ///< of this process, "ip:port"
     std::int64_t nonce = 0; ///< of this process; differs after a restart
-    Milliseconds requestRepeat{500}; ///< unanswered requests to planner and lead are sent again after this
-    Milliseconds queryInterval{1000}; ///< an acknowledged attempt is asked after this often
-    Milliseconds silentLeadLimit{4000}; ///< a lead that says nothing for this long is unreachable
-    Milliseconds unknownAfter{30000}; ///< an attempt that may have run and whose lead stays silent this long ends as Unknown
-    Milliseconds logWaitLimit{1000}; ///< a repeatable job with a waiting caller goes on without the log after this
-    Milliseconds retryDelay{20}; ///< first backoff before another attempt; doubles with jitter
-    Milliseconds retryDelayLimit{1000};
-    Milliseconds orphanDelay{5000}; ///< a job whose owner has been gone this long is claimed
+    Milliseconds requestRepeat {500}; ///< unanswered requests to planner and lead are sent again after this
+    Milliseconds queryInterval {1000}; ///< an acknowledged attempt is asked after this often
+    Milliseconds silentLeadLimit {4000}; ///< a lead that says nothing for this long is unreachable
+    Milliseconds unknownAfter {30000}; ///< an attempt that may have run and whose lead stays silent this long ends as Unknown
+    Milliseconds logWaitLimit {1000}; ///< a repeatable job with a waiting caller goes on without the log after this
+    Milliseconds retryDelay {20}; ///< first backoff before another attempt; doubles with jitter
+    Milliseconds retryDelayLimit {1000};
+    Milliseconds orphanDelay {5000}; ///< a job whose owner has been gone this long is claimed
     std::size_t finishedLimit = 20000; ///< finished jobs kept for those who ask
     std::function<std::int64_t(const std::string &agent)> incarnationOf; ///< 0 when unknown; may be empty
 };
--- a/src/libknapweed/callers/jobid.cpp
+++ b/src/libknapweed/callers/jobid.cpp
@@ -22,7 +22,7 @@
 
 std::string hexadecimal(std::uint64_t word)
 {
-    std::array<char, 17> text{};
+    std::array<char, 17> text {};
     std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(word));
     return text.data();
 }
--- a/src/libknapweed/callers/jobrecords.cpp
+++ b/src/libknapweed/callers/jobrecords.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr Milliseconds orphanScanInterval{1000};
+constexpr Milliseconds orphanScanInterval {1000};
 
 const std::string *recordJob(const Record &record)
 {
@@ -39,12 +39,12 @@
     record.requestDigest = job.requestDigest;
     record.isRecoverable = job.isRecoverable;
     record.acceptedAt = std::chrono::system_clock::now();
-    actions_.emplace_back(AppendRecord{std::move(record)});
+    actions_.emplace_back(AppendRecord {std::move(record)});
 }
 
 void JobBoard::appendOutcome(const Job &job)
 {
-    assertInvariant(job.outcome, "job.outcome");
+    assertInvariant(job.outcome.has_value(), "only a job with an outcome has an outcome record");
     OutcomeRecord record;
     record.job = job.id;
     record.ownerNonce = options_.nonce;
@@ -52,7 +52,7 @@
     record.reason = job.outcome->reason;
     record.detail = job.outcome->detail;
     record.parts = job.outcome->parts;
-    actions_.emplace_back(AppendRecord{std::move(record)});
+    actions_.emplace_back(AppendRecord {std::move(record)});
 }
 
 void JobBoard::applied(MonotonicTime now, const Record &record)
@@ -95,7 +95,7 @@
         // Another entry's record came first, or it has taken the job over: from now on its records tell.
         job.phase = JobPhase::Remote;
         job.isDurable = true;
-        schedule(job, MonotonicTime{});
+        schedule(job, MonotonicTime {});
         changed(job);
         handleOutcomeFolded(now, id);
     }
@@ -126,7 +126,7 @@
     Job &job = found->second;
     if (job.phase == JobPhase::Remote) {
         const OutcomeRecord &record = *folded->outcome;
-        job.outcome = JobOutcome{record.outcome, record.reason, record.detail, record.parts};
+        job.outcome = JobOutcome {record.outcome, record.reason, record.detail, record.parts};
         conclude(now, job);
     } else if (job.phase == JobPhase::Recording) {
         conclude(now, job);
@@ -205,7 +205,7 @@
         }
         orphans.emplace(id, now);
         if (rendezvousChoice(id, liveEntries_) == options_.address) {
-            actions_.emplace_back(AppendRecord{ClaimRecord{id, folded.submit.ownerNonce, options_.address, options_.nonce}});
+            actions_.emplace_back(AppendRecord {ClaimRecord {id, folded.submit.ownerNonce, options_.address, options_.nonce}});
         }
     }
     orphanedSince_ = std::move(orphans);
--- a/src/libknapweed/callers/jobrequest.cpp
+++ b/src/libknapweed/callers/jobrequest.cpp
@@ -127,21 +127,21 @@
 {
     const json document = json::parse(body, nullptr, false);
     if (!document.is_object()) {
-        return RequestError{400, "bad_json", "", "found a body that is not a JSON object"};
+        return RequestError {400, "bad_json", "", "found a body that is not a JSON object"};
     }
     JobRequest request;
     for (const auto &[name, member] : document.items()) {
         const auto reader = fieldReaders().find(name);
         if (reader == fieldReaders().end()) {
-            return RequestError{400, "unknown_field", name.substr(0, 64), "unknown field; docs/interfaces/callers.md lists those allowed"};
+            return RequestError {400, "unknown_field", name.substr(0, 64), "unknown field; docs/interfaces/callers.md lists those allowed"};
         }
         const FieldError fault = reader->second(member, request);
         if (fault) {
-            return RequestError{400, "bad_value", name, name + ": " + *fault};
+            return RequestError {400, "bad_value", name, name + ": " + *fault};
         }
     }
     if (request.spec.kind.empty()) {
-        return RequestError{400, "missing_field", "kind", "kind: found nothing, allowed is 1 to 64 of A-Z a-z 0-9 . _ -"};
+        return RequestError {400, "missing_field", "kind", "kind: found nothing, allowed is 1 to 64 of A-Z a-z 0-9 . _ -"};
     }
     return request;
 }
--- a/src/libknapweed/callers/ratelimiter.cpp
+++ b/src/libknapweed/callers/ratelimiter.cpp
@@ -9,7 +9,7 @@
 
 bool RateLimiter::allow(MonotonicTime now, const std::string &account, double requestsPerSecond, int burst)
 {
-    const auto [entry, isNew] = buckets_.try_emplace(account, Bucket{static_cast<double>(burst), now});
+    const auto [entry, isNew] = buckets_.try_emplace(account, Bucket {static_cast<double>(burst), now});
     Bucket &bucket = entry->second;
     const double elapsed = std::chrono::duration<double>(now - bucket.filledAt).count();
     bucket.tokens = std::min(static_cast<double>(burst), bucket.tokens + elapsed * requestsPerSecond);
--- a/src/libknapweed/logservice/jobfold.cpp
+++ b/src/libknapweed/logservice/jobfold.cpp
@@ -155,7 +155,7 @@
         return;
     }
     FoldedJob &job = found->second;
-    if (job.start || job.outcome || job.abandoned.count(attemptKey(record.attempt)) != 0) {
+    if (job.start || job.outcome || record.attempt.owner != job.submit.ownerNonce || job.abandoned.count(attemptKey(record.attempt)) != 0) {
         return;
     }
     job.start = record;
@@ -179,7 +179,7 @@
 void JobFold::applyOutcome(std::int64_t offset, const OutcomeRecord &record)
 {
     const auto found = jobs_.find(record.job);
-    if (found == jobs_.end() || found->second.outcome) {
+    if (found == jobs_.end() || found->second.outcome || found->second.submit.ownerNonce != record.ownerNonce) {
         return;
     }
     found->second.outcome = record;
--- a/src/libknapweed/logservice/recordjson.cpp
+++ b/src/libknapweed/logservice/recordjson.cpp
@@ -92,6 +92,7 @@
         {"owner_nonce", record.ownerNonce},
         {"spec", specToJson(record.spec)},
         {"request_digest", record.requestDigest},
+        {"recoverable", record.isRecoverable},
         {"accepted_at_ms", toEpoch(record.acceptedAt)}};
 }
 
@@ -118,6 +119,7 @@
     }
     return {{"type", "outcome"},
         {"job", record.job},
+        {"owner_nonce", record.ownerNonce},
         {"outcome", static_cast<int>(record.outcome)},
         {"reason", static_cast<int>(record.reason)},
         {"detail", record.detail},
@@ -161,6 +163,7 @@
     value.at("owner_nonce").get_to(record.ownerNonce);
     record.spec = readSpec(value.at("spec"));
     value.at("request_digest").get_to(record.requestDigest);
+    value.at("recoverable").get_to(record.isRecoverable);
     record.acceptedAt = WallTime(Milliseconds(value.at("accepted_at_ms").get<std::int64_t>()));
     return record;
 }
@@ -195,6 +198,7 @@
 OutcomeRecord readOutcome(const json &value)
 {
     OutcomeRecord record;
+    value.at("owner_nonce").get_to(record.ownerNonce);
     value.at("job").get_to(record.job);
     record.outcome = readEnum<wire::Outcome::type>(value.at("outcome"), wire::_Outcome_VALUES_TO_NAMES);
     record.reason = readEnum<wire::Reason::type>(value.at("reason"), wire::_Reason_VALUES_TO_NAMES);
--- a/src/libknapweed/logservice/records.h
+++ b/src/libknapweed/logservice/records.h
@@ -22,6 +22,7 @@
     std::int64_t ownerNonce = 0; ///< the owner process's random number, different after a restart
     wire::JobSpec spec;
     std::string requestDigest; ///< tells a retry from another request under the same key
+    bool isRecoverable = false; ///< the caller is told 202, so an entry that takes the job over must run it
     WallTime acceptedAt;
 };
 
@@ -34,7 +35,8 @@
     std::int64_t ownerNonce = 0;
 };
 
-/// A lead is about to send go for a job that is not repeatable. Only the first valid one for a job counts.
+/// A lead is about to send go for a job that is not repeatable. Valid when the attempt is of the job's owner at that place of the log, so that a claim
+/// invalidates the earlier owner's attempts. Only the first valid one for a job counts.
 struct StartRecord
 {
     wire::AttemptId attempt;
@@ -49,10 +51,11 @@
     std::string by;
 };
 
-/// The final outcome of a job with a submit record. The first for a job wins.
+/// The final outcome of a job with a submit record. Valid when ownerNonce is that of the job's owner at that place of the log. The first valid one wins.
 struct OutcomeRecord
 {
     std::string job;
+    std::int64_t ownerNonce = 0;
     wire::Outcome::type outcome = wire::Outcome::Unknown;
     wire::Reason::type reason = wire::Reason::None;
     std::string detail;
--- a/src/libknapweed/peers/codec.h
+++ b/src/libknapweed/peers/codec.h
@@ -39,7 +39,7 @@
     wire::OutcomeReport,
     wire::OutcomeAck,
     wire::AttemptQuery,
-                                 wire::JobCancel>;
+    wire::JobCancel>;
 
 struct CodecError
 {
--- a/src/libknapweed/placement/plannerhost.cpp
+++ b/src/libknapweed/placement/plannerhost.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-constexpr Milliseconds expiryCheckInterval{500};
+constexpr Milliseconds expiryCheckInterval {500};
 
 planning::Adjacency toPlanning(wire::Adjacency::type adjacency)
 {
--- a/src/libknapweed/placement/plannerhost.h
+++ b/src/libknapweed/placement/plannerhost.h
@@ -17,8 +17,8 @@
 
 struct PlannerHostOptions
 {
-    Milliseconds requestExpiry{5000}; ///< a request that its home entry does not repeat for this long is dropped
-    Milliseconds reportExpiry{4000}; ///< a worker whose agent does not report for this long is not planned for
+    Milliseconds requestExpiry {5000}; ///< a request that its home entry does not repeat for this long is dropped
+    Milliseconds reportExpiry {4000}; ///< a worker whose agent does not report for this long is not planned for
 };
 
 class PlannerHost
@@ -61,7 +61,7 @@
 
     PlannerHostOptions options_;
     planning::Planner planner_;
-    Milliseconds preemptionGrace_{2000};
+    Milliseconds preemptionGrace_ {2000};
     bool isDue_ = false;
     MonotonicTime nextExpiryCheck_;
     std::map<std::string, Request> requests_; ///< by job; invariant: exactly the jobs that the planner has waiting
--- /dev/null
+++ b/tests/callers/boardbench.h
@@ -0,0 +1,145 @@
+// Fakes around job boards on a driven clock: one log with faults, two entries, and leads that keep to the protocol or fail.
+#pragma once
+
+#include "callers/jobboard.h"
+#include "callers/jobid.h"
+
+#include <pcg_random.hpp>
+
+#include <array>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace boardbench
+{
+
+using namespace knapweed;
+
+/// How often each fault strikes; 0 for never.
+struct Faults
+{
+    double loseMessage = 0;
+    double repeatMessage = 0;
+    Milliseconds longestDelay {5};
+    double repeatAppend = 0; ///< the acknowledgement is lost, so the record is written twice
+    double logOutage = 0; ///< for each 100 ms
+    double killEntry = 0; ///< for each 100 ms
+    double freezeEntry = 0;
+    double killLead = 0;
+    double freezeLead = 0;
+    double refuseGang = 0; ///< a lead says NotRun, Busy
+};
+
+/// What a caller was told last.
+struct Told
+{
+    wire::Outcome::type outcome = wire::Outcome::Unknown;
+};
+
+struct Envelope
+{
+    MonotonicTime due;
+    std::string from;
+    std::string to;
+    PeerMessage message;
+};
+
+struct LeadAttempt
+{
+    wire::GangRequest request;
+    bool isStartAppended = false;
+    std::int64_t startNonce = 0;
+    std::optional<MonotonicTime> endsAt;
+    std::optional<wire::OutcomeReport> report;
+    bool isTombstone = false;
+    MonotonicTime nextReport;
+};
+
+/// Follows the log like any process, but at its own pace.
+struct Follower
+{
+    JobFold fold;
+    std::size_t position = 0;
+};
+
+struct Lead
+{
+    std::string address;
+    std::int64_t incarnation = 1;
+    std::map<std::pair<std::string, std::pair<std::int64_t, int>>, LeadAttempt> attempts;
+    Follower follower;
+    MonotonicTime frozenUntil;
+};
+
+struct Entry
+{
+    std::string address;
+    std::int64_t nonce = 0;
+    Follower follower;
+    std::unique_ptr<JobBoard> board;
+    MonotonicTime frozenUntil;
+};
+
+class Bench
+{
+public:
+    Bench(std::uint64_t seed, const Faults &faults);
+
+    /// Submits through entry @p place; the id, or empty when it was refused.
+    std::string submit(std::size_t place, const Submission &submission);
+    void run(Milliseconds duration);
+    void stopFaults();
+
+    MonotonicTime now() const
+    {
+        return now_;
+    }
+    int starts(const std::string &job) const;
+    const std::map<std::string, std::vector<wire::Outcome::type>> &told() const
+    {
+        return told_;
+    }
+    JobBoard &board(std::size_t place)
+    {
+        return *entries_.at(place).board;
+    }
+    /// What the log says became of the job, which is what any entry answers; nothing without an outcome record.
+    std::optional<wire::Outcome::type> recordedOutcome(const std::string &job) const;
+
+private:
+    bool strikes(double probability);
+    void step();
+    void strikeFaults();
+    void startEntry(Entry &entry);
+    void takeActions(Entry &entry);
+    void post(const std::string &from, const std::string &to, PeerMessage message);
+    void append(const Record &record);
+    void follow(Follower &follower, const std::function<void(const Record &)> &applied);
+    void deliver(const Envelope &envelope);
+    void planFor(const Envelope &envelope, const wire::PlacementRequest &request);
+    void leadReceives(Lead &lead, const Envelope &envelope);
+    void leadAdvances(Lead &lead);
+    void endLeadAttempt(Lead &lead, LeadAttempt &attempt, wire::Outcome::type outcome, wire::Reason::type reason);
+    void updateLiveEntries();
+
+    pcg32 random_;
+    Faults faults_;
+    MonotonicTime now_;
+    MonotonicTime nextFaults_;
+    MonotonicTime logDownUntil_;
+    std::int64_t nextNonce_ = 100;
+    std::vector<Record> log_;
+    std::vector<Record> waitingAppends_;
+    std::array<Entry, 2> entries_;
+    std::array<Lead, 3> leads_;
+    std::vector<Envelope> network_;
+    std::map<std::string, int> starts_;
+    std::map<std::string, std::vector<wire::Outcome::type>> told_;
+};
+
+} // namespace boardbench
--- /dev/null
+++ b/tests/callers/jobboardtest.cpp
@@ -0,0 +1,207 @@
+// The job board under faults: what callers are told against what was started.
+
+#include "callers/boardbench.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstdio>
+#include <cstdlib>
+
+using namespace boardbench;
+
+namespace
+{
+
+Submission makeSubmission(bool isRepeatable, bool isAsync, const std::string &key = {})
+{
+    Submission submission;
+    submission.request.spec.account = "kothari-fit";
+    submission.request.spec.kind = "alteration-sheet";
+    submission.request.spec.repeatable = isRepeatable;
+    submission.request.deadline = Milliseconds(20000);
+    submission.key = key;
+    submission.digest = "digest";
+    submission.isAsync = isAsync;
+    return submission;
+}
+
+struct FaultCase
+{
+    const char *name;
+    Faults faults;
+};
+
+std::vector<FaultCase> faultCases()
+{
+    const Faults none;
+    std::vector<FaultCase> cases = {{"no faults", none}};
+    const auto add = [&cases, &none](const char *name, const std::function<void(Faults &)> &change) {
+        Faults faults = none;
+        change(faults);
+        cases.push_back({name, faults});
+    };
+    add("messages lost", [](Faults &faults) {
+        faults.loseMessage = 0.3;
+    });
+    add("messages doubled and late", [](Faults &faults) {
+        faults.repeatMessage = 0.5;
+        faults.longestDelay = Milliseconds(2000);
+    });
+    add("acknowledgements of appends lost", [](Faults &faults) {
+        faults.repeatAppend = 0.5;
+    });
+    add("log outages", [](Faults &faults) {
+        faults.logOutage = 0.1;
+    });
+    add("entries killed", [](Faults &faults) {
+        faults.killEntry = 0.01;
+    });
+    add("entries frozen", [](Faults &faults) {
+        faults.freezeEntry = 0.02;
+    });
+    add("leads killed", [](Faults &faults) {
+        faults.killLead = 0.02;
+    });
+    add("leads frozen", [](Faults &faults) {
+        faults.freezeLead = 0.02;
+    });
+    add("gangs refused", [](Faults &faults) {
+        faults.refuseGang = 0.6;
+    });
+    add("everything", [](Faults &faults) {
+        faults = {0.1, 0.2, Milliseconds(500), 0.2, 0.03, 0.004, 0.005, 0.005, 0.005, 0.2};
+    });
+    return cases;
+}
+
+/// Runs one seed; the violations that it found.
+std::vector<std::string> violationsOf(std::uint64_t seed, const Faults &faults)
+{
+    std::vector<std::string> violations;
+    Bench bench(seed, faults);
+    std::map<std::string, Submission> submitted;
+    for (int round = 0; round < 12; ++round) {
+        const Submission submission = makeSubmission(round % 3 == 0, round % 4 == 1, "key" + std::to_string(round));
+        const std::string id = bench.submit(round % 2, submission);
+        submitted.emplace(id, submission);
+        if (round % 5 == 2) {
+            // The same request comes again through the other entry.
+            bench.run(Milliseconds(50));
+            bench.submit((round + 1) % 2, submission);
+        }
+        bench.run(Milliseconds(300));
+    }
+    bench.run(Milliseconds(15000));
+    bench.stopFaults();
+    bench.run(Milliseconds(90000));
+    for (const auto &[id, submission] : submitted) {
+        const int starts = bench.starts(id);
+        if (!submission.request.spec.repeatable && starts > 1) {
+            violations.push_back(id + ": not repeatable, started " + std::to_string(starts) + " times");
+        }
+        const auto told = bench.told().find(id);
+        const std::vector<wire::Outcome::type> outcomes = told == bench.told().end() ? std::vector<wire::Outcome::type>() : told->second;
+        for (const wire::Outcome::type outcome : outcomes) {
+            if (outcome == wire::Outcome::NotRun && starts > 0) {
+                violations.push_back(id + ": told not run, started " + std::to_string(starts) + " times");
+            }
+            if (outcome == wire::Outcome::Completed && starts == 0) {
+                violations.push_back(id + ": told completed, never started");
+            }
+        }
+        const std::optional<wire::Outcome::type> recorded = bench.recordedOutcome(id);
+        if (submission.isAsync && !recorded) {
+            violations.push_back(id + ": accepted for later, no outcome on the log");
+        }
+        if (recorded == wire::Outcome::NotRun && starts > 0) {
+            violations.push_back(id + ": recorded as not run, started " + std::to_string(starts) + " times");
+        }
+        for (const wire::Outcome::type outcome : outcomes) {
+            if (submission.isAsync && recorded && outcome != *recorded && outcome != wire::Outcome::Completed) {
+                violations.push_back(id + ": told one outcome, recorded another");
+            }
+        }
+    }
+    return violations;
+}
+
+std::uint64_t seedsToRun()
+{
+    const char *wanted = std::getenv("KNAPWEED_SEEDS");
+    return wanted == nullptr ? 40 : std::strtoull(wanted, nullptr, 10);
+}
+
+} // namespace
+
+TEST_GROUP(JobBoard) {};
+
+TEST(JobBoard, keepsItsPromisesUnderEachFault)
+{
+    const std::uint64_t seeds = seedsToRun();
+    for (const FaultCase &fault : faultCases()) {
+        std::size_t found = 0;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            for (const std::string &violation : violationsOf(seed, fault.faults)) {
+                std::printf("%s, seed %llu: %s\n", fault.name, static_cast<unsigned long long>(seed), violation.c_str());
+                ++found;
+            }
+        }
+        UNSIGNED_LONGS_EQUAL_TEXT(0, found, fault.name);
+    }
+}
+
+TEST(JobBoard, completesEveryJobWithoutFaults)
+{
+    Bench bench(1, Faults());
+    std::vector<std::string> ids;
+    for (int round = 0; round < 20; ++round) {
+        ids.push_back(bench.submit(round % 2, makeSubmission(round % 2 == 0, round % 3 == 0, "key" + std::to_string(round))));
+    }
+    bench.run(Milliseconds(2000));
+    for (const std::string &id : ids) {
+        const auto told = bench.told().find(id);
+        CHECK(told != bench.told().end());
+        CHECK(told->second.front() == wire::Outcome::Completed);
+        LONGS_EQUAL(1, bench.starts(id));
+    }
+}
+
+TEST(JobBoard, refusesAKeyThatWasUsedForAnotherRequest)
+{
+    Bench bench(1, Faults());
+    Submission submission = makeSubmission(false, true, "key");
+    bench.submit(0, submission);
+    bench.run(Milliseconds(100));
+    submission.digest = "another";
+    CHECK(bench.submit(0, submission).empty());
+    CHECK(bench.submit(1, submission).empty());
+}
+
+TEST(JobBoard, saysNotRunWhenTheLogStaysAway)
+{
+    Faults outage;
+    outage.logOutage = 1;
+    Bench bench(1, outage);
+    bench.run(Milliseconds(200));
+    Submission submission = makeSubmission(false, false, "key");
+    submission.request.deadline = Milliseconds(500);
+    const std::string id = bench.submit(0, submission);
+    bench.run(Milliseconds(1000));
+    bench.stopFaults();
+    bench.run(Milliseconds(30000));
+    LONGS_EQUAL(0, bench.starts(id));
+    CHECK(bench.told().at(id).front() == wire::Outcome::NotRun);
+}
+
+TEST(JobBoard, endsACancelledJobThatWaits)
+{
+    Faults refusing;
+    refusing.refuseGang = 1;
+    Bench bench(1, refusing);
+    const std::string id = bench.submit(0, makeSubmission(true, false));
+    bench.run(Milliseconds(200));
+    bench.board(0).cancel(bench.now(), id);
+    bench.run(Milliseconds(3000));
+    CHECK(bench.told().at(id).front() == wire::Outcome::Cancelled || bench.told().at(id).front() == wire::Outcome::NotRun);
+    LONGS_EQUAL(0, bench.starts(id));
+}
--- a/tests/logservice/jobfoldtest.cpp
+++ b/tests/logservice/jobfoldtest.cpp
@@ -39,10 +39,11 @@
     return {attempt(number, 1, job), "127.0.0.1:8"};
 }
 
-OutcomeRecord outcome(wire::Outcome::type kind, const std::string &job = "j")
+OutcomeRecord outcome(wire::Outcome::type kind, const std::string &job = "j", std::int64_t nonce = 1)
 {
     OutcomeRecord record;
     record.job = job;
+    record.ownerNonce = nonce;
     record.outcome = kind;
     return record;
 }
@@ -82,7 +83,7 @@
             case 3:
                 return abandon(first, job);
             default:
-                return outcome(wire::Outcome::type(first), job);
+                return outcome(wire::Outcome::type(first), job, second);
             }
         });
 }
@@ -125,6 +126,8 @@
         {"after an abandoned attempt", {submit(), abandon(1), start(1), start(2)}, start(2), true},
         {"abandoned after", {submit(), start(1), abandon(1)}, start(1), true},
         {"after the outcome", {submit(), outcome(wire::Outcome::NotRun), start(1)}, start(1), false},
+        {"of the owner before a claim", {submit(), ClaimRecord {"j", 1, "a", 2}, start(1)}, start(1), false},
+        {"before a claim", {submit(), start(1), ClaimRecord {"j", 1, "a", 2}}, start(1), true},
         {"before the outcome", {submit(), start(1), outcome(wire::Outcome::Completed)}, start(1), true},
     };
     for (const Case &one : cases) {
@@ -145,6 +148,12 @@
     CHECK(jobs.job("j")->outcome->outcome == wire::Outcome::Completed);
 }
 
+TEST(JobFold, ignoresTheOutcomeOfAnEarlierOwner)
+{
+    const JobFold jobs = fold({submit(), ClaimRecord {"j", 1, "a", 2}, outcome(wire::Outcome::NotRun), outcome(wire::Outcome::Completed, "j", 2)});
+    CHECK(jobs.job("j")->outcome->outcome == wire::Outcome::Completed);
+}
+
 TEST(JobFold, forgetsTheOldestFinishedJobs)
 {
     JobFold jobs = fold({submit(1, "a"), submit(1, "b"), submit(1, "c"), outcome(wire::Outcome::Failed, "b"), outcome(wire::Outcome::Failed, "a")});
@@ -156,7 +165,7 @@
 
 TEST(JobFold, readsItsSnapshotBack)
 {
-    const JobFold before = fold({submit(1, "a"), abandon(1, "a"), start(2, 5, "a"), submit(2, "b"), outcome(wire::Outcome::Unknown, "b")});
+    const JobFold before = fold({submit(1, "a"), abandon(1, "a"), start(2, 5, "a"), submit(2, "b"), outcome(wire::Outcome::Unknown, "b", 2)});
     const JobFold after = fold({snapshotOf(before)}, 1000);
     CHECK(after.isComplete());
     STRCMP_EQUAL(before.snapshot().c_str(), after.snapshot().c_str());
--- a/tests/logservice/recordstest.cpp
+++ b/tests/logservice/recordstest.cpp
@@ -18,6 +18,7 @@
     submit.key = "key \"quoted\" \n\xc3\xa4";
     submit.owner = "127.0.0.1:1";
     submit.ownerNonce = INT64_MIN;
+    submit.isRecoverable = true;
     submit.spec.account = "kothari-fit";
     submit.spec.adjacency = wire::Adjacency::Rack;
     submit.spec.input = R"({"run_ms":5})";
@@ -36,7 +37,7 @@
         ClaimRecord {"j-1", 3, "127.0.0.1:2", 9},
         StartRecord {attempt, "127.0.0.1:3", -5},
         AbandonRecord {attempt, "127.0.0.1:4"},
-        OutcomeRecord {"j-1", wire::Outcome::Failed, wire::Reason::MemberLost, "w1", {part}},
+        OutcomeRecord {"j-1", 3, wire::Outcome::Failed, wire::Reason::MemberLost, "w1", {part}},
         ConfigurationRecord {7, "c-1", "rota-a", "{}"},
         SnapshotRecord {"s-1", 1, 2, 7, "rota-a", "{}", R"({"jobs":[]})", 99}};
 }
@@ -64,6 +65,7 @@
     CHECK(before.spec == after.spec);
     CHECK(before.acceptedAt == after.acceptedAt);
     CHECK(before.ownerNonce == after.ownerNonce);
+    CHECK(before.isRecoverable == after.isRecoverable);
     STRCMP_EQUAL(before.key.c_str(), after.key.c_str());
 }
 
