--- /dev/null
+++ b/src/libknapweed/planning/inventory.cpp
@@ -0,0 +1,461 @@
+// Keeps the indices of open accelerators in step with each change of one worker; the work of a report is proportional to that worker's parts.
+
+#include "planning/inventory.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cstdlib>
+
+namespace knapweed::planning
+{
+
+namespace
+{
+
+bool isSamePart(const PlacedPart &placed, const Gang &gang, const Part &part)
+{
+    return placed.accelerators == toSet(part.accelerators) && gang.job == part.job && gang.description.attemptOwner == part.attemptOwner
+        && gang.description.attemptNumber == part.attemptNumber;
+}
+
+/// Whether planned ground becomes the reported part: it shares an accelerator, or neither has any.
+bool becomes(const PlacedPart &planned, const Part &part)
+{
+    const AcceleratorSet reported = toSet(part.accelerators);
+    return (planned.accelerators & reported) != 0 || (planned.accelerators == 0 && reported == 0);
+}
+
+} // namespace
+
+void Inventory::updateWorker(MonotonicTime now, const Worker &worker)
+{
+    const auto known = workerIndex_.find(worker.id);
+    WorkerIndex place = known == workerIndex_.end() ? noIndex : known->second;
+    if (place == noIndex) {
+        place = static_cast<WorkerIndex>(workers_.size());
+        workers_.emplace_back();
+        indexedOpen_.push_back(noIndex);
+        workerIndex_.emplace(worker.id, place);
+    }
+    WorkerState &state = workers_[place];
+    const bool hasChanged = !state.present || state.report.available != worker.available || state.report.accelerators != worker.accelerators
+        || state.report.slots != worker.slots || state.report.processors != worker.processors || state.report.memoryMib != worker.memoryMib;
+    if (hasChanged) {
+        joinWorker(now, place, worker);
+    }
+    state.report.agent = worker.agent;
+    state.report.startedTasks = worker.startedTasks;
+    state.report.failedTasks = worker.failedTasks;
+    if (replaceReportedParts(place, worker.parts) || hasChanged) {
+        index(place);
+    }
+}
+
+void Inventory::joinWorker(MonotonicTime now, WorkerIndex worker, const Worker &report)
+{
+    WorkerState &state = workers_[worker];
+    if (!state.present) {
+        state.present = true;
+        state.rack = obtainRack(report);
+        racks_[state.rack].push_back(worker);
+        lastJoin_ = now;
+        state.usable = report.available;
+    }
+    state.report = report;
+    state.report.parts.clear();
+    state.all = firstAccelerators(report.accelerators);
+    if (!report.available) {
+        state.usable = false;
+    }
+    ++membership_;
+}
+
+int Inventory::obtainRack(const Worker &report)
+{
+    const std::string name = report.region + '/' + report.failureDomain + '/' + report.rack;
+    const auto [found, isNew] = rackIndex_.emplace(name, static_cast<int>(racks_.size()));
+    if (isNew) {
+        racks_.emplace_back();
+        rackOpen_.push_back(0);
+    }
+    return found->second;
+}
+
+void Inventory::removeWorker(const std::string &worker)
+{
+    const WorkerIndex place = find(worker);
+    if (place == noIndex || !workers_[place].present) {
+        return;
+    }
+    WorkerState &state = workers_[place];
+    while (!state.parts.empty()) {
+        removePart(place, state.parts.size() - 1);
+    }
+    state.usable = false;
+    index(place);
+    std::erase(racks_[state.rack], place);
+    state = WorkerState {};
+    ++membership_;
+}
+
+bool Inventory::replaceReportedParts(WorkerIndex worker, const std::vector<Part> &parts)
+{
+    WorkerState &state = workers_[worker];
+    bool hasChanged = false;
+    for (std::size_t place = state.parts.size(); place-- > 0;) {
+        const PlacedPart &placed = state.parts[place];
+        const bool isGone = placed.reported && std::none_of(parts.begin(), parts.end(), [&](const Part &part) {
+            return isSamePart(placed, gangs_[placed.gang], part);
+        });
+        if (isGone) {
+            removePart(worker, place);
+            hasChanged = true;
+        }
+    }
+    for (const Part &part : parts) {
+        const auto shown = std::find_if(state.parts.begin(), state.parts.end(), [&](const PlacedPart &placed) {
+            return placed.reported && isSamePart(placed, gangs_[placed.gang], part);
+        });
+        if (shown == state.parts.end()) {
+            takeReportedPart(worker, part);
+            hasChanged = true;
+        } else {
+            gangs_[shown->gang].description = part;
+        }
+    }
+    return hasChanged;
+}
+
+void Inventory::takeReportedPart(WorkerIndex worker, const Part &part)
+{
+    WorkerState &state = workers_[worker];
+    const GangIndex gang = obtainGang(part.job);
+    const auto account = accounts_.find(part.account);
+    gangs_[gang].description = part;
+    gangs_[gang].account = account == accounts_.end() ? noIndex : account->second;
+    PlacedPart placed {gang, toSet(part.accelerators), part.processors, part.memoryMib, true};
+    const auto planned = std::find_if(state.parts.begin(), state.parts.end(), [&](const PlacedPart &other) {
+        return other.gang == gang && !other.reported && becomes(other, part);
+    });
+    if (planned != state.parts.end()) {
+        placed.processors = std::max(placed.processors, planned->processors);
+        placed.memoryMib = std::max(placed.memoryMib, planned->memoryMib);
+        addUse(gangs_[gang].account, countOf(placed.accelerators) - countOf(planned->accelerators));
+        *planned = placed;
+        return;
+    }
+    addUse(gangs_[gang].account, countOf(placed.accelerators));
+    state.parts.push_back(placed);
+    std::vector<WorkerIndex> &places = gangs_[gang].workers;
+    if (std::find(places.begin(), places.end(), worker) == places.end()) {
+        places.push_back(worker);
+    }
+}
+
+void Inventory::plan(MonotonicTime now, MonotonicTime expiry, const WaitingJob &job, AccountIndex account, const std::vector<PlannedPart> &parts)
+{
+    const GangIndex index = obtainGang(job.id);
+    Gang &gang = gangs_[index];
+    gang.account = account;
+    gang.placedAt = now;
+    gang.plannedUntil = expiry;
+    gang.description.job = job.id;
+    gang.description.account = job.account;
+    gang.description.kind = job.kind;
+    gang.description.gangSize = job.shape.tasks;
+    gang.description.checkpointable = job.checkpointable;
+    gang.description.repeatable = job.repeatable;
+    gang.description.startedAt = now;
+    gang.description.checkpointedAt = now;
+    for (const PlannedPart &part : parts) {
+        WorkerState &state = workers_[part.worker];
+        if ((part.accelerators & ~state.open) != 0) {
+            std::abort(); // invariant: an accelerator is never given twice
+        }
+        state.parts.push_back({index, part.accelerators, job.shape.processorsPerTask, job.shape.memoryMibPerTask, false});
+        if (std::find(gang.workers.begin(), gang.workers.end(), part.worker) == gang.workers.end()) {
+            gang.workers.push_back(part.worker);
+        }
+        addUse(account, countOf(part.accelerators));
+        this->index(part.worker);
+    }
+    expiries_.push_back({expiry, job.id});
+}
+
+void Inventory::dropPlanned(const std::string &job)
+{
+    const GangIndex index = gangIndex(job);
+    if (index == noIndex) {
+        return;
+    }
+    const std::vector<WorkerIndex> places = gangs_[index].workers;
+    for (const WorkerIndex worker : places) {
+        WorkerState &state = workers_[worker];
+        for (std::size_t place = state.parts.size(); place-- > 0;) {
+            if (state.parts[place].gang == index && !state.parts[place].reported) {
+                removePart(worker, place);
+            }
+        }
+        this->index(worker);
+    }
+}
+
+void Inventory::expirePlanned(MonotonicTime now)
+{
+    while (!expiries_.empty() && expiries_.front().at <= now) {
+        const Expiry expiry = expiries_.front();
+        expiries_.pop_front();
+        const Gang *placed = gang(expiry.job);
+        // A job that was placed again since has a later expiry.
+        if (placed != nullptr && placed->plannedUntil <= now) {
+            dropPlanned(expiry.job);
+        }
+    }
+}
+
+void Inventory::removePart(WorkerIndex worker, std::size_t place)
+{
+    WorkerState &state = workers_[worker];
+    const GangIndex gang = state.parts[place].gang;
+    addUse(gangs_[gang].account, -countOf(state.parts[place].accelerators));
+    state.parts[place] = state.parts.back();
+    state.parts.pop_back();
+    ++releases_;
+    const bool isElsewhere = std::any_of(state.parts.begin(), state.parts.end(), [gang](const PlacedPart &part) {
+        return part.gang == gang;
+    });
+    if (!isElsewhere) {
+        forgetWorkerOfGang(gang, worker);
+    }
+}
+
+void Inventory::forgetWorkerOfGang(GangIndex gang, WorkerIndex worker)
+{
+    std::erase(gangs_[gang].workers, worker);
+    if (gangs_[gang].workers.empty()) {
+        gangIndex_.erase(gangs_[gang].job);
+        gangs_[gang] = Gang {};
+        freeGangs_.push_back(gang);
+    }
+}
+
+GangIndex Inventory::obtainGang(const std::string &job)
+{
+    const GangIndex known = gangIndex(job);
+    if (known != noIndex) {
+        return known;
+    }
+    GangIndex index = static_cast<GangIndex>(gangs_.size());
+    if (freeGangs_.empty()) {
+        gangs_.emplace_back();
+    } else {
+        index = freeGangs_.back();
+        freeGangs_.pop_back();
+    }
+    gangs_[index].job = job;
+    gangIndex_.emplace(job, index);
+    return index;
+}
+
+void Inventory::index(WorkerIndex worker)
+{
+    WorkerState &state = workers_[worker];
+    AcceleratorSet taken = 0;
+    state.openProcessors = state.report.processors;
+    state.openMemoryMib = state.report.memoryMib;
+    state.openSlots = state.report.slots;
+    for (const PlacedPart &part : state.parts) {
+        taken |= part.accelerators;
+        state.openProcessors -= part.processors;
+        state.openMemoryMib -= part.memoryMib;
+        --state.openSlots;
+    }
+    state.open = state.usable ? state.all & ~taken : 0;
+    const int open = countOf(state.open);
+    const int before = indexedOpen_[worker];
+    if (open == before) {
+        return;
+    }
+    if (before != noIndex) {
+        byOpen_[before].erase(worker);
+        rackOpen_[state.rack] -= before;
+    }
+    byOpen_[open].insert(worker);
+    rackOpen_[state.rack] += open;
+    indexedOpen_[worker] = open;
+    if (open > before) {
+        ++releases_;
+    }
+}
+
+void Inventory::setUsable(WorkerIndex worker, bool isUsable)
+{
+    WorkerState &state = workers_[worker];
+    const bool wanted = isUsable && state.present && state.report.available;
+    if (state.usable != wanted) {
+        state.usable = wanted;
+        ++membership_;
+        index(worker);
+    }
+}
+
+void Inventory::setReserved(WorkerIndex worker, std::vector<ReservedGround> reserved)
+{
+    WorkerState &state = workers_[worker];
+    state.reserved = std::move(reserved);
+    state.reservedSet = 0;
+    for (const ReservedGround &ground : state.reserved) {
+        if ((state.reservedSet & ground.accelerators) != 0) {
+            std::abort(); // invariant: ground is reserved for one block only
+        }
+        state.reservedSet |= ground.accelerators;
+    }
+}
+
+void Inventory::hold(WorkerIndex worker, HeldGround ground)
+{
+    workers_[worker].held.push_back(std::move(ground));
+}
+
+void Inventory::releaseHeld(WorkerIndex worker, const std::string &job)
+{
+    const std::size_t released = std::erase_if(workers_[worker].held, [&job](const HeldGround &ground) {
+        return ground.job == job;
+    });
+    releases_ += released;
+}
+
+void Inventory::addUse(AccountIndex account, int accelerators)
+{
+    if (account == noIndex) {
+        return;
+    }
+    if (static_cast<std::size_t>(account) >= used_.size()) {
+        used_.resize(account + 1, 0);
+    }
+    used_[account] += accelerators;
+}
+
+void Inventory::setAccounts(std::map<std::string, AccountIndex> accounts)
+{
+    accounts_ = std::move(accounts);
+    used_.assign(accounts_.size(), 0);
+    for (Gang &gang : gangs_) {
+        const auto account = accounts_.find(gang.description.account);
+        gang.account = account == accounts_.end() ? noIndex : account->second;
+    }
+    for (const WorkerState &state : workers_) {
+        for (const PlacedPart &part : state.parts) {
+            addUse(gangs_[part.gang].account, countOf(part.accelerators));
+        }
+    }
+}
+
+bool Inventory::isReported(const Gang &gang) const
+{
+    const GangIndex index = gangIndex(gang.job);
+    return std::any_of(gang.workers.begin(), gang.workers.end(), [&](WorkerIndex worker) {
+        const std::vector<PlacedPart> &parts = workers_[worker].parts;
+        return std::any_of(parts.begin(), parts.end(), [index](const PlacedPart &part) {
+            return part.gang == index && part.reported;
+        });
+    });
+}
+
+const std::vector<WorkerState> &Inventory::workers() const
+{
+    return workers_;
+}
+
+const std::vector<std::vector<WorkerIndex>> &Inventory::racks() const
+{
+    return racks_;
+}
+
+WorkerIndex Inventory::find(const std::string &worker) const
+{
+    const auto found = workerIndex_.find(worker);
+    return found == workerIndex_.end() ? noIndex : found->second;
+}
+
+const Gang *Inventory::gang(const std::string &job) const
+{
+    const GangIndex index = gangIndex(job);
+    return index == noIndex ? nullptr : &gangs_[index];
+}
+
+const Gang &Inventory::gang(GangIndex index) const
+{
+    return gangs_[index];
+}
+
+Gang &Inventory::gang(GangIndex index)
+{
+    return gangs_[index];
+}
+
+GangIndex Inventory::gangIndex(const std::string &job) const
+{
+    const auto found = gangIndex_.find(job);
+    return found == gangIndex_.end() ? noIndex : found->second;
+}
+
+const std::set<WorkerIndex> &Inventory::withOpen(int count) const
+{
+    return byOpen_[count];
+}
+
+int Inventory::openInRack(int rack) const
+{
+    return rackOpen_[rack];
+}
+
+std::uint64_t Inventory::releases() const
+{
+    return releases_;
+}
+
+std::uint64_t Inventory::membership() const
+{
+    return membership_;
+}
+
+MonotonicTime Inventory::lastJoin() const
+{
+    return lastJoin_;
+}
+
+int Inventory::acceleratorsOf(AccountIndex account) const
+{
+    const bool isKnown = account != noIndex && static_cast<std::size_t>(account) < used_.size();
+    return isKnown ? used_[account] : 0;
+}
+
+AcceleratorSet heldAgainst(const WorkerState &state, const std::string &job, MonotonicTime end)
+{
+    AcceleratorSet held = 0;
+    for (const HeldGround &ground : state.held) {
+        if (ground.job != job && end > ground.until) {
+            held |= ground.accelerators;
+        }
+    }
+    return held;
+}
+
+AcceleratorSet reservedFor(const WorkerState &state, AccountIndex account)
+{
+    AcceleratorSet own = 0;
+    for (const ReservedGround &ground : state.reserved) {
+        if (ground.account == account) {
+            own |= ground.accelerators;
+        }
+    }
+    return own;
+}
+
+AcceleratorSet reservedForOthers(const WorkerState &state, AccountIndex account)
+{
+    return state.reservedSet & ~reservedFor(state, account);
+}
+
+} // namespace knapweed::planning
--- /dev/null
+++ b/src/libknapweed/planning/inventory.h
@@ -0,0 +1,172 @@
+// What the planner knows of the fleet: workers, racks, the gangs on them, and which accelerators are open. Parts come from reports; the parts of a
+// placement are kept as planned until a report shows them or they expire.
+#pragma once
+
+#include "planning/acceleratorset.h"
+#include "planning/planner.h"
+
+#include <deque>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace knapweed::planning
+{
+
+using WorkerIndex = int;
+using GangIndex = int;
+using AccountIndex = int;
+
+constexpr int noIndex = -1;
+
+/// One part on a worker, reported or planned.
+struct PlacedPart
+{
+    GangIndex gang = noIndex;
+    AcceleratorSet accelerators = 0;
+    int processors = 0;
+    std::int64_t memoryMib = 0;
+    bool reported = false;
+};
+
+/// Accelerators of a worker that the reservation map keeps for an account.
+struct ReservedGround
+{
+    int block = noIndex;
+    AccountIndex account = noIndex;
+    AcceleratorSet accelerators = 0;
+};
+
+/// Accelerators of a worker that are kept for a waiting job's start.
+struct HeldGround
+{
+    std::string job;
+    AcceleratorSet accelerators = 0;
+    MonotonicTime until; ///< another job that ends before then may use them
+};
+
+struct WorkerState
+{
+    bool present = false;
+    bool usable = false; ///< available, not excluded and not quarantined
+    Worker report; ///< without its parts
+    int rack = noIndex;
+    std::vector<PlacedPart> parts;
+    std::vector<ReservedGround> reserved; ///< invariant: the sets are disjoint
+    std::vector<HeldGround> held;
+    AcceleratorSet all = 0;
+    AcceleratorSet open = 0; ///< neither in use nor planned; empty when not usable
+    AcceleratorSet reservedSet = 0; ///< union of reserved
+    int openProcessors = 0;
+    std::int64_t openMemoryMib = 0;
+    int openSlots = 0;
+};
+
+/// A gang that runs or is planned.
+struct Gang
+{
+    std::string job;
+    Part description; ///< of the newest report, or of the placement
+    AccountIndex account = noIndex;
+    std::vector<WorkerIndex> workers; ///< one entry for each worker that holds a part; no doubles
+    MonotonicTime placedAt;
+    MonotonicTime plannedUntil; ///< parts that no report has shown are dropped then
+    MonotonicTime preemptedAt; ///< the last time that it was asked to go; zero when never
+    int preemptions = 0;
+};
+
+/// A gang's part in the making.
+struct PlannedPart
+{
+    WorkerIndex worker = noIndex;
+    AcceleratorSet accelerators = 0;
+};
+
+class Inventory
+{
+public:
+    /// Invariant: no accelerator is planned for two gangs.
+    void updateWorker(MonotonicTime now, const Worker &worker);
+    void removeWorker(const std::string &worker);
+
+    /// Plans @p job on @p parts, all open. They stay taken until @p expiry unless a report shows them before.
+    void plan(MonotonicTime now, MonotonicTime expiry, const WaitingJob &job, AccountIndex account, const std::vector<PlannedPart> &parts);
+    /// Drops the parts of @p job that no report has shown.
+    void dropPlanned(const std::string &job);
+    void expirePlanned(MonotonicTime now);
+
+    void setUsable(WorkerIndex worker, bool isUsable);
+    void setReserved(WorkerIndex worker, std::vector<ReservedGround> reserved);
+    void hold(WorkerIndex worker, HeldGround ground);
+    void releaseHeld(WorkerIndex worker, const std::string &job);
+
+    const std::vector<WorkerState> &workers() const;
+    const std::vector<std::vector<WorkerIndex>> &racks() const;
+    WorkerIndex find(const std::string &worker) const;
+    const Gang *gang(const std::string &job) const;
+    const Gang &gang(GangIndex index) const;
+    Gang &gang(GangIndex index);
+    GangIndex gangIndex(const std::string &job) const;
+
+    /// Workers with exactly @p count open accelerators, reserved ones included.
+    const std::set<WorkerIndex> &withOpen(int count) const;
+    int openInRack(int rack) const;
+
+    /// Rises when accelerators, processors, memory or slots become open.
+    std::uint64_t releases() const;
+    /// Rises when a worker joins, leaves or changes its size or usability.
+    std::uint64_t membership() const;
+    /// The last time that a worker joined.
+    MonotonicTime lastJoin() const;
+
+    /// Accelerators that @p account runs on or has planned.
+    int acceleratorsOf(AccountIndex account) const;
+    /// Sets how reports' account names become indices.
+    void setAccounts(std::map<std::string, AccountIndex> accounts);
+
+    bool isReported(const Gang &gang) const;
+
+private:
+    void index(WorkerIndex worker);
+    void removePart(WorkerIndex worker, std::size_t place);
+    GangIndex obtainGang(const std::string &job);
+    void forgetWorkerOfGang(GangIndex gang, WorkerIndex worker);
+    void joinWorker(MonotonicTime now, WorkerIndex worker, const Worker &report);
+    bool replaceReportedParts(WorkerIndex worker, const std::vector<Part> &parts);
+    void takeReportedPart(WorkerIndex worker, const Part &part);
+    int obtainRack(const Worker &report);
+    void addUse(AccountIndex account, int accelerators);
+
+    struct Expiry
+    {
+        MonotonicTime at;
+        std::string job;
+    };
+
+    std::vector<WorkerState> workers_;
+    std::unordered_map<std::string, WorkerIndex> workerIndex_;
+    std::vector<std::vector<WorkerIndex>> racks_;
+    std::unordered_map<std::string, int> rackIndex_;
+    std::vector<int> rackOpen_; ///< open accelerators of each rack
+    std::vector<int> indexedOpen_; ///< the count under which a worker stands in byOpen_
+    std::vector<std::set<WorkerIndex>> byOpen_ = std::vector<std::set<WorkerIndex>>(maximumAccelerators + 1);
+    std::vector<Gang> gangs_;
+    std::vector<GangIndex> freeGangs_;
+    std::unordered_map<std::string, GangIndex> gangIndex_;
+    std::deque<Expiry> expiries_; ///< in order of time
+    std::map<std::string, AccountIndex> accounts_;
+    std::vector<int> used_;
+    std::uint64_t releases_ = 0;
+    std::uint64_t membership_ = 0;
+    MonotonicTime lastJoin_;
+};
+
+/// Accelerators of @p state that are kept for jobs other than @p job and may not be used by one that ends at @p end.
+AcceleratorSet heldAgainst(const WorkerState &state, const std::string &job, MonotonicTime end);
+
+/// Accelerators of @p state reserved for @p account, or for others.
+AcceleratorSet reservedFor(const WorkerState &state, AccountIndex account);
+AcceleratorSet reservedForOthers(const WorkerState &state, AccountIndex account);
+
+} // namespace knapweed::planning
--- /dev/null
+++ b/src/libknapweed/planning/placement.h
@@ -0,0 +1,42 @@
+// Finds accelerators for a gang. Best fit: broken workers and racks are filled first, so that whole ones stay for large shapes.
+#pragma once
+
+#include "planning/inventory.h"
+#include "planning/jobqueue.h"
+
+#include <functional>
+#include <vector>
+
+namespace knapweed::planning
+{
+
+/// The ground that a search may use.
+struct Ground
+{
+    AccountIndex account = noIndex;
+    bool mayUseOwnBlocks = true;
+    bool mayUseUnreserved = true;
+    bool mayBorrow = false; ///< use what is reserved for other accounts
+};
+
+struct Search
+{
+    const WaitingJob *job = nullptr;
+    Ground ground;
+    MonotonicTime estimatedEnd; ///< held ground may be used until its own start
+    std::vector<WorkerIndex> avoid;
+};
+
+/// The accelerators of @p worker that the search may use now.
+AcceleratorSet usableSet(const WorkerState &worker, const Search &search);
+
+/// How many tasks of @p shape a worker takes that has @p usable accelerators.
+int taskRoom(const WorkerState &worker, const Shape &shape, AcceleratorSet usable);
+
+/// One part for each task, or none when there is no place.
+std::vector<PlannedPart> findPlace(const Inventory &inventory, const Search &search);
+
+/// Whether the known workers could hold @p shape if nothing ran.
+bool fleetCanHold(const Inventory &inventory, const Shape &shape);
+
+} // namespace knapweed::planning
