--- a/src/libknapweed/planning/planner.cpp
+++ b/src/libknapweed/planning/planner.cpp
@@ -109,7 +109,7 @@
 
 bool Planner::Private::placeFront(MonotonicTime now, JobClass &jobClass, std::vector<Decision> &decisions)
 {
-    const WaitingJob job = jobClass.front();
+    const WaitingJob &job = jobClass.front();
     Search search;
     search.job = &job;
     search.ground.account = account(job.account);
@@ -122,7 +122,8 @@
     }
     decisions.push_back(makePlace(job, parts));
     inventory.plan(now, now + plannedExpiry, job, search.ground.account, parts);
-    queue.remove(job.id);
+    const std::string id = job.id;
+    queue.remove(id);
     return true;
 }
 
