--- a/src/knapweedstaged/entrytask.cpp
+++ b/src/knapweedstaged/entrytask.cpp
@@ -60,8 +60,8 @@
     peers_ = std::make_unique<PeerNetwork>(loop_, PeerNetworkOptions {}, std::move(events));
     HttpServerOptions serverOptions;
     serverOptions.maximumBodyBytes = settings_.maximumBodyBytes;
-    const HttpHandler handler = [this](const HttpRequest &request, HttpResponder respond) {
-        handleHttp(request, std::move(respond));
+    const HttpHandler handler = [this](const HttpRequest &request, const HttpResponder &respond) {
+        handleHttp(request, respond);
     };
     server_ = std::make_unique<HttpServer>(loop_, settings_.listen, handler, serverOptions, peers_->hooks());
     if (!server_->isListening()) {
@@ -154,7 +154,7 @@
     loop_.run();
 }
 
-void EntryTask::handleHttp(const HttpRequest &request, HttpResponder respond)
+void EntryTask::handleHttp(const HttpRequest &request, const HttpResponder &respond)
 {
     if (request.path == "/healthz") {
         respond(jsonResponse(200, R"({"status":"alive"})"));
@@ -273,7 +273,7 @@
     board_->setPlanner(monotonicNow(), planner_);
 }
 
-void EntryTask::deliver(const std::string &peer, PeerMessage message)
+void EntryTask::deliver(const std::string &peer, const PeerMessage &message)
 {
     if (peer != self_) {
         peers_->send(peer, message);
@@ -298,9 +298,9 @@
 void EntryTask::pumpBoard()
 {
     for (std::vector<BoardAction> actions = board_->takeActions(); !actions.empty(); actions = board_->takeActions()) {
-        for (BoardAction &action : actions) {
-            if (SendPeer *send = std::get_if<SendPeer>(&action)) {
-                deliver(send->peer, std::move(send->message));
+        for (const BoardAction &action : actions) {
+            if (const SendPeer *send = std::get_if<SendPeer>(&action)) {
+                deliver(send->peer, send->message);
             } else if (const AppendRecord *append = std::get_if<AppendRecord>(&action)) {
                 if (!log_->append(append->record)) {
                     logEvent(LogLevel::Error, "log.queue_full");
@@ -329,9 +329,9 @@
 
 void EntryTask::decide()
 {
-    PlannerHost::Messages messages = plannerHost_.decide(monotonicNow());
-    for (auto &[peer, message] : messages) {
-        deliver(peer, std::move(message));
+    const PlannerHost::Messages messages = plannerHost_.decide(monotonicNow());
+    for (const auto &[peer, message] : messages) {
+        deliver(peer, message);
     }
     pumpBoard();
 }
--- a/src/knapweedstaged/entrytask.h
+++ b/src/knapweedstaged/entrytask.h
@@ -38,7 +38,7 @@
     void drain();
 
 private:
-    void handleHttp(const HttpRequest &request, HttpResponder respond);
+    void handleHttp(const HttpRequest &request, const HttpResponder &respond);
     void answerReadiness(const HttpResponder &respond) const;
     void receive(const std::string &peer, const PeerMessage &message);
     void receiveOffer(const std::string &peer, const wire::ConfigurationOffer &offer);
@@ -53,7 +53,7 @@
     void tick();
     void tickSlowly();
     void finishDrain();
-    void deliver(const std::string &peer, PeerMessage message);
+    void deliver(const std::string &peer, const PeerMessage &message);
 
     Settings settings_;
     EventLoop loop_;
--- a/src/libknapweed/placement/rendezvous.cpp
+++ b/src/libknapweed/placement/rendezvous.cpp
@@ -12,7 +12,9 @@
     std::string best;
     std::uint64_t bestRank = 0;
     for (const auto &[nonce, address] : processes) {
-        const std::string text = key + '|' + address;
+        std::string text = key;
+        text += '|';
+        text += address;
         const std::uint64_t rank = XXH3_64bits(text.data(), text.size());
         if (best.empty() || rank > bestRank) {
             best = address;
--- a/tests/callers/jobboardtest.cpp
+++ b/tests/callers/jobboardtest.cpp
@@ -154,6 +154,7 @@
 {
     Bench bench(1, Faults());
     std::vector<std::string> ids;
+    ids.reserve(20);
     for (int round = 0; round < 20; ++round) {
         ids.push_back(bench.submit(round % 2, makeSubmission(round % 2 == 0, round % 3 == 0, "key" + std::to_string(round))));
     }
