--- a/src/libknapweed/gangs/member.cpp
+++ b/src/libknapweed/gangs/member.cpp
@@ -15,6 +15,9 @@
 /// As many replies as a lead may have outstanding.
 constexpr std::size_t rememberedReplies = 32;
 
+/// How long a hold waits for a part that is being stopped.
+constexpr Milliseconds waitingHoldLimit {100};
+
 template<typename Reply>
 Reply replyTo(const wire::AttemptId &attempt, std::int32_t member, std::int64_t fence)
 {
@@ -107,10 +110,34 @@
         sendHoldReply(peer, request, 0, reason, actions);
         return;
     }
+    const Room found = room(request);
+    if (found == Room::Stopping) {
+        waitingHolds_.push_back({peer, request, now + waitingHoldLimit});
+        return;
+    }
+    if (found == Room::Taken) {
+        sendHoldReply(peer, request, 0, wire::Reason::Busy, actions);
+        return;
+    }
     addPart(now, peer, request);
     sendHoldReply(peer, request, highestFence_, wire::Reason::None, actions);
 }
 
+/// A hold that finds its accelerators still being released waits a moment rather than being refused: stopping ends by itself and waits for no hold.
+void Member::retryHolds(MonotonicTime now, Actions &actions)
+{
+    std::vector<WaitingHold> holds = std::exchange(waitingHolds_, {});
+    for (WaitingHold &hold : holds) {
+        if (room(hold.request) != Room::Stopping) {
+            handle(now, hold.peer, hold.request, actions);
+        } else if (now >= hold.until) {
+            sendHoldReply(hold.peer, hold.request, 0, wire::Reason::Busy, actions);
+        } else {
+            waitingHolds_.push_back(std::move(hold));
+        }
+    }
+}
+
 wire::Reason::type Member::refusal(MonotonicTime now, const wire::HoldRequest &request) const
 {
     if (draining_) {
@@ -123,29 +150,33 @@
     if (request.borrowed && !request.spec.repeatable && !request.spec.checkpointable) {
         return wire::Reason::Reserved;
     }
-    return hasRoom(request) ? wire::Reason::None : wire::Reason::Busy;
+    return wire::Reason::None;
 }
 
-bool Member::hasRoom(const wire::HoldRequest &request) const
+Member::Room Member::room(const wire::HoldRequest &request) const
 {
     const std::set<std::int32_t> wanted(request.accelerators.begin(), request.accelerators.end());
     if (wanted.size() != request.accelerators.size() || (!wanted.empty() && (*wanted.begin() < 0 || *wanted.rbegin() >= worker_.accelerators))) {
-        return false;
+        return Room::Taken;
     }
+    Room room = Room::Free;
     std::int64_t processors = request.spec.processorsPerTask;
     std::int64_t memoryMib = request.spec.memoryMibPerTask;
     int slots = 1;
     for (const auto &[key, part] : parts_) {
-        for (const std::int32_t accelerator : part.accelerators) {
-            if (wanted.contains(accelerator)) {
-                return false;
-            }
+        const bool overlaps = std::any_of(part.accelerators.begin(), part.accelerators.end(), [&wanted](std::int32_t accelerator) {
+            return wanted.contains(accelerator);
+        });
+        if (overlaps && part.phase != PartPhase::Stopping) {
+            return Room::Taken;
         }
+        room = overlaps ? Room::Stopping : room;
         processors += part.spec.processorsPerTask;
         memoryMib += part.spec.memoryMibPerTask;
         slots += part.endpoint.ended ? 0 : 1;
     }
-    return processors <= worker_.processors && memoryMib <= worker_.memoryMib && slots <= endpoint_->slots;
+    const bool fits = processors <= worker_.processors && memoryMib <= worker_.memoryMib && slots <= endpoint_->slots;
+    return fits ? room : Room::Taken;
 }
 
 void Member::addPart(MonotonicTime now, const std::string &peer, const wire::HoldRequest &request)
@@ -264,6 +295,9 @@
 
 void Member::handle(MonotonicTime now, const std::string &peer, const wire::StopRequest &request, Actions &actions)
 {
+    std::erase_if(waitingHolds_, [&request](const WaitingHold &hold) {
+        return hold.request.attempt == request.attempt && hold.request.member == request.member;
+    });
     Part *part = findPart(request.attempt, request.member);
     if (part && request.fence != 0 && request.fence != part->fence) {
         return;
--- a/src/libknapweed/gangs/member.h
+++ b/src/libknapweed/gangs/member.h
@@ -54,7 +54,9 @@
 private:
     bool isEndpointReady(MonotonicTime now) const;
     wire::Reason::type refusal(MonotonicTime now, const wire::HoldRequest &request) const;
-    bool hasRoom(const wire::HoldRequest &request) const;
+    enum class Room { Free, Stopping, Taken };
+    Room room(const wire::HoldRequest &request) const;
+    void retryHolds(MonotonicTime now, Actions &actions);
     Part *findPart(const wire::AttemptId &attempt, std::int32_t member);
     EndedPart *findEnded(const wire::AttemptId &attempt, std::int32_t member);
     void addPart(MonotonicTime now, const std::string &peer, const wire::HoldRequest &request);
@@ -114,6 +116,14 @@
     std::int64_t highestFence_ = 0; ///< invariant: only rises
     Discovery discovery_;
     std::map<std::string, Orphan> orphans_;
+    /// Holds that only wait for parts which are being stopped.
+    struct WaitingHold
+    {
+        std::string peer;
+        wire::HoldRequest request;
+        MonotonicTime until;
+    };
+    std::vector<WaitingHold> waitingHolds_;
     bool draining_ = false;
     bool changed_ = true;
     bool lastAvailable_ = false;
--- a/src/libknapweed/gangs/membersteps.cpp
+++ b/src/libknapweed/gangs/membersteps.cpp
@@ -56,6 +56,7 @@
     for (const PartKey &key : keys) {
         advancePart(now, parts_.at(key), actions);
     }
+    retryHolds(now, actions);
     repeatReports(now, actions);
     forgetEnded(now);
 }
@@ -262,6 +263,7 @@
     }
     parts_.erase(key);
     changed_ = true;
+    retryHolds(now, actions);
 }
 
 EndedPart &Member::recordEnd(MonotonicTime now, Part &part, bool succeeded, wire::Reason::type reason, std::string output)
--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -6696,4 +6696,105 @@
   out << ")";
 }
 
+
+JobCancel::~JobCancel() noexcept {
+}
+
+
+void JobCancel::__set_job(const std::string& val) {
+  this->job = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobCancel& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobCancel::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JobCancel::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobCancel");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobCancel &a, JobCancel &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.__isset, b.__isset);
+}
+
+JobCancel::JobCancel(const JobCancel& other200) {
+  job = other200.job;
+  __isset = other200.__isset;
+}
+JobCancel::JobCancel(JobCancel&& other201) noexcept {
+  job = std::move(other201.job);
+  __isset = other201.__isset;
+}
+JobCancel& JobCancel::operator=(const JobCancel& other202) {
+  job = other202.job;
+  __isset = other202.__isset;
+  return *this;
+}
+JobCancel& JobCancel::operator=(JobCancel&& other203) noexcept {
+  job = std::move(other203.job);
+  __isset = other203.__isset;
+  return *this;
+}
+void JobCancel::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobCancel(";
+  out << "job=" << to_string(job);
+  out << ")";
+}
+
 }} // namespace
--- a/src/libknapweed/peers/gen/peers_types.h
+++ b/src/libknapweed/peers/gen/peers_types.h
@@ -176,6 +176,8 @@
 
 class AttemptQuery;
 
+class JobCancel;
+
 typedef struct _AttemptId__isset {
   _AttemptId__isset() : job(false), owner(false), number(false) {}
   bool job :1;
@@ -2623,6 +2625,51 @@
 
 std::ostream& operator<<(std::ostream& out, const AttemptQuery& obj);
 
+typedef struct _JobCancel__isset {
+  _JobCancel__isset() : job(false) {}
+  bool job :1;
+} _JobCancel__isset;
+
+class JobCancel : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobCancel(const JobCancel&);
+  JobCancel(JobCancel&&) noexcept;
+  JobCancel& operator=(const JobCancel&);
+  JobCancel& operator=(JobCancel&&) noexcept;
+  JobCancel() noexcept
+            : job() {
+  }
+
+  virtual ~JobCancel() noexcept;
+  std::string job;
+
+  _JobCancel__isset __isset;
+
+  void __set_job(const std::string& val);
+
+  bool operator == (const JobCancel & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    return true;
+  }
+  bool operator != (const JobCancel &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobCancel & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobCancel &a, JobCancel &b);
+
+std::ostream& operator<<(std::ostream& out, const JobCancel& obj);
+
 }} // namespace
 
 #endif
--- a/src/libknapweed/peers/peers.thrift
+++ b/src/libknapweed/peers/peers.thrift
@@ -80,3 +80,6 @@
 struct OutcomeAck { 1: AttemptId attempt }
 /// The home entry asks a lead about an attempt after a silent time or a take-over; a lead that does not know it answers EndAttemptReply with a tombstone.
 struct AttemptQuery { 1: AttemptId attempt, 2: string home, 3: i64 leadIncarnation }
+
+/// To the home entry: a caller cancelled its job at another entry.
+struct JobCancel { 1: string job }
--- a/tests/gangs/gangtest.cpp
+++ b/tests/gangs/gangtest.cpp
@@ -79,10 +79,10 @@
 TEST(Gang, neverGoesAfterAnAbandonRecord)
 {
     Faults faults;
-    World world(6, 2, faults);
     faults.logDelay = Milliseconds(300);
-    wire::JobSpec job = spec("100", false);
-    const AttemptKey key = world.submitOn({0, 1}, {{0}, {0}}, job, Milliseconds(3000));
+    faults.lostLogAnswer = 1000;
+    World world(6, 2, faults);
+    const AttemptKey key = world.submitOn({0, 1}, {{0}, {0}}, spec("100", false), Milliseconds(3000));
     world.abandon(key);
     world.run(Milliseconds(3000));
     LONGS_EQUAL(wire::Outcome::NotRun, outcomeOf(world, key));
