--- a/src/libknapweed/base/httpclient.cpp
+++ b/src/libknapweed/base/httpclient.cpp
@@ -315,10 +315,9 @@
         return;
     }
     exchange->wsi = nullptr;
-    const std::shared_ptr<Exchange> failed = exchange;
-    loop->post([failed]() {
-        fail(*failed, "connection refused");
-        releaseSlot(*failed);
+    loop->post([exchange]() {
+        fail(*exchange, "connection refused");
+        releaseSlot(*exchange);
     });
 }
 
--- a/src/libknapweed/base/httpserver.cpp
+++ b/src/libknapweed/base/httpserver.cpp
@@ -3,16 +3,14 @@
 
 #include "base/httpserver.h"
 
-#include "base/listener.h"
+#include "base/httpserverprivate.h"
 #include "base/lwsrequest.h"
-#include "base/websocketlink.h"
 
 #include <libwebsockets.h>
 
 #include <algorithm>
 #include <array>
 #include <cassert>
-#include <unordered_map>
 #include <utility>
 
 namespace knapweed
@@ -24,28 +22,6 @@
 constexpr std::size_t writeChunkBytes = 65536;
 constexpr std::size_t discardLimitBytes = std::size_t(64) << 20; ///< a refused body up to this is read, so that the refusal reaches its sender
 
-/// One HTTP connection and the request that it carries.
-struct HttpConnection
-{
-    /// Number of the open request; 0 between requests.
-    std::uint64_t requestId = 0;
-    HttpRequest request;
-    bool isBodyTooLarge = false;
-    bool isDispatched = false; ///< the handler, or a refusal, has the request
-    bool isAnswered = false; ///< output holds the whole answer
-    bool closesAfterAnswer = false;
-    HttpResponse response;
-    std::string output; ///< head and body that are still to be written, after LWS_PRE bytes of room
-    std::size_t written = 0; ///< bytes of output, without the room
-};
-
-struct PeerConnection
-{
-    lws *wsi = nullptr;
-    WebSocketLink link;
-    bool isClosing = false;
-};
-
 int serverCallback(lws *wsi, lws_callback_reasons reason, void *user, void *in, size_t length);
 
 const std::array<lws_protocols, 4> serverProtocols {{
@@ -57,46 +33,6 @@
 
 } // namespace
 
-struct HttpServer::Private : std::enable_shared_from_this<HttpServer::Private>
-{
-    EventLoop *loop = nullptr;
-    HttpHandler handler;
-    HttpServerOptions options;
-    WebSocketHooks hooks;
-    std::unique_ptr<Listener> listener;
-    lws_vhost *vhost = nullptr;
-    Address address;
-    bool isDraining = false; ///< the listener is closed; each connection closes after its answer
-    bool isDestroyed = false; ///< the HttpServer is gone; callbacks only clean up
-
-    std::unordered_map<lws *, HttpConnection> connections;
-    /// Invariant: one entry for each connection whose requestId is not 0.
-    std::unordered_map<std::uint64_t, lws *> requests;
-    std::uint64_t lastRequestId = 0;
-
-    std::unordered_map<std::uint64_t, PeerConnection> peers;
-    std::unordered_map<lws *, std::uint64_t> peerNumbers;
-    std::uint64_t lastPeer = 0;
-
-    bool open(const Address &listen);
-    int serve(lws *wsi, lws_callback_reasons reason, const char *bytes, std::size_t length);
-    int serveHttp(lws *wsi, lws_callback_reasons reason, const char *bytes, std::size_t length);
-    int servePeer(lws *wsi, lws_callback_reasons reason, const char *bytes, std::size_t length);
-
-    int beginRequest(lws *wsi, const std::string &path);
-    int receiveBody(lws *wsi, const char *bytes, std::size_t length);
-    void dispatch(lws *wsi);
-    void refuse(lws *wsi, int status, const std::string &code, const std::string &detail, bool closes);
-    void answer(std::uint64_t requestId, HttpResponse response);
-    int writeAnswer(lws *wsi);
-    int finishAnswer(lws *wsi);
-    void forgetRequest(HttpConnection &connection);
-    void forgetConnection(lws *wsi);
-
-    int receivePeerMessage(lws *wsi, const char *bytes, std::size_t length);
-    void forgetPeer(lws *wsi);
-};
-
 namespace
 {
 
@@ -328,66 +264,6 @@
     }
 }
 
-int HttpServer::Private::servePeer(lws *wsi, lws_callback_reasons reason, const char *bytes, std::size_t length)
-{
-    if (reason == LWS_CALLBACK_ESTABLISHED) {
-        const lws_protocols *protocol = lws_get_protocol(wsi);
-        if (isDestroyed || !hooks.opened || protocol == nullptr || std::string(protocol->name) != peerProtocol) {
-            return -1;
-        }
-        forgetConnection(wsi);
-        const std::uint64_t number = ++lastPeer;
-        peers[number].wsi = wsi;
-        peerNumbers[wsi] = number;
-        hooks.opened(number);
-        return 0;
-    }
-    if (reason == LWS_CALLBACK_RECEIVE) {
-        return receivePeerMessage(wsi, bytes, length);
-    }
-    if (reason == LWS_CALLBACK_SERVER_WRITEABLE) {
-        PeerConnection &peer = peers.at(peerNumbers.at(wsi));
-        return !peer.isClosing && writeMessages(wsi, peer.link) ? 0 : -1;
-    }
-    if (reason == LWS_CALLBACK_CLOSED || reason == LWS_CALLBACK_WSI_DESTROY) {
-        forgetPeer(wsi);
-    }
-    return 0;
-}
-
-int HttpServer::Private::receivePeerMessage(lws *wsi, const char *bytes, std::size_t length)
-{
-    const std::uint64_t number = peerNumbers.at(wsi);
-    PeerConnection &peer = peers.at(number);
-    if (isDestroyed || peer.isClosing) {
-        return -1;
-    }
-    const Fragment fragment = receiveFragment(wsi, peer.link, bytes, length);
-    if (fragment == Fragment::TooLarge) {
-        return -1;
-    }
-    if (fragment == Fragment::Final) {
-        std::string message;
-        message.swap(peer.link.incoming);
-        hooks.received(number, std::move(message));
-    }
-    return 0;
-}
-
-void HttpServer::Private::forgetPeer(lws *wsi)
-{
-    const auto found = peerNumbers.find(wsi);
-    if (found == peerNumbers.end()) {
-        return;
-    }
-    const std::uint64_t number = found->second;
-    peerNumbers.erase(found);
-    peers.erase(number);
-    if (!isDestroyed && hooks.closed) {
-        hooks.closed(number);
-    }
-}
-
 HttpServer::HttpServer(EventLoop &loop, const Address &listen, HttpHandler handler, HttpServerOptions options, WebSocketHooks hooks)
     : d_(std::make_shared<Private>())
 {
@@ -429,19 +305,4 @@
     d_->listener->close();
 }
 
-bool HttpServer::sendWebSocket(std::uint64_t connection, std::string message)
-{
-    const auto found = d_->peers.find(connection);
-    return found != d_->peers.end() && !found->second.isClosing && queueMessage(found->second.wsi, found->second.link, message);
-}
-
-void HttpServer::closeWebSocket(std::uint64_t connection)
-{
-    const auto found = d_->peers.find(connection);
-    if (found != d_->peers.end() && !found->second.isClosing) {
-        found->second.isClosing = true;
-        lws_set_timeout(found->second.wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-    }
-}
-
 } // namespace knapweed
--- a/src/libknapweed/base/httpserver.h
+++ b/src/libknapweed/base/httpserver.h
@@ -49,7 +49,7 @@
     void closeListener();
 
     /// Sends a binary message on an accepted WebSocket connection. Returns false when it is gone.
-    bool sendWebSocket(std::uint64_t connection, std::string message);
+    bool sendWebSocket(std::uint64_t connection, const std::string &message);
     void closeWebSocket(std::uint64_t connection);
 
     struct Private;
--- a/src/libknapweed/peers/peernetwork.cpp
+++ b/src/libknapweed/peers/peernetwork.cpp
@@ -245,7 +245,7 @@
     hooks.opened = [network](std::uint64_t connection) {
         network->opened(dialedLink(connection));
     };
-    hooks.received = [network](std::uint64_t connection, std::string message) {
+    hooks.received = [network](std::uint64_t connection, const std::string &message) {
         network->received(dialedLink(connection), message);
     };
     hooks.closed = [network](std::uint64_t connection) {
@@ -270,7 +270,7 @@
             network->opened(acceptedLink(connection));
         }
     };
-    hooks.received = [weak](std::uint64_t connection, std::string message) {
+    hooks.received = [weak](std::uint64_t connection, const std::string &message) {
         if (const std::shared_ptr<Private> network = weak.lock()) {
             network->received(acceptedLink(connection), message);
         }
--- a/tests/base/httptest.cpp
+++ b/tests/base/httptest.cpp
@@ -20,10 +20,10 @@
 {
     HttpResponse response = jsonResponse(200, request.method + ' ' + request.path + ' ' + request.body);
     for (const auto &[name, text] : request.query) {
-        response.body += ' ' + name + '=' + text;
+        response.body.append(" ").append(name).append("=").append(text);
     }
     for (const auto &[name, text] : request.headers) {
-        response.body += ' ' + name + ':' + text;
+        response.body.append(" ").append(name).append(":").append(text);
     }
     return response;
 }
@@ -43,13 +43,14 @@
         serverTask = std::make_unique<LoopTask>();
         clientTask = std::make_unique<LoopTask>();
         serverTask->call([this]() {
-            server = std::make_unique<HttpServer>(serverTask->loop(), Address {"127.0.0.1", 0}, [this](const HttpRequest &request, HttpResponder respond) {
-                if (request.path == "/hold") {
-                    held.push_back(respond);
-                    return;
-                }
-                respond(echo(request));
-            });
+            server =
+                std::make_unique<HttpServer>(serverTask->loop(), Address {"127.0.0.1", 0}, [this](const HttpRequest &request, const HttpResponder &respond) {
+                    if (request.path == "/hold") {
+                        held.push_back(respond);
+                        return;
+                    }
+                    respond(echo(request));
+                });
         });
         clientTask->call([this]() {
             client = std::make_unique<HttpClient>(clientTask->loop());
--- a/tests/peers/networktest.cpp
+++ b/tests/peers/networktest.cpp
@@ -69,6 +69,7 @@
     CHECK(second.waitReceived("a" + std::to_string(messages - 1)));
     CHECK(first.waitReceived("b" + std::to_string(messages - 1)));
     std::vector<std::string> expected;
+    expected.reserve(messages);
     for (int number = 0; number < messages; ++number) {
         expected.push_back("a" + std::to_string(number));
     }
--- a/tests/peers/testnode.h
+++ b/tests/peers/testnode.h
@@ -45,7 +45,7 @@
             server_ = std::make_unique<HttpServer>(
                 task_.loop(),
                 listen,
-                [](const HttpRequest &, HttpResponder respond) {
+                [](const HttpRequest &, const HttpResponder &respond) {
                     respond(jsonResponse(200, "{}"));
                 },
                 HttpServerOptions {},
