--- a/src/libknapweed/operators/configuration.cpp
+++ b/src/libknapweed/operators/configuration.cpp
@@ -139,6 +139,19 @@
     }
 }
 
+std::optional<WallTime> readTime(JsonObjectReader &reader, const std::string &key)
+{
+    const std::string text = reader.text(key, {TextRule::Form::Line, 0, 20, std::string()});
+    if (text.empty()) {
+        return std::nullopt;
+    }
+    const std::optional<WallTime> time = parseTimestamp(text);
+    if (!time) {
+        reader.fault(key, nlohmann::json(text).dump(), "a time in UTC such as 2026-12-31T00:00:00Z");
+    }
+    return time;
+}
+
 ConfigurationException readException(JsonObjectReader reader, const Configuration &configuration)
 {
     ConfigurationException exception;
@@ -153,13 +166,8 @@
     } else if (reader.isPresent()) {
         reader.fault("value", "nothing", "the value of the setting");
     }
-    const std::string expiry = reader.text("expires_at", {TextRule::Form::Line, 20, 20, std::string()});
-    if (!expiry.empty()) {
-        exception.expiresAt = parseTimestamp(expiry);
-        if (!exception.expiresAt) {
-            reader.fault("expires_at", nlohmann::json(expiry).dump(), "a time in UTC such as 2026-12-31T00:00:00Z");
-        }
-    }
+    exception.addedAt = readTime(reader, "added_at");
+    exception.expiresAt = readTime(reader, "expires_at");
     if (!exception.subject.empty() && !exception.setting.empty() && value != nullptr) {
         checkSubject(reader, exception, configuration);
     }
@@ -255,6 +263,9 @@
         {"reason", exception.reason},
         {"author", exception.author},
     };
+    if (exception.addedAt) {
+        json["added_at"] = formatTimestamp(*exception.addedAt);
+    }
     if (exception.expiresAt) {
         json["expires_at"] = formatTimestamp(*exception.expiresAt);
     }
--- a/src/libknapweed/operators/configuration.h
+++ b/src/libknapweed/operators/configuration.h
@@ -54,6 +54,7 @@
     std::string value; ///< JSON text
     std::string reason; ///< never empty
     std::string author;
+    std::optional<WallTime> addedAt; ///< for people only
     std::optional<WallTime> expiresAt;
 };
 
