--- a/src/libknapweed/callers/jobattempts.cpp
+++ b/src/libknapweed/callers/jobattempts.cpp
@@ -2,7 +2,6 @@
 
 #include "callers/jobboard.h"
 
-#include "base/invariant.h"
 #include "callers/jobid.h"
 #include "peers/messages.h"
 
