Order waiting jobs by response ratio with learned run times

Cause: jobs went in order of arrival, so small jobs waited behind bursts and declared times, which are wrong by factors, were the only estimate.

--- a/src/libknapweed/planning/planner.cpp
+++ b/src/libknapweed/planning/planner.cpp
@@ -2,9 +2,11 @@
 
 #include "planning/planner.h"
 
+#include "planning/estimates.h"
 #include "planning/inventory.h"
 #include "planning/jobqueue.h"
 #include "planning/placement.h"
+#include "planning/roundorder.h"
 
 #include <algorithm>
 
@@ -17,6 +19,8 @@
 constexpr Milliseconds plannedExpiry {3000}; ///< how long a placement is believed without a report
 constexpr Milliseconds settleTime {2000}; ///< after a worker joined, shapes that don't fit are not refused yet
 constexpr std::size_t decisionLimit = 2000; ///< of one round
+constexpr double medianShare = 0.5;
+constexpr double lateShare = 0.9; ///< of a kind's runs end by the time that backfill counts with
 
 } // namespace
 
@@ -26,10 +30,16 @@
     std::map<std::string, AccountIndex> accounts;
     Inventory inventory;
     JobQueue queue;
+    RunEstimates estimates;
+    double totalWeight = 0;
+    int fleetAccelerators = 0;
+    std::uint64_t countedMembership = 0; ///< Inventory::membership() for which fleetAccelerators holds
 
     AccountIndex account(const std::string &name) const;
     bool isUsable(const Worker &worker) const;
-    std::vector<JobClass *> order() const;
+    std::vector<RankedClass> rank(MonotonicTime now);
+    double overuse(const std::string &name) const;
+    void countFleet();
     bool refuseWhatNeverFits(MonotonicTime now, JobClass &jobClass, std::vector<Decision> &decisions);
     void placeClass(MonotonicTime now, const std::string &key, std::vector<Decision> &decisions);
     bool placeFront(MonotonicTime now, JobClass &jobClass, std::vector<Decision> &decisions);
@@ -48,21 +58,40 @@
     return worker.available && std::find(policy.excludedWorkers.begin(), policy.excludedWorkers.end(), worker.id) == policy.excludedWorkers.end();
 }
 
-std::vector<JobClass *> Planner::Private::order() const
+void Planner::Private::countFleet()
 {
-    std::vector<JobClass *> ordered;
+    if (countedMembership == inventory.membership()) {
+        return;
+    }
+    countedMembership = inventory.membership();
+    fleetAccelerators = 0;
+    for (const WorkerState &worker : inventory.workers()) {
+        fleetAccelerators += worker.usable ? countOf(worker.all) : 0;
+    }
+}
+
+double Planner::Private::overuse(const std::string &name) const
+{
+    const auto found = policy.accounts.find(name);
+    if (found == policy.accounts.end() || found->second.weight <= 0 || fleetAccelerators == 0) {
+        return 0;
+    }
+    const double fairShare = found->second.weight / totalWeight * fleetAccelerators;
+    return std::max(0.0, inventory.acceleratorsOf(account(name)) / fairShare - 1);
+}
+
+std::vector<RankedClass> Planner::Private::rank(MonotonicTime now)
+{
+    countFleet();
+    std::vector<RankedClass> ranked;
+    ranked.reserve(queue.classes().size());
     for (const std::unique_ptr<JobClass> &jobClass : queue.classes()) {
-        ordered.push_back(jobClass.get());
+        const WaitingJob &job = jobClass->front();
+        const Milliseconds run = estimates.quantile(job.account, job.kind, job.declaredRun, medianShare);
+        ranked.push_back({jobClass->key, job.urgent, false, priorityOf(job, now, run, overuse(job.account)), job.enqueuedAt});
     }
-    std::sort(ordered.begin(), ordered.end(), [](const JobClass *left, const JobClass *right) {
-        const WaitingJob &first = left->front();
-        const WaitingJob &second = right->front();
-        if (first.urgent != second.urgent) {
-            return first.urgent;
-        }
-        return first.enqueuedAt != second.enqueuedAt ? first.enqueuedAt < second.enqueuedAt : left->key < right->key;
-    });
-    return ordered;
+    sortByRank(ranked);
+    return ranked;
 }
 
 bool Planner::Private::refuseWhatNeverFits(MonotonicTime now, JobClass &jobClass, std::vector<Decision> &decisions)
@@ -114,7 +143,7 @@
     search.job = &job;
     search.ground.account = account(job.account);
     search.ground.mayBorrow = isPreemptible(job);
-    search.estimatedEnd = now + job.declaredRun;
+    search.estimatedEnd = now + estimates.quantile(job.account, job.kind, job.declaredRun, lateShare);
     search.avoid = avoided(job);
     const std::vector<PlannedPart> parts = findPlace(inventory, search);
     if (parts.empty()) {
@@ -154,7 +183,9 @@
 {
     d_->policy = std::move(policy);
     d_->accounts.clear();
+    d_->totalWeight = 0;
     for (const auto &[name, account] : d_->policy.accounts) {
+        d_->totalWeight += account.weight;
         d_->accounts.emplace(name, static_cast<AccountIndex>(d_->accounts.size()));
     }
     d_->inventory.setAccounts(d_->accounts);
@@ -194,20 +225,17 @@
 
 void Planner::recordRun(const std::string &account, const std::string &kind, Milliseconds run)
 {
+    d_->estimates.record(account, kind, run);
 }
 
 std::vector<Decision> Planner::decide(MonotonicTime now)
 {
     std::vector<Decision> decisions;
     d_->inventory.expirePlanned(now);
-    std::vector<std::string> keys;
-    for (JobClass *jobClass : d_->order()) {
-        keys.push_back(jobClass->key);
-    }
-    for (const std::string &key : keys) {
-        JobClass *jobClass = d_->queue.classByKey(key);
+    for (const RankedClass &ranked : d_->rank(now)) {
+        JobClass *jobClass = d_->queue.classByKey(ranked.key);
         if (jobClass != nullptr && !d_->refuseWhatNeverFits(now, *jobClass, decisions)) {
-            d_->placeClass(now, key, decisions);
+            d_->placeClass(now, ranked.key, decisions);
         }
     }
     return decisions;
