--- a/src/libknapweed/operators/configurationfold.cpp
+++ b/src/libknapweed/operators/configurationfold.cpp
@@ -2,8 +2,9 @@
 
 #include "operators/configurationfold.h"
 
+#include "base/invariant.h"
+
 #include <algorithm>
-#include <cassert>
 
 namespace knapweed
 {
@@ -92,10 +93,10 @@
 
 void ConfigurationFold::fillSnapshot(SnapshotRecord &snapshot) const
 {
-    assert(isPlaceKnown() && "only a process that knows its place of the log writes a snapshot");
+    assertInvariant(isPlaceKnown(), "only a process that knows its place of the log writes a snapshot");
     // Not current_: a version adopted from a peer may stand further on in the log than throughOffset, and readers judge the changes from there on.
     const ConfigurationVersion folded = history_.empty() ? emptyVersion() : history_.back();
-    assert(folded.version == *logVersion_ && "the newest version of the history is the one at the place folded");
+    assertInvariant(folded.version == *logVersion_, "the newest version of the history is the one at the place folded");
     snapshot.configurationVersion = folded.version;
     snapshot.configurationAuthor = folded.author;
     snapshot.configurationDocument = folded.document;
@@ -185,7 +186,7 @@
 
 void ConfigurationFold::remember(ConfigurationVersion version)
 {
-    assert((history_.empty() || history_.back().version <= version.version) && "versions folded from the log only rise");
+    assertInvariant(history_.empty() || history_.back().version <= version.version, "versions folded from the log only rise");
     if (!history_.empty() && history_.back().version == version.version) {
         return;
     }
@@ -197,10 +198,10 @@
 
 void ConfigurationFold::enforce(ConfigurationVersion version, Configuration configuration)
 {
-    assert(version.version >= current_.version && "the configuration version never falls");
+    assertInvariant(version.version >= current_.version, "the configuration version never falls");
     current_ = std::move(version);
     configuration_ = std::move(configuration);
-    assert((!logVersion_ || *logVersion_ <= current_.version) && "the version folded from the log is at most the version in force");
+    assertInvariant(!logVersion_ || *logVersion_ <= current_.version, "the version folded from the log is at most the version in force");
 }
 
 } // namespace knapweed
