Release the HTTP server's handlers with the server, and put racks inside one failure domain in the demo

Cause: an endpoint stand-in ended by SIGTERM crashed in lws_vhost_destroy: the loop kept the server's state, and with it the handler that owned an HttpClient, until the context was gone. The demo's rack case was refused, rightly, because its racks spanned two failure domains. Change: the server lets go of its functions in its destructor; the demo names one failure domain for each rack.

--- a/scripts/demolib/fleet.py
+++ b/scripts/demolib/fleet.py
@@ -13,7 +13,7 @@
 STREAM = "knapweedstage"
 ACCELERATORS = 8
 RACKS = {"w1": "r1", "w2": "r1", "w3": "r2", "w4": "r2"}
-DOMAINS = {"w1": "west-1", "w2": "west-2", "w3": "west-3", "w4": "west-4"}
+DOMAINS = {worker: f"west-{rack[1:]}" for worker, rack in RACKS.items()}
 ENTRIES = 3
 
 CONFIGURATION: dict[str, Any] = {
--- a/src/libknapweed/base/httpserver.cpp
+++ b/src/libknapweed/base/httpserver.cpp
@@ -279,6 +279,9 @@
 {
     d_->isDestroyed = true;
     d_->listener->close();
+    // The loop retains d_ longer than what the caller's functions own may live.
+    d_->handler = nullptr;
+    d_->hooks = {};
     if (d_->vhost != nullptr) {
         lws_vhost_destroy(d_->vhost);
     }
