--- a/src/libknapweed/gangs/actions.h
+++ b/src/libknapweed/gangs/actions.h
@@ -109,6 +109,7 @@
     Valid, ///< it is the job's valid start: go
     Abandoned, ///< an abandon record stands before it
     OtherAttempt, ///< another attempt of the job has the valid start
+    NotOwner, ///< the attempt is not one of the job's owner at that place of the log, or the job had its outcome
     OtherIncarnation, ///< an earlier process of this lead has started this attempt
     NotAppended, ///< the record was refused on this side and never will be appended
 };
--- a/src/libknapweed/gangs/lead.cpp
+++ b/src/libknapweed/gangs/lead.cpp
@@ -140,6 +140,9 @@
     case StartVerdict::OtherAttempt:
         end(now, *gang, wire::StopReason::GangBroken, wire::Reason::NotFirst, "another attempt of the job has started", actions);
         return;
+    case StartVerdict::NotOwner:
+        end(now, *gang, wire::StopReason::Abandoned, wire::Reason::NotFirst, "the job has another owner or its outcome", actions);
+        return;
     case StartVerdict::NotAppended:
         end(now, *gang, wire::StopReason::GangBroken, wire::Reason::LogUnavailable, "the start record could not be queued", actions);
         return;
--- a/src/libknapweed/gangs/startverdict.cpp
+++ b/src/libknapweed/gangs/startverdict.cpp
@@ -5,8 +5,9 @@
 namespace knapweed::gangs
 {
 
-std::optional<StartVerdict> startVerdict(const JobFold &fold, const StartRecord &record)
+std::optional<StartVerdict> startVerdict(const JobFold &fold, const UndecidedStart &start)
 {
+    const StartRecord &record = start.record;
     if (!fold.isComplete()) {
         return std::nullopt;
     }
@@ -20,10 +21,32 @@
     if (job && job->start) {
         return job->start->attempt == record.attempt ? StartVerdict::OtherIncarnation : StartVerdict::OtherAttempt;
     }
-    if (job && job->outcome) {
-        return StartVerdict::OtherAttempt;
+    // Read back and not valid: another entry has claimed the job, or the job has its outcome.
+    return start.folded ? std::optional(StartVerdict::NotOwner) : std::nullopt;
+}
+
+void markFolded(std::vector<UndecidedStart> &starts, const Record &record)
+{
+    const StartRecord *folded = std::get_if<StartRecord>(&record);
+    if (!folded) {
+        return;
+    }
+    for (UndecidedStart &start : starts) {
+        start.folded = start.folded || (start.record.leadNonce == folded->leadNonce && start.record.attempt == folded->attempt);
     }
-    return std::nullopt;
+}
+
+std::vector<StartDecision> takeDecisions(const JobFold &fold, std::vector<UndecidedStart> &starts)
+{
+    std::vector<StartDecision> decisions;
+    std::erase_if(starts, [&fold, &decisions](const UndecidedStart &start) {
+        const std::optional<StartVerdict> verdict = startVerdict(fold, start);
+        if (verdict) {
+            decisions.push_back({start.record.attempt, start.record.leadNonce, *verdict});
+        }
+        return verdict.has_value();
+    });
+    return decisions;
 }
 
 } // namespace knapweed::gangs
--- a/tests/gangs/world.cpp
+++ b/tests/gangs/world.cpp
@@ -121,7 +121,7 @@
     perform(index, event(*agent.core));
 }
 
-void World::perform(int agent, Actions actions)
+void World::perform(int agent, const Actions &actions)
 {
     for (const Action &action : actions) {
         std::visit(
@@ -255,7 +255,7 @@
 
 void World::performAction(int index, const AppendStart &action)
 {
-    agents_[index]->undecided.push_back(action.record);
+    agents_[index]->undecided.push_back({action.record, false});
     append(action.record);
 }
 
@@ -264,15 +264,33 @@
 {
     const int copies = happens(faults_.lostLogAnswer) ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy) {
-        after(Milliseconds(1 + random(static_cast<std::uint32_t>(faults_.logDelay.count()))), [this, record]() {
-            const std::size_t offset = log_.size();
-            log_.push_back(record);
-            homeFold_.apply(static_cast<std::int64_t>(offset), record);
-            for (int agent = 0; agent < static_cast<int>(agents_.size()); ++agent) {
-                after(Milliseconds(1 + random(static_cast<std::uint32_t>(faults_.logDelay.count()))), [this, agent, offset]() {
-                    fold(agent, offset);
-                });
-            }
+        after(logDelay(), [this, record]() {
+            takeEffect(record);
+        });
+    }
+}
+
+void World::appendAtHome(const Record &record)
+{
+    appendedUntil_ = std::max(appendedUntil_, now_ + logDelay());
+    at(appendedUntil_, [this, record]() {
+        takeEffect(record);
+    });
+}
+
+Milliseconds World::logDelay()
+{
+    return Milliseconds(1 + random(static_cast<std::uint32_t>(faults_.logDelay.count())));
+}
+
+void World::takeEffect(const Record &record)
+{
+    const std::size_t offset = log_.size();
+    log_.push_back(record);
+    homeFold_.apply(static_cast<std::int64_t>(offset), record);
+    for (int agent = 0; agent < static_cast<int>(agents_.size()); ++agent) {
+        after(logDelay(), [this, agent, offset]() {
+            fold(agent, offset);
         });
     }
 }
@@ -284,16 +302,13 @@
     deliver(index, agent.incarnation, [this, &agent, offset](AgentCore &core) {
         for (std::size_t next = agent.fold.nextOffset(); next <= offset; ++next) {
             agent.fold.apply(static_cast<std::int64_t>(next), log_[next]);
+            markFolded(agent.undecided, log_[next]);
         }
         Actions all;
-        std::erase_if(agent.undecided, [this, &agent, &core, &all](const StartRecord &record) {
-            const std::optional<StartVerdict> verdict = startVerdict(agent.fold, record);
-            if (verdict) {
-                const Actions actions = core.handleStart(now_, {record.attempt, record.leadNonce, *verdict});
-                all.insert(all.end(), actions.begin(), actions.end());
-            }
-            return verdict.has_value();
-        });
+        for (const StartDecision &decision : takeDecisions(agent.fold, agent.undecided)) {
+            const Actions actions = core.handleStart(now_, decision);
+            all.insert(all.end(), actions.begin(), actions.end());
+        }
         return all;
     });
 }
--- a/tests/gangs/world.h
+++ b/tests/gangs/world.h
@@ -4,6 +4,7 @@
 
 #include "gangs/agentcore.h"
 #include "gangs/platform.h"
+#include "gangs/startverdict.h"
 #include "logservice/jobfold.h"
 
 #include <functional>
@@ -106,7 +107,7 @@
         FakeWorker worker;
         FakeEndpoint endpoint;
         JobFold fold;
-        std::vector<StartRecord> undecided;
+        std::vector<UndecidedStart> undecided;
     };
     struct Expected
     {
@@ -118,7 +119,7 @@
     void after(Milliseconds delay, std::function<void()> action);
     void start(int agent);
     void deliver(int agent, std::int64_t incarnation, std::function<Actions(AgentCore &)> event);
-    void perform(int agent, Actions actions);
+    void perform(int agent, const Actions &actions);
     void performAction(int agent, const SendMessage &action);
     void performAction(int agent, const WorkerCall &call);
     void performAction(int agent, const EndpointCall &call);
@@ -128,6 +129,9 @@
     void send(const std::string &from, const std::string &to, const PeerMessage &message);
     void receiveAtHome(const PeerMessage &message);
     void append(const Record &record);
+    void appendAtHome(const Record &record);
+    void takeEffect(const Record &record);
+    Milliseconds logDelay();
     void fold(int agent, std::size_t offset);
     void tick(int agent);
     void homeTick();
@@ -152,6 +156,7 @@
     std::map<std::string, std::set<AttemptKey>> startedAttempts_; ///< of each job
     std::vector<std::string> violations_;
     int jobs_ = 0;
+    MonotonicTime appendedUntil_; ///< the home's records keep their order
     std::int64_t nonces_ = 0;
 };
 
--- a/tests/gangs/worldhome.cpp
+++ b/tests/gangs/worldhome.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <sstream>
 
 namespace knapweed::gangs::test
 {
@@ -66,13 +67,17 @@
     if (!request.spec.repeatable) {
         SubmitRecord submit;
         submit.job = request.attempt.job;
+        submit.ownerNonce = request.attempt.owner;
         submit.spec = request.spec;
-        append(submit);
+        appendAtHome(submit);
     }
-    const AttemptKey key = attemptKey(request.attempt);
+    AttemptKey key = attemptKey(request.attempt);
     expected_[key] = {agents, accelerators};
     attempts_[key] = attempt;
-    send(homeAddress, request.members.front().agent, request);
+    // The home places a not repeatable job only once it has read the submit record back.
+    at(request.spec.repeatable ? now_ : appendedUntil_, [this, request]() {
+        send(homeAddress, request.members.front().agent, request);
+    });
     return key;
 }
 
@@ -86,7 +91,7 @@
     std::rotate(expected.agents.begin(), expected.agents.begin() + 1, expected.agents.end());
     std::rotate(expected.accelerators.begin(), expected.accelerators.begin() + 1, expected.accelerators.end());
     next.request.leadIncarnation = agents_[expected.agents.front()]->incarnation;
-    const AttemptKey key = attemptKey(next.request.attempt);
+    AttemptKey key = attemptKey(next.request.attempt);
     expected_[key] = expected;
     attempts_[key] = next;
     send(homeAddress, next.request.members.front().agent, next.request);
@@ -121,14 +126,15 @@
     AbandonRecord record;
     record.attempt = attempts_.at(key).request.attempt;
     record.by = homeAddress;
-    append(record);
+    appendAtHome(record);
 }
 
 /// Repeats what has no answer.
 void World::homeTick()
 {
     for (auto &[key, attempt] : attempts_) {
-        if (!attempt.acknowledged && !attempt.ended) {
+        const bool isAccepted = attempt.request.spec.repeatable || homeFold_.job(attempt.request.attempt.job);
+        if (!attempt.acknowledged && !attempt.ended && isAccepted) {
             send(homeAddress, attempt.request.members.front().agent, attempt.request);
         } else if (!attempt.ended) {
             query(key);
@@ -252,8 +258,10 @@
             const MonotonicTime since = std::max(run->begin, other ? other->end : run->begin);
             const MonotonicTime::duration alone = std::max(before - run->begin, other && since < end ? end - since : MonotonicTime::duration());
             if (alone > bound) {
-                violation("part " + partId({key, member / members}) + " ran " + std::to_string(std::chrono::duration_cast<Milliseconds>(alone).count())
-                    + " ms without part " + std::to_string(member % members));
+                std::ostringstream text;
+                text << "part " << partId({key, member / members}) << " ran " << std::chrono::duration_cast<Milliseconds>(alone).count() << " ms without part "
+                     << member % members;
+                violation(text.str());
             }
         }
     }
