Run timers from the library's own list, and stop polling while an answer is awaited

Cause 1: the loop ran its timers before the library's turn. When one fell due inside that turn the library removed its wake-up and then waited for sockets without a limit, so a process without traffic stopped. Now the library calls the timers itself. Cause 2: the library polls a connection whose answer is awaited but never reads it, so a caller that went away kept the loop busy and was never noticed (strace: poll returned at once each time). Cause 3: the library cut every answer that took longer than 5 s; the limit is the context's, not the vhost's. Ruled out: the vhost's timeout_secs, which had no effect.

--- a/src/libknapweed/base/eventloop.cpp
+++ b/src/libknapweed/base/eventloop.cpp
@@ -4,6 +4,7 @@
 
 #include <libwebsockets.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cassert>
 #include <chrono>
@@ -24,6 +25,8 @@
 
 constexpr unsigned short headerBytesLimit = 16384; ///< of one request or response
 constexpr unsigned int serviceBufferBytes = 65536; ///< one read from a socket
+constexpr Microseconds pollGranularity {1000};
+constexpr unsigned int libraryTimeoutSeconds = 24 * 3600; ///< the library's own would cut long polls; servers and clients set theirs
 
 struct Timer
 {
@@ -40,6 +43,7 @@
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_SKIP_SERVER_CANONICAL_NAME | LWS_SERVER_OPTION_DISABLE_IPV6;
     info.max_http_header_data = headerBytesLimit;
     info.pt_serv_buf_size = serviceBufferBytes;
+    info.timeout_secs = libraryTimeoutSeconds;
     return lws_create_context(&info);
 }
 
@@ -88,15 +92,21 @@
             return;
         }
         const Microseconds wait = std::chrono::duration_cast<Microseconds>(due.begin()->first.first - std::chrono::steady_clock::now());
-        const lws_usec_t delay = wait.count() > 0 ? wait.count() : 1;
-        lws_sul_schedule(
-            context, 0, &wakeUp, [](lws_sorted_usec_list_t *) {}, delay);
+        // The library waits in whole milliseconds, rounded down; without one more it would poll without waiting for the last one.
+        const lws_usec_t delay = std::max<lws_usec_t>(wait.count(), 0) + pollGranularity.count();
+        lws_sul_schedule(context, 0, &wakeUp, wake, delay);
+    }
+
+    /// The timers run here and not after the library's turn, because it goes on to wait for sockets once it has called this.
+    static void wake(lws_sorted_usec_list_t *wakeUp)
+    {
+        reinterpret_cast<Private *>(wakeUp)->runTimers();
     }
 
     void runTimers()
     {
         const MonotonicTime now = std::chrono::steady_clock::now();
-        while (!due.empty() && due.begin()->first.first <= now && !stopped) {
+        while (!due.empty() && due.begin()->first.first <= now) {
             runTimer(due.begin()->first.second, now);
         }
         scheduleWakeUp();
@@ -151,7 +161,6 @@
     d_->thread = std::this_thread::get_id();
     while (!d_->stopped) {
         d_->runPosted();
-        d_->runTimers();
         if (d_->stopped || lws_service(d_->context, 0) < 0) {
             break;
         }
--- a/src/libknapweed/base/httpclient.cpp
+++ b/src/libknapweed/base/httpclient.cpp
@@ -18,7 +18,7 @@
 {
 
 constexpr std::size_t writeChunkBytes = 65536;
-constexpr unsigned int libraryTimeoutSeconds = 24 * 3600; ///< each exchange has its own, shorter timer
+constexpr unsigned int connectTimeoutSeconds = 24 * 3600; ///< each exchange has its own, shorter timer
 constexpr std::uint16_t keepWarmSeconds = 20; ///< well under the server's idle timeout
 
 int clientCallback(lws *wsi, lws_callback_reasons reason, void *user, void *in, size_t length);
@@ -271,8 +271,7 @@
     info.protocols = clientProtocols.data();
     info.vhost_name = name.c_str();
     info.user = this;
-    info.timeout_secs = libraryTimeoutSeconds;
-    info.connect_timeout_secs = libraryTimeoutSeconds;
+    info.connect_timeout_secs = connectTimeoutSeconds;
     return lws_create_vhost(loop->context(), &info);
 }
 
--- a/src/libknapweed/base/httpserver.cpp
+++ b/src/libknapweed/base/httpserver.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <sys/socket.h>
 #include <utility>
 
 namespace knapweed
@@ -20,6 +21,7 @@
 {
 
 constexpr std::size_t writeChunkBytes = 65536;
+constexpr Milliseconds sweepInterval {250};
 constexpr std::size_t discardLimitBytes = std::size_t(64) << 20; ///< a refused body up to this is read, so that the refusal reaches its sender
 
 int serverCallback(lws *wsi, lws_callback_reasons reason, void *user, void *in, size_t length);
@@ -72,12 +74,15 @@
     info.vhost_name = name.c_str();
     info.user = this;
     info.keepalive_timeout = static_cast<int>(options.idleTimeout.count());
-    info.timeout_secs = static_cast<unsigned int>(options.idleTimeout.count());
     vhost = lws_create_vhost(loop->context(), &info);
     if (vhost == nullptr || !listener->attach(vhost)) {
         address.port = 0;
         return false;
     }
+    Private *server = this;
+    sweepTimer = loop->callEvery(sweepInterval, [server]() {
+        server->sweep();
+    });
     return true;
 }
 
@@ -90,6 +95,9 @@
 int HttpServer::Private::serveHttp(lws *wsi, lws_callback_reasons reason, const char *bytes, std::size_t length)
 {
     switch (reason) {
+    case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
+        setTimeout(wsi);
+        return 0;
     case LWS_CALLBACK_HTTP:
         return beginRequest(wsi, std::string(bytes, length));
     case LWS_CALLBACK_HTTP_BODY:
@@ -132,8 +140,8 @@
     } else if (bodyBytes == 0) {
         lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
         dispatch(wsi);
-    } else if (!connection.isBodyTooLarge) {
-        connection.request.body.reserve(bodyBytes);
+    } else {
+        setTimeout(wsi);
     }
     return 0;
 }
@@ -141,6 +149,7 @@
 int HttpServer::Private::receiveBody(lws *wsi, const char *bytes, std::size_t length)
 {
     const auto found = connections.find(wsi);
+    setTimeout(wsi);
     if (found == connections.end() || found->second.isDispatched || found->second.isBodyTooLarge) {
         return 0;
     }
@@ -178,6 +187,41 @@
             live->answer(requestId, std::move(response));
         }
     });
+    awaitAnswer(wsi);
+}
+
+/// libwebsockets does not read from a connection whose answer is awaited, but polls it: whatever comes then, be it the end, would keep the loop
+/// busy. So it is not polled either, and sweep() looks for callers that have gone.
+void HttpServer::Private::awaitAnswer(lws *wsi)
+{
+    const auto found = connections.find(wsi);
+    if (found != connections.end() && !found->second.isAnswered) {
+        found->second.isPaused = true;
+        lws_rx_flow_control(wsi, LWS_RXFLOW_REASON_APPLIES_DISABLE | LWS_RXFLOW_REASON_USER_BOOL | LWS_RXFLOW_REASON_FLAG_PROCESS_NOW);
+    }
+}
+
+void HttpServer::Private::resumeReading(lws *wsi, HttpConnection &connection)
+{
+    if (connection.isPaused) {
+        connection.isPaused = false;
+        lws_rx_flow_control(wsi, LWS_RXFLOW_REASON_APPLIES_ENABLE | LWS_RXFLOW_REASON_USER_BOOL | LWS_RXFLOW_REASON_FLAG_PROCESS_NOW);
+    }
+}
+
+void HttpServer::Private::sweep()
+{
+    for (const auto &[wsi, connection] : connections) {
+        char byte = 0;
+        if (connection.isDispatched && recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0) {
+            lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+        }
+    }
+}
+
+void HttpServer::Private::setTimeout(lws *wsi)
+{
+    lws_set_timeout(wsi, PENDING_TIMEOUT_HTTP_CONTENT, static_cast<int>(options.idleTimeout.count()));
 }
 
 void HttpServer::Private::refuse(lws *wsi, int status, const std::string &code, const std::string &detail, bool closes)
@@ -202,6 +246,7 @@
     connection.isAnswered = true;
     connection.closesAfterAnswer = connection.closesAfterAnswer || isDraining;
     connection.response = std::move(response);
+    resumeReading(found->second, connection); // a connection that is not polled for reading isn't offered for writing
     lws_callback_on_writable(found->second);
 }
 
@@ -228,7 +273,7 @@
             return -1;
         }
         connection.written += length;
-        lws_set_timeout(wsi, PENDING_TIMEOUT_HTTP_CONTENT, static_cast<int>(options.idleTimeout.count()));
+        setTimeout(wsi);
     }
     if (connection.written < total || lws_partial_buffered(wsi) != 0) {
         lws_callback_on_writable(wsi);
@@ -278,6 +323,7 @@
 HttpServer::~HttpServer()
 {
     d_->isDestroyed = true;
+    d_->loop->cancelTimer(d_->sweepTimer);
     d_->listener->close();
     if (d_->vhost != nullptr) {
         lws_vhost_destroy(d_->vhost);
--- a/src/libknapweed/base/httpserverprivate.h
+++ b/src/libknapweed/base/httpserverprivate.h
@@ -21,6 +21,7 @@
     HttpRequest request;
     bool isBodyTooLarge = false;
     bool isDispatched = false; ///< the handler, or a refusal, has the request
+    bool isPaused = false; ///< not read from while its answer is awaited
     bool isAnswered = false; ///< output holds the whole answer
     bool closesAfterAnswer = false;
     HttpResponse response;
@@ -56,6 +57,8 @@
     std::unordered_map<lws *, std::uint64_t> peerNumbers;
     std::uint64_t lastPeer = 0;
 
+    TimerId sweepTimer = 0;
+
     bool open(const Address &listen);
     int serve(lws *wsi, lws_callback_reasons reason, const char *bytes, std::size_t length);
     int serveHttp(lws *wsi, lws_callback_reasons reason, const char *bytes, std::size_t length);
@@ -67,6 +70,10 @@
     void refuse(lws *wsi, int status, const std::string &code, const std::string &detail, bool closes);
     void answer(std::uint64_t requestId, HttpResponse response);
     int writeAnswer(lws *wsi);
+    void awaitAnswer(lws *wsi);
+    void resumeReading(lws *wsi, HttpConnection &connection);
+    void sweep();
+    void setTimeout(lws *wsi);
     int finishAnswer(lws *wsi);
     void forgetRequest(HttpConnection &connection);
     void forgetConnection(lws *wsi);
