--- a/tests/logbench/main.cpp
+++ b/tests/logbench/main.cpp
@@ -68,6 +68,7 @@
 {
     OutcomeRecord record;
     record.job = submit(number).job;
+    record.ownerNonce = submit(number).ownerNonce;
     record.outcome = wire::Outcome::Completed;
     wire::PartResult part;
     part.worker = "w1";
