Run every test in the root of the sources

The pages' tests found their pages through __FILE__, which ccache makes relative to the build folder; under ctest, which ran in build/tests, the pages weren't found and test-settings failed 2 of 8. The working directory is now the root.

--- a/tests/documentation.h
+++ b/tests/documentation.h
@@ -9,11 +9,10 @@
 namespace knapweed
 {
 
-/// The text of a file named relative to the root of the sources. Empty when it can't be read.
+/// The text of a file named relative to the root of the sources, which is the working directory of every test. Empty when it can't be read.
 inline std::string readSourceFile(const std::string &name)
 {
-    const std::string self = __FILE__;
-    std::ifstream file(self.substr(0, self.rfind("tests/")) + name);
+    std::ifstream file(name);
     std::ostringstream text;
     text << file.rdbuf();
     return text.str();
