--- a/tests/operators/configurationfoldtest.cpp
+++ b/tests/operators/configurationfoldtest.cpp
@@ -127,6 +127,13 @@
             {102, snapshot(7, 17, 100), Verdict::Accepted, 8, 18},
             {103, change(8, 19), Verdict::Accepted, 9, 19},
         }},
+    {"a change that was stale at its place stays so when a snapshot covers it",
+        {
+            {100, change(8, 99), Verdict::Ignored, 0, -1},
+            {101, change(7, 18), Verdict::Ignored, 0, -1},
+            {102, snapshot(8, 18, 102), Verdict::Accepted, 8, 18},
+            {103, change(8, 19), Verdict::Accepted, 9, 19},
+        }},
     {"a snapshot that leaves a gap is taken as a configuration, but not as the place of the log",
         {
             {100, change(8, 99), Verdict::Ignored, 0, -1},
