--- /dev/null
+++ b/src/knapweedstaged/agent.h
@@ -0,0 +1,12 @@
+// The agent role: the process beside an endpoint with authority over its slots and over its worker's accelerators.
+#pragma once
+
+#include "base/settings.h"
+
+namespace knapweed
+{
+
+/// Serves until SIGTERM or SIGINT, then shuts down gracefully. Returns the exit status. Both signals must be blocked in every thread.
+int runAgent(const Settings &settings);
+
+} // namespace knapweed
