--- a/tests/gangs/world.cpp
+++ b/tests/gangs/world.cpp
@@ -415,4 +415,9 @@
     return *agents_[agent]->core;
 }
 
+bool World::isAlive(int agent) const
+{
+    return agents_[agent]->core != nullptr;
+}
+
 } // namespace knapweed::gangs::test
--- a/tests/gangs/world.h
+++ b/tests/gangs/world.h
@@ -75,6 +75,7 @@
     FakeWorker &worker(int agent);
     FakeEndpoint &endpoint(int agent);
     AgentCore &core(int agent);
+    bool isAlive(int agent) const;
     std::uint32_t random(std::uint32_t bound);
     bool happens(int thousandths);
 
