--- a/src/libknapweed/base/httpserver.cpp
+++ b/src/libknapweed/base/httpserver.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <chrono>
 #include <sys/socket.h>
 #include <utility>
 
@@ -95,9 +96,6 @@
 int HttpServer::Private::serveHttp(lws *wsi, lws_callback_reasons reason, const char *bytes, std::size_t length)
 {
     switch (reason) {
-    case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
-        setTimeout(wsi);
-        return 0;
     case LWS_CALLBACK_HTTP:
         return beginRequest(wsi, std::string(bytes, length));
     case LWS_CALLBACK_HTTP_BODY:
@@ -127,6 +125,7 @@
     HttpConnection &connection = connections[wsi];
     assert(connection.requestId == 0);
     connection = HttpConnection();
+    connection.lastProgress = std::chrono::steady_clock::now();
     connection.requestId = ++lastRequestId;
     requests[connection.requestId] = wsi;
     connection.request = readRequestHead(wsi, path);
@@ -140,8 +139,6 @@
     } else if (bodyBytes == 0) {
         lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
         dispatch(wsi);
-    } else {
-        setTimeout(wsi);
     }
     return 0;
 }
@@ -149,8 +146,11 @@
 int HttpServer::Private::receiveBody(lws *wsi, const char *bytes, std::size_t length)
 {
     const auto found = connections.find(wsi);
-    setTimeout(wsi);
-    if (found == connections.end() || found->second.isDispatched || found->second.isBodyTooLarge) {
+    if (found == connections.end()) {
+        return 0;
+    }
+    found->second.lastProgress = std::chrono::steady_clock::now();
+    if (found->second.isDispatched || found->second.isBodyTooLarge) {
         return 0;
     }
     std::string &body = found->second.request.body;
@@ -211,19 +211,19 @@
 
 void HttpServer::Private::sweep()
 {
+    // Not by the library's timeouts: it sets them anew by itself while it reads a body.
+    const MonotonicTime oldest = std::chrono::steady_clock::now() - options.idleTimeout;
     for (const auto &[wsi, connection] : connections) {
+        const bool isAwaited = connection.isDispatched && !connection.isAnswered;
+        const bool isStuck = connection.requestId != 0 && !isAwaited && connection.lastProgress < oldest;
         char byte = 0;
-        if (connection.isDispatched && recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0) {
+        const bool isGone = connection.isDispatched && recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+        if (isStuck || isGone) {
             lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
         }
     }
 }
 
-void HttpServer::Private::setTimeout(lws *wsi)
-{
-    lws_set_timeout(wsi, PENDING_TIMEOUT_HTTP_CONTENT, static_cast<int>(options.idleTimeout.count()));
-}
-
 void HttpServer::Private::refuse(lws *wsi, int status, const std::string &code, const std::string &detail, bool closes)
 {
     HttpConnection &connection = connections.at(wsi);
@@ -244,6 +244,7 @@
         return;
     }
     connection.isAnswered = true;
+    connection.lastProgress = std::chrono::steady_clock::now();
     connection.closesAfterAnswer = connection.closesAfterAnswer || isDraining;
     connection.response = std::move(response);
     resumeReading(found->second, connection); // a connection that is not polled for reading isn't offered for writing
@@ -273,7 +274,7 @@
             return -1;
         }
         connection.written += length;
-        setTimeout(wsi);
+        connection.lastProgress = std::chrono::steady_clock::now();
     }
     if (connection.written < total || lws_partial_buffered(wsi) != 0) {
         lws_callback_on_writable(wsi);
--- a/src/libknapweed/base/httpserverprivate.h
+++ b/src/libknapweed/base/httpserverprivate.h
@@ -19,6 +19,7 @@
     /// Number of the open request; 0 between requests.
     std::uint64_t requestId = 0;
     HttpRequest request;
+    MonotonicTime lastProgress; ///< when bytes of the request came or bytes of the answer left
     bool isBodyTooLarge = false;
     bool isDispatched = false; ///< the handler, or a refusal, has the request
     bool isPaused = false; ///< not read from while its answer is awaited
@@ -73,7 +74,6 @@
     void awaitAnswer(lws *wsi);
     void resumeReading(lws *wsi, HttpConnection &connection);
     void sweep();
-    void setTimeout(lws *wsi);
     int finishAnswer(lws *wsi);
     void forgetRequest(HttpConnection &connection);
     void forgetConnection(lws *wsi);
--- a/src/libknapweed/peers/codec.cpp
+++ b/src/libknapweed/peers/codec.cpp
@@ -20,6 +20,9 @@
 using apache::thrift::transport::TMemoryBuffer;
 using CompactProtocol = TCompactProtocolT<TMemoryBuffer>;
 
+/// Elements of one list. A declared size is allocated before its elements are read, so a short malformed message could ask for all memory.
+constexpr std::int32_t containerLimit = 65536;
+
 using Decoder = PeerMessage (*)(CompactProtocol &);
 
 template<typename Message>
@@ -67,7 +70,7 @@
         std::string body = bytes.substr(1);
         const std::shared_ptr<TMemoryBuffer> buffer =
             std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t *>(body.data()), static_cast<std::uint32_t>(body.size()));
-        CompactProtocol protocol(buffer);
+        CompactProtocol protocol(buffer, static_cast<std::int32_t>(bytes.size()), containerLimit);
         return decoders.at(type)(protocol);
     } catch (const std::exception &failure) {
         return CodecError {failure.what()};
--- a/tests/base/httptest.cpp
+++ b/tests/base/httptest.cpp
@@ -38,7 +38,8 @@
         const std::string body = method == "GET" ? std::string() : std::string(static_cast<std::size_t>(count) * 10, 'b');
         const std::optional<HttpResult> result = http.fetch(http.relay().address(), plainRequest(method, "/n", body));
         CHECK(result && isOk(*result));
-        STRCMP_EQUAL((method + " /n " + body).c_str(), value(*result).body.c_str());
+        const std::string expected = std::string(method).append(" /n ").append(body);
+        CHECK(value(*result).body == expected);
     }
     LONGS_EQUAL(1, http.relay().accepted());
 }
--- a/tests/base/relay.h
+++ b/tests/base/relay.h
@@ -4,6 +4,7 @@
 #include "base/address.h"
 #include "base/clock.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <atomic>
@@ -34,10 +35,10 @@
     {
         sockaddr_in name = socketName({"127.0.0.1", 0});
         socklen_t length = sizeof(name);
-        bind(listener_, reinterpret_cast<const sockaddr *>(&name), length);
-        listen(listener_, SOMAXCONN);
-        getsockname(listener_, reinterpret_cast<sockaddr *>(&name), &length);
-        address_ = {"127.0.0.1", ntohs(name.sin_port)};
+        const bool isBound = ::bind(listener_, reinterpret_cast<const sockaddr *>(&name), length) == 0 && ::listen(listener_, SOMAXCONN) == 0;
+        if (isBound && getsockname(listener_, reinterpret_cast<sockaddr *>(&name), &length) == 0) {
+            address_ = {"127.0.0.1", ntohs(name.sin_port)};
+        }
         thread_ = std::thread([this]() {
             run();
         });
--- a/tests/peers/codectest.cpp
+++ b/tests/peers/codectest.cpp
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <sys/resource.h>
 #include <variant>
 
 using namespace knapweed;
@@ -41,6 +42,19 @@
     }
 }
 
+TEST(Codec, allocatesNothingForAListThatIsNotThere)
+{
+    // A heartbeat whose roster declares twenty million entries and ends.
+    const std::string bytes("\x01\x29\xfc\x80\xda\xc4\x09", 7);
+    rusage before {};
+    rusage after {};
+    getrusage(RUSAGE_SELF, &before);
+    CHECK(!isOk(decodeMessage(bytes)));
+    getrusage(RUSAGE_SELF, &after);
+    constexpr long allowedKib = 65536;
+    CHECK(after.ru_maxrss - before.ru_maxrss < allowedKib);
+}
+
 TEST(Codec, refusesAnUnknownType)
 {
     CHECK(!isOk(decodeMessage("\xff\x01")));
--- a/tests/peers/testnode.h
+++ b/tests/peers/testnode.h
@@ -118,6 +118,12 @@
         });
     }
 
+    /// On the node's thread only.
+    int receivedTimes(const std::string &job)
+    {
+        return counts_[job];
+    }
+
     std::vector<std::string> jobs()
     {
         std::vector<std::string> jobs;
