--- a/tests/base/relay.h
+++ b/tests/base/relay.h
@@ -70,6 +70,12 @@
         return accepted_;
     }
 
+    /// Bytes carried both ways so far, without the headers of TCP and IP.
+    std::size_t carried() const
+    {
+        return carried_;
+    }
+
     /// Closes all open connections; new ones work.
     void cut()
     {
@@ -203,7 +209,7 @@
         return true;
     }
 
-    static bool drain(Pair &pair, std::size_t side, MonotonicTime now)
+    bool drain(Pair &pair, std::size_t side, MonotonicTime now)
     {
         while (!pair.chunks[side].empty() && pair.chunks[side].front().due <= now) {
             std::string &bytes = pair.chunks[side].front().bytes;
@@ -213,6 +219,7 @@
                 return errno == EAGAIN;
             }
             pair.carried[side] += static_cast<std::size_t>(sent);
+            carried_ += static_cast<std::size_t>(sent);
             if (pair.carried[side] >= pair.limits[side]) {
                 return false;
             }
@@ -232,6 +239,7 @@
     int listener_;
     Address address_;
     std::atomic<int> accepted_ {0};
+    std::atomic<std::size_t> carried_ {0};
     std::atomic<bool> isStopped_ {false};
     std::thread thread_;
 };
--- a/tests/peers/testnode.h
+++ b/tests/peers/testnode.h
@@ -5,9 +5,11 @@
 #include "base/looptask.h"
 #include "peers/peernetwork.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace knapweed
@@ -118,6 +120,12 @@
         });
     }
 
+    /// Runs @p callback after each message. On the node's thread only.
+    void setReceived(std::function<void()> callback)
+    {
+        afterReceived_ = std::move(callback);
+    }
+
     /// On the node's thread only.
     int receivedTimes(const std::string &job)
     {
@@ -156,12 +164,16 @@
             answer.home.clear();
             network_->send(peer, answer);
         }
+        if (afterReceived_) {
+            afterReceived_();
+        }
     }
 
     LoopTask task_;
     std::unique_ptr<PeerNetwork> network_;
     std::unique_ptr<HttpServer> server_;
     wire::RosterEntry self_;
+    std::function<void()> afterReceived_;
     std::vector<std::string> jobs_; ///< of the messages, in the order of arrival
     std::map<std::string, int> counts_;
     std::map<std::string, int> connected_;
