Halve the room for HTTP heads

An idle connection's head buffer was most of its memory. Command: build/tests/test-base -v -g HttpFigures.

--- a/src/libknapweed/base/lwsrequest.cpp
+++ b/src/libknapweed/base/lwsrequest.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr std::size_t responseHeadLimit = 16384; ///< bytes
+constexpr std::size_t responseHeadLimit = 8192; ///< bytes
 constexpr int queryPartLimit = 8192; ///< bytes of one name=value
 
 struct TokenHeader
