Close gracefully: accept what waits, and never reuse a connection that the server closes

Under load 1 to 2 of 32 callers were cut off when the listener was closed. Two causes: callers in the kernel's queue were reset with the listener, and libwebsockets' client reused a connection after an answer with "connection: close" until it saw its end (strace: EPIPE on the next request). Ruled out: answers cut in the middle. The listener accepts what waits before it closes; the client ends such a connection itself. Pool places go back to a common list when their connection has ended.

--- a/src/libknapweed/base/httpclient.cpp
+++ b/src/libknapweed/base/httpclient.cpp
@@ -2,11 +2,15 @@
 
 #include "base/httpclient.h"
 
+#include "base/lwsrequest.h"
+
 #include <libwebsockets.h>
 
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <map>
+#include <strings.h>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -19,7 +23,7 @@
 
 constexpr std::size_t writeChunkBytes = 65536;
 constexpr unsigned int connectTimeoutSeconds = 24 * 3600; ///< each exchange has its own, shorter timer
-constexpr std::uint16_t keepWarmSeconds = 20; ///< well under the server's idle timeout
+constexpr std::uint16_t keepWarmSeconds = 4; ///< under the idle timeouts of usual servers, so that a request does not meet their end
 
 int clientCallback(lws *wsi, lws_callback_reasons reason, void *user, void *in, size_t length);
 
@@ -34,8 +38,9 @@
 struct Slot
 {
     lws_vhost *vhost = nullptr;
-    Address target; ///< of the connection that was used last
-    bool isBusy = false;
+    Address target; ///< of its connections
+    bool isBusy = false; ///< an exchange has it
+    int handles = 0; ///< that libwebsockets has not destroyed yet; at most one of them is in use
 };
 
 } // namespace
@@ -45,10 +50,15 @@
     EventLoop *loop = nullptr;
     bool isDestroyed = false;
     std::vector<Slot> slots;
+    /// Invariant: each slot is busy, or in one of these: by target while it has a handle, else in emptySlots.
+    std::map<Address, std::vector<std::size_t>> freeSlots;
+    std::vector<std::size_t> emptySlots;
     /// Each exchange until libwebsockets destroys its handle, also while the handle only keeps an idle connection.
     std::unordered_map<lws *, std::shared_ptr<Exchange>> handles;
 
     std::size_t takeSlot(const Address &target);
+    void putSlot(std::size_t place);
+    void dropHandle(std::size_t place);
     lws_vhost *createVhost(std::size_t place);
     void start(const std::shared_ptr<Exchange> &exchange);
     void forget(lws *wsi);
@@ -70,7 +80,7 @@
     TimerId timer = 0;
     lws *wsi = nullptr;
     bool isSent = false; ///< a byte of it may have left
-    bool isCompleted = false;
+    bool isLast = false; ///< the server closes the connection after this answer
     std::size_t bodyWritten = 0;
     HttpResponse response;
 };
@@ -107,33 +117,21 @@
     const std::shared_ptr<HttpClient::Private> client = exchange.client.lock();
     if (client != nullptr && exchange.holdsSlot) {
         exchange.holdsSlot = false;
-        client->slots[exchange.slot].isBusy = false;
+        client->putSlot(exchange.slot);
     }
 }
 
-bool addRequestHeader(lws *wsi, const std::string &name, const std::string &text, unsigned char **position, unsigned char *end)
-{
-    const std::string withColon = name + ':';
-    return lws_add_http_header_by_name(wsi,
-               reinterpret_cast<const unsigned char *>(withColon.c_str()),
-               reinterpret_cast<const unsigned char *>(text.c_str()),
-               static_cast<int>(text.size()),
-               position,
-               end)
-        == 0;
-}
-
 int appendHeaders(lws *wsi, Exchange &exchange, unsigned char **position, std::size_t room)
 {
     unsigned char *end = *position + room;
     for (const auto &[name, text] : exchange.request.headers) {
-        if (!addRequestHeader(wsi, name, text, position, end)) {
+        if (!addHeader(wsi, name, text, position, end)) {
             return -1;
         }
     }
     const bool hasBody = !exchange.request.body.empty();
     if (hasBody || exchange.request.method != "GET") {
-        if (!addRequestHeader(wsi, "content-length", std::to_string(exchange.request.body.size()), position, end)) {
+        if (!addHeader(wsi, "content-length", std::to_string(exchange.request.body.size()), position, end)) {
             return -1;
         }
     }
@@ -180,16 +178,12 @@
         {"location", WSI_TOKEN_HTTP_LOCATION},
         {"retry-after", WSI_TOKEN_HTTP_RETRY_AFTER},
     }};
+    exchange.isLast = strcasecmp(readToken(wsi, WSI_TOKEN_CONNECTION).c_str(), "close") == 0;
     exchange.response.status = static_cast<int>(lws_http_client_http_response(wsi));
     for (const ResponseHeader &header : headers) {
-        const int length = lws_hdr_total_length(wsi, header.token);
-        if (length <= 0) {
-            continue;
+        if (lws_hdr_total_length(wsi, header.token) > 0) {
+            exchange.response.headers[header.name] = readToken(wsi, header.token);
         }
-        std::string text(static_cast<std::size_t>(length) + 1, '\0');
-        const int copied = lws_hdr_copy(wsi, text.data(), length + 1, header.token);
-        text.resize(copied > 0 ? static_cast<std::size_t>(copied) : 0);
-        exchange.response.headers[header.name] = text;
     }
 }
 
@@ -230,10 +224,11 @@
         exchange.response.body.append(static_cast<const char *>(in), length);
         return 0;
     case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-        exchange.isCompleted = true;
-        releaseLater(exchange);
+        if (!exchange.isLast) {
+            releaseLater(exchange);
+        }
         finish(exchange, std::move(exchange.response));
-        return 0;
+        return exchange.isLast ? -1 : 0; // libwebsockets itself would use the connection again until it sees its end
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
         fail(exchange, in == nullptr ? "connection failed" : std::string(static_cast<const char *>(in), length));
         return 0;
@@ -277,26 +272,53 @@
 
 std::size_t HttpClient::Private::takeSlot(const Address &target)
 {
-    std::size_t place = slots.size();
-    for (std::size_t candidate = 0; candidate < slots.size(); ++candidate) {
-        if (!slots[candidate].isBusy && slots[candidate].target == target) {
-            place = candidate;
-            break;
-        }
+    const auto found = freeSlots.find(target);
+    std::vector<std::size_t> &places = found == freeSlots.end() ? emptySlots : found->second;
+    if (places.empty()) {
+        places.push_back(slots.size());
+        slots.push_back({createVhost(slots.size()), target, false, 0});
     }
-    if (place == slots.size()) {
-        slots.push_back({createVhost(place), target, false});
+    const std::size_t place = places.back();
+    places.pop_back();
+    if (found != freeSlots.end() && places.empty()) {
+        freeSlots.erase(found);
     }
+    slots[place].target = target;
     slots[place].isBusy = true;
     return place;
 }
 
+void HttpClient::Private::putSlot(std::size_t place)
+{
+    Slot &slot = slots[place];
+    assert(slot.isBusy);
+    slot.isBusy = false;
+    (slot.handles == 0 ? emptySlots : freeSlots[slot.target]).push_back(place);
+}
+
+/// Its last connection has ended: any target may have it.
+void HttpClient::Private::dropHandle(std::size_t place)
+{
+    Slot &slot = slots[place];
+    --slot.handles;
+    assert(slot.handles >= 0);
+    const auto found = freeSlots.find(slot.target);
+    if (slot.isBusy || slot.handles > 0 || found == freeSlots.end()) {
+        return;
+    }
+    std::erase(found->second, place);
+    if (found->second.empty()) {
+        freeSlots.erase(found);
+    }
+    emptySlots.push_back(place);
+}
+
 void HttpClient::Private::start(const std::shared_ptr<Exchange> &exchange)
 {
-    const Slot &slot = slots[exchange->slot];
+    lws_vhost *vhost = slots[exchange->slot].vhost;
     lws_client_connect_info info {};
     info.context = loop->context();
-    info.vhost = slot.vhost;
+    info.vhost = vhost;
     info.address = exchange->target.ip.c_str();
     info.port = exchange->target.port;
     info.path = exchange->request.path.c_str();
@@ -308,8 +330,9 @@
     info.userdata = exchange.get();
     info.pwsi = &exchange->wsi;
     info.keep_warm_secs = keepWarmSeconds;
-    lws *wsi = slot.vhost == nullptr ? nullptr : lws_client_connect_via_info(&info);
+    lws *wsi = vhost == nullptr ? nullptr : lws_client_connect_via_info(&info);
     if (wsi != nullptr) {
+        ++slots[exchange->slot].handles;
         handles[wsi] = exchange;
         return;
     }
@@ -331,6 +354,7 @@
     exchange->wsi = nullptr;
     fail(*exchange, "connection closed");
     releaseSlot(*exchange);
+    dropHandle(exchange->slot);
 }
 
 void HttpClient::Private::expire(const std::shared_ptr<Exchange> &exchange)
--- a/src/libknapweed/base/listener.cpp
+++ b/src/libknapweed/base/listener.cpp
@@ -99,6 +99,8 @@
 void Listener::close()
 {
     if (handle_ != nullptr) {
+        // Callers that the kernel has connected already believe that they are served.
+        while (acceptSome()) {}
         lws *handle = handle_;
         forget();
         lws_set_timeout(handle, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
@@ -127,7 +129,7 @@
     reserve_ = openReserve();
 }
 
-void Listener::acceptAll()
+bool Listener::acceptSome()
 {
     for (int accepted = 0; accepted < acceptsPerEvent && handle_ != nullptr; ++accepted) {
         const int descriptor = accept4(lws_get_socket_fd(handle_), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -135,12 +137,13 @@
             if (errno == EMFILE || errno == ENFILE) {
                 refuseOne();
             }
-            return;
+            return false;
         }
         const int on = 1;
         setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         lws_adopt_socket_vhost(vhost_, descriptor);
     }
+    return true;
 }
 
 int listenerCallback(lws *wsi, int reason)
@@ -150,7 +153,7 @@
         return 0;
     }
     if (reason == LWS_CALLBACK_RAW_RX_FILE) {
-        listener->acceptAll();
+        listener->acceptSome();
     } else if (reason == LWS_CALLBACK_RAW_CLOSE_FILE || reason == LWS_CALLBACK_WSI_DESTROY) {
         listener->forget();
     }
--- a/src/libknapweed/base/listener.h
+++ b/src/libknapweed/base/listener.h
@@ -29,11 +29,11 @@
     /// Accepts for @p vhost from now on. Returns false when libwebsockets refuses the socket.
     bool attach(lws_vhost *vhost);
 
-    /// Stops listening. Idempotent.
+    /// Accepts what waits and stops listening. Idempotent.
     void close();
 
-    /// Accepts what waits; called by listenerCallback().
-    void acceptAll();
+    /// Accepts what waits, up to a bound; true when there may be more. Called by listenerCallback().
+    bool acceptSome();
 
     /// libwebsockets has closed the socket.
     void forget();
--- a/src/libknapweed/base/lwsrequest.cpp
+++ b/src/libknapweed/base/lwsrequest.cpp
@@ -31,18 +31,6 @@
 /// With the colon, as libwebsockets keeps them.
 constexpr std::array<const char *, 4> customHeaders {"idempotency-key:", "prefer:", "x-request-id:", "x-fence:"};
 
-std::string readToken(lws *wsi, lws_token_indexes token)
-{
-    const int length = lws_hdr_total_length(wsi, token);
-    if (length <= 0) {
-        return {};
-    }
-    std::string text(static_cast<std::size_t>(length) + 1, '\0');
-    const int copied = lws_hdr_copy(wsi, text.data(), length + 1, token);
-    text.resize(copied > 0 ? static_cast<std::size_t>(copied) : 0);
-    return text;
-}
-
 std::string methodName(lws *wsi)
 {
     char *uri = nullptr;
@@ -113,6 +101,21 @@
     return true;
 }
 
+} // namespace
+
+std::string readToken(lws *wsi, int tokenIndex)
+{
+    const lws_token_indexes token = static_cast<lws_token_indexes>(tokenIndex);
+    const int length = lws_hdr_total_length(wsi, token);
+    if (length <= 0) {
+        return {};
+    }
+    std::string text(static_cast<std::size_t>(length) + 1, '\0');
+    const int copied = lws_hdr_copy(wsi, text.data(), length + 1, token);
+    text.resize(copied > 0 ? static_cast<std::size_t>(copied) : 0);
+    return text;
+}
+
 bool addHeader(lws *wsi, const std::string &name, const std::string &text, unsigned char **position, unsigned char *end)
 {
     const std::string withColon = name + ':';
@@ -125,8 +128,6 @@
         == 0;
 }
 
-} // namespace
-
 HttpRequest readRequestHead(lws *wsi, const std::string &path)
 {
     HttpRequest request;
--- a/src/libknapweed/base/lwsrequest.h
+++ b/src/libknapweed/base/lwsrequest.h
@@ -1,4 +1,4 @@
-// Reads a request out of libwebsockets' header table and writes a response head.
+// Reads heads out of libwebsockets' header table and writes them.
 #pragma once
 
 #include "base/http.h"
@@ -11,6 +11,12 @@
 namespace knapweed
 {
 
+/// The text of a header by its libwebsockets token; empty when it is not there.
+std::string readToken(lws *wsi, int tokenIndex);
+
+/// Writes one header at @p position and moves it. Returns false when there is no room.
+bool addHeader(lws *wsi, const std::string &name, const std::string &text, unsigned char **position, unsigned char *end);
+
 /// Method, path, query and passed headers of the request that @p wsi has parsed.
 HttpRequest readRequestHead(lws *wsi, const std::string &path);
 
