--- a/src/libknapweed/logservice/records.h
+++ b/src/libknapweed/logservice/records.h
@@ -22,6 +22,7 @@
     std::int64_t ownerNonce = 0; ///< the owner process's random number, different after a restart
     wire::JobSpec spec;
     std::string requestDigest; ///< tells a retry from another request under the same key
+    bool isRecoverable = false; ///< the caller is told 202, so an entry that takes the job over must run it
     WallTime acceptedAt;
 };
 
@@ -34,7 +35,8 @@
     std::int64_t ownerNonce = 0;
 };
 
-/// A lead is about to send go for a job that is not repeatable. Only the first valid one for a job counts.
+/// A lead is about to send go for a job that is not repeatable. Valid when the attempt is of the job's owner at that place of the log, so that a claim
+/// invalidates the earlier owner's attempts. Only the first valid one for a job counts.
 struct StartRecord
 {
     wire::AttemptId attempt;
@@ -49,10 +51,11 @@
     std::string by;
 };
 
-/// The final outcome of a job with a submit record. The first for a job wins.
+/// The final outcome of a job with a submit record. Valid when ownerNonce is that of the job's owner at that place of the log. The first valid one wins.
 struct OutcomeRecord
 {
     std::string job;
+    std::int64_t ownerNonce = 0;
     wire::Outcome::type outcome = wire::Outcome::Unknown;
     wire::Reason::type reason = wire::Reason::None;
     std::string detail;
@@ -68,13 +71,17 @@
     std::string document; ///< the whole configuration, JSON
 };
 
-/// Restates a configuration and the live jobs, so that processes find them after older records have expired.
+/// Restates a configuration and the jobs, so that processes find them after older records have expired. A large snapshot is split into several
+/// records with the same snapshotId and throughOffset; each of them holds the configuration and some of the jobs.
 struct SnapshotRecord
 {
+    std::string snapshotId; ///< random for each snapshot, so that records of two snapshots are told apart
+    std::int32_t part = 0;
+    std::int32_t parts = 1; ///< records in the whole snapshot; invariant: 0 <= part < parts
     std::int64_t configurationVersion = 0;
     std::string configurationAuthor;
     std::string configurationDocument;
-    std::string jobs; ///< JSON of JobFold::snapshot()
+    std::string jobs; ///< JSON of JobFold::snapshot(), or one of JobFold::snapshotParts()
     std::int64_t throughOffset = 0; ///< the snapshot holds all records before this offset
 };
 
