--- a/tests/base/relay.h
+++ b/tests/base/relay.h
@@ -4,6 +4,7 @@
 #include "base/address.h"
 #include "base/clock.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <atomic>
@@ -34,12 +35,10 @@
     {
         sockaddr_in name = socketName({"127.0.0.1", 0});
         socklen_t length = sizeof(name);
-        const bool isBound = bind(listener_, reinterpret_cast<const sockaddr *>(&name), length) == 0;
-        if (!isBound || listen(listener_, SOMAXCONN) != 0) {
-            return;
+        const bool isBound = ::bind(listener_, reinterpret_cast<const sockaddr *>(&name), length) == 0 && ::listen(listener_, SOMAXCONN) == 0;
+        if (isBound && getsockname(listener_, reinterpret_cast<sockaddr *>(&name), &length) == 0) {
+            address_ = {"127.0.0.1", ntohs(name.sin_port)};
         }
-        getsockname(listener_, reinterpret_cast<sockaddr *>(&name), &length);
-        address_ = {"127.0.0.1", ntohs(name.sin_port)};
         thread_ = std::thread([this]() {
             run();
         });
@@ -71,6 +70,12 @@
         return accepted_;
     }
 
+    /// Bytes carried both ways so far, without the headers of TCP and IP.
+    std::size_t carried() const
+    {
+        return carried_;
+    }
+
     /// Closes all open connections; new ones work.
     void cut()
     {
@@ -204,7 +209,7 @@
         return true;
     }
 
-    static bool drain(Pair &pair, std::size_t side, MonotonicTime now)
+    bool drain(Pair &pair, std::size_t side, MonotonicTime now)
     {
         while (!pair.chunks[side].empty() && pair.chunks[side].front().due <= now) {
             std::string &bytes = pair.chunks[side].front().bytes;
@@ -214,6 +219,7 @@
                 return errno == EAGAIN;
             }
             pair.carried[side] += static_cast<std::size_t>(sent);
+            carried_ += static_cast<std::size_t>(sent);
             if (pair.carried[side] >= pair.limits[side]) {
                 return false;
             }
@@ -233,6 +239,7 @@
     int listener_;
     Address address_;
     std::atomic<int> accepted_ {0};
+    std::atomic<std::size_t> carried_ {0};
     std::atomic<bool> isStopped_ {false};
     std::thread thread_;
 };
