Lay guaranteed shapes on particular accelerators and reclaim them by preemption

Cause: nothing kept an account's shape obtainable, and large gangs of an account with a guarantee waited like all others. A job that takes more than half of a block fills it; smaller ones of the account yield to it. Ruled out: letting not repeatable small jobs use their account's block, because the shape could then not be reclaimed; counting only the exact shape as use of the guarantee, because another large gang of the account on its own block is use by the account itself.

--- a/src/knapweedbench/owedshapes.cpp
+++ b/src/knapweedbench/owedshapes.cpp
@@ -15,6 +15,16 @@
     return left.tasks == right.tasks && left.acceleratorsPerTask == right.acceleratorsPerTask && left.adjacency == right.adjacency;
 }
 
+bool isFor(const std::string &account, const planning::Shape &shape, const planning::WaitingJob &job)
+{
+    return account == job.account && isSameShape(shape, job.shape);
+}
+
+bool isFilling(const std::string &account, const planning::Shape &shape, const planning::WaitingJob &job)
+{
+    return account == job.account && 2 * acceleratorsOf(job.shape) > acceleratorsOf(shape);
+}
+
 } // namespace
 
 int acceleratorsOf(const planning::Shape &shape)
@@ -32,48 +42,43 @@
     }
 }
 
-OwedShapes::Guarantee *OwedShapes::find(const planning::WaitingJob &job)
-{
-    for (Guarantee &guarantee : guarantees_) {
-        if (guarantee.account == job.account && isSameShape(guarantee.shape, job.shape)) {
-            return &guarantee;
-        }
-    }
-    return nullptr;
-}
-
 void OwedShapes::jobArrived(const planning::WaitingJob &job)
 {
-    if (Guarantee *guarantee = find(job)) {
-        ++guarantee->waiting;
+    for (Guarantee &guarantee : guarantees_) {
+        guarantee.waiting += isFor(guarantee.account, guarantee.shape, job) ? 1 : 0;
     }
 }
 
 void OwedShapes::jobStarted(Milliseconds now, const planning::WaitingJob &job)
 {
-    if (Guarantee *guarantee = find(job)) {
-        --guarantee->waiting;
-        ++guarantee->running;
-        if (guarantee->owedSince != notOwed) {
-            reclaims_.push_back(now - guarantee->owedSince);
-            guarantee->owedSince = notOwed;
+    for (Guarantee &guarantee : guarantees_) {
+        guarantee.running += isFilling(guarantee.account, guarantee.shape, job) ? 1 : 0;
+        if (!isFor(guarantee.account, guarantee.shape, job)) {
+            continue;
+        }
+        --guarantee.waiting;
+        if (guarantee.owedSince != notOwed) {
+            reclaims_.push_back(now - guarantee.owedSince);
+            guarantee.owedSince = notOwed;
         }
     }
 }
 
 void OwedShapes::jobStopped(Milliseconds now, const planning::WaitingJob &job)
 {
-    if (Guarantee *guarantee = find(job)) {
-        ++guarantee->waiting;
-        --guarantee->running;
-    }
+    jobEnded(job, true);
+    jobArrived(job);
     note(now);
 }
 
 void OwedShapes::jobEnded(const planning::WaitingJob &job, bool wasRunning)
 {
-    if (Guarantee *guarantee = find(job)) {
-        --(wasRunning ? guarantee->running : guarantee->waiting);
+    for (Guarantee &guarantee : guarantees_) {
+        if (wasRunning) {
+            guarantee.running -= isFilling(guarantee.account, guarantee.shape, job) ? 1 : 0;
+        } else {
+            guarantee.waiting -= isFor(guarantee.account, guarantee.shape, job) ? 1 : 0;
+        }
     }
 }
 
--- a/src/knapweedbench/owedshapes.h
+++ b/src/knapweedbench/owedshapes.h
@@ -1,4 +1,4 @@
-// Measures how long a guaranteed shape stays owed: a job of that shape waits while none of its account runs.
+// Measures how long a guaranteed shape stays owed: a job of that shape waits while its account runs no job of more than half the shape's size.
 #pragma once
 
 #include "workload.h"
@@ -29,12 +29,10 @@
         std::string account;
         planning::Shape shape;
         int waiting = 0;
-        int running = 0;
+        int running = 0; ///< jobs of the account with more than half of the shape's accelerators
         Milliseconds owedSince {-1};
     };
 
-    Guarantee *find(const planning::WaitingJob &job);
-
     std::vector<Guarantee> guarantees_;
     planning::Shape largest_;
     std::vector<Milliseconds> reclaims_;
--- a/src/libknapweed/planning/inventory.cpp
+++ b/src/libknapweed/planning/inventory.cpp
@@ -27,6 +27,11 @@
 
 } // namespace
 
+int acceleratorsOf(const Part &description)
+{
+    return description.gangSize * static_cast<int>(description.accelerators.size());
+}
+
 void Inventory::updateWorker(MonotonicTime now, const Worker &worker)
 {
     const auto known = workerIndex_.find(worker.id);
@@ -163,6 +168,8 @@
     gang.description.account = job.account;
     gang.description.kind = job.kind;
     gang.description.gangSize = job.shape.tasks;
+    gang.description.accelerators = toList(parts.front().accelerators);
+    gang.description.lead = workers_[parts.front().worker].report.agent;
     gang.description.checkpointable = job.checkpointable;
     gang.description.repeatable = job.repeatable;
     gang.description.startedAt = now;
@@ -431,11 +438,22 @@
     return isKnown ? used_[account] : 0;
 }
 
+AcceleratorSet claimedAgainst(const WorkerState &state, const std::string &job)
+{
+    AcceleratorSet claimed = 0;
+    for (const HeldGround &ground : state.held) {
+        if (ground.isClaim && ground.job != job) {
+            claimed |= ground.accelerators;
+        }
+    }
+    return claimed;
+}
+
 AcceleratorSet heldAgainst(const WorkerState &state, const std::string &job, MonotonicTime end)
 {
     AcceleratorSet held = 0;
     for (const HeldGround &ground : state.held) {
-        if (ground.job != job && end > ground.until) {
+        if (ground.job != job && (ground.isClaim || end > ground.until)) {
             held |= ground.accelerators;
         }
     }
--- a/src/libknapweed/planning/inventory.h
+++ b/src/libknapweed/planning/inventory.h
@@ -20,6 +20,9 @@
 
 constexpr int noIndex = -1;
 
+/// All accelerators of a gang.
+int acceleratorsOf(const Part &description);
+
 /// One part on a worker, reported or planned.
 struct PlacedPart
 {
@@ -44,6 +47,7 @@
     std::string job;
     AcceleratorSet accelerators = 0;
     MonotonicTime until; ///< another job that ends before then may use them
+    bool isClaim = false; ///< what runs there is being preempted for the job; nobody else may use them
 };
 
 struct WorkerState
@@ -73,7 +77,6 @@
     MonotonicTime placedAt;
     MonotonicTime plannedUntil; ///< parts that no report has shown are dropped then
     MonotonicTime preemptedAt; ///< the last time that it was asked to go; zero when never
-    int preemptions = 0;
 };
 
 /// A gang's part in the making.
@@ -162,7 +165,10 @@
     MonotonicTime lastJoin_;
 };
 
-/// Accelerators of @p state that are kept for jobs other than @p job and may not be used by one that ends at @p end.
+/// Accelerators of @p state that are claimed for jobs other than @p job.
+AcceleratorSet claimedAgainst(const WorkerState &state, const std::string &job);
+
+/// Those, and the ones that are kept for the start of other jobs and may not be used by a job that ends at @p end.
 AcceleratorSet heldAgainst(const WorkerState &state, const std::string &job, MonotonicTime end);
 
 /// Accelerators of @p state reserved for @p account, or for others.
--- a/src/libknapweed/planning/jobqueue.h
+++ b/src/libknapweed/planning/jobqueue.h
@@ -18,8 +18,8 @@
     std::string key;
     std::multimap<MonotonicTime, WaitingJob> jobs; ///< by time of arrival; invariant: never empty between calls of JobQueue
     std::size_t place = 0; ///< in JobQueue::classes()
-    bool hasBeenTried = false;
-    std::uint64_t triedAt = 0; ///< Inventory::releases() when its first job last found no place
+    MonotonicTime triedAt; ///< when its next job last found no place
+    std::uint64_t triedChanges = 0; ///< Inventory::releases() plus membership() then
     std::uint64_t fitCheckedAt = 0; ///< Inventory::membership() when the shape was last compared with the whole fleet
     std::string waitReason;
 
--- a/src/libknapweed/planning/placement.cpp
+++ b/src/libknapweed/planning/placement.cpp
@@ -184,23 +184,29 @@
 
 } // namespace
 
-AcceleratorSet usableSet(const WorkerState &worker, const Search &search)
+AcceleratorSet allowedSet(const WorkerState &worker, const Search &search)
 {
-    AcceleratorSet usable = worker.open;
+    AcceleratorSet allowed = worker.all;
     const AcceleratorSet own = reservedFor(worker, search.ground.account);
     if (!search.ground.mayUseUnreserved) {
-        usable &= worker.reservedSet;
+        allowed &= worker.reservedSet;
     }
     if (!search.ground.mayUseOwnBlocks) {
-        usable &= ~own;
+        allowed &= ~own;
     }
     if (!search.ground.mayBorrow) {
-        usable &= ~(worker.reservedSet & ~own);
+        allowed &= ~(worker.reservedSet & ~own);
     }
     if (!worker.held.empty()) {
-        usable &= ~heldAgainst(worker, search.job->id, search.estimatedEnd);
+        const std::string &job = search.job->id;
+        allowed &= ~(search.ignoresStarts ? claimedAgainst(worker, job) : heldAgainst(worker, job, search.estimatedEnd));
     }
-    return usable;
+    return allowed;
+}
+
+AcceleratorSet usableSet(const WorkerState &worker, const Search &search)
+{
+    return worker.open & allowedSet(worker, search);
 }
 
 int taskRoom(const WorkerState &worker, const Shape &shape, AcceleratorSet usable)
--- a/src/libknapweed/planning/placement.h
+++ b/src/libknapweed/planning/placement.h
@@ -24,9 +24,13 @@
     const WaitingJob *job = nullptr;
     Ground ground;
     MonotonicTime estimatedEnd; ///< held ground may be used until its own start
+    bool ignoresStarts = false; ///< use ground that is kept for the start of other jobs
     std::vector<WorkerIndex> avoid;
 };
 
+/// The accelerators of @p worker that the search may use when they are open.
+AcceleratorSet allowedSet(const WorkerState &worker, const Search &search);
+
 /// The accelerators of @p worker that the search may use now.
 AcceleratorSet usableSet(const WorkerState &worker, const Search &search);
 
--- /dev/null
+++ b/src/libknapweed/planning/round.cpp
@@ -0,0 +1,361 @@
+// Claims whose ground is clear are placed first. Then each class of waiting jobs, in order of rank, is placed until its next job finds no ground: first in
+// a block that its account has free, then on unreserved ground, then by reclaiming a block that is owed, then as a borrower.
+
+#include "planning/round.h"
+
+#include "planning/preemption.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace knapweed::planning
+{
+
+namespace
+{
+
+constexpr Milliseconds plannedExpiry {3000}; ///< how long a placement is believed without a report
+constexpr Milliseconds settleTime {2000}; ///< after a worker joined, shapes that don't fit are not refused yet
+constexpr Milliseconds askInterval {500}; ///< between requests to the same victims
+constexpr Milliseconds claimSlack {2000}; ///< beyond the preemption grace, after which other ground is sought
+constexpr Milliseconds retryInterval {1000}; ///< a class without a place is looked at again even when nothing was released
+constexpr std::size_t decisionLimit = 2000; ///< of one round
+constexpr double medianShare = 0.5;
+constexpr double lateShare = 0.9; ///< of a kind's runs end by the time that backfill counts with
+
+constexpr Ground unreservedGround(AccountIndex account)
+{
+    return {account, false, true, false};
+}
+
+constexpr Ground ownGround(AccountIndex account)
+{
+    return {account, true, true, false};
+}
+
+constexpr Ground anyGround(AccountIndex account)
+{
+    return {account, true, true, true};
+}
+
+} // namespace
+
+AccountIndex accountIndex(const PlannerState &state, const std::string &account)
+{
+    const auto found = state.accounts.find(account);
+    return found == state.accounts.end() ? noIndex : found->second;
+}
+
+Round::Round(PlannerState &state, MonotonicTime now)
+    : state_(state)
+    , now_(now)
+{
+}
+
+std::vector<Decision> Round::run()
+{
+    state_.inventory.expirePlanned(now_);
+    layGround();
+    tendClaims();
+    for (const RankedClass &ranked : rank()) {
+        JobClass *jobClass = state_.queue.classByKey(ranked.key);
+        if (jobClass != nullptr && !refuseWhatNeverFits(*jobClass)) {
+            placeClass(ranked.key);
+        }
+    }
+    return std::move(decisions_);
+}
+
+void Round::layGround()
+{
+    if (!state_.isLayoutStale && state_.laidMembership == state_.inventory.membership()) {
+        return;
+    }
+    state_.isLayoutStale = false;
+    state_.laidMembership = state_.inventory.membership();
+    state_.fleetAccelerators = 0;
+    std::vector<MapWorker> workers;
+    for (const WorkerState &worker : state_.inventory.workers()) {
+        if (worker.present) {
+            workers.push_back({worker.report.id, std::to_string(worker.rack), worker.all, worker.usable});
+            state_.fleetAccelerators += worker.usable ? countOf(worker.all) : 0;
+        }
+    }
+    state_.layout = layReservations(state_.policy, workers, state_.layout.home);
+    state_.blocks = applyReservations(state_.inventory, state_.layout.current, state_.accounts);
+}
+
+double Round::overuse(const std::string &account) const
+{
+    const auto found = state_.policy.accounts.find(account);
+    if (found == state_.policy.accounts.end() || found->second.weight <= 0 || state_.fleetAccelerators == 0) {
+        return 0;
+    }
+    const double fairShare = found->second.weight / state_.totalWeight * state_.fleetAccelerators;
+    return std::max(0.0, state_.inventory.acceleratorsOf(accountIndex(state_, account)) / fairShare - 1);
+}
+
+std::vector<RankedClass> Round::rank() const
+{
+    std::vector<RankedClass> ranked;
+    ranked.reserve(state_.queue.classes().size());
+    for (const std::unique_ptr<JobClass> &jobClass : state_.queue.classes()) {
+        const WaitingJob &job = jobClass->front();
+        const Milliseconds run = state_.estimates.quantile(job.account, job.kind, job.declaredRun, medianShare);
+        ranked.push_back({jobClass->key, job.urgent, isOwed(job), priorityOf(job, now_, run, overuse(job.account)), job.enqueuedAt});
+    }
+    sortByRank(ranked);
+    return ranked;
+}
+
+bool Round::refuseWhatNeverFits(JobClass &jobClass)
+{
+    const std::uint64_t membership = state_.inventory.membership();
+    const bool isSettled = membership > 0 && now_ >= state_.inventory.lastJoin() + settleTime;
+    if (!isSettled || jobClass.fitCheckedAt == membership) {
+        return false;
+    }
+    jobClass.fitCheckedAt = membership;
+    if (fleetCanHold(state_.inventory, jobClass.front().shape)) {
+        return false;
+    }
+    std::vector<std::string> jobs;
+    for (const auto &[time, job] : jobClass.jobs) {
+        jobs.push_back(job.id);
+    }
+    for (const std::string &job : jobs) {
+        decisions_.push_back(Refuse {job, "no worker, rack or fleet of this size could ever hold the shape"});
+        state_.queue.remove(job);
+    }
+    return true;
+}
+
+void Round::tendClaims()
+{
+    std::vector<std::string> ended;
+    for (auto &[job, claim] : state_.claims.claims()) {
+        if (!tendClaim(claim)) {
+            ended.push_back(job);
+        }
+    }
+    for (const std::string &job : ended) {
+        state_.claims.release(state_.inventory, job);
+    }
+}
+
+bool Round::tendClaim(Claim &claim)
+{
+    const WaitingJob *job = state_.queue.find(claim.job);
+    if (job == nullptr) {
+        return false;
+    }
+    if (isCleared(state_.inventory, claim, job->shape)) {
+        place(*job, claim.parts);
+        return false;
+    }
+    const bool isUsable = std::all_of(claim.parts.begin(), claim.parts.end(), [this](const PlannedPart &part) {
+        return state_.inventory.workers()[part.worker].usable;
+    });
+    if (!isUsable || now_ > claim.madeAt + state_.policy.preemptionGrace + claimSlack) {
+        return false;
+    }
+    if (now_ >= claim.askedAt + askInterval) {
+        claim.askedAt = now_;
+        askVictims(claim);
+    }
+    return true;
+}
+
+void Round::placeClass(const std::string &key)
+{
+    while (decisions_.size() < decisionLimit) {
+        JobClass *jobClass = state_.queue.classByKey(key);
+        if (jobClass == nullptr) {
+            return;
+        }
+        const std::uint64_t changes = state_.inventory.releases() + state_.inventory.membership();
+        if (jobClass->triedChanges == changes && now_ < jobClass->triedAt + retryInterval) {
+            return;
+        }
+        const WaitingJob *job = nextOf(*jobClass);
+        if (job == nullptr) {
+            return;
+        }
+        if (!placeOrClaim(*job)) {
+            jobClass->triedAt = now_;
+            jobClass->triedChanges = changes;
+            jobClass->waitReason = "no free accelerators that fit the shape";
+            return;
+        }
+    }
+}
+
+const WaitingJob *Round::nextOf(const JobClass &jobClass) const
+{
+    for (const auto &[time, job] : jobClass.jobs) {
+        if (!state_.claims.contains(job.id)) {
+            return &job;
+        }
+    }
+    return nullptr;
+}
+
+Search Round::searchFor(const WaitingJob &job, const Ground &ground) const
+{
+    Search search;
+    search.job = &job;
+    search.ground = ground;
+    search.estimatedEnd = now_ + state_.estimates.quantile(job.account, job.kind, job.declaredRun, lateShare);
+    search.ignoresStarts = job.urgent;
+    for (const std::string &worker : job.avoidWorkers) {
+        search.avoid.push_back(state_.inventory.find(worker));
+    }
+    return search;
+}
+
+bool Round::isOwed(const WaitingJob &job) const
+{
+    const AccountIndex account = accountIndex(state_, job.account);
+    return std::any_of(state_.blocks.begin(), state_.blocks.end(), [&](const Block &block) {
+        return block.account == account && fills(block, job.shape) && !isInUse(state_.inventory, block);
+    });
+}
+
+bool Round::placeOrClaim(const WaitingJob &job)
+{
+    const AccountIndex account = accountIndex(state_, job.account);
+    const bool owed = isOwed(job);
+    if (owed && placeInOwnBlock(job)) {
+        return true;
+    }
+    if (tryPlace(job, unreservedGround(account))) {
+        return true;
+    }
+    if (owed && (claimOwnBlock(job) || claimAnywhere(job))) {
+        return true;
+    }
+    if (isPreemptible(job) && (tryPlace(job, ownGround(account)) || tryPlace(job, anyGround(account)))) {
+        return true;
+    }
+    return job.urgent && claimAnywhere(job);
+}
+
+bool Round::tryPlace(const WaitingJob &job, const Ground &ground)
+{
+    const std::vector<PlannedPart> parts = findPlace(state_.inventory, searchFor(job, ground));
+    if (parts.empty()) {
+        return false;
+    }
+    place(job, parts);
+    return true;
+}
+
+bool Round::placeInOwnBlock(const WaitingJob &job)
+{
+    const AccountIndex account = accountIndex(state_, job.account);
+    PreemptionSearch search {searchFor(job, ownGround(account)), &state_.blocks, nullptr, now_};
+    search.search.ignoresStarts = true;
+    for (const Block &block : state_.blocks) {
+        if (block.account != account || !fills(block, job.shape) || isInUse(state_.inventory, block)) {
+            continue;
+        }
+        search.within = &block;
+        const std::optional<PreemptionPlan> plan = findPreemption(state_.inventory, search);
+        if (plan && plan->victims.empty()) {
+            place(job, plan->parts);
+            return true;
+        }
+    }
+    return false;
+}
+
+bool Round::claimOwnBlock(const WaitingJob &job)
+{
+    const AccountIndex account = accountIndex(state_, job.account);
+    PreemptionSearch search {searchFor(job, ownGround(account)), &state_.blocks, nullptr, now_};
+    search.search.ignoresStarts = true;
+    std::optional<PreemptionPlan> best;
+    for (const Block &block : state_.blocks) {
+        if (block.account != account || !fills(block, job.shape) || isInUse(state_.inventory, block)) {
+            continue;
+        }
+        search.within = &block;
+        std::optional<PreemptionPlan> plan = findPreemption(state_.inventory, search);
+        if (plan && (!best || plan->cost < best->cost)) {
+            best = std::move(plan);
+        }
+    }
+    if (!best) {
+        return false;
+    }
+    makeClaim(job, *best);
+    return true;
+}
+
+bool Round::claimAnywhere(const WaitingJob &job)
+{
+    PreemptionSearch search {searchFor(job, ownGround(accountIndex(state_, job.account))), &state_.blocks, nullptr, now_};
+    search.search.ground.mayUseOwnBlocks = isPreemptible(job);
+    search.search.ignoresStarts = true;
+    const std::optional<PreemptionPlan> plan = findPreemption(state_.inventory, search);
+    if (!plan) {
+        return false;
+    }
+    makeClaim(job, *plan);
+    return true;
+}
+
+void Round::makeClaim(const WaitingJob &job, const PreemptionPlan &plan)
+{
+    if (plan.victims.empty()) {
+        place(job, plan.parts);
+        return;
+    }
+    Claim claim {job.id, plan.parts, {}, now_, now_};
+    for (const GangIndex victim : plan.victims) {
+        claim.victims.push_back(state_.inventory.gang(victim).job);
+    }
+    askVictims(claim);
+    state_.claims.add(state_.inventory, std::move(claim));
+}
+
+void Round::askVictims(const Claim &claim)
+{
+    for (const std::string &victim : claim.victims) {
+        const GangIndex index = state_.inventory.gangIndex(victim);
+        if (index == noIndex || !state_.inventory.isReported(state_.inventory.gang(index))) {
+            continue;
+        }
+        Gang &gang = state_.inventory.gang(index);
+        if (!gang.description.checkpointable && !gang.description.repeatable) {
+            std::abort(); // invariant: a gang that can't be run again is never preempted
+        }
+        if (gang.preemptedAt == MonotonicTime {}) {
+            gang.preemptedAt = now_;
+        }
+        decisions_.push_back(Preempt {victim, gang.description.attemptOwner, gang.description.attemptNumber, gang.description.lead, claim.job});
+    }
+}
+
+void Round::place(const WaitingJob &job, const std::vector<PlannedPart> &parts)
+{
+    Place place {job.id, {}, false};
+    const AccountIndex owner = accountIndex(state_, job.account);
+    for (const PlannedPart &part : parts) {
+        const WorkerState &worker = state_.inventory.workers()[part.worker];
+        place.members.push_back({worker.report.id, worker.report.agent, toList(part.accelerators)});
+        place.borrowed = place.borrowed || (part.accelerators & reservedForOthers(worker, owner)) != 0;
+    }
+    if (static_cast<int>(parts.size()) != job.shape.tasks) {
+        std::abort(); // invariant: a gang is placed whole
+    }
+    if (place.borrowed && !isPreemptible(job)) {
+        std::abort(); // invariant: a job that can't be preempted never borrows
+    }
+    decisions_.push_back(std::move(place));
+    state_.inventory.plan(now_, now_ + plannedExpiry, job, owner, parts);
+    const std::string id = job.id;
+    state_.queue.remove(id);
+}
+
+} // namespace knapweed::planning
--- /dev/null
+++ b/src/libknapweed/planning/round.h
@@ -0,0 +1,71 @@
+// One decision round over the planner's state.
+#pragma once
+
+#include "planning/blocks.h"
+#include "planning/claims.h"
+#include "planning/estimates.h"
+#include "planning/inventory.h"
+#include "planning/jobqueue.h"
+#include "planning/placement.h"
+#include "planning/preemption.h"
+#include "planning/reservationmap.h"
+#include "planning/roundorder.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace knapweed::planning
+{
+
+struct PlannerState
+{
+    Policy policy;
+    std::map<std::string, AccountIndex> accounts;
+    double totalWeight = 0;
+    Inventory inventory;
+    JobQueue queue;
+    RunEstimates estimates;
+    ReservationLayout layout;
+    std::vector<Block> blocks; ///< the current layout on the inventory
+    ClaimBook claims;
+    int fleetAccelerators = 0; ///< of usable workers
+    std::uint64_t laidMembership = 0; ///< Inventory::membership() for which layout and fleetAccelerators hold
+    bool isLayoutStale = true;
+};
+
+AccountIndex accountIndex(const PlannerState &state, const std::string &account);
+
+class Round
+{
+public:
+    Round(PlannerState &state, MonotonicTime now);
+
+    std::vector<Decision> run();
+
+private:
+    void layGround();
+    std::vector<RankedClass> rank() const;
+    double overuse(const std::string &account) const;
+    bool refuseWhatNeverFits(JobClass &jobClass);
+    void tendClaims();
+    bool tendClaim(Claim &claim);
+    void placeClass(const std::string &key);
+    const WaitingJob *nextOf(const JobClass &jobClass) const;
+    bool placeOrClaim(const WaitingJob &job);
+    bool tryPlace(const WaitingJob &job, const Ground &ground);
+    bool placeInOwnBlock(const WaitingJob &job);
+    bool claimOwnBlock(const WaitingJob &job);
+    bool claimAnywhere(const WaitingJob &job);
+    void makeClaim(const WaitingJob &job, const PreemptionPlan &plan);
+    void askVictims(const Claim &claim);
+    void place(const WaitingJob &job, const std::vector<PlannedPart> &parts);
+    Search searchFor(const WaitingJob &job, const Ground &ground) const;
+    bool isOwed(const WaitingJob &job) const;
+
+    PlannerState &state_;
+    MonotonicTime now_;
+    std::vector<Decision> decisions_;
+};
+
+} // namespace knapweed::planning
--- /dev/null
+++ b/tests/planning/reclaimtest.cpp
@@ -0,0 +1,131 @@
+// Guaranteed shapes are reclaimed from borrowers, whole gangs at a time.
+
+#include "planning/fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace knapweed;
+using namespace knapweed::planning;
+
+TEST_GROUP(Reclaim)
+{
+    Planner planner_;
+    std::map<std::string, Worker> workers_;
+
+    void setup() override
+    {
+        Policy policy;
+        policy.accounts["owner"] = {1, {{2, 4, 0, 0, Adjacency::Rack}}};
+        policy.accounts["other"] = {1, {}};
+        planner_.setPolicy(policy);
+        for (int number = 0; number < 2; ++number) {
+            const Worker worker = makeWorker(number);
+            workers_[worker.id] = worker;
+            planner_.updateWorker(at(0), worker);
+        }
+    }
+
+    void add(const std::string &id, const std::string &account, Shape shape, bool repeatable, bool checkpointable, int arrival = 0)
+    {
+        WaitingJob job = makeJob(id);
+        job.account = account;
+        job.shape = shape;
+        job.repeatable = repeatable;
+        job.checkpointable = checkpointable;
+        job.enqueuedAt = at(arrival);
+        planner_.addJob(job);
+    }
+
+    /// Decides and reports every placed part.
+    std::vector<Decision> run(std::int64_t milliseconds, bool checkpointable = false)
+    {
+        std::vector<Decision> decisions = planner_.decide(at(milliseconds));
+        for (const Place &place : only<Place>(decisions)) {
+            for (const PlacedMember &member : place.members) {
+                Part part;
+                part.job = place.job;
+                part.account = place.job.substr(0, 5);
+                part.accelerators = member.accelerators;
+                part.gangSize = static_cast<int>(place.members.size());
+                part.checkpointable = checkpointable;
+                part.repeatable = place.job.find("once") == std::string::npos;
+                part.startedAt = at(milliseconds);
+                part.checkpointedAt = at(milliseconds);
+                workers_[member.worker].parts.push_back(part);
+            }
+        }
+        for (const auto &[id, worker] : workers_) {
+            planner_.updateWorker(at(milliseconds), worker);
+        }
+        return decisions;
+    }
+
+    void stop(std::int64_t milliseconds, const std::string &job)
+    {
+        for (auto &[id, worker] : workers_) {
+            std::erase_if(worker.parts, [&job](const Part &part) {
+                return part.job == job;
+            });
+            planner_.updateWorker(at(milliseconds), worker);
+        }
+    }
+};
+
+TEST(Reclaim, preemptsBorrowersAndPlacesTheOwnerOnTheClearedBlock)
+{
+    for (int number = 0; number < 4; ++number) {
+        add("other-" + std::to_string(number), "other", {1, 4, 0, 0, Adjacency::None}, true, false);
+    }
+    LONGS_EQUAL(4, only<Place>(run(10)).size());
+    add("owner-gang", "owner", {2, 4, 0, 0, Adjacency::Rack}, false, false, 1000);
+    const std::vector<Preempt> preempted = only<Preempt>(run(1000));
+    CHECK(!preempted.empty());
+    for (const Preempt &preempt : preempted) {
+        STRCMP_EQUAL("owner-gang", preempt.forJob.c_str());
+        stop(1200, preempt.job);
+    }
+    const std::vector<Place> placed = only<Place>(run(1200));
+    LONGS_EQUAL(1, placed.size());
+    STRCMP_EQUAL("owner-gang", placed[0].job.c_str());
+    CHECK_FALSE(placed[0].borrowed);
+}
+
+TEST(Reclaim, aJobThatCannotBePreemptedNeverBorrows)
+{
+    for (int number = 0; number < 4; ++number) {
+        add("once-" + std::to_string(number), "other", {1, 4, 0, 0, Adjacency::None}, false, false);
+    }
+    LONGS_EQUAL(2, only<Place>(run(10)).size());
+    add("owner-gang", "owner", {2, 4, 0, 0, Adjacency::Rack}, false, false, 20);
+    LONGS_EQUAL(1, only<Place>(run(20)).size());
+}
+
+TEST(Reclaim, clearedGroundIsNotGivenToAnyoneElse)
+{
+    for (int number = 0; number < 4; ++number) {
+        add("other-" + std::to_string(number), "other", {1, 4, 0, 0, Adjacency::None}, true, false);
+    }
+    run(10);
+    add("owner-gang", "owner", {2, 4, 0, 0, Adjacency::Rack}, true, true, 1000);
+    const std::vector<Preempt> preempted = only<Preempt>(run(1000));
+    LONGS_EQUAL(2, preempted.size());
+    stop(1100, preempted[0].job);
+    add(preempted[0].job, "other", {1, 4, 0, 0, Adjacency::None}, true, false);
+    LONGS_EQUAL(0, only<Place>(run(1100)).size());
+    stop(1200, preempted[1].job);
+    LONGS_EQUAL(1, only<Place>(run(1200)).size());
+}
+
+TEST(Reclaim, asksTheSameVictimsAgainWhenTheyStay)
+{
+    for (int number = 0; number < 4; ++number) {
+        add("other-" + std::to_string(number), "other", {1, 4, 0, 0, Adjacency::None}, true, false);
+    }
+    run(10);
+    add("owner-gang", "owner", {2, 4, 0, 0, Adjacency::Rack}, true, true, 1000);
+    const std::vector<Preempt> first = only<Preempt>(run(1000));
+    LONGS_EQUAL(0, only<Preempt>(run(1100)).size());
+    const std::vector<Preempt> second = only<Preempt>(run(1600));
+    LONGS_EQUAL(first.size(), second.size());
+    STRCMP_EQUAL(first[0].job.c_str(), second[0].job.c_str());
+}
