Keep starts for large gangs and backfill around them

Cause: large gangs at the head of the queue found their ground broken again by each small job. Change: up to three starts (more in a large fleet) are kept for waiting jobs of four accelerators or more, on the ground expected to be free first by learned remaining run times; other jobs may use it when they are expected to end before (median for jobs that can be run again, 0.9 quantile for others).

--- a/src/knapweedbench/simulation.cpp
+++ b/src/knapweedbench/simulation.cpp
@@ -71,6 +71,7 @@
 {
     Milliseconds done {0}; ///< run time saved by checkpoints
     int attempts = 0;
+    Milliseconds queuedAt {0};
     int failures = 0;
     std::vector<std::string> avoid;
 };
@@ -313,6 +314,7 @@
     avoid.erase(std::unique(avoid.begin(), avoid.end()), avoid.end());
     waiting.avoidWorkers = avoid;
     waiting_.insert(job);
+    states_[job].queuedAt = now_;
     scheduler_.addJob(waiting);
 }
 
@@ -373,11 +375,14 @@
     });
     if (!isHeld) {
         ++result_.doubleGrants;
+        const Milliseconds queuedAt = states_[job].queuedAt;
         enqueue(job);
+        states_[job].queuedAt = queuedAt;
         return;
     }
     JobState &state = states_[job];
     ++state.attempts;
+    result_.jobs[job].waited += now_ - std::max(state.queuedAt, workload_.jobs[job].arrival);
     waiting_.erase(job);
     RunningGang gang {job, place.members, now_, now_ + std::max(workload_.jobs[job].run - state.done, tick)};
     gang.generation = ++generation_;
--- a/src/knapweedbench/simulation.h
+++ b/src/knapweedbench/simulation.h
@@ -22,6 +22,7 @@
     JobEnd end = JobEnd::Unfinished;
     Milliseconds arrival {0};
     Milliseconds firstStart {-1};
+    Milliseconds waited {0}; ///< in the queue, before each of its starts
     Milliseconds finished {-1};
     Milliseconds run {0};
     int accelerators = 0;
--- a/src/knapweedbench/statistics.cpp
+++ b/src/knapweedbench/statistics.cpp
@@ -67,6 +67,7 @@
 {
     std::map<std::string, Samples> byGroup;
     std::vector<double> largeWaits;
+    std::vector<double> largeStarts;
     std::vector<double> urgentStarts;
     double longestWait = 0;
     double completed = 0;
@@ -81,7 +82,7 @@
         }
         const Milliseconds finished = job.end == JobEnd::Completed ? job.finished : std::max(workload.horizon * 3, job.arrival + job.run);
         const double completion = seconds(finished - job.arrival);
-        const double wait = std::max(0.0, completion - seconds(job.run));
+        const double wait = seconds(job.end == JobEnd::Completed ? job.waited : finished - job.arrival);
         const double slowdown = completion / std::max(1.0, seconds(job.run));
         for (const std::string &group : {std::string(job.isLarge ? "large" : "small"), job.account + "/" + job.kind}) {
             byGroup[group].completion.push_back(completion);
@@ -90,6 +91,7 @@
         longestWait = std::max(longestWait, wait);
         if (job.isLarge) {
             largeWaits.push_back(wait);
+            largeStarts.push_back(seconds((job.firstStart.count() < 0 ? finished : job.firstStart) - job.arrival));
         }
         if (job.isUrgent) {
             urgentStarts.push_back(seconds(job.firstStart - job.arrival));
@@ -110,6 +112,7 @@
     }
     std::vector<Figure> figures = {{"large.wait_p50", quantile(largeWaits, 0.5)},
         {"large.wait_p95", quantile(largeWaits, 0.95)},
+        {"large.start_p95", quantile(largeStarts, 0.95)},
         {"large.wait_max", quantile(largeWaits, 1)},
         {"fragmentation", result.fragmentation},
         {"utilisation", result.utilisation},
--- a/src/libknapweed/planning/inventory.cpp
+++ b/src/libknapweed/planning/inventory.cpp
@@ -332,6 +332,15 @@
     releases_ += released;
 }
 
+void Inventory::setHeldUntil(WorkerIndex worker, const std::string &job, MonotonicTime until)
+{
+    for (HeldGround &ground : workers_[worker].held) {
+        if (ground.job == job && !ground.isClaim) {
+            ground.until = until;
+        }
+    }
+}
+
 void Inventory::addUse(AccountIndex account, int accelerators)
 {
     if (account == noIndex) {
--- a/src/libknapweed/planning/inventory.h
+++ b/src/libknapweed/planning/inventory.h
@@ -103,6 +103,7 @@
     void setReserved(WorkerIndex worker, std::vector<ReservedGround> reserved);
     void hold(WorkerIndex worker, HeldGround ground);
     void releaseHeld(WorkerIndex worker, const std::string &job);
+    void setHeldUntil(WorkerIndex worker, const std::string &job, MonotonicTime until);
 
     const std::vector<WorkerState> &workers() const;
     const std::vector<std::vector<WorkerIndex>> &racks() const;
--- a/src/libknapweed/planning/round.cpp
+++ b/src/libknapweed/planning/round.cpp
@@ -19,6 +19,12 @@
 constexpr Milliseconds askInterval {500}; ///< between requests to the same victims
 constexpr Milliseconds claimSlack {2000}; ///< beyond the preemption grace, after which other ground is sought
 constexpr Milliseconds retryInterval {1000}; ///< a class without a place is looked at again even when nothing was released
+constexpr int largeAccelerators = 4; ///< from this size on, a waiting job gets a kept start
+constexpr std::size_t fewestStarts = 3; ///< kept at once; more in a large fleet
+constexpr int acceleratorsPerStart = 32; ///< of the fleet, for each kept start
+constexpr int newStartLimit = 8; ///< searches in one round
+constexpr Milliseconds startReview {1000}; ///< interval at which a kept start looks for earlier ground
+constexpr Milliseconds startGain {5000}; ///< it moves only to ground that is free this much earlier
 constexpr std::size_t decisionLimit = 2000; ///< of one round
 constexpr double medianShare = 0.5;
 constexpr double lateShare = 0.9; ///< of a kind's runs end by the time that backfill counts with
@@ -57,6 +63,7 @@
     state_.inventory.expirePlanned(now_);
     layGround();
     tendClaims();
+    tendStarts();
     for (const RankedClass &ranked : rank()) {
         JobClass *jobClass = state_.queue.classByKey(ranked.key);
         if (jobClass != nullptr && !refuseWhatNeverFits(*jobClass)) {
@@ -166,6 +173,57 @@
     return true;
 }
 
+void Round::tendStarts()
+{
+    std::vector<std::string> jobs;
+    for (const auto &[job, kept] : state_.starts.starts()) {
+        jobs.push_back(job);
+    }
+    for (const std::string &id : jobs) {
+        const WaitingJob *job = state_.queue.find(id);
+        const KeptStart &kept = *state_.starts.find(id);
+        const bool isUsable = std::all_of(kept.parts.begin(), kept.parts.end(), [this](const PlannedPart &part) {
+            return state_.inventory.workers()[part.worker].usable;
+        });
+        if (job == nullptr || !isUsable || state_.claims.contains(id)) {
+            state_.starts.release(state_.inventory, id);
+            continue;
+        }
+        if (now_ < kept.reviewedAt + startReview) {
+            continue;
+        }
+        state_.starts.setStart(state_.inventory, id, expectedStart(startContext(), kept));
+        keepStart(*job);
+    }
+}
+
+StartContext Round::startContext() const
+{
+    return {&state_.inventory, &state_.estimates, now_};
+}
+
+/// Keeps a start for the job, or moves the one it has to ground that is free clearly earlier.
+void Round::keepStart(const WaitingJob &job)
+{
+    const std::size_t limit = std::max<std::size_t>(fewestStarts, state_.fleetAccelerators / acceleratorsPerStart);
+    KeptStart *kept = state_.starts.find(job.id);
+    if (acceleratorsOf(job.shape) < largeAccelerators || newStarts_ >= newStartLimit || (kept == nullptr && state_.starts.starts().size() >= limit)) {
+        return;
+    }
+    ++newStarts_;
+    const AccountIndex account = accountIndex(state_, job.account);
+    Search search = searchFor(job, isPreemptible(job) ? anyGround(account) : unreservedGround(account));
+    search.estimatedEnd = MonotonicTime::max();
+    search.ignoresStarts = false;
+    std::optional<KeptStart> found = findStart(startContext(), search);
+    if (kept != nullptr) {
+        kept->reviewedAt = now_;
+    }
+    if (found && (kept == nullptr || found->start + startGain < kept->start)) {
+        state_.starts.add(state_.inventory, std::move(*found));
+    }
+}
+
 void Round::placeClass(const std::string &key)
 {
     while (decisions_.size() < decisionLimit) {
@@ -185,6 +243,9 @@
             jobClass->triedAt = now_;
             jobClass->triedChanges = changes;
             jobClass->waitReason = "no free accelerators that fit the shape";
+            if (state_.starts.find(job->id) == nullptr) {
+                keepStart(*job);
+            }
             return;
         }
     }
@@ -205,7 +266,9 @@
     Search search;
     search.job = &job;
     search.ground = ground;
-    search.estimatedEnd = now_ + state_.estimates.quantile(job.account, job.kind, job.declaredRun, lateShare);
+    // A job that can be run again is let in on its median run: it costs a kept start less than idle ground does.
+    const double share = isPreemptible(job) ? medianShare : lateShare;
+    search.estimatedEnd = now_ + state_.estimates.quantile(job.account, job.kind, job.declaredRun, share);
     search.ignoresStarts = job.urgent;
     for (const std::string &worker : job.avoidWorkers) {
         search.avoid.push_back(state_.inventory.find(worker));
@@ -356,6 +419,7 @@
     state_.inventory.plan(now_, now_ + plannedExpiry, job, owner, parts);
     const std::string id = job.id;
     state_.queue.remove(id);
+    state_.starts.release(state_.inventory, id);
 }
 
 } // namespace knapweed::planning
--- a/src/libknapweed/planning/round.h
+++ b/src/libknapweed/planning/round.h
@@ -10,6 +10,7 @@
 #include "planning/preemption.h"
 #include "planning/reservationmap.h"
 #include "planning/roundorder.h"
+#include "planning/starts.h"
 
 #include <map>
 #include <string>
@@ -29,6 +30,7 @@
     ReservationLayout layout;
     std::vector<Block> blocks; ///< the current layout on the inventory
     ClaimBook claims;
+    StartBook starts;
     int fleetAccelerators = 0; ///< of usable workers
     std::uint64_t laidMembership = 0; ///< Inventory::membership() for which layout and fleetAccelerators hold
     bool isLayoutStale = true;
@@ -50,6 +52,9 @@
     bool refuseWhatNeverFits(JobClass &jobClass);
     void tendClaims();
     bool tendClaim(Claim &claim);
+    void tendStarts();
+    void keepStart(const WaitingJob &job);
+    StartContext startContext() const;
     void placeClass(const std::string &key);
     const WaitingJob *nextOf(const JobClass &jobClass) const;
     bool placeOrClaim(const WaitingJob &job);
@@ -66,6 +71,7 @@
     PlannerState &state_;
     MonotonicTime now_;
     std::vector<Decision> decisions_;
+    int newStarts_ = 0; ///< made in this round
 };
 
 } // namespace knapweed::planning
--- /dev/null
+++ b/src/libknapweed/planning/starts.cpp
@@ -0,0 +1,195 @@
+// Each accelerator gets the time at which it is expected to be free; a scope's start is that of the last task that it needs.
+
+#include "planning/starts.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace knapweed::planning
+{
+
+namespace
+{
+
+constexpr std::size_t scopeLimit = 256; ///< racks or workers that one search compares
+
+struct FreeTime
+{
+    MonotonicTime at;
+    int accelerator = 0;
+};
+
+/// The time at which a worker can take one more task, and the accelerators for it.
+struct TaskStart
+{
+    MonotonicTime at;
+    WorkerIndex worker = noIndex;
+    AcceleratorSet accelerators = 0;
+};
+
+std::vector<FreeTime> freeTimes(const StartContext &context, const WorkerState &state, AcceleratorSet allowed)
+{
+    std::vector<FreeTime> times;
+    for (const int accelerator : toList(allowed & state.open)) {
+        times.push_back({context.now, accelerator});
+    }
+    for (const PlacedPart &part : state.parts) {
+        const AcceleratorSet busy = part.accelerators & allowed;
+        if (busy == 0) {
+            continue;
+        }
+        const Gang &gang = context.inventory->gang(part.gang);
+        const MonotonicTime end = expectedEnd(context, gang);
+        for (const int accelerator : toList(busy)) {
+            times.push_back({end, accelerator});
+        }
+    }
+    std::sort(times.begin(), times.end(), [](const FreeTime &left, const FreeTime &right) {
+        return left.at != right.at ? left.at < right.at : left.accelerator < right.accelerator;
+    });
+    return times;
+}
+
+void addTaskStarts(std::vector<TaskStart> &starts, const std::vector<FreeTime> &times, WorkerIndex worker, const Shape &shape, int limit)
+{
+    const std::size_t size = static_cast<std::size_t>(shape.acceleratorsPerTask);
+    for (int task = 0; task < limit && (task + 1) * size <= times.size(); ++task) {
+        TaskStart start {times[(task + 1) * size - 1].at, worker, 0};
+        for (std::size_t place = task * size; place < (task + 1) * size; ++place) {
+            start.accelerators |= AcceleratorSet {1} << times[place].accelerator;
+        }
+        starts.push_back(start);
+    }
+}
+
+/// Racks with most open accelerators first.
+std::vector<std::size_t> racksByOpen(const Inventory &inventory)
+{
+    std::vector<std::size_t> racks(inventory.racks().size());
+    std::iota(racks.begin(), racks.end(), 0);
+    const std::size_t compared = std::min(racks.size(), scopeLimit);
+    std::partial_sort(racks.begin(), racks.begin() + static_cast<std::ptrdiff_t>(compared), racks.end(), [&inventory](std::size_t left, std::size_t right) {
+        const int first = inventory.openInRack(static_cast<int>(left));
+        const int second = inventory.openInRack(static_cast<int>(right));
+        return first != second ? first > second : left < right;
+    });
+    racks.resize(compared);
+    return racks;
+}
+
+std::vector<std::vector<WorkerIndex>> startScopes(const Inventory &inventory, const Shape &shape)
+{
+    const bool isOnOneWorker = shape.adjacency == Adjacency::Worker || shape.tasks == 1;
+    std::vector<std::vector<WorkerIndex>> scopes;
+    for (const std::size_t rack : racksByOpen(inventory)) {
+        if (isOnOneWorker) {
+            for (const WorkerIndex worker : inventory.racks()[rack]) {
+                scopes.push_back({worker});
+            }
+        } else if (shape.adjacency == Adjacency::Rack || scopes.empty()) {
+            scopes.push_back(inventory.racks()[rack]);
+        } else {
+            scopes.back().insert(scopes.back().end(), inventory.racks()[rack].begin(), inventory.racks()[rack].end());
+        }
+    }
+    return scopes;
+}
+
+} // namespace
+
+MonotonicTime expectedEnd(const StartContext &context, const Gang &gang)
+{
+    const Part &part = gang.description;
+    const Milliseconds elapsed = std::chrono::duration_cast<Milliseconds>(context.now - part.startedAt);
+    return context.now + context.estimates->remaining(part.account, part.kind, Milliseconds::zero(), std::max(elapsed, Milliseconds::zero()));
+}
+
+std::optional<KeptStart> findStart(const StartContext &context, const Search &search)
+{
+    const Inventory &inventory = *context.inventory;
+    const Shape &shape = search.job->shape;
+    std::optional<KeptStart> best;
+    for (const std::vector<WorkerIndex> &scope : startScopes(inventory, shape)) {
+        std::vector<TaskStart> starts;
+        for (const WorkerIndex worker : scope) {
+            const WorkerState &state = inventory.workers()[worker];
+            const bool isAvoided = std::find(search.avoid.begin(), search.avoid.end(), worker) != search.avoid.end();
+            if (state.usable && !isAvoided) {
+                addTaskStarts(starts, freeTimes(context, state, allowedSet(state, search)), worker, shape, state.report.slots);
+            }
+        }
+        if (static_cast<int>(starts.size()) < shape.tasks) {
+            continue;
+        }
+        std::stable_sort(starts.begin(), starts.end(), [](const TaskStart &left, const TaskStart &right) {
+            return left.at < right.at;
+        });
+        const MonotonicTime start = starts[shape.tasks - 1].at;
+        if (best && best->start <= start) {
+            continue;
+        }
+        best = KeptStart {search.job->id, {}, start, context.now};
+        for (int task = 0; task < shape.tasks; ++task) {
+            best->parts.push_back({starts[task].worker, starts[task].accelerators});
+        }
+    }
+    return best;
+}
+
+MonotonicTime expectedStart(const StartContext &context, const KeptStart &kept)
+{
+    MonotonicTime start = context.now;
+    for (const PlannedPart &part : kept.parts) {
+        for (const PlacedPart &placed : context.inventory->workers()[part.worker].parts) {
+            const Gang &gang = context.inventory->gang(placed.gang);
+            if ((placed.accelerators & part.accelerators) != 0) {
+                start = std::max(start, expectedEnd(context, gang));
+            }
+        }
+    }
+    return start;
+}
+
+void StartBook::add(Inventory &inventory, KeptStart kept)
+{
+    release(inventory, kept.job);
+    for (const PlannedPart &part : kept.parts) {
+        inventory.hold(part.worker, {kept.job, part.accelerators, kept.start, false});
+    }
+    const std::string job = kept.job;
+    starts_.emplace(job, std::move(kept));
+}
+
+void StartBook::release(Inventory &inventory, const std::string &job)
+{
+    const auto found = starts_.find(job);
+    if (found == starts_.end()) {
+        return;
+    }
+    for (const PlannedPart &part : found->second.parts) {
+        inventory.releaseHeld(part.worker, job);
+    }
+    starts_.erase(found);
+}
+
+void StartBook::setStart(Inventory &inventory, const std::string &job, MonotonicTime start)
+{
+    KeptStart &kept = starts_.at(job);
+    kept.start = start;
+    for (const PlannedPart &part : kept.parts) {
+        inventory.setHeldUntil(part.worker, job, start);
+    }
+}
+
+KeptStart *StartBook::find(const std::string &job)
+{
+    const auto found = starts_.find(job);
+    return found == starts_.end() ? nullptr : &found->second;
+}
+
+const std::map<std::string, KeptStart> &StartBook::starts() const
+{
+    return starts_;
+}
+
+} // namespace knapweed::planning
