Quarantine and probe workers that fail the tasks of different jobs

Change: three failures with no success between them quarantine a worker for 10 s, doubling to 320 s; then one task of a job that can be run again probes it; a job's failures are excused from its second worker on; at most a fifth of the fleet is out, none below three workers. Ruled out: the share of failures in a window, which needs tuning for each rate of tasks.

--- a/src/libknapweed/planning/inventory.cpp
+++ b/src/libknapweed/planning/inventory.cpp
@@ -61,6 +61,7 @@
     WorkerState &state = workers_[worker];
     if (!state.present) {
         state.present = true;
+        ++present_;
         state.rack = obtainRack(report);
         racks_[state.rack].push_back(worker);
         lastJoin_ = now;
@@ -100,6 +101,7 @@
     index(place);
     std::erase(racks_[state.rack], place);
     state = WorkerState {};
+    --present_;
     ++membership_;
 }
 
@@ -306,6 +308,19 @@
     }
 }
 
+void Inventory::setProbing(WorkerIndex worker, bool isProbing)
+{
+    if (workers_[worker].isProbing != isProbing) {
+        workers_[worker].isProbing = isProbing;
+        ++membership_;
+    }
+}
+
+std::size_t Inventory::presentWorkers() const
+{
+    return present_;
+}
+
 void Inventory::setReserved(WorkerIndex worker, std::vector<ReservedGround> reserved)
 {
     WorkerState &state = workers_[worker];
--- a/src/libknapweed/planning/inventory.h
+++ b/src/libknapweed/planning/inventory.h
@@ -54,6 +54,7 @@
 {
     bool present = false;
     bool usable = false; ///< available, not excluded and not quarantined
+    bool isProbing = false; ///< takes one task of a job that can be run again, to see whether it still fails
     Worker report; ///< without its parts
     int rack = noIndex;
     std::vector<PlacedPart> parts;
@@ -100,6 +101,8 @@
     void expirePlanned(MonotonicTime now);
 
     void setUsable(WorkerIndex worker, bool isUsable);
+    void setProbing(WorkerIndex worker, bool isProbing);
+    std::size_t presentWorkers() const;
     void setReserved(WorkerIndex worker, std::vector<ReservedGround> reserved);
     void hold(WorkerIndex worker, HeldGround ground);
     void releaseHeld(WorkerIndex worker, const std::string &job);
@@ -161,6 +164,7 @@
     std::deque<Expiry> expiries_; ///< in order of time
     std::map<std::string, AccountIndex> accounts_;
     std::vector<int> used_;
+    std::size_t present_ = 0;
     std::uint64_t releases_ = 0;
     std::uint64_t membership_ = 0;
     MonotonicTime lastJoin_;
--- a/src/libknapweed/planning/placement.cpp
+++ b/src/libknapweed/planning/placement.cpp
@@ -32,7 +32,12 @@
         return {worker, 0, 0};
     }
     const AcceleratorSet usable = usableSet(state, search);
-    return {worker, taskRoom(state, search.job->shape, usable), usable};
+    const int room = taskRoom(state, search.job->shape, usable);
+    if (state.isProbing) {
+        const bool canProbe = state.parts.empty() && search.job->shape.tasks == 1 && search.job->repeatable && !search.job->urgent;
+        return {worker, canProbe ? std::min(room, 1) : 0, usable};
+    }
+    return {worker, room, usable};
 }
 
 /// Lower is better: few accelerators left on the worker, then few open in its rack.
--- a/src/libknapweed/planning/planner.cpp
+++ b/src/libknapweed/planning/planner.cpp
@@ -4,24 +4,14 @@
 
 #include "planning/round.h"
 
-#include <algorithm>
-
 namespace knapweed::planning
 {
 
 struct Planner::Private
 {
     PlannerState state;
-
-    bool isUsable(const Worker &worker) const;
 };
 
-bool Planner::Private::isUsable(const Worker &worker) const
-{
-    const std::vector<std::string> &excluded = state.policy.excludedWorkers;
-    return worker.available && std::find(excluded.begin(), excluded.end(), worker.id) == excluded.end();
-}
-
 Planner::Planner()
     : d_(std::make_unique<Private>())
 {
@@ -42,29 +32,33 @@
     }
     state.inventory.setAccounts(state.accounts);
     for (std::size_t worker = 0; worker < state.inventory.workers().size(); ++worker) {
-        state.inventory.setUsable(static_cast<WorkerIndex>(worker), d_->isUsable(state.inventory.workers()[worker].report));
+        state.inventory.setUsable(static_cast<WorkerIndex>(worker), isUsable(state, state.inventory.workers()[worker].report));
     }
 }
 
 void Planner::updateWorker(MonotonicTime now, const Worker &worker)
 {
     d_->state.inventory.updateWorker(now, worker);
-    d_->state.inventory.setUsable(d_->state.inventory.find(worker.id), d_->isUsable(worker));
+    d_->state.health.update(now, worker.id, {worker.startedTasks, worker.failedTasks, static_cast<std::int64_t>(worker.parts.size())});
+    d_->state.inventory.setUsable(d_->state.inventory.find(worker.id), isUsable(d_->state, worker));
 }
 
 void Planner::removeWorker(MonotonicTime now, const std::string &worker)
 {
     d_->state.inventory.removeWorker(worker);
+    d_->state.health.remove(worker);
 }
 
 void Planner::addJob(const WaitingJob &job)
 {
     d_->state.inventory.dropPlanned(job.id);
+    d_->state.health.noteFailures(job.id, job.avoidWorkers);
     d_->state.queue.add(job);
 }
 
 void Planner::removeJob(const std::string &job)
 {
+    d_->state.health.forgetJob(job);
     d_->state.queue.remove(job);
     d_->state.inventory.dropPlanned(job);
 }
--- a/src/libknapweed/planning/preemption.cpp
+++ b/src/libknapweed/planning/preemption.cpp
@@ -139,7 +139,7 @@
     {
         const WorkerState &state = inventory_.workers()[worker];
         const Shape &shape = search_.search.job->shape;
-        if (!state.usable || std::find(search_.search.avoid.begin(), search_.search.avoid.end(), worker) != search_.search.avoid.end()) {
+        if (!state.usable || state.isProbing || std::find(search_.search.avoid.begin(), search_.search.avoid.end(), worker) != search_.search.avoid.end()) {
             return {};
         }
         AcceleratorSet allowedHere = allowed(worker);
--- a/src/libknapweed/planning/round.cpp
+++ b/src/libknapweed/planning/round.cpp
@@ -46,6 +46,13 @@
 
 } // namespace
 
+bool isUsable(const PlannerState &state, const Worker &worker)
+{
+    const std::vector<std::string> &excluded = state.policy.excludedWorkers;
+    return worker.available && state.health.health(worker.id) != Health::Quarantined
+        && std::find(excluded.begin(), excluded.end(), worker.id) == excluded.end();
+}
+
 AccountIndex accountIndex(const PlannerState &state, const std::string &account)
 {
     const auto found = state.accounts.find(account);
@@ -61,6 +68,7 @@
 std::vector<Decision> Round::run()
 {
     state_.inventory.expirePlanned(now_);
+    reviewHealth();
     layGround();
     tendClaims();
     tendStarts();
@@ -73,6 +81,15 @@
     return std::move(decisions_);
 }
 
+void Round::reviewHealth()
+{
+    for (const std::string &id : state_.health.review(now_, state_.inventory.presentWorkers())) {
+        const WorkerIndex worker = state_.inventory.find(id);
+        state_.inventory.setProbing(worker, state_.health.health(id) == Health::Probing);
+        state_.inventory.setUsable(worker, isUsable(state_, state_.inventory.workers()[worker].report));
+    }
+}
+
 void Round::layGround()
 {
     if (!state_.isLayoutStale && state_.laidMembership == state_.inventory.membership()) {
@@ -84,7 +101,7 @@
     std::vector<MapWorker> workers;
     for (const WorkerState &worker : state_.inventory.workers()) {
         if (worker.present) {
-            workers.push_back({worker.report.id, std::to_string(worker.rack), worker.all, worker.usable});
+            workers.push_back({worker.report.id, std::to_string(worker.rack), worker.all, worker.usable && !worker.isProbing});
             state_.fleetAccelerators += worker.usable ? countOf(worker.all) : 0;
         }
     }
--- a/src/libknapweed/planning/round.h
+++ b/src/libknapweed/planning/round.h
@@ -11,6 +11,7 @@
 #include "planning/reservationmap.h"
 #include "planning/roundorder.h"
 #include "planning/starts.h"
+#include "planning/workerhealth.h"
 
 #include <map>
 #include <string>
@@ -31,11 +32,15 @@
     std::vector<Block> blocks; ///< the current layout on the inventory
     ClaimBook claims;
     StartBook starts;
+    WorkerHealth health;
     int fleetAccelerators = 0; ///< of usable workers
     std::uint64_t laidMembership = 0; ///< Inventory::membership() for which layout and fleetAccelerators hold
     bool isLayoutStale = true;
 };
 
+/// Whether the worker may be given work: available, not excluded, not quarantined.
+bool isUsable(const PlannerState &state, const Worker &worker);
+
 AccountIndex accountIndex(const PlannerState &state, const std::string &account);
 
 class Round
@@ -46,6 +51,7 @@
     std::vector<Decision> run();
 
 private:
+    void reviewHealth();
     void layGround();
     std::vector<RankedClass> rank() const;
     double overuse(const std::string &account) const;
--- a/src/libknapweed/planning/starts.cpp
+++ b/src/libknapweed/planning/starts.cpp
@@ -114,7 +114,7 @@
         for (const WorkerIndex worker : scope) {
             const WorkerState &state = inventory.workers()[worker];
             const bool isAvoided = std::find(search.avoid.begin(), search.avoid.end(), worker) != search.avoid.end();
-            if (state.usable && !isAvoided) {
+            if (state.usable && !state.isProbing && !isAvoided) {
                 addTaskStarts(starts, freeTimes(context, state, allowedSet(state, search)), worker, shape, state.report.slots);
             }
         }
--- /dev/null
+++ b/src/libknapweed/planning/workerhealth.cpp
@@ -0,0 +1,133 @@
+// A worker is a suspect after several failures with no success between them. The worst suspects go first when the limit doesn't hold all.
+
+#include "planning/workerhealth.h"
+
+#include <algorithm>
+
+namespace knapweed::planning
+{
+
+namespace
+{
+
+constexpr std::int64_t failureLimit = 3; ///< failures in a row that make a suspect
+constexpr Milliseconds firstProbe {10000};
+constexpr int longestProbeDoublings = 5;
+constexpr std::size_t outDivisor = 5; ///< at most one worker of this many is out
+constexpr std::size_t smallestFleet = 3; ///< below this size no worker is quarantined
+
+} // namespace
+
+std::size_t quarantineLimit(std::size_t workers)
+{
+    return workers < smallestFleet ? 0 : std::max<std::size_t>(1, workers / outDivisor);
+}
+
+void WorkerHealth::update(MonotonicTime now, const std::string &worker, const TaskCounts &counts)
+{
+    State &state = states_[worker];
+    const std::int64_t endedWell = counts.started - counts.failed - counts.running;
+    const bool isRestarted = counts.started < state.counts.started || counts.failed < state.counts.failed;
+    const std::int64_t failed = isRestarted ? 0 : counts.failed - state.counts.failed;
+    const bool hasSuccess = !isRestarted && endedWell > state.endedWell;
+    state.counts = counts;
+    state.endedWell = isRestarted ? endedWell : std::max(endedWell, state.endedWell);
+    if (isRestarted || hasSuccess) {
+        state.failures = 0;
+        suspects_.erase(worker);
+    }
+    if (hasSuccess && failed == 0 && state.health == Health::Probing) {
+        state.health = Health::Good;
+        state.quarantines = 0;
+        out_.erase(worker);
+        changed_.insert(worker);
+    }
+    if (failed <= 0) {
+        return;
+    }
+    state.failures += failed;
+    if (state.health == Health::Probing) {
+        quarantine(now, worker, state);
+    } else if (state.health == Health::Good && state.failures >= failureLimit) {
+        suspects_.insert(worker);
+    }
+}
+
+void WorkerHealth::remove(const std::string &worker)
+{
+    states_.erase(worker);
+    suspects_.erase(worker);
+    out_.erase(worker);
+    changed_.erase(worker);
+}
+
+void WorkerHealth::noteFailures(const std::string &job, const std::vector<std::string> &workers)
+{
+    if (workers.size() < 2) {
+        return;
+    }
+    std::set<std::string> &excused = excused_[job];
+    for (const std::string &worker : workers) {
+        const auto state = states_.find(worker);
+        if (!excused.insert(worker).second || state == states_.end() || state->second.failures == 0) {
+            continue;
+        }
+        --state->second.failures;
+        if (state->second.failures < failureLimit) {
+            suspects_.erase(worker);
+        }
+    }
+}
+
+void WorkerHealth::forgetJob(const std::string &job)
+{
+    excused_.erase(job);
+}
+
+void WorkerHealth::quarantine(MonotonicTime now, const std::string &worker, State &state)
+{
+    const int doublings = std::min(state.quarantines, longestProbeDoublings);
+    state.health = Health::Quarantined;
+    state.probeAt = now + firstProbe * (1 << doublings);
+    ++state.quarantines;
+    out_.insert(worker);
+    suspects_.erase(worker);
+    changed_.insert(worker);
+}
+
+std::vector<std::string> WorkerHealth::review(MonotonicTime now, std::size_t workers)
+{
+    std::vector<std::string> worst(suspects_.begin(), suspects_.end());
+    std::stable_sort(worst.begin(), worst.end(), [this](const std::string &left, const std::string &right) {
+        return states_.at(left).failures > states_.at(right).failures;
+    });
+    for (const std::string &worker : worst) {
+        if (out_.size() >= quarantineLimit(workers)) {
+            break;
+        }
+        quarantine(now, worker, states_.at(worker));
+    }
+    for (const std::string &worker : out_) {
+        State &state = states_.at(worker);
+        if (state.health == Health::Quarantined && now >= state.probeAt) {
+            state.health = Health::Probing;
+            changed_.insert(worker);
+        }
+    }
+    std::vector<std::string> changed(changed_.begin(), changed_.end());
+    changed_.clear();
+    return changed;
+}
+
+Health WorkerHealth::health(const std::string &worker) const
+{
+    const auto found = states_.find(worker);
+    return found == states_.end() ? Health::Good : found->second.health;
+}
+
+std::size_t WorkerHealth::outOfService() const
+{
+    return out_.size();
+}
+
+} // namespace knapweed::planning
