--- a/src/libknapweed/planning/inventory.h
+++ b/src/libknapweed/planning/inventory.h
@@ -20,6 +20,9 @@
 
 constexpr int noIndex = -1;
 
+/// All accelerators of a gang.
+int acceleratorsOf(const Part &description);
+
 /// One part on a worker, reported or planned.
 struct PlacedPart
 {
@@ -44,12 +47,14 @@
     std::string job;
     AcceleratorSet accelerators = 0;
     MonotonicTime until; ///< another job that ends before then may use them
+    bool isClaim = false; ///< what runs there is being preempted for the job; nobody else may use them
 };
 
 struct WorkerState
 {
     bool present = false;
     bool usable = false; ///< available, not excluded and not quarantined
+    bool isProbing = false; ///< takes one task of a job that can be run again, to see whether it still fails
     Worker report; ///< without its parts
     int rack = noIndex;
     std::vector<PlacedPart> parts;
@@ -73,7 +78,6 @@
     MonotonicTime placedAt;
     MonotonicTime plannedUntil; ///< parts that no report has shown are dropped then
     MonotonicTime preemptedAt; ///< the last time that it was asked to go; zero when never
-    int preemptions = 0;
 };
 
 /// A gang's part in the making.
@@ -97,9 +101,12 @@
     void expirePlanned(MonotonicTime now);
 
     void setUsable(WorkerIndex worker, bool isUsable);
+    void setProbing(WorkerIndex worker, bool isProbing);
+    std::size_t presentWorkers() const;
     void setReserved(WorkerIndex worker, std::vector<ReservedGround> reserved);
     void hold(WorkerIndex worker, HeldGround ground);
     void releaseHeld(WorkerIndex worker, const std::string &job);
+    void setHeldUntil(WorkerIndex worker, const std::string &job, MonotonicTime until);
 
     const std::vector<WorkerState> &workers() const;
     const std::vector<std::vector<WorkerIndex>> &racks() const;
@@ -157,12 +164,16 @@
     std::deque<Expiry> expiries_; ///< in order of time
     std::map<std::string, AccountIndex> accounts_;
     std::vector<int> used_;
+    std::size_t present_ = 0;
     std::uint64_t releases_ = 0;
     std::uint64_t membership_ = 0;
     MonotonicTime lastJoin_;
 };
 
-/// Accelerators of @p state that are kept for jobs other than @p job and may not be used by one that ends at @p end.
+/// Accelerators of @p state that are claimed for jobs other than @p job.
+AcceleratorSet claimedAgainst(const WorkerState &state, const std::string &job);
+
+/// Those, and the ones that are kept for the start of other jobs and may not be used by a job that ends at @p end.
 AcceleratorSet heldAgainst(const WorkerState &state, const std::string &job, MonotonicTime end);
 
 /// Accelerators of @p state reserved for @p account, or for others.
