--- a/src/libknapweed/base/address.h
+++ b/src/libknapweed/base/address.h
@@ -1,7 +1,6 @@
 // The address of a process: an IP number and a TCP port.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
 
@@ -13,7 +12,8 @@
     std::string ip;
     std::uint16_t port = 0;
 
-    auto operator<=>(const Address &) const = default;
+    bool operator==(const Address &other) const = default;
+    bool operator<(const Address &other) const;
 };
 
 /// "127.0.0.1:8080".
--- a/src/libknapweed/callers/jobattempts.cpp
+++ b/src/libknapweed/callers/jobattempts.cpp
@@ -64,7 +64,7 @@
     ++job.attemptsMade;
     job.attempt.job = job.id;
     job.attempt.owner = options_.nonce;
-    job.attempt.number = job.attemptsMade;
+    job.attempt.number = ++lastAttemptNumber_;
     job.members = placement.members;
     job.lead = placement.members.front().agent;
     job.leadIncarnation = options_.incarnationOf ? options_.incarnationOf(job.lead) : 0;
--- a/src/libknapweed/callers/jobboard.h
+++ b/src/libknapweed/callers/jobboard.h
@@ -143,6 +143,7 @@
     std::map<std::int64_t, std::string> liveEntries_;
     std::map<std::string, MonotonicTime> orphanedSince_;
     MonotonicTime nextOrphanScan_;
+    std::int32_t lastAttemptNumber_ = 0; ///< over all jobs, so that a job id that comes again after it was forgotten never reuses an attempt
     std::map<std::string, Job> jobs_;
     std::map<std::string, std::size_t> unfinished_; ///< by account; invariant: counts exactly the jobs of jobs_ that are not terminal
     std::set<std::pair<MonotonicTime, std::string>> due_; ///< invariant: one element for each job with a nextDue
--- a/tests/callers/jobboardtest.cpp
+++ b/tests/callers/jobboardtest.cpp
@@ -194,6 +194,33 @@
     CHECK(bench.told().at(id).front() == wire::Outcome::NotRun);
 }
 
+TEST(JobBoard, neverReusesAnAttemptOfAForgottenJob)
+{
+    JobFold fold;
+    JobBoardOptions options;
+    options.address = "entry";
+    options.finishedLimit = 0;
+    JobBoard board(options, fold);
+    board.setPlanner(MonotonicTime(), "planner");
+    std::set<std::int32_t> numbers;
+    for (int round = 0; round < 3; ++round) {
+        const MonotonicTime now = MonotonicTime(std::chrono::seconds(round + 1));
+        const std::string id = value(board.submit(now, makeSubmission(true, false, "key")));
+        wire::Placement placement;
+        placement.job = id;
+        placement.members.emplace_back().agent = "lead";
+        board.receive(now, "planner", placement);
+        wire::OutcomeReport report;
+        report.attempt = board.job(id)->attempt;
+        report.outcome = wire::Outcome::Failed;
+        report.reason = wire::Reason::EndpointFailed;
+        numbers.insert(report.attempt.number);
+        board.receive(now, "lead", report);
+        POINTERS_EQUAL(nullptr, board.job(id));
+    }
+    UNSIGNED_LONGS_EQUAL(3, numbers.size());
+}
+
 TEST(JobBoard, endsACancelledJobThatWaits)
 {
     Faults refusing;
