--- a/src/knapweedstaged/agenttask.cpp
+++ b/src/knapweedstaged/agenttask.cpp
@@ -206,7 +206,7 @@
         if (offer.version < configurationFold_.version()) {
             offerConfiguration(peer);
         }
-    } else if (configurationFold_.adopt(offer.version, offer.document)) {
+    } else if (configurationFold_.adopt(offer.version, offer.document, offer.author)) {
         peers_->setConfigurationVersion(configurationFold_.version());
     }
 }
@@ -219,6 +219,7 @@
     wire::ConfigurationOffer offer;
     offer.version = configurationFold_.version();
     offer.document = configurationFold_.current().document;
+    offer.author = configurationFold_.current().author;
     peers_->send(peer, offer);
 }
 
--- a/src/knapweedstaged/entrytask.cpp
+++ b/src/knapweedstaged/entrytask.cpp
@@ -207,7 +207,7 @@
         if (offer.version < configurationFold_.version()) {
             offerConfiguration(peer);
         }
-    } else if (configurationFold_.adopt(offer.version, offer.document)) {
+    } else if (configurationFold_.adopt(offer.version, offer.document, offer.author)) {
         configurationChanged();
     }
 }
@@ -220,6 +220,7 @@
     wire::ConfigurationOffer offer;
     offer.version = configurationFold_.version();
     offer.document = configurationFold_.current().document;
+    offer.author = configurationFold_.current().author;
     peers_->send(peer, offer);
 }
 
--- a/src/libknapweed/operators/configurationfold.cpp
+++ b/src/libknapweed/operators/configurationfold.cpp
@@ -57,7 +57,7 @@
     nextOffset_ = offset;
 }
 
-bool ConfigurationFold::adopt(std::int64_t version, const std::string &document)
+bool ConfigurationFold::adopt(std::int64_t version, const std::string &document, const std::string &author)
 {
     if (version <= current_.version) {
         return false;
@@ -67,7 +67,7 @@
         return false;
     }
     const std::string canonical = formatConfiguration(value(parsed));
-    enforce({version, "", "", canonical}, std::move(value(parsed)));
+    enforce({version, "", author, canonical}, std::move(value(parsed)));
     return true;
 }
 
--- a/src/libknapweed/operators/configurationfold.h
+++ b/src/libknapweed/operators/configurationfold.h
@@ -43,7 +43,7 @@
     void skipTo(std::int64_t offset);
 
     /// Takes a configuration that a peer offers; does so only when it is newer than the one in force and well formed.
-    bool adopt(std::int64_t version, const std::string &document);
+    bool adopt(std::int64_t version, const std::string &document, const std::string &author);
 
     /// Invariant: the version never falls.
     std::int64_t version() const;
--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -1471,6 +1471,10 @@
 void ConfigurationOffer::__set_document(const std::string& val) {
   this->document = val;
 }
+
+void ConfigurationOffer::__set_author(const std::string& val) {
+  this->author = val;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigurationOffer& obj)
 {
   obj.printTo(out);
@@ -1515,6 +1519,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1540,6 +1552,10 @@
   xfer += oprot->writeString(this->document);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1549,28 +1565,33 @@
   using ::std::swap;
   swap(a.version, b.version);
   swap(a.document, b.document);
+  swap(a.author, b.author);
   swap(a.__isset, b.__isset);
 }
 
 ConfigurationOffer::ConfigurationOffer(const ConfigurationOffer& other42) {
   version = other42.version;
   document = other42.document;
+  author = other42.author;
   __isset = other42.__isset;
 }
 ConfigurationOffer::ConfigurationOffer(ConfigurationOffer&& other43) noexcept {
   version = other43.version;
   document = std::move(other43.document);
+  author = std::move(other43.author);
   __isset = other43.__isset;
 }
 ConfigurationOffer& ConfigurationOffer::operator=(const ConfigurationOffer& other44) {
   version = other44.version;
   document = other44.document;
+  author = other44.author;
   __isset = other44.__isset;
   return *this;
 }
 ConfigurationOffer& ConfigurationOffer::operator=(ConfigurationOffer&& other45) noexcept {
   version = other45.version;
   document = std::move(other45.document);
+  author = std::move(other45.author);
   __isset = other45.__isset;
   return *this;
 }
@@ -1579,6 +1600,7 @@
   out << "ConfigurationOffer(";
   out << "version=" << to_string(version);
   out << ", " << "document=" << to_string(document);
+  out << ", " << "author=" << to_string(author);
   out << ")";
 }
 
--- a/src/libknapweed/peers/gen/peers_types.h
+++ b/src/libknapweed/peers/gen/peers_types.h
@@ -660,9 +660,10 @@
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj);
 
 typedef struct _ConfigurationOffer__isset {
-  _ConfigurationOffer__isset() : version(false), document(false) {}
+  _ConfigurationOffer__isset() : version(false), document(false), author(false) {}
   bool version :1;
   bool document :1;
+  bool author :1;
 } _ConfigurationOffer__isset;
 
 class ConfigurationOffer : public virtual ::apache::thrift::TBase {
@@ -674,12 +675,14 @@
   ConfigurationOffer& operator=(ConfigurationOffer&&) noexcept;
   ConfigurationOffer() noexcept
                      : version(0),
-                       document() {
+                       document(),
+                       author() {
   }
 
   virtual ~ConfigurationOffer() noexcept;
   int64_t version;
   std::string document;
+  std::string author;
 
   _ConfigurationOffer__isset __isset;
 
@@ -687,12 +690,16 @@
 
   void __set_document(const std::string& val);
 
+  void __set_author(const std::string& val);
+
   bool operator == (const ConfigurationOffer & rhs) const
   {
     if (!(version == rhs.version))
       return false;
     if (!(document == rhs.document))
       return false;
+    if (!(author == rhs.author))
+      return false;
     return true;
   }
   bool operator != (const ConfigurationOffer &rhs) const {
--- a/src/libknapweed/peers/peers.thrift
+++ b/src/libknapweed/peers/peers.thrift
@@ -32,7 +32,7 @@
 struct Hello { 1: RosterEntry sender, 2: i32 protocolVersion }
 struct Heartbeat { 1: i64 sequence, 2: list<RosterEntry> roster, 3: i64 configurationVersion, 4: bool draining }
 struct HeartbeatReply { 1: i64 sequence }
-struct ConfigurationOffer { 1: i64 version, 2: string document }
+struct ConfigurationOffer { 1: i64 version, 2: string document, 3: string author }
 
 struct RunningPart {
   1: AttemptId attempt, 2: string account, 3: string kind, 4: string lead, 5: list<i32> accelerators,
--- a/tests/operators/configurationfoldtest.cpp
+++ b/tests/operators/configurationfoldtest.cpp
@@ -157,7 +157,7 @@
 Verdict applyStep(ConfigurationFold &fold, const LogStep &step)
 {
     if (const Offer *offer = std::get_if<Offer>(&step.input)) {
-        return fold.adopt(offer->version, documentOf(offer->queuedLimit)) ? Verdict::Accepted : Verdict::Ignored;
+        return fold.adopt(offer->version, documentOf(offer->queuedLimit), "rota-a") ? Verdict::Accepted : Verdict::Ignored;
     }
     if (std::holds_alternative<Lost>(step.input)) {
         fold.skipTo(step.offset);
@@ -207,7 +207,8 @@
     ConfigurationFold fold;
     fold.apply(0, change(0, 11));
     fold.apply(3, change(1, 12));
-    fold.adopt(5, documentOf(15));
+    fold.adopt(5, documentOf(15), "rota-b");
+    STRCMP_EQUAL("rota-b", fold.current().author.c_str());
 
     SnapshotRecord record;
     fold.fillSnapshot(record);
