--- a/src/libknapweed/planning/inventory.cpp
+++ b/src/libknapweed/planning/inventory.cpp
@@ -27,6 +27,11 @@
 
 } // namespace
 
+int acceleratorsOf(const Part &description)
+{
+    return description.gangSize * static_cast<int>(description.accelerators.size());
+}
+
 void Inventory::updateWorker(MonotonicTime now, const Worker &worker)
 {
     const auto known = workerIndex_.find(worker.id);
@@ -56,6 +61,7 @@
     WorkerState &state = workers_[worker];
     if (!state.present) {
         state.present = true;
+        ++present_;
         state.rack = obtainRack(report);
         racks_[state.rack].push_back(worker);
         lastJoin_ = now;
@@ -95,6 +101,7 @@
     index(place);
     std::erase(racks_[state.rack], place);
     state = WorkerState {};
+    --present_;
     ++membership_;
 }
 
@@ -163,6 +170,8 @@
     gang.description.account = job.account;
     gang.description.kind = job.kind;
     gang.description.gangSize = job.shape.tasks;
+    gang.description.accelerators = toList(parts.front().accelerators);
+    gang.description.lead = workers_[parts.front().worker].report.agent;
     gang.description.checkpointable = job.checkpointable;
     gang.description.repeatable = job.repeatable;
     gang.description.startedAt = now;
@@ -299,6 +308,19 @@
     }
 }
 
+void Inventory::setProbing(WorkerIndex worker, bool isProbing)
+{
+    if (workers_[worker].isProbing != isProbing) {
+        workers_[worker].isProbing = isProbing;
+        ++membership_;
+    }
+}
+
+std::size_t Inventory::presentWorkers() const
+{
+    return present_;
+}
+
 void Inventory::setReserved(WorkerIndex worker, std::vector<ReservedGround> reserved)
 {
     WorkerState &state = workers_[worker];
@@ -325,6 +347,15 @@
     releases_ += released;
 }
 
+void Inventory::setHeldUntil(WorkerIndex worker, const std::string &job, MonotonicTime until)
+{
+    for (HeldGround &ground : workers_[worker].held) {
+        if (ground.job == job && !ground.isClaim) {
+            ground.until = until;
+        }
+    }
+}
+
 void Inventory::addUse(AccountIndex account, int accelerators)
 {
     if (account == noIndex) {
@@ -431,11 +462,22 @@
     return isKnown ? used_[account] : 0;
 }
 
+AcceleratorSet claimedAgainst(const WorkerState &state, const std::string &job)
+{
+    AcceleratorSet claimed = 0;
+    for (const HeldGround &ground : state.held) {
+        if (ground.isClaim && ground.job != job) {
+            claimed |= ground.accelerators;
+        }
+    }
+    return claimed;
+}
+
 AcceleratorSet heldAgainst(const WorkerState &state, const std::string &job, MonotonicTime end)
 {
     AcceleratorSet held = 0;
     for (const HeldGround &ground : state.held) {
-        if (ground.job != job && end > ground.until) {
+        if (ground.job != job && (ground.isClaim || end > ground.until)) {
             held |= ground.accelerators;
         }
     }
--- a/src/libknapweed/planning/placement.cpp
+++ b/src/libknapweed/planning/placement.cpp
@@ -32,7 +32,12 @@
         return {worker, 0, 0};
     }
     const AcceleratorSet usable = usableSet(state, search);
-    return {worker, taskRoom(state, search.job->shape, usable), usable};
+    const int room = taskRoom(state, search.job->shape, usable);
+    if (state.isProbing) {
+        const bool canProbe = state.parts.empty() && search.job->shape.tasks == 1 && search.job->repeatable && !search.job->urgent;
+        return {worker, canProbe ? std::min(room, 1) : 0, usable};
+    }
+    return {worker, room, usable};
 }
 
 /// Lower is better: few accelerators left on the worker, then few open in its rack.
@@ -184,23 +189,29 @@
 
 } // namespace
 
-AcceleratorSet usableSet(const WorkerState &worker, const Search &search)
+AcceleratorSet allowedSet(const WorkerState &worker, const Search &search)
 {
-    AcceleratorSet usable = worker.open;
+    AcceleratorSet allowed = worker.all;
     const AcceleratorSet own = reservedFor(worker, search.ground.account);
     if (!search.ground.mayUseUnreserved) {
-        usable &= worker.reservedSet;
+        allowed &= worker.reservedSet;
     }
     if (!search.ground.mayUseOwnBlocks) {
-        usable &= ~own;
+        allowed &= ~own;
     }
     if (!search.ground.mayBorrow) {
-        usable &= ~(worker.reservedSet & ~own);
+        allowed &= ~(worker.reservedSet & ~own);
     }
     if (!worker.held.empty()) {
-        usable &= ~heldAgainst(worker, search.job->id, search.estimatedEnd);
+        const std::string &job = search.job->id;
+        allowed &= ~(search.ignoresStarts ? claimedAgainst(worker, job) : heldAgainst(worker, job, search.estimatedEnd));
     }
-    return usable;
+    return allowed;
+}
+
+AcceleratorSet usableSet(const WorkerState &worker, const Search &search)
+{
+    return worker.open & allowedSet(worker, search);
 }
 
 int taskRoom(const WorkerState &worker, const Shape &shape, AcceleratorSet usable)
