--- a/src/knapweedstaged/agenttask.cpp
+++ b/src/knapweedstaged/agenttask.cpp
@@ -130,6 +130,11 @@
             logEvent(isReachable ? LogLevel::Info : LogLevel::Warning, isReachable ? "log.reachable" : "log.unreachable");
         });
     };
+    events.skipped = [this](std::int64_t offset) {
+        loop_.post([this, offset]() {
+            configurationFold_.skipTo(offset);
+        });
+    };
     log_ = std::make_unique<LogClient>(std::move(options), std::move(events));
 }
 
--- a/src/knapweedstaged/entrytask.cpp
+++ b/src/knapweedstaged/entrytask.cpp
@@ -18,7 +18,6 @@
 
 constexpr Milliseconds tickInterval {10};
 constexpr Milliseconds slowTickInterval {500};
-constexpr std::size_t finishedJobsFolded = 20000;
 
 const std::string cell = "cell";
 
@@ -98,30 +97,7 @@
     roster.failureDomain = settings_.failureDomain;
     peers_->attach(*server_, roster, settings_.seeds);
 
-    LogClientOptions logOptions;
-    logOptions.service = settings_.logService;
-    logOptions.stream = settings_.logStream;
-    LogClientEvents logEvents;
-    logEvents.record = [this](std::int64_t offset, const Record &record) {
-        loop_.post([this, offset, record]() {
-            recordFolded(offset, record);
-        });
-    };
-    logEvents.caughtUp = [this]() {
-        loop_.post([this]() {
-            isCaughtUp_ = true;
-            jobFold_.setCaughtUp();
-            logEvent(LogLevel::Info, "log.caught_up", {{"next_offset", std::to_string(jobFold_.nextOffset())}});
-        });
-    };
-    logEvents.reachability = [this](bool isReachable) {
-        loop_.post([this, isReachable]() {
-            isLogReachable_ = isReachable;
-            board_->setLogReachable(isReachable);
-            logEvent(isReachable ? LogLevel::Info : LogLevel::Warning, isReachable ? "log.reachable" : "log.unreachable");
-        });
-    };
-    log_ = std::make_unique<LogClient>(std::move(logOptions), std::move(logEvents));
+    startLog();
     updateRoster();
     configurationChanged();
     loop_.callEvery(tickInterval, [this]() {
@@ -224,22 +200,6 @@
     peers_->send(peer, offer);
 }
 
-void EntryTask::recordFolded(std::int64_t offset, const Record &record)
-{
-    const std::int64_t versionBefore = configurationFold_.version();
-    jobFold_.apply(offset, record);
-    jobFold_.forgetFinished(finishedJobsFolded);
-    const ConfigurationFold::Verdict verdict = configurationFold_.apply(offset, record);
-    if (configurationFold_.version() != versionBefore) {
-        configurationChanged();
-    }
-    if (const ConfigurationRecord *change = std::get_if<ConfigurationRecord>(&record)) {
-        operatorApi_->applied(*change, verdict);
-    }
-    board_->applied(monotonicNow(), record);
-    pump();
-}
-
 void EntryTask::configurationChanged()
 {
     const WallTime now = std::chrono::system_clock::now();
@@ -346,6 +306,7 @@
 void EntryTask::tickSlowly()
 {
     updateRoster();
+    writeSnapshotWhenDue();
     callerApi_->setConfiguration(effectiveConfiguration(configurationFold_.configuration(), std::chrono::system_clock::now()));
     metrics_.set("queue_length", static_cast<double>(plannerHost_.waitingJobs()));
     metrics_.set("unfinished_jobs", static_cast<double>(board_->unfinishedJobs()));
--- a/src/knapweedstaged/entrytask.h
+++ b/src/knapweedstaged/entrytask.h
@@ -9,6 +9,7 @@
 #include "callers/jobboard.h"
 #include "logservice/jobfold.h"
 #include "logservice/logclient.h"
+#include "logservice/snapshotwriter.h"
 #include "operators/configurationfold.h"
 #include "operators/operatorapi.h"
 #include "peers/peernetwork.h"
@@ -52,6 +53,8 @@
     void decide();
     void tick();
     void tickSlowly();
+    void startLog();
+    void writeSnapshotWhenDue();
     void finishDrain();
     void deliver(const std::string &peer, const PeerMessage &message);
 
@@ -75,7 +78,8 @@
     std::unique_ptr<JobBoard> board_;
     std::unique_ptr<CallerApi> callerApi_;
     std::unique_ptr<OperatorApi> operatorApi_;
-    std::unique_ptr<LogClient> log_; ///< last, so that its thread stops before anything that it posts to is gone
+    std::unique_ptr<LogClient> log_; ///< after what it posts to, so that its thread stops before that is gone
+    std::unique_ptr<SnapshotWriter> snapshots_;
 };
 
 } // namespace knapweed
--- a/src/libknapweed/logservice/snapshot.h
+++ b/src/libknapweed/logservice/snapshot.h
@@ -25,7 +25,7 @@
 
 struct SnapshotPolicy
 {
-    std::int64_t records = 20000; ///< a snapshot is wanted after this many records: it bounds what a fresh process reads
+    std::int64_t records = 100000; ///< a snapshot is wanted after this many records: it bounds what a fresh process reads
     Milliseconds interval {600000}; ///< and after this time, because records expire also when few are written
     Milliseconds jitter {2000}; ///< a process waits up to this long for another one's snapshot before it writes
     Milliseconds patience {30000}; ///< for a snapshot that has begun, before another one is written
--- a/tests/logbench/main.cpp
+++ b/tests/logbench/main.cpp
@@ -103,11 +103,15 @@
     }
     const double foldMs = milliseconds(Clock::now() - begin);
 
+    const Clock::time_point copyBegin = Clock::now();
+    const JobFold copy = jobs;
+    const double copyMs = milliseconds(Clock::now() - copyBegin);
+
     SnapshotRecord configuration;
     configuration.throughOffset = jobs.nextOffset();
     const Clock::time_point snapshotBegin = Clock::now();
     std::vector<std::string> snapshot;
-    for (const SnapshotRecord &record : makeSnapshot(configuration, jobs, "s")) {
+    for (const SnapshotRecord &record : makeSnapshot(configuration, copy, "s")) {
         snapshot.push_back(encodeRecord(record));
     }
     const double snapshotMs = milliseconds(Clock::now() - snapshotBegin);
@@ -121,13 +125,15 @@
         fresh.apply(offset, value(decodeRecord(text)));
     }
     const double restoreMs = milliseconds(Clock::now() - restoreBegin);
-    std::printf("%6d jobs  %6zu records  fold %6.2f us/record  snapshot %9zu bytes (%4zu/job) in %3zu records  write %7.1f ms  restore %7.1f ms  %s\n",
+    std::printf(
+        "%6d jobs  %6zu records  fold %6.2f us/record  snapshot %9zu bytes (%4zu/job) in %3zu records  copy %5.1f ms  write %7.1f ms  restore %7.1f ms  %s\n",
         jobCount,
         texts.size(),
         foldMs * 1000 / static_cast<double>(texts.size()),
         bytes,
         bytes / static_cast<std::size_t>(jobCount),
         snapshot.size(),
+        copyMs,
         snapshotMs,
         restoreMs,
         fresh.snapshot() == jobs.snapshot() ? "same" : "DIFFERS");
--- a/tests/operators/configurationinterleavingtest.cpp
+++ b/tests/operators/configurationinterleavingtest.cpp
@@ -65,7 +65,7 @@
             ConfigurationFold writer = foldOf(log, first, end);
             if (step.second % 3 == 0) {
                 const ConfigurationVersion newest = foldOf(log, 0, log.size()).current(); // from a peer that has read further
-                writer.adopt(newest.version, newest.document);
+                writer.adopt(newest.version, newest.document, newest.author);
             }
             if (writer.isPlaceKnown()) {
                 writer.fillSnapshot(snapshot);
@@ -132,7 +132,7 @@
         const std::int64_t versionBefore = reader.fold.version();
         if (step.kind < 30 && !offers.empty()) {
             const ConfigurationVersion &offer = offers[static_cast<std::size_t>(step.second) % offers.size()];
-            RC_ASSERT(reader.fold.adopt(offer.version, offer.document) == (offer.version > versionBefore));
+            RC_ASSERT(reader.fold.adopt(offer.version, offer.document, offer.author) == (offer.version > versionBefore));
         } else if (step.kind < 35) {
             reader.next = std::min(log.size(), reader.next + static_cast<std::size_t>(step.second) % 4);
             reader.fold.skipTo(static_cast<std::int64_t>(reader.next));
