--- a/scripts/demolib/fleet.py
+++ b/scripts/demolib/fleet.py
@@ -97,18 +97,25 @@
     }
 
 
+def start_entry(fleet: Fleet, folder: Path, name: str, domain: str, seeds: list[str]) -> Process:
+    settings = common_settings("entry", domain, seeds, fleet.log.address)
+    settings["operator_token"] = OPERATOR_TOKEN
+    return fleet.processes.start(name, [daemon_of(fleet.build), "--settings", write_settings(folder, name, settings)])
+
+
+def daemon_of(build: Path) -> str:
+    return str(build / "src" / "knapweedstaged")
+
+
 def start_fleet(build: Path, folder: Path, processes: Processes) -> Fleet:
     standins = str(build / "tests" / "knapweed-standins")
-    daemon = str(build / "src" / "knapweedstaged")
     log = processes.start("log", [standins, "--role", "log"])
     fleet = Fleet(processes, build, log, {}, {}, {}, [])
     for number in range(1, ENTRIES + 1):
         seeds = [entry.address for entry in fleet.entries]
-        settings = common_settings("entry", f"west-{number}", seeds, log.address)
-        settings["operator_token"] = OPERATOR_TOKEN
-        fleet.entries.append(processes.start(f"entry-{number}", [daemon, "--settings", write_settings(folder, f"entry-{number}", settings)]))
+        fleet.entries.append(start_entry(fleet, folder, f"entry-{number}", f"west-{number}", seeds))
     for worker, rack in RACKS.items():
-        start_worker(fleet, folder, standins, daemon, worker, rack)
+        start_worker(fleet, folder, standins, daemon_of(build), worker, rack)
     return fleet
 
 
--- a/scripts/demolib/operatorcases.py
+++ b/scripts/demolib/operatorcases.py
@@ -6,10 +6,11 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from .caller import KOTHARI, check, check_completed, check_refused, job_body, submit
-from .fleet import ACCELERATORS, CONFIGURATION, OPERATOR_TOKEN, RACKS, Fleet
+from .caller import KOTHARI, ask, check, check_completed, check_refused, job_body, submit
+from .fleet import ACCELERATORS, CONFIGURATION, OPERATOR_TOKEN, RACKS, STREAM, Fleet, bearer, start_entry
 from .httpjson import Answer, request
 from .jobcases import Case, gang_over_all_workers
+from .waiting import wait_until
 
 SPREAD_DEADLINE_S = 5.0
 LEAVE_DEADLINE_S = 5.0
@@ -133,6 +134,38 @@
     return "announcement lapsed, no new work; announced again"
 
 
+def whole_snapshots(fleet: Fleet, after: int) -> bool:
+    """Whether the log holds every record of a snapshot that begins at this offset or later."""
+    answer = request(fleet.log.address, "GET", f"/v1/streams/{STREAM}/records?from={after}&limit=100000")
+    records = [json.loads(record["value"]) for record in answer.get("records", [])]
+    parts: dict[str, set[int]] = {}
+    for record in records:
+        if record["type"] == "snapshot":
+            parts.setdefault(record["snapshot"], set()).add(record["part"])
+    return any(len(parts.get(record.get("snapshot", ""), ())) == record.get("parts") for record in records)
+
+
+def fresh_entry_after_expiry(fleet: Fleet) -> str:
+    accepted = submit(fleet, job_body(input=json.dumps({"run_ms": 600000})), headers={"Prefer": "respond-async"})
+    check(accepted.status == 202, accepted.text)
+    job = accepted.get("job")
+    wait_until("the job runs", lambda: fleet.starts(job) == 1)
+    end = request(fleet.log.address, "GET", f"/v1/streams/{STREAM}/records?from=0&limit=100000").get("next_offset")
+    fleet.fault(fleet.log, {"retention_records": 1})
+    fleet.fault(fleet.log, {"retention_records": 1000000})
+    wait_until("a snapshot is written", lambda: whole_snapshots(fleet, end))
+    fresh = start_entry(fleet, fleet.processes.folder, "entry-fresh", "west-4", [])
+    wait_until("the fresh entry is ready", lambda: request(fresh.address, "GET", "/readyz").status == 200)
+    found = request(fresh.address, "GET", "/v1/configuration", headers=bearer(OPERATOR_TOKEN))
+    check(found.get("version") == version(fleet), f"configuration at the fresh entry: {found.text}")
+    known = request(fresh.address, "GET", f"/v1/jobs/{job}", headers=bearer(KOTHARI))
+    check(known.status == 200 and known.get("state") != "finished", f"the job at the fresh entry: {known.text}")
+    fleet.processes.stop_one(fresh)
+    ask(fleet, f"/v1/jobs/{job}", method="DELETE")
+    check(ask(fleet, f"/v1/jobs/{job}?wait_ms=20000").get("outcome") == "cancelled", "the job was not cancelled")
+    return f"configuration {found.get('version')} and the live job found without peers"
+
+
 def open_pages(fleet: Fleet) -> str:
     for entry in fleet.entries:
         for path in ("/healthz", "/readyz", "/metrics"):
@@ -152,5 +185,6 @@
     ("configuration with knapweedctl", configuration_by_tool),
     ("endpoint leaves and comes back", endpoint_leaves_and_returns),
     ("endpoint falls silent and comes back", endpoint_falls_silent),
+    ("fresh entry after records expired", fresh_entry_after_expiry),
     ("health, readiness, metrics", open_pages),
 ]
--- a/scripts/demolib/processes.py
+++ b/scripts/demolib/processes.py
@@ -62,21 +62,25 @@
     def stop(self) -> list[str]:
         """Stops the newest first, by their ids. Returns the names of those that did not end well."""
         unclean = []
-        for process in reversed(self.running):
-            if process.child.poll() is None:
-                process.child.terminate()
-                try:
-                    process.child.wait(STOP_DEADLINE_S)
-                except subprocess.TimeoutExpired:
-                    process.child.kill()
-                    process.child.wait()
-            if process.child.returncode != 0:
+        for process in reversed(list(self.running)):
+            if self.stop_one(process) != 0:
                 unclean.append(f"{process.name} ({process.child.returncode})")
-            if process.child.stdout is not None:
-                process.child.stdout.close()
-        self.running.clear()
         return unclean
 
+    def stop_one(self, process: Process) -> int:
+        """Ends one process by its id and returns its exit code."""
+        if process.child.poll() is None:
+            process.child.terminate()
+            try:
+                process.child.wait(STOP_DEADLINE_S)
+            except subprocess.TimeoutExpired:
+                process.child.kill()
+                process.child.wait()
+        if process.child.stdout is not None:
+            process.child.stdout.close()
+        self.running.remove(process)
+        return process.child.returncode
+
     @staticmethod
     def last_lines(process: Process, count: int = 5) -> str:
         return "\n".join(process.log.read_text(errors="replace").splitlines()[-count:])
