--- a/src/knapweedstaged/agenttask.cpp
+++ b/src/knapweedstaged/agenttask.cpp
@@ -130,6 +130,11 @@
             logEvent(isReachable ? LogLevel::Info : LogLevel::Warning, isReachable ? "log.reachable" : "log.unreachable");
         });
     };
+    events.skipped = [this](std::int64_t offset) {
+        loop_.post([this, offset]() {
+            configurationFold_.skipTo(offset);
+        });
+    };
     log_ = std::make_unique<LogClient>(std::move(options), std::move(events));
 }
 
@@ -206,7 +211,7 @@
         if (offer.version < configurationFold_.version()) {
             offerConfiguration(peer);
         }
-    } else if (configurationFold_.adopt(offer.version, offer.document)) {
+    } else if (configurationFold_.adopt(offer.version, offer.document, offer.author)) {
         peers_->setConfigurationVersion(configurationFold_.version());
     }
 }
@@ -219,6 +224,7 @@
     wire::ConfigurationOffer offer;
     offer.version = configurationFold_.version();
     offer.document = configurationFold_.current().document;
+    offer.author = configurationFold_.current().author;
     peers_->send(peer, offer);
 }
 
