Drop expired exceptions from the effective configuration

Cause: the planner's host reads the exceptions of the effective configuration and excluded a worker also after its exception had expired, since only accounts were changed by the expiry. Ruled out: a check of the time in each reader; the time is the caller's to know. Change: effectiveConfiguration() holds only the exceptions in force.

--- a/src/libknapweed/operators/configuration.cpp
+++ b/src/libknapweed/operators/configuration.cpp
@@ -338,10 +338,11 @@
 Configuration effectiveConfiguration(const Configuration &configuration, WallTime now)
 {
     Configuration effective = configuration;
-    for (const ConfigurationException &exception : configuration.exceptions) {
-        if (isInForce(exception, now)) {
-            applyException(exception, effective);
-        }
+    std::erase_if(effective.exceptions, [now](const ConfigurationException &exception) {
+        return !isInForce(exception, now);
+    });
+    for (const ConfigurationException &exception : effective.exceptions) {
+        applyException(exception, effective);
     }
     return effective;
 }
--- a/src/libknapweed/operators/configuration.h
+++ b/src/libknapweed/operators/configuration.h
@@ -21,6 +21,8 @@
     int tasks = 1;
     int acceleratorsPerTask = 1;
     wire::Adjacency::type adjacency = wire::Adjacency::None;
+
+    bool operator==(const GuaranteedShape &) const = default;
 };
 
 struct ClientAccount
@@ -80,7 +82,7 @@
 
 bool isInForce(const ConfigurationException &exception, WallTime now);
 
-/// The configuration with the exceptions that are in force at @p now applied to accounts.
+/// The configuration with the exceptions that are in force at @p now applied to accounts; it holds only these exceptions.
 Configuration effectiveConfiguration(const Configuration &configuration, WallTime now);
 
 /// The ids of the workers that an exception in force at @p now excludes from new work.
--- a/tests/operators/configurationtest.cpp
+++ b/tests/operators/configurationtest.cpp
@@ -142,7 +142,9 @@
     const WallTime expiry = *parseTimestamp("2026-12-31T00:00:00Z");
 
     LONGS_EQUAL(2000, effectiveConfiguration(configuration, expiry - Milliseconds(1)).accounts.at("kothari-fit").queuedLimit);
+    LONGS_EQUAL(2, effectiveConfiguration(configuration, expiry - Milliseconds(1)).exceptions.size());
     LONGS_EQUAL(1000, effectiveConfiguration(configuration, expiry).accounts.at("kothari-fit").queuedLimit);
+    LONGS_EQUAL(1, effectiveConfiguration(configuration, expiry).exceptions.size());
     STRCMP_EQUAL("w3", excludedWorkers(configuration, expiry).at(0).c_str());
 }
 
