--- a/src/libknapweed/operators/configuration.cpp
+++ b/src/libknapweed/operators/configuration.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t accountLimit = 10000;
 constexpr std::size_t shapeLimit = 64;
 constexpr std::size_t exceptionLimit = 1000;
-constexpr int gangLimit = 1024; // tasks
+constexpr int gangLimit = 64; // tasks
 constexpr int acceleratorLimit = 64; // of one worker
 
 const Choices adjacencies {
@@ -100,7 +100,7 @@
     defaults.hold = reader.duration("hold_ms", {Milliseconds(100), Milliseconds(60000), defaults.hold});
     defaults.gangLease = reader.duration("gang_lease_ms", {Milliseconds(300), Milliseconds(60000), defaults.gangLease});
     defaults.preemptionGrace = reader.duration("preemption_grace_ms", {Milliseconds(0), Milliseconds(600000), defaults.preemptionGrace});
-    defaults.requestDeadline = reader.duration("request_deadline_ms", {Milliseconds(100), Milliseconds(604800000), defaults.requestDeadline});
+    defaults.requestDeadline = reader.duration("request_deadline_ms", {Milliseconds(100), Milliseconds(86400000), defaults.requestDeadline});
     defaults.attemptLimit = static_cast<int>(reader.integer("attempt_limit", {1, 100, defaults.attemptLimit}));
     defaults.completionWeight = reader.number("completion_weight", {0, 1, defaults.completionWeight});
     defaults.fragmentationWeight = reader.number("fragmentation_weight", {0, 1, defaults.fragmentationWeight});
@@ -363,7 +363,7 @@
     JsonReport report;
     JsonObjectReader root(nullptr, "", report);
     readRoot(root, report);
-    readAccount("NAME", root.elementDescription("accounts"));
+    readAccount("NAME", JsonObjectReader(nullptr, "accounts.NAME", report));
     readException(root.elementDescription("exceptions"), {});
     return report.fields;
 }
--- a/src/libknapweed/tool/statustext.cpp
+++ b/src/libknapweed/tool/statustext.cpp
@@ -26,9 +26,10 @@
     {"ACCOUNT", "account"},
     {"GUARANTEED", "guaranteed"},
     {"IN USE", "in_use"},
-    {"BORROWED", "borrowed"},
+    {"BORROWED", "beyond_guarantee"},
+    {"FREE GUARANTEE", "unused_guarantee"},
     {"RECLAIMABLE", "reclaimable"},
-    {"WAITING", "waiting"},
+    {"UNFINISHED", "unfinished_jobs"},
 };
 
 const std::vector<Column> workerColumns {
@@ -37,8 +38,9 @@
     {"RACK", "rack"},
     {"DOMAIN", "failure_domain"},
     {"ACCELERATORS", "accelerators"},
-    {"IN USE", "in_use"},
-    {"DETAIL", "detail"},
+    {"IN USE", "accelerators_in_use"},
+    {"STARTED", "started_tasks"},
+    {"FAILED", "failed_tasks"},
 };
 
 std::vector<std::vector<std::string>> rowsOf(const nlohmann::json &objects, const std::vector<Column> &columns)
@@ -67,11 +69,42 @@
     return found != object.end() && found->is_object() ? *found : nlohmann::json::object();
 }
 
+bool isTrue(const nlohmann::json &object, const std::string &key)
+{
+    return textMember(object, key) == "true";
+}
+
+/// One word for what an operator needs to know of a worker.
+std::string stateOf(const nlohmann::json &worker)
+{
+    if (isTrue(worker, "excluded")) {
+        return "excluded";
+    }
+    if (isTrue(worker, "quarantined")) {
+        return "quarantined";
+    }
+    if (isTrue(worker, "available")) {
+        return "available";
+    }
+    const std::string endpoint = textMember(worker, "endpoint_state");
+    return endpoint.empty() || endpoint == "ready" ? "unavailable" : endpoint;
+}
+
+nlohmann::json withStates(const nlohmann::json &workers)
+{
+    nlohmann::json stated = nlohmann::json::array();
+    for (const nlohmann::json &worker : workers) {
+        nlohmann::json &copy = stated.emplace_back(worker.is_object() ? worker : nlohmann::json::object());
+        copy["state"] = stateOf(worker);
+    }
+    return stated;
+}
+
 std::string workersLine(const nlohmann::json &workers)
 {
     std::map<std::string, int> counts;
     for (const nlohmann::json &worker : workers) {
-        ++counts[orDash(textMember(worker, "state"))];
+        ++counts[textMember(worker, "state")];
     }
     std::string line = "Workers: " + std::to_string(workers.size());
     for (const auto &[state, count] : counts) {
@@ -80,18 +113,27 @@
     return line + '\n';
 }
 
-std::string configurationLines(const nlohmann::json &configuration)
+std::string plannerOf(const nlohmann::json &processes)
+{
+    for (const nlohmann::json &process : processes) {
+        if (isTrue(process, "planner")) {
+            return textMember(process, "address");
+        }
+    }
+    return {};
+}
+
+std::string configurationLines(const nlohmann::json &configuration, const nlohmann::json &processes)
 {
     const std::string version = orDash(textMember(configuration, "version"));
-    const nlohmann::json processes = arrayMember(configuration, "processes");
     std::size_t current = 0;
     std::string others;
     for (const nlohmann::json &process : processes) {
-        if (textMember(process, "version") == version) {
+        const std::string known = orDash(textMember(process, "configuration_version"));
+        if (known == version) {
             ++current;
         } else {
-            others += "  " + orDash(textMember(process, "role")) + ' ' + orDash(textMember(process, "process")) + " has version "
-                + orDash(textMember(process, "version")) + '\n';
+            others += "  " + orDash(textMember(process, "role")) + ' ' + orDash(textMember(process, "address")) + " has version " + known + '\n';
         }
     }
     std::string text = "Configuration: version " + version + " by " + orDash(textMember(configuration, "author"));
@@ -101,9 +143,10 @@
 
 std::string logLine(const nlohmann::json &log)
 {
-    std::string line = "Log service: " + orDash(textMember(log, "state")) + ", offset " + orDash(textMember(log, "offset"));
-    line += ", silent for " + orDash(textMember(log, "lag_ms")) + " ms, " + orDash(textMember(log, "pending_appends")) + " appends waiting\n";
-    return line;
+    const std::string reachable = textMember(log, "reachable");
+    std::string line = "Log service: " + (reachable.empty() ? "-" : std::string(reachable == "true" ? "reachable" : "NOT REACHABLE"));
+    line += ", next offset " + orDash(textMember(log, "next_offset")) + ", silent for " + orDash(textMember(log, "silent_ms")) + " ms, ";
+    return line + orDash(textMember(log, "pending_appends")) + " appends waiting\n";
 }
 
 std::string exceptionLines(const nlohmann::json &exceptions, WallTime now)
@@ -130,9 +173,10 @@
 
 std::string formatStatus(const nlohmann::json &status, WallTime now)
 {
-    const nlohmann::json workers = arrayMember(status, "workers");
-    std::string text = "Entry " + orDash(textMember(status, "entry")) + ", planner " + orDash(textMember(status, "planner")) + '\n';
-    text += configurationLines(objectMember(status, "configuration"));
+    const nlohmann::json workers = withStates(arrayMember(status, "workers"));
+    const nlohmann::json processes = arrayMember(status, "processes");
+    std::string text = "Entry " + orDash(textMember(status, "entry")) + ", planner " + orDash(plannerOf(processes)) + '\n';
+    text += configurationLines(objectMember(status, "configuration"), processes);
     text += logLine(objectMember(status, "log"));
     text += workersLine(workers);
     text += '\n' + formatTable(rowsOf(arrayMember(status, "accounts"), accountColumns));
--- a/tests/operators/configurationtest.cpp
+++ b/tests/operators/configurationtest.cpp
@@ -59,7 +59,7 @@
         "accounts.kothari-sheets.token: found the token of account kothari-fit, allowed is a token of its own for each account\n"},
     {"/accounts/kothari-fit/weight", "0", "accounts.kothari-fit.weight: found 0, allowed is a number from 0.01 to 1000.0\n"},
     {"/accounts/kothari-fit/weight", R"("1")", "accounts.kothari-fit.weight: found \"1\", allowed is a number from 0.01 to 1000.0\n"},
-    {"/accounts/kothari-fit/guarantee/0/tasks", "0", "accounts.kothari-fit.guarantee[0].tasks: found 0, allowed is a whole number from 1 to 1024\n"},
+    {"/accounts/kothari-fit/guarantee/0/tasks", "0", "accounts.kothari-fit.guarantee[0].tasks: found 0, allowed is a whole number from 1 to 64\n"},
     {"/accounts/kothari-fit/guarantee/0/adjacency",
         R"("row")",
         "accounts.kothari-fit.guarantee[0].adjacency: found \"row\", allowed is one of none rack worker\n"},
