--- a/src/libknapweed/gangs/member.cpp
+++ b/src/libknapweed/gangs/member.cpp
@@ -271,6 +271,7 @@
     }
     if (ended && ended->reportDue && ended->fence == request.fence) {
         ended->lead = peer;
+        ended->reportUntil = now + options_.resultRetention;
         sendReport(now, {attemptKey(request.attempt), request.member}, *ended, actions);
         return;
     }
--- a/src/libknapweed/gangs/membersteps.cpp
+++ b/src/libknapweed/gangs/membersteps.cpp
@@ -277,6 +277,7 @@
     ended.output = std::move(output);
     ended.everStarted = part.endpoint.everStarted;
     ended.endedAt = now;
+    ended.reportUntil = part.lead.empty() ? part.leaseUntil : now + options_.resultRetention;
     endedOrder_.push_back(part.key);
     return ended;
 }
@@ -307,7 +308,7 @@
         if (found == ended_.end() || !found->second.reportDue) {
             return true;
         }
-        if (now - found->second.endedAt > options_.resultRetention) {
+        if (now > found->second.reportUntil) {
             found->second.reportDue = false;
             return true;
         }
--- a/src/libknapweed/gangs/part.h
+++ b/src/libknapweed/gangs/part.h
@@ -97,6 +97,7 @@
     bool reportDue = false; ///< the lead has not acknowledged the PartReport
     MonotonicTime endedAt;
     MonotonicTime nextReport;
+    MonotonicTime reportUntil; ///< then the report is given up; for an adopted part whose lead has not renewed, when its lease would have lapsed
 };
 
 } // namespace knapweed::gangs
--- /dev/null
+++ b/tests/gangs/faulttest.cpp
@@ -0,0 +1,227 @@
+// One fault at a time, at each step of an attempt: messages lost, doubled and late, processes killed, frozen and cut, and the time that a part runs
+// without the rest of its gang.
+
+#include "gangs/world.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstdio>
+
+using namespace knapweed;
+using namespace knapweed::gangs;
+using namespace knapweed::gangs::test;
+
+namespace
+{
+
+constexpr Milliseconds lease {3000};
+/// One lease and the time of a tick: calls to the platform are immediate in these tests.
+constexpr Milliseconds strictBound = lease + Milliseconds(100);
+
+wire::JobSpec job(const std::string &input, bool repeatable = true)
+{
+    wire::JobSpec spec;
+    spec.repeatable = repeatable;
+    spec.input = input;
+    return spec;
+}
+
+template<typename Message>
+bool is(const PeerMessage &message)
+{
+    return std::holds_alternative<Message>(message);
+}
+
+struct Step
+{
+    const char *name;
+    bool (*matches)(const PeerMessage &message);
+};
+
+const Step steps[] = {
+    {"GangRequest", is<wire::GangRequest>},
+    {"GangAck", is<wire::GangAck>},
+    {"HoldRequest", is<wire::HoldRequest>},
+    {"HoldReply", is<wire::HoldReply>},
+    {"ArmRequest", is<wire::ArmRequest>},
+    {"ArmReply", is<wire::ArmReply>},
+    {"GoRequest", is<wire::GoRequest>},
+    {"GoReply", is<wire::GoReply>},
+    {"RenewRequest", is<wire::RenewRequest>},
+    {"RenewReply", is<wire::RenewReply>},
+    {"PartReport", is<wire::PartReport>},
+    {"PartAck", is<wire::PartAck>},
+    {"OutcomeReport", is<wire::OutcomeReport>},
+    {"OutcomeAck", is<wire::OutcomeAck>},
+};
+
+struct MessageFault
+{
+    const char *name;
+    World::Passage passage;
+};
+
+const MessageFault messageFaults[] = {
+    {"lost", {0, Milliseconds(0)}},
+    {"doubled", {3, Milliseconds(0)}},
+    {"late by 400 ms", {1, Milliseconds(400)}},
+    {"late by 6 s and doubled", {2, Milliseconds(6000)}},
+};
+
+struct ProcessFault
+{
+    const char *name;
+    void (*apply)(World &world, int agent);
+};
+
+const ProcessFault processFaults[] = {
+    {"killed",
+        [](World &world, int agent) {
+            world.kill(agent, Milliseconds(500));
+        }},
+    {"killed for long",
+        [](World &world, int agent) {
+            world.kill(agent, Milliseconds(9000));
+        }},
+    {"crashed with its endpoint",
+        [](World &world, int agent) {
+            world.crash(agent, Milliseconds(9000));
+        }},
+    {"frozen within its lease",
+        [](World &world, int agent) {
+            world.freeze(agent, Milliseconds(1000));
+        }},
+    {"frozen past its lease",
+        [](World &world, int agent) {
+            world.freeze(agent, Milliseconds(7000));
+        }},
+    {"cut from all",
+        [](World &world, int agent) {
+            world.cut(agent, Milliseconds(7000));
+        }},
+};
+
+void checkEnded(World &world, const AttemptKey &key, const std::string &label)
+{
+    for (const std::string &violation : world.violations()) {
+        FAIL((label + ": " + violation).c_str());
+    }
+    CHECK_TEXT(world.attempt(key).ended, label.c_str());
+    for (int agent = 0; agent < 3; ++agent) {
+        CHECK_TEXT(!world.core(agent).isBusy(), label.c_str());
+        CHECK_TEXT(world.worker(agent).leases.empty(), label.c_str());
+    }
+}
+
+} // namespace
+
+TEST_GROUP(GangFaults) {};
+
+TEST(GangFaults, completesWhenTheFirstMessageOfAnyKindGoesWrong)
+{
+    for (const Step &step : steps) {
+        for (const MessageFault &fault : messageFaults) {
+            for (const bool repeatable : {true, false}) {
+                World world(11, 3, {});
+                int seen = 0;
+                world.passage = [&step, &fault, &seen](const std::string &, const std::string &, const PeerMessage &message) {
+                    return step.matches(message) && seen++ == 0 ? fault.passage : World::Passage {};
+                };
+                const AttemptKey key = world.submitOn({0, 1, 2}, {{0}, {0}, {0}}, job("1500", repeatable), lease);
+                world.run(Milliseconds(20000));
+                const std::string label = std::string(step.name) + ' ' + fault.name;
+                checkEnded(world, key, label);
+                LONGS_EQUAL_TEXT(1, seen > 0, label.c_str());
+                LONGS_EQUAL_TEXT(1, world.outcomes(wire::Outcome::Completed), label.c_str());
+            }
+        }
+    }
+}
+
+TEST(GangFaults, isWholeOrNotAtAllWhenAProcessFailsAtAnyStep)
+{
+    Milliseconds longest {0};
+    int cases = 0;
+    for (const Step &step : steps) {
+        for (const ProcessFault &fault : processFaults) {
+            for (int variant = 0; variant < 8; ++variant) {
+                World world(12, 3, {});
+                const int victim = variant % 2; // 0 is the lead
+                const int occurrence = variant < 4 ? 1 : 2;
+                const bool repeatable = (variant / 2) % 2 == 0;
+                int seen = 0;
+                world.passage = [&](const std::string &, const std::string &, const PeerMessage &message) {
+                    if (step.matches(message) && ++seen == occurrence) {
+                        fault.apply(world, victim);
+                    }
+                    return World::Passage {};
+                };
+                const AttemptKey key = world.submitOn({0, 1, 2}, {{0}, {0}, {0}}, job("5000", repeatable), lease);
+                world.run(Milliseconds(45000));
+                checkEnded(world, key, std::string(step.name) + ' ' + fault.name);
+                CHECK_TEXT(world.longestAlone() <= strictBound, step.name);
+                longest = std::max(longest, world.longestAlone());
+                ++cases;
+            }
+        }
+    }
+    std::printf("%d cases, longest alone %lld ms of %lld ms\n", cases, static_cast<long long>(longest.count()), static_cast<long long>(strictBound.count()));
+}
+
+TEST(GangFaults, stopsWithinOneLeaseOfACrashThoughTheLeadIsCutOffLater)
+{
+    World world(13, 3, {});
+    world.submitOn({0, 1, 2}, {{0}, {0}, {0}}, job("60000"), lease);
+    world.run(Milliseconds(5000));
+    world.crash(2, Milliseconds(30000));
+    world.run(Milliseconds(2900));
+    world.cut(1, Milliseconds(20000));
+    world.run(Milliseconds(20000));
+    CHECK(world.longestAlone() > Milliseconds(0));
+    CHECK(world.longestAlone() <= strictBound);
+}
+
+TEST(GangFaults, delayedRenewalsDoNotLengthenTheLease)
+{
+    World world(14, 3, {});
+    world.passage = [&world](const std::string &, const std::string &to, const PeerMessage &message) {
+        const bool late =
+            to == "agent:1" && world.now() > MonotonicTime(Milliseconds(1003000)) && (is<wire::RenewRequest>(message) || is<wire::StopRequest>(message));
+        return World::Passage {1, Milliseconds(late ? 1800 : 0)};
+    };
+    world.submitOn({0, 1, 2}, {{0}, {0}, {0}}, job("60000"), lease);
+    world.run(Milliseconds(3500));
+    world.crash(2, Milliseconds(30000));
+    world.run(Milliseconds(20000));
+    CHECK(world.longestAlone() > Milliseconds(0));
+    CHECK(world.longestAlone() <= strictBound);
+}
+
+TEST(GangFaults, stopsTheGangWhenAnEndpointFallsSilent)
+{
+    World world(15, 3, {});
+    world.submitOn({0, 1, 2}, {{0}, {0}, {0}}, job("60000"), lease);
+    world.run(Milliseconds(5000));
+    world.loseEndpoint(2);
+    world.run(Milliseconds(20000));
+    CHECK(world.longestAlone() > Milliseconds(0));
+    CHECK(world.longestAlone() <= World::aloneBound(lease));
+}
+
+TEST(GangFaults, crossedGangsDoNotDeadlock)
+{
+    World world(16, 2, {});
+    std::vector<AttemptKey> attempts;
+    for (int count = 0; count < 20; ++count) {
+        attempts.push_back(world.submitOn({0, 1}, {{0}, {0}}, job("10"), lease));
+        attempts.push_back(world.submitOn({1, 0}, {{0}, {0}}, job("10"), lease));
+        world.run(Milliseconds(200));
+    }
+    world.run(Milliseconds(3000));
+    for (const AttemptKey &key : attempts) {
+        CHECK(world.attempt(key).ended);
+    }
+    CHECK(!world.core(0).isBusy() && !world.core(1).isBusy());
+    CHECK(world.outcomes(wire::Outcome::Completed) > 0);
+    LONGS_EQUAL(0, world.violations().size());
+}
--- a/tests/gangs/platform.cpp
+++ b/tests/gangs/platform.cpp
@@ -204,6 +204,14 @@
     }
 }
 
+void FakeEndpoint::stopAll(MonotonicTime now)
+{
+    expire(now);
+    for (auto &[id, part] : parts_) {
+        end(now, id, part, EndpointPartState::Stopped);
+    }
+}
+
 bool FakeEndpoint::isRunning(const std::string &part) const
 {
     const auto found = parts_.find(part);
--- a/tests/gangs/platform.h
+++ b/tests/gangs/platform.h
@@ -52,6 +52,8 @@
     /// Ends parts whose lease or run time is over.
     void expire(MonotonicTime now);
     bool isRunning(const std::string &part) const;
+    /// Stops every part, as a failing instance does.
+    void stopAll(MonotonicTime now);
     /// Called at the first start of a part.
     std::function<void(const std::string &part)> started;
 
--- a/tests/gangs/world.cpp
+++ b/tests/gangs/world.cpp
@@ -145,9 +145,10 @@
 
 void World::send(const std::string &from, const std::string &to, const PeerMessage &message)
 {
-    const int copies = happens(faults_.lostMessage) ? 0 : happens(faults_.doubledMessage) ? 2 : 1;
+    const Passage special = passage ? passage(from, to, message) : Passage {};
+    const int copies = happens(faults_.lostMessage) ? 0 : happens(faults_.doubledMessage) ? 2 : special.copies;
     for (int copy = 0; copy < copies; ++copy) {
-        after(messageDelay(), [this, from, to, message]() {
+        after(messageDelay() + special.delay, [this, from, to, message]() {
             const int receiver = indexOf(to);
             const int sender = indexOf(from);
             const bool cut = (receiver >= 0 && now_ < agents_[receiver]->cutUntil) || (sender >= 0 && now_ < agents_[sender]->cutUntil);
@@ -198,8 +199,8 @@
 {
     const std::int64_t incarnation = agents_[index]->incarnation;
     const MonotonicTime sentAt = now_;
-    const bool lost = happens(faults_.lostCall);
-    const bool effective = !lost || happens(500);
+    const bool lost = agents_[index]->endpointLost || happens(faults_.lostCall);
+    const bool effective = !agents_[index]->endpointLost && (!lost || happens(500));
     const Milliseconds delay(happens(faults_.slowCall) ? 1 + random(998) : 0);
     if (lost) {
         EndpointAnswer answer;
@@ -227,7 +228,7 @@
 {
     const std::int64_t incarnation = agents_[index]->incarnation;
     after(Milliseconds(5), [this, index, incarnation, call, sentAt, until]() {
-        if (agents_[index]->incarnation != incarnation) {
+        if (agents_[index]->incarnation != incarnation || agents_[index]->endpointLost) {
             return;
         }
         agents_[index]->endpoint.expire(now_);
@@ -342,6 +343,18 @@
     });
 }
 
+void World::crash(int agent, Milliseconds downtime)
+{
+    kill(agent, downtime);
+    agents_[agent]->endpoint.stopAll(now_);
+}
+
+void World::loseEndpoint(int agent)
+{
+    agents_[agent]->endpoint.stopAll(now_);
+    agents_[agent]->endpointLost = true;
+}
+
 void World::cut(int agent, Milliseconds duration)
 {
     agents_[agent]->cutUntil = std::max(agents_[agent]->cutUntil, now_ + duration);
--- a/tests/gangs/world.h
+++ b/tests/gangs/world.h
@@ -61,7 +61,18 @@
     void kill(int agent, Milliseconds downtime);
     /// Nothing passes between @p agent and any peer until @p duration is over.
     void cut(int agent, Milliseconds duration);
+    /// The agent and the parts at its endpoint are gone at once, as when their instance fails.
+    void crash(int agent, Milliseconds downtime);
+    /// The parts at the endpoint are gone, and it answers nothing from now on.
+    void loseEndpoint(int agent);
     void setEndpointReady(int agent, bool ready);
+    /// Asked for each message before it is sent: how many copies arrive, and how much later than usual.
+    struct Passage
+    {
+        int copies = 1;
+        Milliseconds delay {0};
+    };
+    std::function<Passage(const std::string &from, const std::string &to, const PeerMessage &message)> passage;
     void drain(int agent);
     void setFaults(Faults faults);
 
@@ -105,6 +116,7 @@
         MonotonicTime frozenUntil;
         MonotonicTime cutUntil;
         bool endpointReady = true;
+        bool endpointLost = false;
         FakeWorker worker;
         FakeEndpoint endpoint;
         JobFold fold;
