Keep the leases of a part renewed while its gang lease does not grow

A renewal late by half a lease made the member think that its worker and endpoint had fallen silent, because both were asked only when the gang lease grew.

--- a/src/libknapweed/gangs/membersteps.cpp
+++ b/src/libknapweed/gangs/membersteps.cpp
@@ -117,12 +117,16 @@
     actions.push_back(SendMessage {part.lead, reply});
 }
 
+/// Renews when the gang lease has grown, and otherwise often enough to know that worker and endpoint still answer.
 void Member::renewLeases(MonotonicTime now, Part &part, Actions &actions)
 {
-    if (part.leaseUntil > part.worker.askedUntil && isDue(now, part.worker.grant)) {
+    const MonotonicTime quietSince = now - part.lease / renewalsPerLease;
+    const bool workerDue = part.leaseUntil > part.worker.askedUntil || part.worker.contact <= quietSince;
+    if (workerDue && isDue(now, part.worker.grant)) {
         callWorker(now, part, WorkerCall::Kind::Grant, part.worker.grant, actions);
     }
-    if (part.leaseUntil > part.endpoint.askedUntil && isDue(now, part.endpoint.renew)) {
+    const bool endpointDue = part.leaseUntil > part.endpoint.askedUntil || part.endpoint.contact <= quietSince;
+    if (endpointDue && isDue(now, part.endpoint.renew)) {
         callEndpoint(now, part, EndpointCall::Kind::Renew, part.endpoint.renew, actions);
     }
 }
