--- a/tests/gangs/platform.cpp
+++ b/tests/gangs/platform.cpp
@@ -49,7 +49,8 @@
         }
         break;
     case WorkerCall::Kind::Checkpoint:
-        answer.status = lease == leases.end() ? WorkerAnswer::Status::Lapsed : WorkerAnswer::Status::Ok;
+        answer.status = writesCheckpoints ? WorkerAnswer::Status::Ok : WorkerAnswer::Status::Unreachable;
+        checkpoints += writesCheckpoints ? 1 : 0;
         break;
     case WorkerCall::Kind::End:
         leases.erase(call.lease);
--- a/tests/gangs/platform.h
+++ b/tests/gangs/platform.h
@@ -27,6 +27,8 @@
     void expire(MonotonicTime now);
 
     bool failsTasks = false;
+    bool writesCheckpoints = true;
+    int checkpoints = 0; ///< written
 
     struct Lease
     {
--- a/tests/gangs/world.cpp
+++ b/tests/gangs/world.cpp
@@ -92,7 +92,10 @@
     }
     const std::int64_t incarnation = agent.incarnation;
     const auto announce = std::make_shared<std::function<void()>>();
-    *announce = [this, index, incarnation, weak = std::weak_ptr<std::function<void()>>(announce)]() {
+    *announce = [this, index, incarnation]() {
+        if (!agents_[index]->announcing) {
+            return;
+        }
         const EndpointAnnouncement announcement {{"127.0.0.1", static_cast<std::uint16_t>(index + 1)}, 8, agents_[index]->endpointReady};
         deliver(index, incarnation, [this, announcement](AgentCore &core) {
             return core.handleAnnouncement(now_, announcement);
@@ -376,6 +379,18 @@
     });
 }
 
+void World::stopAll(int agent)
+{
+    deliver(agent, agents_[agent]->incarnation, [this](AgentCore &core) {
+        return core.stopAll(now_);
+    });
+}
+
+void World::setAnnouncing(int agent, bool announcing)
+{
+    agents_[agent]->announcing = announcing;
+}
+
 void World::setFaults(Faults faults)
 {
     faults_ = faults;
--- a/tests/gangs/world.h
+++ b/tests/gangs/world.h
@@ -49,7 +49,11 @@
 
     /// Sends a gang of @p members parts, each on @p accelerators random accelerators of a random agent, the first of which leads.
     AttemptKey submit(int members, int accelerators, bool repeatable, const std::string &input, Milliseconds lease = Milliseconds(3000));
-    AttemptKey submitOn(const std::vector<int> &agents, const std::vector<std::vector<std::int32_t>> &accelerators, wire::JobSpec spec, Milliseconds lease);
+    AttemptKey submitOn(const std::vector<int> &agents,
+        const std::vector<std::vector<std::int32_t>> &accelerators,
+        wire::JobSpec spec,
+        Milliseconds lease,
+        bool borrowed = false);
     /// Another try at the job of @p attempt on the same members, led by another of them.
     AttemptKey retry(const AttemptKey &attempt);
     void endAttempt(const AttemptKey &attempt, wire::StopReason::type reason, Milliseconds grace);
@@ -73,7 +77,9 @@
         Milliseconds delay {0};
     };
     std::function<Passage(const std::string &from, const std::string &to, const PeerMessage &message)> passage;
+    void setAnnouncing(int agent, bool announcing);
     void drain(int agent);
+    void stopAll(int agent);
     void setFaults(Faults faults);
 
     void run(Milliseconds duration);
@@ -117,6 +123,7 @@
         MonotonicTime cutUntil;
         bool endpointReady = true;
         bool endpointLost = false;
+        bool announcing = true;
         FakeWorker worker;
         FakeEndpoint endpoint;
         JobFold fold;
--- a/tests/gangs/worldhome.cpp
+++ b/tests/gangs/worldhome.cpp
@@ -49,7 +49,8 @@
     return submitOn(chosen, taken, spec, lease);
 }
 
-AttemptKey World::submitOn(const std::vector<int> &agents, const std::vector<std::vector<std::int32_t>> &accelerators, wire::JobSpec spec, Milliseconds lease)
+AttemptKey World::submitOn(
+    const std::vector<int> &agents, const std::vector<std::vector<std::int32_t>> &accelerators, wire::JobSpec spec, Milliseconds lease, bool borrowed)
 {
     HomeAttempt attempt;
     wire::GangRequest &request = attempt.request;
@@ -60,6 +61,7 @@
     request.home = homeAddress;
     request.startWithinMs = 20000;
     request.leaseMs = lease.count();
+    request.borrowed = borrowed;
     for (std::size_t member = 0; member < agents.size(); ++member) {
         wire::Member place;
         place.agent = agents_[agents[member]]->address;
