--- a/tests/gangs/platform.cpp
+++ b/tests/gangs/platform.cpp
@@ -49,7 +49,8 @@
         }
         break;
     case WorkerCall::Kind::Checkpoint:
-        answer.status = lease == leases.end() ? WorkerAnswer::Status::Lapsed : WorkerAnswer::Status::Ok;
+        answer.status = writesCheckpoints ? WorkerAnswer::Status::Ok : WorkerAnswer::Status::Unreachable;
+        checkpoints += writesCheckpoints ? 1 : 0;
         break;
     case WorkerCall::Kind::End:
         leases.erase(call.lease);
@@ -204,6 +205,14 @@
     }
 }
 
+void FakeEndpoint::stopAll(MonotonicTime now)
+{
+    expire(now);
+    for (auto &[id, part] : parts_) {
+        end(now, id, part, EndpointPartState::Stopped);
+    }
+}
+
 bool FakeEndpoint::isRunning(const std::string &part) const
 {
     const auto found = parts_.find(part);
--- a/tests/gangs/world.h
+++ b/tests/gangs/world.h
@@ -49,7 +49,11 @@
 
     /// Sends a gang of @p members parts, each on @p accelerators random accelerators of a random agent, the first of which leads.
     AttemptKey submit(int members, int accelerators, bool repeatable, const std::string &input, Milliseconds lease = Milliseconds(3000));
-    AttemptKey submitOn(const std::vector<int> &agents, const std::vector<std::vector<std::int32_t>> &accelerators, wire::JobSpec spec, Milliseconds lease);
+    AttemptKey submitOn(const std::vector<int> &agents,
+        const std::vector<std::vector<std::int32_t>> &accelerators,
+        wire::JobSpec spec,
+        Milliseconds lease,
+        bool borrowed = false);
     /// Another try at the job of @p attempt on the same members, led by another of them.
     AttemptKey retry(const AttemptKey &attempt);
     void endAttempt(const AttemptKey &attempt, wire::StopReason::type reason, Milliseconds grace);
@@ -61,8 +65,21 @@
     void kill(int agent, Milliseconds downtime);
     /// Nothing passes between @p agent and any peer until @p duration is over.
     void cut(int agent, Milliseconds duration);
+    /// The agent and the parts at its endpoint are gone at once, as when their instance fails.
+    void crash(int agent, Milliseconds downtime);
+    /// The parts at the endpoint are gone, and it answers nothing from now on.
+    void loseEndpoint(int agent);
     void setEndpointReady(int agent, bool ready);
+    /// Asked for each message before it is sent: how many copies arrive, and how much later than usual.
+    struct Passage
+    {
+        int copies = 1;
+        Milliseconds delay {0};
+    };
+    std::function<Passage(const std::string &from, const std::string &to, const PeerMessage &message)> passage;
+    void setAnnouncing(int agent, bool announcing);
     void drain(int agent);
+    void stopAll(int agent);
     void setFaults(Faults faults);
 
     void run(Milliseconds duration);
@@ -105,6 +122,8 @@
         MonotonicTime frozenUntil;
         MonotonicTime cutUntil;
         bool endpointReady = true;
+        bool endpointLost = false;
+        bool announcing = true;
         FakeWorker worker;
         FakeEndpoint endpoint;
         JobFold fold;
