Weigh priorities by account and index blocks by account

Cause: classes of accounts that ran large gangs were ranked down, so small jobs of the large accounts waited longest; and a round at 8,400 workers took up to 88 ms, since each job looked at all blocks and each check of a gang looked it up by name.

--- a/src/knapweedbench/scale.cpp
+++ b/src/knapweedbench/scale.cpp
@@ -2,6 +2,7 @@
 
 #include "scale.h"
 
+#include "cputime.h"
 #include "planning/planner.h"
 
 #include <nlohmann/json.hpp>
@@ -109,9 +110,9 @@
     Microseconds round()
     {
         now_ += tick;
-        const std::chrono::steady_clock::time_point before = std::chrono::steady_clock::now();
+        const Microseconds before = cpuTime();
         const std::vector<planning::Decision> decisions = planner_.decide(time());
-        const Microseconds taken = std::chrono::duration_cast<Microseconds>(std::chrono::steady_clock::now() - before);
+        const Microseconds taken = cpuTime() - before;
         placed_ = 0;
         for (const planning::Decision &decision : decisions) {
             if (const Place *place = std::get_if<Place>(&decision)) {
--- a/src/knapweedbench/simulation.cpp
+++ b/src/knapweedbench/simulation.cpp
@@ -2,6 +2,7 @@
 
 #include "simulation.h"
 
+#include "cputime.h"
 #include "fragmentation.h"
 #include "owedshapes.h"
 
@@ -352,9 +353,9 @@
 
 void Simulation::decide()
 {
-    const std::chrono::steady_clock::time_point before = std::chrono::steady_clock::now();
+    const Microseconds before = cpuTime();
     const std::vector<Decision> decisions = scheduler_.decide(timeAt(now_));
-    result_.rounds.push_back(std::chrono::duration_cast<Microseconds>(std::chrono::steady_clock::now() - before));
+    result_.rounds.push_back(cpuTime() - before);
     for (const Decision &decision : decisions) {
         if (const Place *place = std::get_if<Place>(&decision)) {
             start(*place);
--- a/src/libknapweed/planning/inventory.cpp
+++ b/src/libknapweed/planning/inventory.cpp
@@ -382,13 +382,13 @@
     }
 }
 
-bool Inventory::isReported(const Gang &gang) const
+bool Inventory::isReported(GangIndex gang) const
 {
-    const GangIndex index = gangIndex(gang.job);
-    return std::any_of(gang.workers.begin(), gang.workers.end(), [&](WorkerIndex worker) {
+    const std::vector<WorkerIndex> &places = gangs_[gang].workers;
+    return std::any_of(places.begin(), places.end(), [&](WorkerIndex worker) {
         const std::vector<PlacedPart> &parts = workers_[worker].parts;
-        return std::any_of(parts.begin(), parts.end(), [index](const PlacedPart &part) {
-            return part.gang == index && part.reported;
+        return std::any_of(parts.begin(), parts.end(), [gang](const PlacedPart &part) {
+            return part.gang == gang && part.reported;
         });
     });
 }
--- a/src/libknapweed/planning/inventory.h
+++ b/src/libknapweed/planning/inventory.h
@@ -132,7 +132,7 @@
     /// Sets how reports' account names become indices.
     void setAccounts(std::map<std::string, AccountIndex> accounts);
 
-    bool isReported(const Gang &gang) const;
+    bool isReported(GangIndex gang) const;
 
 private:
     void index(WorkerIndex worker);
--- a/src/libknapweed/planning/planner.cpp
+++ b/src/libknapweed/planning/planner.cpp
@@ -25,10 +25,8 @@
     state.policy = std::move(policy);
     state.isLayoutStale = true;
     state.accounts.clear();
-    state.totalWeight = 0;
     for (const auto &[name, account] : state.policy.accounts) {
         state.accounts.emplace(name, static_cast<AccountIndex>(state.accounts.size()));
-        state.totalWeight += account.weight;
     }
     state.inventory.setAccounts(state.accounts);
     for (std::size_t worker = 0; worker < state.inventory.workers().size(); ++worker) {
--- a/src/libknapweed/planning/preemption.cpp
+++ b/src/libknapweed/planning/preemption.cpp
@@ -234,7 +234,7 @@
 {
     const Gang &running = inventory.gang(gang);
     const Part &part = running.description;
-    if ((!part.checkpointable && !part.repeatable) || !inventory.isReported(running)) {
+    if ((!part.checkpointable && !part.repeatable) || !inventory.isReported(gang)) {
         return -1;
     }
     if (running.preemptedAt != MonotonicTime {} && now - running.preemptedAt < askedRecently) {
--- a/src/libknapweed/planning/round.cpp
+++ b/src/libknapweed/planning/round.cpp
@@ -25,7 +25,8 @@
 constexpr int newStartLimit = 8; ///< searches in one round
 constexpr Milliseconds startReview {1000}; ///< interval at which a kept start looks for earlier ground
 constexpr Milliseconds startGain {5000}; ///< it moves only to ground that is free this much earlier
-constexpr std::size_t decisionLimit = 2000; ///< of one round
+constexpr int comparedBlocks = 8; ///< blocks whose reclaim is compared for one job
+constexpr std::size_t decisionLimit = 500; ///< of one round; the next goes on
 constexpr double medianShare = 0.5;
 constexpr double lateShare = 0.9; ///< of a kind's runs end by the time that backfill counts with
 
@@ -75,7 +76,7 @@
     for (const RankedClass &ranked : rank()) {
         JobClass *jobClass = state_.queue.classByKey(ranked.key);
         if (jobClass != nullptr && !refuseWhatNeverFits(*jobClass)) {
-            placeClass(ranked.key);
+            placeClass(*jobClass);
         }
     }
     return std::move(decisions_);
@@ -107,16 +108,18 @@
     }
     state_.layout = layReservations(state_.policy, workers, state_.layout.home);
     state_.blocks = applyReservations(state_.inventory, state_.layout.current, state_.accounts);
+    state_.accountBlocks.assign(state_.accounts.size(), {0, 0});
+    for (std::size_t place = 0; place < state_.blocks.size(); ++place) {
+        auto &[first, end] = state_.accountBlocks[state_.blocks[place].account];
+        first = end == 0 ? place : first;
+        end = place + 1;
+    }
 }
 
-double Round::overuse(const std::string &account) const
+double Round::weightOf(const std::string &account) const
 {
     const auto found = state_.policy.accounts.find(account);
-    if (found == state_.policy.accounts.end() || found->second.weight <= 0 || state_.fleetAccelerators == 0) {
-        return 0;
-    }
-    const double fairShare = found->second.weight / state_.totalWeight * state_.fleetAccelerators;
-    return std::max(0.0, state_.inventory.acceleratorsOf(accountIndex(state_, account)) / fairShare - 1);
+    return found == state_.policy.accounts.end() || found->second.weight <= 0 ? 1 : found->second.weight;
 }
 
 std::vector<RankedClass> Round::rank() const
@@ -126,7 +129,7 @@
     for (const std::unique_ptr<JobClass> &jobClass : state_.queue.classes()) {
         const WaitingJob &job = jobClass->front();
         const Milliseconds run = state_.estimates.quantile(job.account, job.kind, job.declaredRun, medianShare);
-        ranked.push_back({jobClass->key, job.urgent, isOwed(job), priorityOf(job, now_, run, overuse(job.account)), job.enqueuedAt});
+        ranked.push_back({jobClass->key, job.urgent, isOwed(job), priorityOf(job, now_, run, weightOf(job.account)), job.enqueuedAt});
     }
     sortByRank(ranked);
     return ranked;
@@ -241,41 +244,34 @@
     }
 }
 
-void Round::placeClass(const std::string &key)
+void Round::placeClass(JobClass &jobClass)
 {
-    while (decisions_.size() < decisionLimit) {
-        JobClass *jobClass = state_.queue.classByKey(key);
-        if (jobClass == nullptr) {
-            return;
-        }
-        const std::uint64_t changes = state_.inventory.releases() + state_.inventory.membership();
-        if (jobClass->triedChanges == changes && now_ < jobClass->triedAt + retryInterval) {
-            return;
-        }
-        const WaitingJob *job = nextOf(*jobClass);
-        if (job == nullptr) {
+    const std::uint64_t changes = state_.inventory.releases() + state_.inventory.membership();
+    if (jobClass.triedChanges == changes && now_ < jobClass.triedAt + retryInterval) {
+        return;
+    }
+    for (auto position = jobClass.jobs.begin(); decisions_.size() < decisionLimit;) {
+        const WaitingJob &job = position->second;
+        ++position;
+        const bool isLast = position == jobClass.jobs.end(); // placing the last job ends the class
+        if (!state_.claims.contains(job.id) && !placeOrClaim(job)) {
+            noteUnplaced(jobClass, job);
             return;
         }
-        if (!placeOrClaim(*job)) {
-            jobClass->triedAt = now_;
-            jobClass->triedChanges = changes;
-            jobClass->waitReason = "no free accelerators that fit the shape";
-            if (state_.starts.find(job->id) == nullptr) {
-                keepStart(*job);
-            }
+        if (isLast) {
             return;
         }
     }
 }
 
-const WaitingJob *Round::nextOf(const JobClass &jobClass) const
+void Round::noteUnplaced(JobClass &jobClass, const WaitingJob &job)
 {
-    for (const auto &[time, job] : jobClass.jobs) {
-        if (!state_.claims.contains(job.id)) {
-            return &job;
-        }
+    jobClass.waitReason = "no free accelerators that fit the shape";
+    if (state_.starts.find(job.id) == nullptr) {
+        keepStart(job);
     }
-    return nullptr;
+    jobClass.triedAt = now_;
+    jobClass.triedChanges = state_.inventory.releases() + state_.inventory.membership();
 }
 
 Search Round::searchFor(const WaitingJob &job, const Ground &ground) const
@@ -293,11 +289,21 @@
     return search;
 }
 
+std::span<const Block> Round::blocksOf(const std::string &account) const
+{
+    const AccountIndex index = accountIndex(state_, account);
+    if (index == noIndex || static_cast<std::size_t>(index) >= state_.accountBlocks.size()) {
+        return {};
+    }
+    const auto [first, end] = state_.accountBlocks[index];
+    return std::span<const Block>(state_.blocks).subspan(first, end - first);
+}
+
 bool Round::isOwed(const WaitingJob &job) const
 {
-    const AccountIndex account = accountIndex(state_, job.account);
-    return std::any_of(state_.blocks.begin(), state_.blocks.end(), [&](const Block &block) {
-        return block.account == account && fills(block, job.shape) && !isInUse(state_.inventory, block);
+    const std::span<const Block> blocks = blocksOf(job.account);
+    return std::any_of(blocks.begin(), blocks.end(), [&](const Block &block) {
+        return fills(block, job.shape) && !isInUse(state_.inventory, block);
     });
 }
 
@@ -330,13 +336,22 @@
     return true;
 }
 
+bool Round::hasOpenRoom(const Block &block, const Shape &shape) const
+{
+    int open = 0;
+    for (const PlannedPart &part : block.parts) {
+        open += countOf(part.accelerators & state_.inventory.workers()[part.worker].open);
+    }
+    return open >= acceleratorsOf(shape);
+}
+
 bool Round::placeInOwnBlock(const WaitingJob &job)
 {
     const AccountIndex account = accountIndex(state_, job.account);
     PreemptionSearch search {searchFor(job, ownGround(account)), &state_.blocks, nullptr, now_};
     search.search.ignoresStarts = true;
-    for (const Block &block : state_.blocks) {
-        if (block.account != account || !fills(block, job.shape) || isInUse(state_.inventory, block)) {
+    for (const Block &block : blocksOf(job.account)) {
+        if (!hasOpenRoom(block, job.shape) || !fills(block, job.shape) || isInUse(state_.inventory, block)) {
             continue;
         }
         search.within = &block;
@@ -355,12 +370,17 @@
     PreemptionSearch search {searchFor(job, ownGround(account)), &state_.blocks, nullptr, now_};
     search.search.ignoresStarts = true;
     std::optional<PreemptionPlan> best;
-    for (const Block &block : state_.blocks) {
-        if (block.account != account || !fills(block, job.shape) || isInUse(state_.inventory, block)) {
+    int compared = 0;
+    for (const Block &block : blocksOf(job.account)) {
+        if (!fills(block, job.shape) || isInUse(state_.inventory, block)) {
             continue;
         }
+        if (compared == comparedBlocks) {
+            break;
+        }
         search.within = &block;
         std::optional<PreemptionPlan> plan = findPreemption(state_.inventory, search);
+        compared += plan ? 1 : 0;
         if (plan && (!best || plan->cost < best->cost)) {
             best = std::move(plan);
         }
@@ -403,7 +423,7 @@
 {
     for (const std::string &victim : claim.victims) {
         const GangIndex index = state_.inventory.gangIndex(victim);
-        if (index == noIndex || !state_.inventory.isReported(state_.inventory.gang(index))) {
+        if (index == noIndex || !state_.inventory.isReported(index)) {
             continue;
         }
         Gang &gang = state_.inventory.gang(index);
--- a/src/libknapweed/planning/round.h
+++ b/src/libknapweed/planning/round.h
@@ -14,6 +14,7 @@
 #include "planning/workerhealth.h"
 
 #include <map>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -24,12 +25,12 @@
 {
     Policy policy;
     std::map<std::string, AccountIndex> accounts;
-    double totalWeight = 0;
     Inventory inventory;
     JobQueue queue;
     RunEstimates estimates;
     ReservationLayout layout;
-    std::vector<Block> blocks; ///< the current layout on the inventory
+    std::vector<Block> blocks; ///< the current layout on the inventory, each account's together
+    std::vector<std::pair<std::size_t, std::size_t>> accountBlocks; ///< the first of an account's blocks and the one after its last
     ClaimBook claims;
     StartBook starts;
     WorkerHealth health;
@@ -54,17 +55,18 @@
     void reviewHealth();
     void layGround();
     std::vector<RankedClass> rank() const;
-    double overuse(const std::string &account) const;
+    double weightOf(const std::string &account) const;
     bool refuseWhatNeverFits(JobClass &jobClass);
     void tendClaims();
     bool tendClaim(Claim &claim);
     void tendStarts();
     void keepStart(const WaitingJob &job);
     StartContext startContext() const;
-    void placeClass(const std::string &key);
-    const WaitingJob *nextOf(const JobClass &jobClass) const;
+    void placeClass(JobClass &jobClass);
+    void noteUnplaced(JobClass &jobClass, const WaitingJob &job);
     bool placeOrClaim(const WaitingJob &job);
     bool tryPlace(const WaitingJob &job, const Ground &ground);
+    bool hasOpenRoom(const Block &block, const Shape &shape) const;
     bool placeInOwnBlock(const WaitingJob &job);
     bool claimOwnBlock(const WaitingJob &job);
     bool claimAnywhere(const WaitingJob &job);
@@ -73,6 +75,7 @@
     void place(const WaitingJob &job, const std::vector<PlannedPart> &parts);
     Search searchFor(const WaitingJob &job, const Ground &ground) const;
     bool isOwed(const WaitingJob &job) const;
+    std::span<const Block> blocksOf(const std::string &account) const;
 
     PlannerState &state_;
     MonotonicTime now_;
--- a/src/libknapweed/planning/roundorder.cpp
+++ b/src/libknapweed/planning/roundorder.cpp
@@ -8,11 +8,11 @@
 namespace knapweed::planning
 {
 
-double priorityOf(const WaitingJob &job, MonotonicTime now, Milliseconds run, double overuse)
+double priorityOf(const WaitingJob &job, MonotonicTime now, Milliseconds run, double weight)
 {
     const double waited = std::max(0.0, std::chrono::duration<double>(now - job.enqueuedAt).count());
     const double running = std::max(0.1, std::chrono::duration<double>(run).count());
-    return (waited + running) / running / (1 + overuse);
+    return (waited + running) / running * weight;
 }
 
 void sortByRank(std::vector<RankedClass> &classes)
--- a/src/libknapweed/planning/roundorder.h
+++ b/src/libknapweed/planning/roundorder.h
@@ -19,9 +19,8 @@
     MonotonicTime enqueuedAt;
 };
 
-/// How urgent it is to finish the job soon: the ratio of its expected completion time to its expected run time, less for accounts that hold
-/// more of the fleet than their weight gives them.
-double priorityOf(const WaitingJob &job, MonotonicTime now, Milliseconds run, double overuse);
+/// How urgent it is to finish the job soon: the ratio of its expected completion time to its expected run time, times its account's weight.
+double priorityOf(const WaitingJob &job, MonotonicTime now, Milliseconds run, double weight);
 
 void sortByRank(std::vector<RankedClass> &classes);
 
