--- a/src/libknapweed/planning/inventory.cpp
+++ b/src/libknapweed/planning/inventory.cpp
@@ -164,6 +164,7 @@
     const GangIndex index = obtainGang(job.id);
     Gang &gang = gangs_[index];
     gang.account = account;
+    gang.isUrgent = job.urgent;
     gang.placedAt = now;
     gang.plannedUntil = expiry;
     gang.description.job = job.id;
@@ -462,42 +463,4 @@
     return isKnown ? used_[account] : 0;
 }
 
-AcceleratorSet claimedAgainst(const WorkerState &state, const std::string &job)
-{
-    AcceleratorSet claimed = 0;
-    for (const HeldGround &ground : state.held) {
-        if (ground.isClaim && ground.job != job) {
-            claimed |= ground.accelerators;
-        }
-    }
-    return claimed;
-}
-
-AcceleratorSet heldAgainst(const WorkerState &state, const std::string &job, MonotonicTime end)
-{
-    AcceleratorSet held = 0;
-    for (const HeldGround &ground : state.held) {
-        if (ground.job != job && (ground.isClaim || end > ground.until)) {
-            held |= ground.accelerators;
-        }
-    }
-    return held;
-}
-
-AcceleratorSet reservedFor(const WorkerState &state, AccountIndex account)
-{
-    AcceleratorSet own = 0;
-    for (const ReservedGround &ground : state.reserved) {
-        if (ground.account == account) {
-            own |= ground.accelerators;
-        }
-    }
-    return own;
-}
-
-AcceleratorSet reservedForOthers(const WorkerState &state, AccountIndex account)
-{
-    return state.reservedSet & ~reservedFor(state, account);
-}
-
 } // namespace knapweed::planning
--- a/src/libknapweed/planning/inventory.h
+++ b/src/libknapweed/planning/inventory.h
@@ -75,6 +75,7 @@
     Part description; ///< of the newest report, or of the placement
     AccountIndex account = noIndex;
     std::vector<WorkerIndex> workers; ///< one entry for each worker that holds a part; no doubles
+    bool isUrgent = false;
     MonotonicTime placedAt;
     MonotonicTime plannedUntil; ///< parts that no report has shown are dropped then
     MonotonicTime preemptedAt; ///< the last time that it was asked to go; zero when never
--- a/src/libknapweed/planning/placement.cpp
+++ b/src/libknapweed/planning/placement.cpp
@@ -11,6 +11,22 @@
 namespace
 {
 
+AcceleratorSet groundOf(const WorkerState &worker, const Ground &ground)
+{
+    AcceleratorSet allowed = worker.all;
+    const AcceleratorSet own = reservedFor(worker, ground.account);
+    if (!ground.mayUseUnreserved) {
+        allowed &= worker.reservedSet;
+    }
+    if (!ground.mayUseOwnBlocks) {
+        allowed &= ~own;
+    }
+    if (!ground.mayBorrow) {
+        allowed &= ~(worker.reservedSet & ~own);
+    }
+    return allowed;
+}
+
 constexpr int candidateLimit = 24; ///< feasible workers that are compared
 
 struct Candidate
@@ -169,14 +185,14 @@
     return parts;
 }
 
-int emptyRoom(const WorkerState &state, const Shape &shape)
+int emptyRoom(const WorkerState &state, const Shape &shape, const Ground &ground)
 {
     if (!state.present) {
         return 0;
     }
     int room = state.report.slots;
     if (shape.acceleratorsPerTask > 0) {
-        room = std::min(room, countOf(state.all) / shape.acceleratorsPerTask);
+        room = std::min(room, countOf(groundOf(state, ground)) / shape.acceleratorsPerTask);
     }
     if (shape.processorsPerTask > 0) {
         room = std::min(room, state.report.processors / shape.processorsPerTask);
@@ -191,17 +207,7 @@
 
 AcceleratorSet allowedSet(const WorkerState &worker, const Search &search)
 {
-    AcceleratorSet allowed = worker.all;
-    const AcceleratorSet own = reservedFor(worker, search.ground.account);
-    if (!search.ground.mayUseUnreserved) {
-        allowed &= worker.reservedSet;
-    }
-    if (!search.ground.mayUseOwnBlocks) {
-        allowed &= ~own;
-    }
-    if (!search.ground.mayBorrow) {
-        allowed &= ~(worker.reservedSet & ~own);
-    }
+    AcceleratorSet allowed = groundOf(worker, search.ground);
     if (!worker.held.empty()) {
         const std::string &job = search.job->id;
         allowed &= ~(search.ignoresStarts ? claimedAgainst(worker, job) : heldAgainst(worker, job, search.estimatedEnd));
@@ -239,6 +245,11 @@
 }
 
 bool fleetCanHold(const Inventory &inventory, const Shape &shape)
+{
+    return groundCanHold(inventory, shape, {noIndex, true, true, true});
+}
+
+bool groundCanHold(const Inventory &inventory, const Shape &shape, const Ground &ground)
 {
     if (shape.tasks < 1 || shape.acceleratorsPerTask < 0) {
         return false;
@@ -248,7 +259,7 @@
     for (const std::vector<WorkerIndex> &rack : inventory.racks()) {
         std::int64_t inRack = 0;
         for (const WorkerIndex worker : rack) {
-            const int room = emptyRoom(inventory.workers()[worker], shape);
+            const int room = emptyRoom(inventory.workers()[worker], shape, ground);
             if (onOneWorker && room >= shape.tasks) {
                 return true;
             }
--- a/src/libknapweed/planning/placement.h
+++ b/src/libknapweed/planning/placement.h
@@ -43,4 +43,7 @@
 /// Whether the known workers could hold @p shape if nothing ran.
 bool fleetCanHold(const Inventory &inventory, const Shape &shape);
 
+/// The same on the ground that @p ground allows.
+bool groundCanHold(const Inventory &inventory, const Shape &shape, const Ground &ground);
+
 } // namespace knapweed::planning
--- a/src/libknapweed/planning/preemption.cpp
+++ b/src/libknapweed/planning/preemption.cpp
@@ -90,6 +90,9 @@
             const bool isKnown = std::any_of(candidates.begin(), candidates.end(), [&part](const Candidate &candidate) {
                 return candidate.gang == part.gang;
             });
+            if (search_.within == nullptr && inventory_.gang(part.gang).isUrgent) {
+                continue; // only a block's owner goes before an urgent job, or two urgent jobs would preempt each other for ever
+            }
             const double cost = isVictim(part.gang) ? 0 : preemptionCost(inventory_, *search_.blocks, part.gang, search_.now);
             if (!isKnown && cost >= 0) {
                 candidates.push_back({part.gang, cost});
--- a/src/libknapweed/planning/round.cpp
+++ b/src/libknapweed/planning/round.cpp
@@ -170,10 +170,19 @@
     }
 }
 
+/// False when the ground has become reserved for others and the job can't be preempted.
+bool Round::mayUse(const WaitingJob &job, const std::vector<PlannedPart> &parts) const
+{
+    const AccountIndex account = accountIndex(state_, job.account);
+    return isPreemptible(job) || std::none_of(parts.begin(), parts.end(), [&](const PlannedPart &part) {
+        return (part.accelerators & reservedForOthers(state_.inventory.workers()[part.worker], account)) != 0;
+    });
+}
+
 bool Round::tendClaim(Claim &claim)
 {
     const WaitingJob *job = state_.queue.find(claim.job);
-    if (job == nullptr) {
+    if (job == nullptr || !mayUse(*job, claim.parts)) {
         return false;
     }
     if (isCleared(state_.inventory, claim, job->shape)) {
@@ -205,7 +214,7 @@
         const bool isUsable = std::all_of(kept.parts.begin(), kept.parts.end(), [this](const PlannedPart &part) {
             return state_.inventory.workers()[part.worker].usable;
         });
-        if (job == nullptr || !isUsable || state_.claims.contains(id)) {
+        if (job == nullptr || !isUsable || !mayUse(*job, kept.parts) || state_.claims.contains(id)) {
             state_.starts.release(state_.inventory, id);
             continue;
         }
@@ -266,7 +275,9 @@
 
 void Round::noteUnplaced(JobClass &jobClass, const WaitingJob &job)
 {
-    jobClass.waitReason = "no free accelerators that fit the shape";
+    const bool hasGround = isPreemptible(job) || groundCanHold(state_.inventory, job.shape, ownGround(accountIndex(state_, job.account)));
+    jobClass.waitReason = hasGround ? "no free accelerators that fit the shape"
+                                    : "the accelerators that could hold it are reserved for other accounts, and it can't be preempted";
     if (state_.starts.find(job.id) == nullptr) {
         keepStart(job);
     }
@@ -323,6 +334,11 @@
     if (isPreemptible(job) && (tryPlace(job, ownGround(account)) || tryPlace(job, anyGround(account)))) {
         return true;
     }
+    // A job that can't be preempted is kept off its account's blocks, unless no other ground could ever hold it.
+    const bool hasGround = isPreemptible(job) || groundCanHold(state_.inventory, job.shape, unreservedGround(account));
+    if (!hasGround && tryPlace(job, ownGround(account))) {
+        return true;
+    }
     return job.urgent && claimAnywhere(job);
 }
 
@@ -428,7 +444,7 @@
         }
         Gang &gang = state_.inventory.gang(index);
         if (!gang.description.checkpointable && !gang.description.repeatable) {
-            std::abort(); // invariant: a gang that can't be run again is never preempted
+            continue; // a newer report says that it can't be run again, so it is never preempted
         }
         if (gang.preemptedAt == MonotonicTime {}) {
             gang.preemptedAt = now_;
--- a/src/libknapweed/planning/round.h
+++ b/src/libknapweed/planning/round.h
@@ -59,6 +59,7 @@
     bool refuseWhatNeverFits(JobClass &jobClass);
     void tendClaims();
     bool tendClaim(Claim &claim);
+    bool mayUse(const WaitingJob &job, const std::vector<PlannedPart> &parts) const;
     void tendStarts();
     void keepStart(const WaitingJob &job);
     StartContext startContext() const;
--- a/tests/planning/reclaimtest.cpp
+++ b/tests/planning/reclaimtest.cpp
@@ -129,3 +129,58 @@
     LONGS_EQUAL(first.size(), second.size());
     STRCMP_EQUAL(first[0].job.c_str(), second[0].job.c_str());
 }
+
+/// Found by RandomHistories with RC_PARAMS="max_success=4000 seed=7".
+TEST(Reclaim, aClaimEndsWhenItsGroundBecomesReservedForOthers)
+{
+    planner_.setPolicy({});
+    add("other-0", "other", {1, 8, 0, 0, Adjacency::None}, true, false);
+    add("other-1", "other", {1, 8, 0, 0, Adjacency::None}, true, false);
+    LONGS_EQUAL(2, only<Place>(run(10)).size());
+    WaitingJob urgent = makeJob("once-urgent", 1, 8);
+    urgent.repeatable = false;
+    urgent.urgent = true;
+    planner_.addJob(urgent);
+    const std::vector<Preempt> preempted = only<Preempt>(run(100));
+    LONGS_EQUAL(1, preempted.size());
+    Policy policy;
+    policy.accounts["other"] = {1, {{2, 8, 0, 0, Adjacency::Rack}}};
+    planner_.setPolicy(policy);
+    stop(200, preempted[0].job);
+    LONGS_EQUAL(0, only<Place>(run(200)).size());
+    STRCMP_CONTAINS("reserved for other accounts", planner_.waitReason("once-urgent").c_str());
+}
+
+/// Found by RandomHistories with RC_PARAMS="max_success=4000 seed=7", as two urgent jobs that never ended.
+TEST(Reclaim, urgentJobsDoNotPreemptEachOther)
+{
+    planner_.setPolicy({});
+    for (const char *id : {"other-first", "other-second", "other-third"}) {
+        WaitingJob urgent = makeJob(id, 1, 8);
+        urgent.account = "other";
+        urgent.urgent = true;
+        planner_.addJob(urgent);
+    }
+    LONGS_EQUAL(2, only<Place>(run(10)).size());
+    const std::vector<Decision> later = run(5000);
+    LONGS_EQUAL(0, only<Preempt>(later).size());
+    LONGS_EQUAL(1, planner_.waitingJobs());
+}
+
+/// Found by RandomHistories with RC_PARAMS="max_success=4000 seed=7": the start was kept on ground that its job could no longer use.
+TEST(Reclaim, aKeptStartEndsWhenItsGroundBecomesReservedForOthers)
+{
+    planner_.setPolicy({});
+    add("other-0", "other", {1, 8, 0, 0, Adjacency::None}, true, false);
+    add("other-1", "other", {1, 8, 0, 0, Adjacency::None}, true, false);
+    LONGS_EQUAL(2, only<Place>(run(10)).size());
+    add("once-waits", "unknown", {1, 8, 0, 0, Adjacency::None}, false, false);
+    LONGS_EQUAL(0, run(20).size());
+    Policy policy;
+    policy.accounts["owner"] = {1, {{2, 8, 0, 0, Adjacency::Rack}}};
+    planner_.setPolicy(policy);
+    stop(200, "other-0");
+    stop(200, "other-1");
+    add("other-2", "other", {2, 8, 0, 0, Adjacency::Rack}, true, false);
+    LONGS_EQUAL(1, only<Place>(run(200)).size());
+}
