--- a/src/libknapweed/base/address.h
+++ b/src/libknapweed/base/address.h
@@ -1,9 +1,9 @@
 // The address of a process: an IP number and a TCP port.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace knapweed
 {
@@ -13,7 +13,12 @@
     std::string ip;
     std::uint16_t port = 0;
 
-    auto operator<=>(const Address &) const = default;
+    bool operator==(const Address &) const = default;
+
+    bool operator<(const Address &other) const
+    {
+        return std::tie(ip, port) < std::tie(other.ip, other.port);
+    }
 };
 
 /// "127.0.0.1:8080".
