--- a/src/libknapweed/base/address.h
+++ b/src/libknapweed/base/address.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace knapweed
 {
@@ -12,8 +13,12 @@
     std::string ip;
     std::uint16_t port = 0;
 
-    bool operator==(const Address &other) const = default;
-    bool operator<(const Address &other) const;
+    bool operator==(const Address &) const = default;
+
+    bool operator<(const Address &other) const
+    {
+        return std::tie(ip, port) < std::tie(other.ip, other.port);
+    }
 };
 
 /// "127.0.0.1:8080".
