Take only expired records for a gap of the configuration's fold

Cause: a record that can't be read at the start of the log looked like expired ones. Ruled out: giving up the unknown place after a gap; expired records may have held changes. Change: apply() takes no gap from offsets; the table's cases say Lost, and one case begins with unreadable records.

--- a/src/libknapweed/operators/configurationfold.cpp
+++ b/src/libknapweed/operators/configurationfold.cpp
@@ -33,9 +33,6 @@
     if (offset < nextOffset_) {
         return Verdict::Ignored;
     }
-    if (nextOffset_ == 0 && offset > 0) {
-        skipTo(offset);
-    }
     nextOffset_ = offset + 1;
     if (const ConfigurationRecord *change = std::get_if<ConfigurationRecord>(&record)) {
         return applyChange(offset, *change);
--- a/src/libknapweed/operators/configurationfold.h
+++ b/src/libknapweed/operators/configurationfold.h
@@ -39,7 +39,8 @@
     /// raises the version or makes the place known.
     Verdict apply(std::int64_t offset, const Record &record);
 
-    /// The follower has found that the records before @p offset have expired unread.
+    /// The follower has found that the records before @p offset have expired unread. Offsets that are merely passed over, because their records can't be
+    /// read, are no gap: every process passes over them.
     void skipTo(std::int64_t offset);
 
     /// Takes a configuration that a peer offers; does so only when it is newer than the one in force and well formed.
--- a/tests/operators/configurationfoldtest.cpp
+++ b/tests/operators/configurationfoldtest.cpp
@@ -116,12 +116,14 @@
         }},
     {"records have expired and a snapshot is found",
         {
+            {100, Lost {}, Verdict::Ignored, 0, -1},
             {100, snapshot(7, 17, 100), Verdict::Accepted, 7, 17},
             {101, change(6, 99), Verdict::Stale, 7, 17},
             {102, change(7, 18), Verdict::Accepted, 8, 18},
         }},
     {"changes before the first snapshot are judged once it is read",
         {
+            {100, Lost {}, Verdict::Ignored, 0, -1},
             {100, change(7, 18), Verdict::Ignored, 0, -1},
             {101, change(7, 99), Verdict::Ignored, 0, -1},
             {102, snapshot(7, 17, 100), Verdict::Accepted, 8, 18},
@@ -129,6 +131,7 @@
         }},
     {"a change that was stale at its place stays so when a snapshot covers it",
         {
+            {100, Lost {}, Verdict::Ignored, 0, -1},
             {100, change(8, 99), Verdict::Ignored, 0, -1},
             {101, change(7, 18), Verdict::Ignored, 0, -1},
             {102, snapshot(8, 18, 102), Verdict::Accepted, 8, 18},
@@ -136,6 +139,7 @@
         }},
     {"a snapshot that leaves a gap is taken as a configuration, but not as the place of the log",
         {
+            {100, Lost {}, Verdict::Ignored, 0, -1},
             {100, change(8, 99), Verdict::Ignored, 0, -1},
             {101, snapshot(7, 17, 98), Verdict::Accepted, 7, 17},
             {102, change(7, 98), Verdict::Ignored, 7, 17},
@@ -151,6 +155,11 @@
             {4, snapshot(3, -5, 4), Verdict::Invalid, 2, 12},
             {5, change(2, 13), Verdict::Accepted, 3, 13},
         }},
+    {"the first records of the log can't be read",
+        {
+            {3, change(0, 11), Verdict::Accepted, 1, 11},
+            {5, change(1, 12), Verdict::Accepted, 2, 12},
+        }},
     {"the follower loses records to expiry in the middle",
         {
             {0, change(0, 11), Verdict::Accepted, 1, 11},
