Say in status of how many processes the version is not known

Cause: with an entry that does not report the versions of processes, status said in force at 0 of 2, which is not so.

--- a/src/libknapweed/tool/statustext.cpp
+++ b/src/libknapweed/tool/statustext.cpp
@@ -127,17 +127,21 @@
 {
     const std::string version = orDash(textMember(configuration, "version"));
     std::size_t current = 0;
+    std::size_t silent = 0; // processes of which the entry doesn't say what they have
     std::string others;
     for (const nlohmann::json &process : processes) {
         const std::string known = orDash(textMember(process, "configuration_version"));
-        if (known == version) {
+        if (known == "-") {
+            ++silent;
+        } else if (known == version) {
             ++current;
         } else {
             others += "  " + orDash(textMember(process, "role")) + ' ' + orDash(textMember(process, "address")) + " has version " + known + '\n';
         }
     }
     std::string text = "Configuration: version " + version + " by " + orDash(textMember(configuration, "author"));
-    text += ", in force at " + std::to_string(current) + " of " + std::to_string(processes.size()) + " processes\n";
+    text += ", in force at " + std::to_string(current) + " of " + std::to_string(processes.size()) + " processes";
+    text += silent == 0 ? "\n" : ", not known of " + std::to_string(silent) + '\n';
     return text + others;
 }
 
