Renew the gang lease through the grace of a preemption

Cause: a lead that stops its gang renewed no more, so a grace longer than the lease was cut short by the lease: a trial without the end of the grace passed the preemption test, which showed it. Change: parts that write a checkpoint are renewed until the grace is over. The new test gives 6 s of grace under a lease of 3 s.

--- a/src/libknapweed/gangs/lead.cpp
+++ b/src/libknapweed/gangs/lead.cpp
@@ -177,7 +177,7 @@
 {
     Gang *gang = findGang(reply.attempt);
     GangMember *member = gang ? findMember(*gang, peer, reply.member) : nullptr;
-    if (!member || member->fence != reply.fence || member->report || gang->phase >= GangPhase::Stopping) {
+    if (!member || member->fence != reply.fence || member->report || gang->phase == GangPhase::Done) {
         return;
     }
     if (!reply.alive) {
--- a/src/libknapweed/gangs/leadsteps.cpp
+++ b/src/libknapweed/gangs/leadsteps.cpp
@@ -117,7 +117,7 @@
     const Milliseconds remaining = std::chrono::duration_cast<Milliseconds>(oldestHeard(gang) + gang.lease - now);
     for (std::int32_t index = 0; index < static_cast<std::int32_t>(gang.members.size()); ++index) {
         GangMember &member = gang.members[index];
-        if (member.report) {
+        if (member.report || member.stopped) {
             continue;
         }
         wire::RenewRequest request = requestFor<wire::RenewRequest>(gang, index);
@@ -134,7 +134,7 @@
 {
     MonotonicTime oldest = MonotonicTime::max();
     for (const GangMember &member : gang.members) {
-        oldest = member.report ? oldest : std::min(oldest, member.heardAt);
+        oldest = member.report || member.stopped ? oldest : std::min(oldest, member.heardAt);
     }
     return oldest == MonotonicTime::max() ? MonotonicTime::max() - gang.lease : oldest;
 }
@@ -207,7 +207,9 @@
 
 void Lead::advanceGang(MonotonicTime now, Gang &gang, Actions &actions)
 {
-    const bool renewed = gang.phase > GangPhase::Holding && gang.phase < GangPhase::Stopping;
+    // Parts that write a checkpoint run on under their lease until the grace is over.
+    const bool inGrace = gang.phase == GangPhase::Stopping && now < gang.enteredAt + gang.grace;
+    const bool renewed = (gang.phase > GangPhase::Holding && gang.phase < GangPhase::Stopping) || inGrace;
     if (renewed && now >= gang.nextRenewal) {
         sendRenewals(now, gang, actions);
     }
--- a/tests/gangs/lifecycletest.cpp
+++ b/tests/gangs/lifecycletest.cpp
@@ -229,6 +229,19 @@
     }
 }
 
+TEST(Lifecycle, aGraceLongerThanTheLeaseIsGivenWholeAndEnds)
+{
+    World world(35, 2, {});
+    world.worker(0).writesCheckpoints = false;
+    world.worker(1).writesCheckpoints = false;
+    const AttemptKey key = world.submitOn({0, 1}, {{0}, {0}}, job("60000", true, true), lease);
+    world.run(Milliseconds(1000));
+    world.endAttempt(key, wire::StopReason::Preempted, Milliseconds(6000));
+    world.run(Milliseconds(8000));
+    CHECK(runTime(world, key, 0) >= Milliseconds(6900));
+    CHECK(runTime(world, key, 0) <= Milliseconds(7200));
+}
+
 TEST(Lifecycle, neverPreemptsWhatCanNeitherBeRepeatedNorGoOn)
 {
     World world(33, 1, {});
