Bound the nesting of job requests, check guarantees of new configurations, compare tokens in constant time

Change: the request reader uses the bounded JSON reader; accountOf compares every token; the entry gives checkGuarantees to the operators' interface.

--- a/src/knapweedstaged/entrytask.cpp
+++ b/src/knapweedstaged/entrytask.cpp
@@ -4,6 +4,7 @@
 
 #include "base/logging.h"
 #include "callers/jobid.h"
+#include "operators/guaranteecheck.h"
 #include "placement/rendezvous.h"
 #include "status.h"
 
@@ -85,6 +86,9 @@
     hooks.callAfter = [this](Milliseconds delay, std::function<void()> callback) {
         loop_.callAfter(delay, std::move(callback));
     };
+    hooks.check = [this](const Configuration &next) {
+        return checkGuarantees(configurationFold_.configuration(), next, plannerHost_.reports());
+    };
     OperatorApiOptions operatorOptions;
     operatorOptions.operatorToken = settings_.operatorToken;
     operatorApi_ = std::make_unique<OperatorApi>(configurationFold_, operatorOptions, std::move(hooks));
--- a/src/libknapweed/base/address.cpp
+++ b/src/libknapweed/base/address.cpp
@@ -3,16 +3,10 @@
 #include "base/address.h"
 
 #include <charconv>
-#include <tuple>
 
 namespace knapweed
 {
 
-bool Address::operator<(const Address &other) const
-{
-    return std::tie(ip, port) < std::tie(other.ip, other.port);
-}
-
 std::string toString(const Address &address)
 {
     return address.ip + ':' + std::to_string(address.port);
--- a/src/libknapweed/callers/callerapi.cpp
+++ b/src/libknapweed/callers/callerapi.cpp
@@ -3,6 +3,7 @@
 #include "callers/callerapi.h"
 
 #include "base/logging.h"
+#include "base/token.h"
 #include "callers/jobdocument.h"
 #include "callers/jobid.h"
 
@@ -68,21 +69,23 @@
 
 void CallerApi::setConfiguration(const Configuration &effective)
 {
-    accountsByToken_.clear();
+    accounts_.clear();
     for (const auto &[name, account] : effective.accounts) {
-        accountsByToken_.emplace(account.token, account);
+        accounts_.push_back(account);
     }
 }
 
 const ClientAccount *CallerApi::accountOf(const HttpRequest &request) const
 {
-    static const std::string scheme = "Bearer ";
-    const std::string authorization = header(request, "authorization");
-    if (authorization.rfind(scheme, 0) != 0) {
-        return nullptr;
+    const std::string token = bearerToken(request);
+    const ClientAccount *found = nullptr;
+    // Every account is compared, so that the time taken tells nothing of the tokens.
+    for (const ClientAccount &account : accounts_) {
+        if (isSameToken(token, account.token)) {
+            found = &account;
+        }
     }
-    const auto found = accountsByToken_.find(authorization.substr(scheme.size()));
-    return found == accountsByToken_.end() ? nullptr : &found->second;
+    return found;
 }
 
 bool CallerApi::handle(const HttpRequest &request, HttpResponder respond)
--- a/src/libknapweed/callers/callerapi.h
+++ b/src/libknapweed/callers/callerapi.h
@@ -64,7 +64,7 @@
     const PlannerHost &planner_;
     Metrics &metrics_;
     RateLimiter rateLimiter_;
-    std::map<std::string, ClientAccount> accountsByToken_;
+    std::vector<ClientAccount> accounts_;
     std::map<std::string, std::vector<Waiter>> waiters_; ///< by job
     std::size_t submitters_ = 0; ///< waiters that wait for Outcome or Acceptance
     bool isDraining_ = false;
--- a/src/libknapweed/callers/jobrequest.cpp
+++ b/src/libknapweed/callers/jobrequest.cpp
@@ -2,6 +2,8 @@
 
 #include "callers/jobrequest.h"
 
+#include "base/jsonreader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <functional>
@@ -125,7 +127,11 @@
 
 Result<JobRequest, RequestError> parseJobRequest(const std::string &body)
 {
-    const json document = json::parse(body, nullptr, false);
+    JsonReport report;
+    const json document = parseJson(body, report);
+    if (!report.faults.empty()) {
+        return RequestError {400, "bad_json", "", report.faults.front()};
+    }
     if (!document.is_object()) {
         return RequestError {400, "bad_json", "", "found a body that is not a JSON object"};
     }
--- a/tests/callers/jobrequesttest.cpp
+++ b/tests/callers/jobrequesttest.cpp
@@ -22,6 +22,13 @@
     CHECK(!request.deadline.has_value());
 }
 
+TEST(JobRequest, refusesDeepNestingAndNamesGivenTwice)
+{
+    const std::string deep = R"({"kind":)" + std::string(500000, '[') + std::string(500000, ']') + "}";
+    CHECK(!isOk(parseJobRequest(deep)));
+    CHECK(!isOk(parseJobRequest(R"({"kind":"a","kind":"b"})")));
+}
+
 TEST(JobRequest, namesTheFieldAtFault)
 {
     struct Case
