Plan only with connected entries, and leave a draining entry's jobs to it

An entry that had ended stayed in the roster for 10 s and could be chosen as planner, so queued jobs waited for it; a draining entry was left out of the live entries, so after 5 s another one claimed its jobs and ended them as unknown. Ruled out: slow jobs (all of at most 120 ms), the log (reachable all the while). Change: planner candidates are this process and connected entries that don't drain; claims look at all live entries, and a draining entry claims none.

--- a/src/knapweedstaged/entrytask.cpp
+++ b/src/knapweedstaged/entrytask.cpp
@@ -224,17 +224,26 @@
 
 void EntryTask::updateRoster()
 {
-    std::map<std::int64_t, std::string> entries;
+    std::map<std::int64_t, std::string> live;
+    std::map<std::int64_t, std::string> candidates;
     for (const wire::RosterEntry &process : peers_->roster()) {
-        if (process.role == wire::Role::Entry && !peers_->isDraining(process.address)) {
-            entries.emplace(process.incarnation, process.address);
+        if (process.role != wire::Role::Entry) {
+            continue;
+        }
+        live.emplace(process.incarnation, process.address);
+        const bool isReachable = process.address == self_ || peers_->isConnected(process.address);
+        if (isReachable && !peers_->isDraining(process.address)) {
+            candidates.emplace(process.incarnation, process.address);
         }
     }
     if (isDraining_) {
-        entries.erase(nonce_);
+        candidates.erase(nonce_);
+        live.clear();
     }
-    board_->setLiveEntries(entries);
-    planner_ = rendezvousChoice(cell, entries);
+    // A process that has ended stays in the roster for a while, so only a connected one can be the planner. A draining entry still finishes its own jobs, so
+    // they are not orphans; it takes over no others and plans no more.
+    board_->setLiveEntries(live);
+    planner_ = rendezvousChoice(cell, candidates);
     board_->setPlanner(monotonicNow(), planner_);
 }
 
