Start and stop both roles by one piece of code

Cause: agent.cpp and entry.cpp were the same but for the task; status.cpp wrote isInForce() again. Change: runTask() serves both roles; the status calls isInForce(). Behaviour stays as it was.

--- a/src/knapweedstaged/entry.cpp
+++ b/src/knapweedstaged/entry.cpp
@@ -3,31 +3,14 @@
 #include "entry.h"
 
 #include "entrytask.h"
-#include "termination.h"
-
-#include <cstdio>
-#include <memory>
+#include "runtask.h"
 
 namespace knapweed
 {
 
 int runEntry(const Settings &settings)
 {
-    // The signal task keeps a reference to the loop for as long as the process lives.
-    static std::unique_ptr<EntryTask> task;
-    task = std::make_unique<EntryTask>(settings);
-    if (!task->isListening()) {
-        std::fprintf(stderr, "listen: can't listen on %s\n", toString(settings.listen).c_str());
-        return 1;
-    }
-    watchTermination(task->loop(), []() {
-        task->drain();
-    });
-    std::printf("listening %s\n", toString(task->address()).c_str());
-    std::fflush(stdout);
-    task->run();
-    std::fflush(stdout);
-    return 0;
+    return runTask<EntryTask>(settings);
 }
 
 } // namespace knapweed
--- a/src/knapweedstaged/status.cpp
+++ b/src/knapweedstaged/status.cpp
@@ -86,13 +86,12 @@
 {
     json exceptions = json::array();
     for (const ConfigurationException &exception : sources.configuration.configuration().exceptions) {
-        const bool isInForce = !exception.expiresAt || *exception.expiresAt > now;
         exceptions.push_back({{"id", exception.id},
             {"subject", exception.subject},
             {"setting", exception.setting},
             {"reason", exception.reason},
             {"author", exception.author},
-            {"in_force", isInForce}});
+            {"in_force", isInForce(exception, now)}});
     }
     return exceptions;
 }
