Apply the configuration again when an exception expires, and only then

Cause: found on reading the whole change: the effective configuration was worked out and copied to the callers' side twice a second, whether anything had changed or not, while the planner was told of it only at the next change, so a worker's exclusion held there past its expiry. Ruled out: telling the planner twice a second too; it would lay out its policy anew each time. Change: nextExpiry() names the time; one function applies the configuration to callers, planner and board at a change and at that time. Not tried with a real exclusion that expires while processes run.

--- a/src/knapweedstaged/entrytask.cpp
+++ b/src/knapweedstaged/entrytask.cpp
@@ -203,13 +203,20 @@
     peers_->send(peer, offer);
 }
 
-void EntryTask::configurationChanged()
+void EntryTask::applyConfiguration()
 {
     const WallTime now = std::chrono::system_clock::now();
     const Configuration effective = effectiveConfiguration(configurationFold_.configuration(), now);
     callerApi_->setConfiguration(effective);
     plannerHost_.setConfiguration(effective);
     board_->setDefaults(effective.defaults);
+    nextExpiry_ = nextExpiry(configurationFold_.configuration(), now);
+    scheduleDecision();
+}
+
+void EntryTask::configurationChanged()
+{
+    applyConfiguration();
     peers_->setConfigurationVersion(configurationFold_.version());
     metrics_.set("configuration_version", static_cast<double>(configurationFold_.version()));
     for (const wire::RosterEntry &peer : peers_->roster()) {
@@ -218,7 +225,6 @@
         }
     }
     logEvent(LogLevel::Info, "configuration.in_force", {{"version", std::to_string(configurationFold_.version())}});
-    scheduleDecision();
 }
 
 void EntryTask::updateRoster()
@@ -335,7 +341,9 @@
 {
     updateRoster();
     writeSnapshotWhenDue();
-    callerApi_->setConfiguration(effectiveConfiguration(configurationFold_.configuration(), std::chrono::system_clock::now()));
+    if (std::chrono::system_clock::now() >= nextExpiry_) {
+        applyConfiguration();
+    }
     metrics_.set("queue_length", static_cast<double>(plannerHost_.waitingJobs()));
     metrics_.set("unfinished_jobs", static_cast<double>(board_->unfinishedJobs()));
     metrics_.set("peer_connections", static_cast<double>(peers_->connections()));
--- a/src/knapweedstaged/entrytask.h
+++ b/src/knapweedstaged/entrytask.h
@@ -46,6 +46,8 @@
     void offerConfiguration(const std::string &peer);
     void recordFolded(std::int64_t offset, const Record &record);
     void configurationChanged();
+    /// Tells the parts what is in force now; again when an exception expires.
+    void applyConfiguration();
     void updateRoster();
     void pump();
     void pumpBoard();
@@ -74,6 +76,7 @@
     bool isDecisionPosted_ = false;
     bool isDraining_ = false;
     bool isStopping_ = false;
+    WallTime nextExpiry_ = WallTime::max(); ///< when the configuration must be applied again
     TimerId tickTimer_ = 0; ///< 0 when none is armed
     Milliseconds armedInterval_ {0}; ///< of the armed timer
     MonotonicTime drainStartedAt_;
--- a/src/libknapweed/operators/configuration.cpp
+++ b/src/libknapweed/operators/configuration.cpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <functional>
 
 namespace knapweed
@@ -335,6 +336,17 @@
     return !exception.expiresAt || now < *exception.expiresAt;
 }
 
+WallTime nextExpiry(const Configuration &configuration, WallTime now)
+{
+    WallTime next = WallTime::max();
+    for (const ConfigurationException &exception : configuration.exceptions) {
+        if (exception.expiresAt && isInForce(exception, now)) {
+            next = std::min(next, *exception.expiresAt);
+        }
+    }
+    return next;
+}
+
 Configuration effectiveConfiguration(const Configuration &configuration, WallTime now)
 {
     Configuration effective = configuration;
--- a/src/libknapweed/operators/configuration.h
+++ b/src/libknapweed/operators/configuration.h
@@ -82,6 +82,9 @@
 
 bool isInForce(const ConfigurationException &exception, WallTime now);
 
+/// When the next exception that is in force at @p now expires; WallTime::max() when none will.
+WallTime nextExpiry(const Configuration &configuration, WallTime now);
+
 /// The configuration with the exceptions that are in force at @p now applied to accounts; it holds only these exceptions.
 Configuration effectiveConfiguration(const Configuration &configuration, WallTime now);
 
--- a/tests/operators/configurationtest.cpp
+++ b/tests/operators/configurationtest.cpp
@@ -148,6 +148,16 @@
     STRCMP_EQUAL("w3", excludedWorkers(configuration, expiry).at(0).c_str());
 }
 
+TEST(Configuration, namesTheNextExpiry)
+{
+    const Configuration configuration = value(parseConfiguration(sampleDocument().dump()));
+    const WallTime expiry = *parseTimestamp("2026-12-31T00:00:00Z");
+
+    CHECK(nextExpiry(configuration, expiry - Milliseconds(1)) == expiry);
+    CHECK(nextExpiry(configuration, expiry) == WallTime::max());
+    CHECK(nextExpiry(Configuration(), expiry) == WallTime::max());
+}
+
 TEST(Configuration, readsAndWritesTimes)
 {
     for (const char *text : {"2000-01-01T00:00:00Z", "2024-02-29T23:59:59Z", "2199-12-31T12:30:45Z"}) {
