--- a/src/knapweedstaged/agenttask.cpp
+++ b/src/knapweedstaged/agenttask.cpp
@@ -68,6 +68,16 @@
 
 AgentTask::~AgentTask() = default;
 
+Address AgentTask::wantedAddress() const
+{
+    return settings_.listen;
+}
+
+void AgentTask::reload()
+{
+    logEvent(LogLevel::Warning, "settings.unchanged", {{"reason", "this role reads its settings at start only"}});
+}
+
 PeerNetworkEvents AgentTask::networkEvents()
 {
     PeerNetworkEvents events;
--- a/src/knapweedstaged/agenttask.h
+++ b/src/knapweedstaged/agenttask.h
@@ -32,6 +32,7 @@
 
     /// False when the listening port can't be had.
     bool isListening() const;
+    Address wantedAddress() const;
     Address address() const;
     EventLoop &loop();
 
@@ -41,6 +42,9 @@
     /// Starts the graceful shutdown; called again, it changes nothing.
     void drain();
 
+    /// Settings are read at start only: says so in the log.
+    void reload();
+
 private:
     PeerNetworkEvents networkEvents();
     void startCore();
--- /dev/null
+++ b/src/knapweedstaged/callergate.h
@@ -0,0 +1,27 @@
+// The callers' HTTP interface of the cell on the platform: finds the queue, checks the key, and turns calls into messages to the scheduler.
+#pragma once
+
+#include "base/http.h"
+#include "base/httpserver.h"
+#include "callrelay.h"
+#include "cell/configuration.h"
+
+namespace knapweed
+{
+
+class CallerGate
+{
+public:
+    CallerGate(const cell::CellConfiguration &configuration, CallRelay &relay);
+
+    void handle(const HttpRequest &request, const HttpResponder &respond);
+
+private:
+    void submit(const cell::Queue &queue, const std::string &account, const std::string &job, const HttpRequest &request, const HttpResponder &respond);
+    void relay(wire::JobCall call, const HttpRequest &request, const HttpResponder &respond);
+
+    const cell::CellConfiguration &configuration_; ///< always the newest that this process has
+    CallRelay &relay_;
+};
+
+} // namespace knapweed
--- /dev/null
+++ b/src/knapweedstaged/cellagenttask.cpp
@@ -0,0 +1,133 @@
+// Wiring of the agent.
+
+#include "cellagenttask.h"
+
+#include "base/logging.h"
+#include "documents.h"
+#include "endpointcalls.h"
+
+namespace knapweed
+{
+
+namespace
+{
+
+constexpr Milliseconds tickInterval {100};
+constexpr const char *reportPath = "/-/instances/";
+
+} // namespace
+
+CellAgentTask::CellAgentTask(const cell::CellSettings &settings)
+    : settings_(settings)
+    , http_(loop_)
+{
+    peers_ = std::make_unique<PeerNetwork>(loop_, PeerNetworkOptions {}, networkEvents());
+    const HttpHandler none = [](const HttpRequest &, const HttpResponder &respond) {
+        respond(jsonResponse(404, "{}"));
+    };
+    peerServer_ = std::make_unique<HttpServer>(loop_, settings_.peers, none, HttpServerOptions {}, peers_->hooks());
+    reportServer_ = std::make_unique<HttpServer>(loop_, settings_.endpointReports, [this](const HttpRequest &request, const HttpResponder &respond) {
+        handleReport(request, respond);
+    });
+    if (!isListening()) {
+        return;
+    }
+    cell::AgentHooks hooks;
+    hooks.driver = platform::makeEndpointDriver(http_, settings_.endpoint);
+    hooks.send = [this](const std::string &peer, const PeerMessage &message) {
+        peers_->send(peer, message);
+    };
+    hooks.now = []() {
+        return BootClock::now();
+    };
+    agent_ = std::make_unique<cell::Agent>(cell::AgentOptions {settings_.lease}, std::move(hooks));
+    wire::RosterEntry self;
+    self.address = toString(peerServer_->address());
+    self.role = wire::Role::Agent;
+    self.incarnation = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    self.region = settings_.region;
+    self.failureDomain = settings_.failureDomain;
+    peers_->attach(*peerServer_, self, settings_.seeds);
+    loop_.callEvery(tickInterval, [this]() {
+        agent_->tick();
+    });
+    logEvent(LogLevel::Info, "process.started", {{"peers", self.address}, {"endpoint", toString(settings_.endpoint)}});
+}
+
+CellAgentTask::~CellAgentTask() = default;
+
+PeerNetworkEvents CellAgentTask::networkEvents()
+{
+    PeerNetworkEvents events;
+    events.received = [this](const std::string &peer, const PeerMessage &message) {
+        agent_->receive(peer, message);
+    };
+    events.connected = [this](const wire::RosterEntry &peer) {
+        agent_->connected(peer.address);
+    };
+    events.disconnected = [](const std::string &) {};
+    events.rosterChanged = []() {};
+    events.configurationSeen = [](const std::string &, std::int64_t) {}; // agents don't use it
+    return events;
+}
+
+void CellAgentTask::handleReport(const HttpRequest &request, const HttpResponder &respond)
+{
+    const std::string path = reportPath;
+    if (request.path.compare(0, path.size(), path) != 0) {
+        respond(jsonResponse(404, "{}"));
+        return;
+    }
+    const std::string id = request.path.substr(path.size());
+    if (request.method == "DELETE") {
+        agent_->endpointLeft(id);
+        respond(jsonResponse(200, "{}"));
+        return;
+    }
+    const Result<cell::EndpointStatus, platform::DocumentError> status = platform::decodeEndpointStatus(id, request.body);
+    if (!isOk(status)) {
+        logEvent(LogLevel::Warning, "endpoint.unreadable", {{"endpoint", id}, {"reason", error(status).detail}});
+        respond(jsonResponse(400, "{}"));
+        return;
+    }
+    agent_->endpointReported(value(status));
+    respond(jsonResponse(200, "{}"));
+}
+
+bool CellAgentTask::isListening() const
+{
+    return peerServer_->isListening() && reportServer_->isListening();
+}
+
+Address CellAgentTask::wantedAddress() const
+{
+    return settings_.endpointReports;
+}
+
+Address CellAgentTask::address() const
+{
+    return reportServer_->address();
+}
+
+EventLoop &CellAgentTask::loop()
+{
+    return loop_;
+}
+
+void CellAgentTask::run()
+{
+    loop_.run();
+}
+
+void CellAgentTask::drain()
+{
+    logEvent(LogLevel::Info, "process.stopped", {{"running", std::to_string(agent_->runningTasks())}});
+    loop_.stop();
+}
+
+void CellAgentTask::reload()
+{
+    logEvent(LogLevel::Info, "settings.unchanged", {{"reason", "no setting of this role changes while it runs"}});
+}
+
+} // namespace knapweed
--- /dev/null
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -0,0 +1,303 @@
+// Wiring of the entry: servers, peers, configuration and callers. The tenure as scheduler is in celltenure.cpp.
+
+#include "cellentrytask.h"
+
+#include "base/logging.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace knapweed
+{
+
+namespace
+{
+
+constexpr Milliseconds tickInterval {100};
+constexpr Milliseconds drainService {2500}; ///< new connections still come until the platform has missed two probes
+constexpr Milliseconds drainReserve {1000}; ///< before the platform kills: what is open then is broken off in any case
+
+MonotonicTime monotonicNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+/// Rises with each start of this process, also on another machine.
+std::int64_t incarnationNow()
+{
+    return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+} // namespace
+
+CellEntryTask::CellEntryTask(const cell::CellSettings &settings)
+    : settings_(settings)
+    , http_(loop_)
+    , store_(http_, settings.store)
+    , feed_(loop_,
+          store_,
+          [this](const cell::CellConfiguration &configuration) {
+              configurationChanged(configuration);
+          })
+    , relay_([this](const wire::JobCall &call) {
+        return sendToScheduler(call);
+    })
+    , gate_(feed_.configuration(), relay_)
+{
+    peers_ = std::make_unique<PeerNetwork>(loop_, PeerNetworkOptions {}, networkEvents());
+    startServers();
+    if (!isListening()) {
+        return;
+    }
+    self_ = toString(peerServer_->address());
+    wire::RosterEntry self;
+    self.address = self_;
+    self.role = wire::Role::Entry;
+    self.incarnation = incarnationNow();
+    self.region = settings_.region;
+    self.failureDomain = settings_.failureDomain;
+    std::vector<Address> seeds = settings_.seeds;
+    std::erase(seeds, peerServer_->address());
+    peers_->attach(*peerServer_, self, seeds);
+    feed_.start();
+    loop_.callEvery(tickInterval, [this]() {
+        tick();
+    });
+    join();
+    logEvent(LogLevel::Info, "process.started", {{"peers", self_}, {"callers", toString(settings_.callers)}, {"store", toString(settings_.store)}});
+}
+
+CellEntryTask::~CellEntryTask() = default;
+
+void CellEntryTask::startServers()
+{
+    const HttpHandler none = [](const HttpRequest &, const HttpResponder &respond) {
+        respond(jsonResponse(404, "{}"));
+    };
+    peerServer_ = std::make_unique<HttpServer>(loop_, settings_.peers, none, HttpServerOptions {}, peers_->hooks());
+    callerServer_ = std::make_unique<HttpServer>(loop_, settings_.callers, [this](const HttpRequest &request, const HttpResponder &respond) {
+        gate_.handle(request, respond);
+    });
+    readinessServer_ = std::make_unique<HttpServer>(loop_, settings_.readiness, [this](const HttpRequest &, const HttpResponder &respond) {
+        const bool isReady = !isDraining_ && feed_.configuration().version > 0;
+        respond(jsonResponse(isReady ? 200 : 503, "{}"));
+    });
+    metricsServer_ = std::make_unique<HttpServer>(loop_, Address {settings_.peers.ip, settings_.metricsPort}, [this](const HttpRequest &, const HttpResponder &respond) {
+        HttpResponse response;
+        response.headers["content-type"] = "text/plain; version=0.0.4";
+        response.body = metrics_.text();
+        respond(std::move(response));
+    });
+}
+
+PeerNetworkEvents CellEntryTask::networkEvents()
+{
+    PeerNetworkEvents events;
+    events.received = [this](const std::string &peer, const PeerMessage &message) {
+        receive(peer, message);
+    };
+    events.connected = [this](const wire::RosterEntry &peer) {
+        announce(peer.address);
+        if (peer.address == scheduler_) {
+            relay_.schedulerChanged(monotonicNow());
+        }
+    };
+    events.disconnected = [](const std::string &) {};
+    events.rosterChanged = []() {};
+    events.configurationSeen = [this](const std::string &peer, std::int64_t) {
+        wire::CellConfigurationOffer ask;
+        ask.version = feed_.configuration().version;
+        peers_->send(peer, ask);
+    };
+    return events;
+}
+
+void CellEntryTask::configurationChanged(const cell::CellConfiguration &configuration)
+{
+    peers_->setConfigurationVersion(configuration.version);
+    metrics_.set("configuration_version", double(configuration.version));
+    wire::CellConfigurationOffer offer;
+    offer.version = configuration.version;
+    offer.document = feed_.document();
+    for (const wire::RosterEntry &peer : peers_->roster()) {
+        if (peer.role == wire::Role::Entry && peer.address != self_ && peers_->isConnected(peer.address)) {
+            peers_->send(peer.address, offer);
+        }
+    }
+    if (schedulerCore_ != nullptr) {
+        schedulerCore_->setConfiguration(configuration);
+        schedulePlan();
+    }
+}
+
+/// Tells @p peer who schedules, so that a process without the store learns it too.
+void CellEntryTask::announce(const std::string &peer)
+{
+    if (scheduler_.empty() || (tenure_ != 0 && schedulerCore_ == nullptr)) {
+        return;
+    }
+    wire::SchedulerNotice notice;
+    notice.generation = generation_;
+    notice.address = scheduler_;
+    peers_->send(peer, notice);
+}
+
+void CellEntryTask::learnScheduler(std::int64_t generation, const std::string &address, const char *source)
+{
+    if (generation < generation_ || (generation == generation_ && address == scheduler_)) {
+        return;
+    }
+    if (tenure_ != 0 && generation > tenure_) {
+        endTenure("a later generation is known");
+    }
+    generation_ = generation;
+    scheduler_ = address;
+    metrics_.set("scheduler_generation", double(generation));
+    logEvent(LogLevel::Info, "scheduler.known", {{"generation", std::to_string(generation)}, {"address", address}, {"source", source}});
+    relay_.schedulerChanged(monotonicNow());
+}
+
+void CellEntryTask::receiveNotice(const std::string &peer, const wire::SchedulerNotice &notice)
+{
+    if (notice.generation < generation_) {
+        announce(peer);
+        return;
+    }
+    if (notice.isLeaving) {
+        if (notice.address == scheduler_) {
+            scheduler_.clear();
+        }
+        if (!isDraining_) {
+            scheduleJoin(Milliseconds(0));
+        }
+        return;
+    }
+    learnScheduler(notice.generation, notice.address, "peer");
+}
+
+void CellEntryTask::receive(const std::string &peer, const PeerMessage &message)
+{
+    if (const wire::SchedulerNotice *notice = std::get_if<wire::SchedulerNotice>(&message)) {
+        receiveNotice(peer, *notice);
+    } else if (const wire::JobAnswer *answer = std::get_if<wire::JobAnswer>(&message)) {
+        relay_.answered(*answer);
+    } else if (const wire::CellConfigurationOffer *offer = std::get_if<wire::CellConfigurationOffer>(&message)) {
+        if (!offer->document.empty()) {
+            feed_.offer(offer->document, "peer");
+        } else if (offer->version < feed_.configuration().version) {
+            wire::CellConfigurationOffer reply;
+            reply.version = feed_.configuration().version;
+            reply.document = feed_.document();
+            peers_->send(peer, reply);
+        }
+    } else if (schedulerCore_ != nullptr) {
+        schedulerCore_->receive(peer, message, BootClock::now(), std::chrono::system_clock::now());
+        flush();
+    } else if (const wire::JobCall *call = std::get_if<wire::JobCall>(&message)) {
+        wire::JobAnswer answer;
+        answer.call = call->call;
+        answer.outcome = wire::CallOutcome::NotScheduler;
+        peers_->send(peer, answer);
+    }
+}
+
+bool CellEntryTask::sendToScheduler(const wire::JobCall &call)
+{
+    if (schedulerCore_ != nullptr) {
+        // Not inside the caller's call: the answer may come at once.
+        loop_.post([this, call]() {
+            if (schedulerCore_ != nullptr) {
+                schedulerCore_->receive(self_, call, BootClock::now(), std::chrono::system_clock::now());
+                flush();
+            }
+        });
+        return true;
+    }
+    if (scheduler_.empty() || scheduler_ == self_ || !peers_->isConnected(scheduler_)) {
+        return false;
+    }
+    peers_->send(scheduler_, call);
+    return true;
+}
+
+void CellEntryTask::tick()
+{
+    const MonotonicTime now = monotonicNow();
+    relay_.tick(now);
+    if (schedulerCore_ != nullptr && schedulerCore_->isBusy()) {
+        schedulerCore_->tick(BootClock::now(), std::chrono::system_clock::now());
+        flush();
+    }
+    if (isDraining_) {
+        finishDrain(now);
+    }
+}
+
+void CellEntryTask::drain()
+{
+    if (isDraining_) {
+        return;
+    }
+    isDraining_ = true;
+    drainStartedAt_ = monotonicNow();
+    logEvent(LogLevel::Info, "process.draining", {{"open_calls", std::to_string(relay_.size())}});
+    peers_->setDraining(true);
+    loop_.cancelTimer(joinTimer_);
+    endTenure("shutdown");
+    store_.leave("scheduler", self_, settings_.grace, [this](const Result<Done, platform::StoreError> &) {
+        wire::SchedulerNotice notice;
+        notice.generation = generation_;
+        notice.address = self_;
+        notice.isLeaving = true;
+        for (const wire::RosterEntry &peer : peers_->roster()) {
+            if (peer.role == wire::Role::Entry && peer.address != self_) {
+                peers_->send(peer.address, notice);
+            }
+        }
+    });
+}
+
+void CellEntryTask::finishDrain(MonotonicTime now)
+{
+    if (now - drainStartedAt_ < std::min(drainService, settings_.grace / 2)) {
+        return;
+    }
+    callerServer_->closeListener();
+    if (callerServer_->openRequests() == 0 || now - drainStartedAt_ > settings_.grace - drainReserve) {
+        logEvent(LogLevel::Info, "process.stopped", {{"open_requests", std::to_string(callerServer_->openRequests())}});
+        loop_.stop();
+    }
+}
+
+void CellEntryTask::reload()
+{
+    logEvent(LogLevel::Info, "settings.unchanged", {{"reason", "no setting of this role changes while it runs"}});
+}
+
+bool CellEntryTask::isListening() const
+{
+    return peerServer_->isListening() && callerServer_->isListening() && readinessServer_->isListening();
+}
+
+Address CellEntryTask::wantedAddress() const
+{
+    return settings_.callers;
+}
+
+Address CellEntryTask::address() const
+{
+    return callerServer_->address();
+}
+
+EventLoop &CellEntryTask::loop()
+{
+    return loop_;
+}
+
+void CellEntryTask::run()
+{
+    loop_.run();
+}
+
+} // namespace knapweed
--- /dev/null
+++ b/src/knapweedstaged/cellentrytask.h
@@ -0,0 +1,98 @@
+// The entry's task: serves callers, follows the configuration, and is the scheduler of the cell while it holds that place. One thread.
+#pragma once
+
+#include "base/eventloop.h"
+#include "base/httpclient.h"
+#include "base/httpserver.h"
+#include "base/metrics.h"
+#include "callergate.h"
+#include "callrelay.h"
+#include "cell/scheduler.h"
+#include "cell/settings.h"
+#include "configurationfeed.h"
+#include "journalwriter.h"
+#include "peers/peernetwork.h"
+#include "storeclient.h"
+
+#include <memory>
+#include <string>
+
+namespace knapweed
+{
+
+class CellEntryTask
+{
+public:
+    explicit CellEntryTask(const cell::CellSettings &settings);
+    ~CellEntryTask();
+    CellEntryTask(const CellEntryTask &) = delete;
+    CellEntryTask &operator=(const CellEntryTask &) = delete;
+
+    bool isListening() const;
+    Address wantedAddress() const;
+    Address address() const;
+    EventLoop &loop();
+
+    /// Serves on the calling thread until a drain has ended.
+    void run();
+
+    /// Starts the graceful shutdown; called again, it changes nothing.
+    void drain();
+
+    /// Checks the settings file anew; a bad one is refused and the settings in force stay.
+    void reload();
+
+private:
+    PeerNetworkEvents networkEvents();
+    void startServers();
+    void receive(const std::string &peer, const PeerMessage &message);
+    void receiveNotice(const std::string &peer, const wire::SchedulerNotice &notice);
+    void configurationChanged(const cell::CellConfiguration &configuration);
+    void learnScheduler(std::int64_t generation, const std::string &address, const char *source);
+    bool sendToScheduler(const wire::JobCall &call);
+    void announce(const std::string &peer);
+
+    void join();
+    void scheduleJoin(Milliseconds delay);
+    void joined(const Result<platform::Membership, platform::StoreError> &result);
+    void beginTenure(std::int64_t generation);
+    void loadJobs(const std::string &afterKey);
+    void jobsLoaded();
+    void endTenure(const char *reason);
+    void flush();
+    void schedulePlan();
+    void tick();
+    void finishDrain(MonotonicTime now);
+
+    cell::CellSettings settings_;
+    EventLoop loop_;
+    Metrics metrics_;
+    HttpClient http_;
+    platform::StoreClient store_;
+    ConfigurationFeed feed_;
+    CallRelay relay_;
+    CallerGate gate_;
+    std::string self_; ///< this process's peer address
+    std::unique_ptr<PeerNetwork> peers_;
+    std::unique_ptr<HttpServer> peerServer_;
+    std::unique_ptr<HttpServer> callerServer_;
+    std::unique_ptr<HttpServer> readinessServer_;
+    std::unique_ptr<HttpServer> metricsServer_;
+
+    std::int64_t generation_ = 0; ///< the highest heard of; never falls
+    std::string scheduler_; ///< its peer address; empty while none is known
+    std::int64_t groupGeneration_ = 0; ///< of the last answer to a join
+    TimerId joinTimer_ = 0;
+    bool isJoining_ = false;
+
+    std::int64_t tenure_ = 0; ///< the generation of the own tenure; 0 without one
+    std::unique_ptr<JournalWriter> journal_; ///< not null during a tenure
+    std::unique_ptr<cell::Scheduler> schedulerCore_; ///< not null once the jobs of a tenure are loaded
+    std::map<std::string, std::string> loading_; ///< records read so far
+    bool isPlanScheduled_ = false;
+
+    bool isDraining_ = false;
+    MonotonicTime drainStartedAt_;
+};
+
+} // namespace knapweed
--- /dev/null
+++ b/src/knapweedstaged/celltenure.cpp
@@ -0,0 +1,202 @@
+// How an entry becomes the scheduler, and stops being it: the group's partition says whose turn it is, and only the fenced append proves it.
+
+#include "base/logging.h"
+#include "cellentrytask.h"
+
+namespace knapweed
+{
+
+namespace
+{
+
+constexpr const char *group = "scheduler";
+constexpr const char *turnTopic = "turn"; ///< its one partition is the scheduler's place; it has no records
+constexpr const char *jobTopic = "keyed.jobs";
+constexpr Milliseconds membershipLifetime {1500}; ///< an entry that is silent for so long loses the place
+constexpr Milliseconds joinInterval {400}; ///< three joins within a lifetime
+constexpr Milliseconds joinTimeout {800};
+constexpr Milliseconds loadTimeout {2000}; ///< of one page of records
+constexpr Milliseconds planDelay {8}; ///< what arrives together is planned together
+
+} // namespace
+
+void CellEntryTask::scheduleJoin(Milliseconds delay)
+{
+    loop_.cancelTimer(joinTimer_);
+    joinTimer_ = loop_.callAfter(delay, [this]() {
+        join();
+    });
+}
+
+void CellEntryTask::join()
+{
+    if (isDraining_ || isJoining_) {
+        return;
+    }
+    isJoining_ = true;
+    store_.join(group, self_, turnTopic, groupGeneration_, membershipLifetime, joinTimeout, [this](Result<platform::Membership, platform::StoreError> result) {
+        isJoining_ = false;
+        if (!isDraining_) {
+            joined(result);
+            scheduleJoin(joinInterval);
+        }
+    });
+}
+
+void CellEntryTask::joined(const Result<platform::Membership, platform::StoreError> &result)
+{
+    if (!isOk(result)) {
+        logEvent(LogLevel::Warning, "store.join", {{"reason", error(result).detail}});
+        return;
+    }
+    const platform::Membership &membership = value(result);
+    groupGeneration_ = membership.generation;
+    if (membership.holdsPartition && tenure_ == 0) {
+        beginTenure(membership.generation);
+    } else if (!membership.holdsPartition && tenure_ != 0) {
+        endTenure("the place was given to another entry");
+    }
+}
+
+void CellEntryTask::beginTenure(std::int64_t generation)
+{
+    if (generation <= generation_) {
+        return; // an answer from before a tenure that is known; the next join tells
+    }
+    tenure_ = generation;
+    logEvent(LogLevel::Info, "tenure.begun", {{"generation", std::to_string(generation)}});
+    JournalEvents events;
+    events.stored = [this](std::uint64_t write) {
+        if (schedulerCore_ != nullptr) {
+            schedulerCore_->stored(write, BootClock::now());
+            schedulePlan();
+            flush();
+        }
+    };
+    events.reachable = [this](bool isReachable) {
+        if (schedulerCore_ != nullptr) {
+            schedulerCore_->setStoreReachable(isReachable);
+        }
+    };
+    events.fenced = [this]() {
+        // Not inside the journal's own call.
+        loop_.post([this]() {
+            endTenure("a later generation has written");
+        });
+    };
+    journal_ = std::make_unique<JournalWriter>(loop_, store_, generation, std::move(events));
+    loading_.clear();
+    journal_->open([this]() {
+        loadJobs("");
+    });
+}
+
+void CellEntryTask::loadJobs(const std::string &afterKey)
+{
+    const std::int64_t tenure = tenure_;
+    store_.newest(jobTopic, afterKey, loadTimeout, [this, tenure, afterKey](Result<platform::NewestPage, platform::StoreError> result) {
+        if (tenure_ != tenure || tenure == 0) {
+            return;
+        }
+        if (!isOk(result)) {
+            logEvent(LogLevel::Warning, "store.load", {{"reason", error(result).detail}});
+            loop_.callAfter(joinInterval, [this, tenure, afterKey]() {
+                if (tenure_ == tenure) {
+                    loadJobs(afterKey);
+                }
+            });
+            return;
+        }
+        const platform::NewestPage &page = value(result);
+        for (const platform::KeyedRecord &record : page.records) {
+            loading_[record.key] = record.value;
+        }
+        if (page.isTruncated && !page.records.empty()) {
+            loadJobs(page.records.back().key);
+        } else {
+            jobsLoaded();
+        }
+    });
+}
+
+void CellEntryTask::jobsLoaded()
+{
+    const BootTime now = BootClock::now();
+    schedulerCore_ = std::make_unique<cell::Scheduler>(cell::SchedulerOptions {tenure_, settings_.lease});
+    schedulerCore_->load(loading_, now, std::chrono::system_clock::now());
+    schedulerCore_->setConfiguration(feed_.configuration());
+    loading_.clear();
+    std::set<std::string> agents;
+    for (const wire::RosterEntry &peer : peers_->roster()) {
+        if (peer.role == wire::Role::Agent) {
+            agents.insert(peer.address);
+        }
+    }
+    if (agents.empty()) {
+        agents.insert("unknown"); // nobody is known yet, so only time tells that nothing runs
+    }
+    schedulerCore_->beginRecovery(agents, now);
+    learnScheduler(tenure_, self_, "tenure");
+    for (const wire::RosterEntry &peer : peers_->roster()) {
+        if (peer.address != self_) {
+            announce(peer.address);
+        }
+    }
+    relay_.schedulerChanged(std::chrono::steady_clock::now());
+    flush();
+}
+
+void CellEntryTask::endTenure(const char *reason)
+{
+    if (tenure_ == 0) {
+        return;
+    }
+    logEvent(LogLevel::Warning, "tenure.ended", {{"generation", std::to_string(tenure_)}, {"reason", reason}});
+    tenure_ = 0;
+    schedulerCore_.reset();
+    journal_.reset();
+    if (scheduler_ == self_) {
+        scheduler_.clear();
+    }
+}
+
+void CellEntryTask::flush()
+{
+    while (schedulerCore_ != nullptr) {
+        cell::SchedulerOutput output = schedulerCore_->takeOutput();
+        if (output.messages.empty() && output.writes.empty()) {
+            break;
+        }
+        if (!output.writes.empty()) {
+            journal_->write(std::move(output.writes), output.lastWrite);
+        }
+        for (const auto &[peer, message] : output.messages) {
+            if (peer != self_) {
+                peers_->send(peer, message);
+            } else if (const wire::JobAnswer *answer = std::get_if<wire::JobAnswer>(&message)) {
+                relay_.answered(*answer);
+            }
+        }
+    }
+    schedulePlan();
+}
+
+void CellEntryTask::schedulePlan()
+{
+    if (isPlanScheduled_ || schedulerCore_ == nullptr) {
+        return;
+    }
+    if (!schedulerCore_->isPlanDue()) {
+        return;
+    }
+    isPlanScheduled_ = true;
+    loop_.callAfter(planDelay, [this]() {
+        isPlanScheduled_ = false;
+        if (schedulerCore_ != nullptr) {
+            schedulerCore_->tick(BootClock::now(), std::chrono::system_clock::now());
+            flush();
+        }
+    });
+}
+
+} // namespace knapweed
--- /dev/null
+++ b/src/knapweedstaged/configurationfeed.cpp
@@ -0,0 +1,107 @@
+// Reads the newest record first and waits for later ones from there.
+
+#include "configurationfeed.h"
+
+#include "base/logging.h"
+#include "documents.h"
+
+namespace knapweed
+{
+
+namespace
+{
+
+constexpr Milliseconds readWait {2000}; ///< of one waiting read; bounds how long a silent connection hides a change
+constexpr Milliseconds answerTimeout {900}; ///< of the store, beyond the wait
+constexpr Milliseconds retryDelay {250};
+
+} // namespace
+
+ConfigurationFeed::ConfigurationFeed(EventLoop &loop, platform::StoreClient &store, std::function<void(const cell::CellConfiguration &)> changed)
+    : loop_(loop)
+    , store_(store)
+    , changed_(std::move(changed))
+{
+}
+
+void ConfigurationFeed::start()
+{
+    readNewest();
+}
+
+void ConfigurationFeed::again(Milliseconds delay, void (ConfigurationFeed::*step)())
+{
+    loop_.callAfter(delay, [this, step]() {
+        (this->*step)();
+    });
+}
+
+void ConfigurationFeed::readNewest()
+{
+    store_.newest(platform::operatorTopic, "", answerTimeout, [this](Result<platform::NewestPage, platform::StoreError> result) {
+        if (!isOk(result)) {
+            again(retryDelay, &ConfigurationFeed::readNewest);
+            return;
+        }
+        for (const platform::KeyedRecord &record : value(result).records) {
+            if (record.key == platform::configurationKey) {
+                offer(record.value, "store");
+            }
+        }
+        next_ = value(result).end;
+        follow();
+    });
+}
+
+void ConfigurationFeed::follow()
+{
+    store_.read(platform::operatorTopic, next_, readWait, readWait + answerTimeout, [this](Result<platform::ReadPage, platform::StoreError> result) {
+        const bool isReachable = isOk(result) || error(result).kind == platform::StoreError::Kind::Deleted;
+        if (isReachable != isReachable_) {
+            isReachable_ = isReachable;
+            logEvent(isReachable ? LogLevel::Info : LogLevel::Warning, isReachable ? "configuration.followed" : "configuration.unfollowed");
+        }
+        if (!isOk(result)) {
+            // Deleted records, or any doubt: the newest record of the key is still there.
+            again(isReachable ? Milliseconds(0) : retryDelay, &ConfigurationFeed::readNewest);
+            return;
+        }
+        for (const platform::KeyedRecord &record : value(result).records) {
+            if (record.key == platform::configurationKey) {
+                offer(record.value, "store");
+            }
+        }
+        next_ = value(result).next;
+        again(Milliseconds(0), &ConfigurationFeed::follow);
+    });
+}
+
+void ConfigurationFeed::offer(const std::string &document, const char *source)
+{
+    const Result<cell::CellConfiguration, platform::DocumentError> decoded = platform::decodeConfiguration(document);
+    if (!isOk(decoded)) {
+        logEvent(LogLevel::Error, "configuration.unreadable", {{"source", source}, {"detail", error(decoded).detail}});
+        return;
+    }
+    if (value(decoded).version <= configuration_.version) {
+        return;
+    }
+    logEvent(LogLevel::Info,
+        "configuration.applied",
+        {{"version", std::to_string(value(decoded).version)}, {"before", std::to_string(configuration_.version)}, {"source", source}});
+    configuration_ = value(decoded);
+    document_ = document;
+    changed_(configuration_);
+}
+
+const cell::CellConfiguration &ConfigurationFeed::configuration() const
+{
+    return configuration_;
+}
+
+const std::string &ConfigurationFeed::document() const
+{
+    return document_;
+}
+
+} // namespace knapweed
--- a/src/knapweedstaged/entrytask.cpp
+++ b/src/knapweedstaged/entrytask.cpp
@@ -113,6 +113,16 @@
 
 EntryTask::~EntryTask() = default;
 
+Address EntryTask::wantedAddress() const
+{
+    return settings_.listen;
+}
+
+void EntryTask::reload()
+{
+    logEvent(LogLevel::Warning, "settings.unchanged", {{"reason", "this role reads its settings at start only"}});
+}
+
 bool EntryTask::isListening() const
 {
     return server_->isListening();
--- a/src/knapweedstaged/entrytask.h
+++ b/src/knapweedstaged/entrytask.h
@@ -29,6 +29,7 @@
 
     /// False when the listening port can't be had.
     bool isListening() const;
+    Address wantedAddress() const;
     Address address() const;
     EventLoop &loop();
 
@@ -38,6 +39,9 @@
     /// Starts the graceful shutdown; called again, it changes nothing.
     void drain();
 
+    /// Settings are read at start only: says so in the log.
+    void reload();
+
 private:
     void handleHttp(const HttpRequest &request, const HttpResponder &respond);
     void answerReadiness(const HttpResponder &respond) const;
--- a/src/knapweedstaged/main.cpp
+++ b/src/knapweedstaged/main.cpp
@@ -3,7 +3,11 @@
 #include "agent.h"
 #include "base/logging.h"
 #include "base/settings.h"
+#include "cell/settings.h"
+#include "cellagenttask.h"
+#include "cellentrytask.h"
 #include "entry.h"
+#include "runtask.h"
 #include "termination.h"
 
 #include <popt.h>
@@ -16,9 +20,9 @@
 
 constexpr int exitUsage = 2;
 
-int checkSettings(const char *fileName, knapweed::Settings &settings)
+template<typename AnySettings>
+int checkSettings(const knapweed::Result<AnySettings, knapweed::SettingsError> &read, AnySettings &settings)
 {
-    knapweed::Result<knapweed::Settings, knapweed::SettingsError> read = knapweed::readSettings(fileName);
     if (knapweed::isOk(read)) {
         settings = knapweed::value(read);
         return 0;
@@ -37,26 +41,44 @@
     return isEntry ? knapweed::runEntry(settings) : knapweed::runAgent(settings);
 }
 
+int runCell(const knapweed::cell::CellSettings &settings)
+{
+    knapweed::blockTerminationSignals();
+    knapweed::initializeLogging(settings.name, settings.logLevel);
+    const bool isEntry = settings.role == knapweed::ProcessRole::Entry;
+    return isEntry ? knapweed::runTask<knapweed::CellEntryTask>(settings) : knapweed::runTask<knapweed::CellAgentTask>(settings);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     char *settingsFile = nullptr;
     char *checkedFile = nullptr;
+    char *cellFile = nullptr;
+    char *checkedCellFile = nullptr;
     const poptOption options[] = {
         {"settings", 's', POPT_ARG_STRING, &settingsFile, 0, "Run with the settings in FILE; docs/settings.md lists every key", "FILE"},
         {"check-settings", 'c', POPT_ARG_STRING, &checkedFile, 0, "Check FILE, print one line for each fault, and end with status 2 if there is one", "FILE"},
+        {"cell", 0, POPT_ARG_STRING, &cellFile, 0, "Run a cell's process on the platform; docs/cell-settings.md lists every key", "FILE"},
+        {"check-cell", 0, POPT_ARG_STRING, &checkedCellFile, 0, "Check a cell's settings as --check-settings does", "FILE"},
         POPT_AUTOHELP POPT_TABLEEND};
     const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
         poptGetContext("knapweedstaged", argc, const_cast<const char **>(argv), options, 0), poptFreeContext);
     const int parsed = poptGetNextOpt(context.get());
-    if (parsed < -1 || (settingsFile == nullptr) == (checkedFile == nullptr) || poptPeekArg(context.get()) != nullptr) {
-        const char *fault = parsed < -1 ? poptStrerror(parsed) : "give either --settings FILE or --check-settings FILE";
+    const int files = (settingsFile != nullptr) + (checkedFile != nullptr) + (cellFile != nullptr) + (checkedCellFile != nullptr);
+    if (parsed < -1 || files != 1 || poptPeekArg(context.get()) != nullptr) {
+        const char *fault = parsed < -1 ? poptStrerror(parsed) : "give one of --settings, --check-settings, --cell and --check-cell, with a FILE";
         std::fprintf(stderr, "knapweedstaged: %s\n", fault);
         return exitUsage;
     }
+    if (cellFile != nullptr || checkedCellFile != nullptr) {
+        knapweed::cell::CellSettings settings;
+        const int status = checkSettings(knapweed::cell::readCellSettings(cellFile != nullptr ? cellFile : checkedCellFile), settings);
+        return status != 0 || checkedCellFile != nullptr ? status : runCell(settings);
+    }
     knapweed::Settings settings;
-    const int status = checkSettings(settingsFile != nullptr ? settingsFile : checkedFile, settings);
+    const int status = checkSettings(knapweed::readSettings(settingsFile != nullptr ? settingsFile : checkedFile), settings);
     if (status != 0 || checkedFile != nullptr) {
         return status;
     }
--- a/src/knapweedstaged/termination.cpp
+++ b/src/knapweedstaged/termination.cpp
@@ -11,12 +11,13 @@
 namespace
 {
 
-sigset_t terminationSignals()
+sigset_t watchedSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
@@ -24,18 +25,18 @@
 
 void blockTerminationSignals()
 {
-    const sigset_t signals = terminationSignals();
+    const sigset_t signals = watchedSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-void watchTermination(EventLoop &loop, std::function<void()> terminate)
+void watchTermination(EventLoop &loop, std::function<void()> terminate, std::function<void()> reload)
 {
-    std::thread watcher([&loop, terminate = std::move(terminate)]() {
-        const sigset_t signals = terminationSignals();
+    std::thread watcher([&loop, terminate = std::move(terminate), reload = std::move(reload)]() {
+        const sigset_t signals = watchedSignals();
         int received = 0;
         while (sigwait(&signals, &received) == 0) {
-            loop.post(terminate);
+            loop.post(received == SIGHUP ? reload : terminate);
         }
     });
     watcher.detach();
--- a/src/libknapweed/base/clock.h
+++ b/src/libknapweed/base/clock.h
@@ -1,4 +1,5 @@
-// Names for the two clocks. Leases, timeouts and intervals use the monotonic clock; only records that people read use wall time.
+// Names for the clocks. Timeouts and intervals use the monotonic clock, leases between machines the boot clock; only due times and records that
+// people read use wall time.
 #pragma once
 
 #include <chrono>
@@ -12,4 +13,17 @@
 using Microseconds = std::chrono::microseconds;
 using Seconds = std::chrono::seconds;
 
+/// Counts the time of a suspended machine too, so that a lease granted before a suspension is over after it.
+struct BootClock
+{
+    using duration = Milliseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<BootClock, Milliseconds>;
+    static constexpr bool is_steady = true;
+    static time_point now() noexcept;
+};
+
+using BootTime = BootClock::time_point;
+
 } // namespace knapweed
--- a/src/libknapweed/base/http.h
+++ b/src/libknapweed/base/http.h
@@ -27,7 +27,7 @@
 };
 
 /// The headers that the server passes on, lower case. Others are dropped.
-/// authorization, content-type, idempotency-key, prefer, x-request-id, x-fence.
+/// authorization, content-type, host, idempotency-key, prefer, x-deadline-ms, x-fence, x-request-id.
 bool isPassedHeader(const std::string &name);
 
 /// A response with a JSON body and its content type.
--- a/src/libknapweed/base/lwsrequest.cpp
+++ b/src/libknapweed/base/lwsrequest.cpp
@@ -23,13 +23,14 @@
     lws_token_indexes token;
 };
 
-constexpr std::array<TokenHeader, 2> tokenHeaders {{
+constexpr std::array<TokenHeader, 3> tokenHeaders {{
     {"authorization", WSI_TOKEN_HTTP_AUTHORIZATION},
     {"content-type", WSI_TOKEN_HTTP_CONTENT_TYPE},
+    {"host", WSI_TOKEN_HOST},
 }};
 
 /// With the colon, as libwebsockets keeps them.
-constexpr std::array<const char *, 4> customHeaders {"idempotency-key:", "prefer:", "x-request-id:", "x-fence:"};
+constexpr std::array<const char *, 5> customHeaders {"idempotency-key:", "prefer:", "x-deadline-ms:", "x-request-id:", "x-fence:"};
 
 std::string methodName(lws *wsi)
 {
--- /dev/null
+++ b/src/libknapweed/cell/agent.cpp
@@ -0,0 +1,403 @@
+// The agent's protocol. Lists are only as new as the hold that read them, so starts and stops answered since then are kept beside them.
+
+#include "cell/agent.h"
+
+#include "base/invariant.h"
+#include "base/logging.h"
+
+#include <algorithm>
+
+namespace knapweed::cell
+{
+
+namespace
+{
+
+constexpr Milliseconds busyReport {500}; ///< between reports while something runs; also how often a lease is renewed
+constexpr Milliseconds idleReport {1000};
+constexpr Milliseconds holdWait {500}; ///< for an end; progress is read as often
+constexpr Milliseconds holdRetry {200}; ///< after a hold failed, or while ends wait to become durable
+constexpr Milliseconds idleHold {2000}; ///< while nothing runs, the lists only change by late orders
+constexpr double slowestClock = 0.98; ///< an endpoint's clock may run this much slower than ours
+
+RunId runIdOf(const wire::RunRef &ref)
+{
+    return {{ref.job, ref.occurrence, ref.step, ref.index}, ref.run};
+}
+
+wire::RunRef wireRef(const RunId &run)
+{
+    wire::RunRef ref;
+    ref.job = run.task.job;
+    ref.occurrence = run.task.occurrence;
+    ref.step = run.task.step;
+    ref.index = run.task.index;
+    ref.run = run.run;
+    return ref;
+}
+
+wire::RunEnding::type wireEnd(RunEnd how)
+{
+    return static_cast<wire::RunEnding::type>(static_cast<int>(how) + 1);
+}
+
+} // namespace
+
+Agent::Agent(AgentOptions options, AgentHooks hooks)
+    : options_(options)
+    , hooks_(std::move(hooks))
+{
+}
+
+bool Agent::endpointReported(const EndpointStatus &status)
+{
+    const bool isSameBoot = boot_ && boot_->status.id == status.id && boot_->status.born == status.born;
+    if (boot_ && (status.born < boot_->status.born || (isSameBoot && status.sequence <= boot_->status.sequence))) {
+        return false;
+    }
+    const bool isNews = !isSameBoot || boot_->status.isDraining != status.isDraining;
+    if (!isSameBoot) {
+        boot_ = Boot();
+        nextHold_ = hooks_.now();
+        logEvent(LogLevel::Info, "endpoint.boot", {{"endpoint", status.id}, {"service", status.service}, {"born", std::to_string(status.born)}});
+    }
+    if (status.isDraining && isNews) {
+        logEvent(LogLevel::Info, "endpoint.draining", {{"endpoint", status.id}, {"remaining_ms", std::to_string(status.remaining.count())}});
+    }
+    boot_->status = status;
+    if (isNews) {
+        hold(Milliseconds(0));
+        report();
+    }
+    return true;
+}
+
+void Agent::endpointLeft(const std::string &id)
+{
+    if (boot_ && boot_->status.id == id) {
+        logEvent(LogLevel::Info, "endpoint.left", {{"endpoint", id}});
+        boot_->status.isDraining = true;
+        boot_->status.remaining = Milliseconds(0);
+        report();
+    }
+}
+
+void Agent::learnScheduler(std::int64_t generation, const std::string &address, bool isLeaving)
+{
+    if (generation < generation_ || (generation == generation_ && !isLeaving && address == scheduler_)) {
+        return;
+    }
+    if (isLeaving) {
+        scheduler_ = generation >= generation_ ? std::string() : scheduler_;
+        return;
+    }
+    generation_ = generation;
+    scheduler_ = address;
+    logEvent(LogLevel::Info, "scheduler.known", {{"generation", std::to_string(generation)}, {"address", address}});
+    if (boot_) {
+        hold(Milliseconds(0));
+    }
+    report();
+}
+
+void Agent::connected(const std::string &peer)
+{
+    if (peer == scheduler_) {
+        report();
+    }
+}
+
+void Agent::receive(const std::string &peer, const PeerMessage &message)
+{
+    if (const wire::SchedulerNotice *notice = std::get_if<wire::SchedulerNotice>(&message)) {
+        if (notice->generation < generation_ && !scheduler_.empty()) {
+            wire::SchedulerNotice newer;
+            newer.generation = generation_;
+            newer.address = scheduler_;
+            hooks_.send(peer, newer);
+        }
+        learnScheduler(notice->generation, notice->address, notice->isLeaving);
+    } else if (const wire::EndpointGrant *grant = std::get_if<wire::EndpointGrant>(&message)) {
+        handle(peer, *grant);
+    } else if (const wire::StartOrder *start = std::get_if<wire::StartOrder>(&message)) {
+        handle(peer, *start);
+    } else if (const wire::StopOrder *stop = std::get_if<wire::StopOrder>(&message)) {
+        handle(peer, *stop);
+    }
+}
+
+bool Agent::isCurrent(const std::string &peer, std::int64_t generation, std::int64_t born, const std::string &endpoint) const
+{
+    return generation == generation_ && peer == scheduler_ && boot_ && boot_->status.born == born && boot_->status.id == endpoint;
+}
+
+void Agent::handle(const std::string &peer, const wire::EndpointGrant &grant)
+{
+    if (!isCurrent(peer, grant.generation, grant.born, grant.endpoint)) {
+        return;
+    }
+    if (grant.sentAtMs > 0) {
+        leaseEnds_ = std::max(leaseEnds_, BootTime(Milliseconds(grant.sentAtMs)) + options_.lease);
+    }
+    if (grant.endsStored <= boot_->endsStored) {
+        return;
+    }
+    boot_->endsStored = grant.endsStored;
+    boot_->ended.erase(boot_->ended.begin(), boot_->ended.upper_bound(grant.endsStored));
+    hold(Milliseconds(0));
+}
+
+/// The lease on the endpoint's clock, counted so that it is over there no later than here.
+std::optional<Milliseconds> Agent::leaseUntil() const
+{
+    if (!boot_ || !boot_->isClockKnown || leaseEnds_ <= boot_->clockReadAt) {
+        return std::nullopt;
+    }
+    const double rest = double((leaseEnds_ - boot_->clockReadAt).count()) * slowestClock;
+    return boot_->clock + Milliseconds(static_cast<std::int64_t>(rest));
+}
+
+void Agent::answerStart(const std::string &peer, const wire::StartOrder &order, wire::StartOutcome::type outcome, const std::string &detail)
+{
+    wire::StartResult result;
+    result.generation = order.generation;
+    result.endpoint = order.endpoint;
+    result.born = order.born;
+    result.run = order.run;
+    result.outcome = outcome;
+    result.detail = detail;
+    hooks_.send(peer, result);
+}
+
+void Agent::handle(const std::string &peer, const wire::StartOrder &order)
+{
+    const std::optional<Milliseconds> until = leaseUntil();
+    if (!isCurrent(peer, order.generation, order.born, order.endpoint) || boot_->status.isDraining || !until || boot_->listedGeneration != generation_) {
+        answerStart(peer, order, wire::StartOutcome::Rejected, "agent not ready for this generation or endpoint");
+        return;
+    }
+    StartRequest request;
+    request.endpoint = order.endpoint;
+    request.fence = order.generation;
+    request.run = runIdOf(order.run);
+    request.input = order.input;
+    request.checkpoint = order.checkpoint;
+    request.ticket = order.ticket;
+    request.leaseUntil = *until;
+    hooks_.driver.start(request, [this, peer, order, run = request.run](Result<Milliseconds, EndpointError> result) {
+        if (!isOk(result)) {
+            startFailed(peer, order, error(result));
+            return;
+        }
+        if (boot_ && boot_->status.born == order.born && boot_->listNumber <= holdNumber_) {
+            boot_->started[run] = holdNumber_;
+        }
+        answerStart(peer, order, wire::StartOutcome::Started, {});
+        if (!isWaitingHold_) {
+            hold(holdWait);
+        }
+    });
+}
+
+void Agent::startFailed(const std::string &peer, const wire::StartOrder &order, const EndpointError &failure)
+{
+    using Kind = EndpointError::Kind;
+    wire::StartOutcome::type outcome = wire::StartOutcome::Rejected;
+    if (failure.kind == Kind::Unanswered) {
+        outcome = wire::StartOutcome::Unanswered;
+    } else if (failure.kind == Kind::NoRoom) {
+        outcome = wire::StartOutcome::NoRoom;
+    } else if (failure.kind == Kind::BadTicket) {
+        outcome = wire::StartOutcome::BadTicket;
+    }
+    logEvent(LogLevel::Warning, "start.failed", {{"job", order.run.job}, {"run", std::to_string(order.run.run)}, {"reason", failure.detail}});
+    answerStart(peer, order, outcome, failure.detail);
+}
+
+void Agent::handle(const std::string &peer, const wire::StopOrder &order)
+{
+    if (!isCurrent(peer, order.generation, order.born, order.endpoint)) {
+        return;
+    }
+    StopRequest request {order.endpoint, order.generation, runIdOf(order.run)};
+    hooks_.driver.stop(request, [this, run = request.run, born = order.born](Result<Milliseconds, EndpointError> result) {
+        if (!isOk(result)) {
+            logEvent(LogLevel::Warning, "stop.failed", {{"job", run.task.job}, {"run", std::to_string(run.run)}, {"reason", error(result).detail}});
+            return; // the scheduler asks again
+        }
+        if (boot_ && boot_->status.born == born) {
+            boot_->stopped[run] = holdNumber_;
+            hold(Milliseconds(0));
+        }
+    });
+}
+
+void Agent::hold(Milliseconds wait)
+{
+    if (!boot_) {
+        return;
+    }
+    HoldRequest request;
+    request.endpoint = boot_->status.id;
+    request.fence = generation_;
+    request.endsStored = boot_->endsStored;
+    request.leaseUntil = leaseUntil();
+    request.wait = wait;
+    const std::uint64_t number = ++holdNumber_;
+    const bool waits = wait.count() > 0;
+    isWaitingHold_ = isWaitingHold_ || waits;
+    hooks_.driver.hold(request, [this, number, waits, fence = request.fence, born = boot_->status.born](Result<HoldAnswer, EndpointError> result) {
+        if (waits) {
+            isWaitingHold_ = false;
+            nextHold_ = hooks_.now();
+        }
+        if (isOk(result)) {
+            held(number, fence, born, value(result));
+        } else {
+            logEvent(LogLevel::Warning, "hold.failed", {{"reason", error(result).detail}});
+            nextHold_ = hooks_.now() + holdRetry;
+        }
+    });
+}
+
+void Agent::held(std::uint64_t number, std::int64_t fence, std::int64_t born, const HoldAnswer &answer)
+{
+    const bool isOtherBoot = !boot_ || boot_->status.born != born || (answer.born != 0 && answer.born != born);
+    if (isOtherBoot || number < boot_->listNumber) {
+        return;
+    }
+    boot_->listNumber = number;
+    boot_->clock = answer.clock;
+    boot_->clockReadAt = hooks_.now();
+    boot_->isClockKnown = true;
+    const bool isFirst = boot_->listedGeneration != fence;
+    boot_->listedGeneration = fence;
+    const std::size_t runsBefore = boot_->running.size();
+    boot_->running.clear();
+    for (const ListedRun &run : answer.running) {
+        boot_->running[run.run] = run;
+    }
+    const std::size_t endsBefore = boot_->ended.size();
+    for (const ListedEnd &end : answer.ended) {
+        boot_->started.erase(end.run);
+        if (end.number > boot_->endsStored) {
+            boot_->ended[end.number] = end;
+        }
+    }
+    std::erase_if(boot_->started, [number](const auto &started) {
+        return started.second < number;
+    });
+    if (isFirst || boot_->ended.size() != endsBefore || boot_->running.size() != runsBefore) {
+        report();
+    }
+    reportAbsent();
+    nextHold_ = hooks_.now() + (!boot_->ended.empty() ? holdRetry : boot_->running.empty() && boot_->started.empty() ? idleHold : Milliseconds(0));
+}
+
+/// Tells the scheduler of stopped runs that a later list doesn't hold: they can't come any more. The report with their ends goes before.
+void Agent::reportAbsent()
+{
+    for (auto stopped = boot_->stopped.begin(); stopped != boot_->stopped.end();) {
+        if (stopped->second >= boot_->listNumber || boot_->running.count(stopped->first) != 0) {
+            stopped = stopped->second >= boot_->listNumber ? std::next(stopped) : boot_->stopped.erase(stopped);
+            continue;
+        }
+        wire::RunAbsent absent;
+        absent.generation = generation_;
+        absent.endpoint = boot_->status.id;
+        absent.born = boot_->status.born;
+        absent.run = wireRef(stopped->first);
+        if (!scheduler_.empty()) {
+            hooks_.send(scheduler_, absent);
+        }
+        stopped = boot_->stopped.erase(stopped);
+    }
+}
+
+void Agent::report()
+{
+    if (!boot_ || scheduler_.empty()) {
+        return;
+    }
+    const BootTime now = hooks_.now();
+    lastReport_ = now;
+    wire::EndpointReport report;
+    report.sequence = ++reportNumber_;
+    report.sentAtMs = now.time_since_epoch().count();
+    report.endpoint = boot_->status.id;
+    report.born = boot_->status.born;
+    report.serviceName = boot_->status.service;
+    report.failureDomain = boot_->status.failureDomain;
+    report.rack = boot_->status.rack;
+    report.labels = boot_->status.labels;
+    report.milliCores = boot_->status.capacity.milliCores;
+    report.memoryMib = boot_->status.capacity.memoryMib;
+    report.accelerators = boot_->status.capacity.accelerators;
+    report.draining = boot_->status.isDraining;
+    report.remainingMs = boot_->status.remaining.count();
+    report.generation = generation_;
+    report.isListed = boot_->listedGeneration == generation_;
+    for (const auto &[id, run] : boot_->running) {
+        wire::RunRow row;
+        row.run = wireRef(id);
+        row.checkpoint = run.checkpoint;
+        row.percent = run.percent;
+        row.load = run.load;
+        report.running.push_back(std::move(row));
+    }
+    for (const auto &[id, number] : boot_->started) {
+        if (boot_->running.count(id) == 0) {
+            wire::RunRow row;
+            row.run = wireRef(id);
+            report.running.push_back(std::move(row));
+        }
+    }
+    for (const auto &[number, end] : boot_->ended) {
+        wire::EndRow row;
+        row.number = number;
+        row.run = wireRef(end.run);
+        row.how = wireEnd(end.how);
+        row.checkpoint = end.checkpoint;
+        report.ended.push_back(std::move(row));
+    }
+    hooks_.send(scheduler_, report);
+}
+
+void Agent::tick()
+{
+    if (!boot_) {
+        return;
+    }
+    const BootTime now = hooks_.now();
+    const bool isBusy = !boot_->running.empty() || !boot_->started.empty() || !boot_->ended.empty();
+    if (now - lastReport_ >= (isBusy ? busyReport : idleReport)) {
+        report();
+    }
+    if (!isWaitingHold_ && now >= nextHold_) {
+        const bool canWait = boot_->ended.empty() && isBusy && boot_->isClockKnown;
+        nextHold_ = now + idleHold;
+        hold(canWait ? holdWait : Milliseconds(0));
+    }
+}
+
+std::int64_t Agent::generation() const
+{
+    return generation_;
+}
+
+const std::string &Agent::scheduler() const
+{
+    return scheduler_;
+}
+
+bool Agent::hasEndpoint() const
+{
+    return boot_.has_value();
+}
+
+std::size_t Agent::runningTasks() const
+{
+    return boot_ ? boot_->running.size() : 0;
+}
+
+} // namespace knapweed::cell
--- /dev/null
+++ b/src/libknapweed/cell/agent.h
@@ -0,0 +1,92 @@
+// The agent beside an endpoint: passes the scheduler's orders on, renews the lease of what runs while the scheduler is heard, and reports runs and ends. It
+// obeys the newest generation that it knows and starts nothing on an endpoint that leaves.
+#pragma once
+
+#include "cell/endpointstatus.h"
+#include "peers/codec.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace knapweed::cell
+{
+
+struct AgentOptions
+{
+    Milliseconds lease {0}; ///< from when a report was sent that the scheduler has answered
+};
+
+struct AgentHooks
+{
+    EndpointDriver driver;
+    std::function<void(const std::string &peer, const PeerMessage &message)> send;
+    std::function<BootTime()> now;
+};
+
+class Agent
+{
+public:
+    Agent(AgentOptions options, AgentHooks hooks);
+
+    /// The endpoint's report about itself. False when it is of an earlier boot or late, and says nothing.
+    bool endpointReported(const EndpointStatus &status);
+    /// The endpoint has said that it is gone.
+    void endpointLeft(const std::string &id);
+
+    void receive(const std::string &peer, const PeerMessage &message);
+    /// The connection to @p peer is up: a scheduler there wants to know of this endpoint.
+    void connected(const std::string &peer);
+
+    /// Reports and renews when it is time. To be called some times a second.
+    void tick();
+
+    std::int64_t generation() const;
+    const std::string &scheduler() const;
+    bool hasEndpoint() const;
+    std::size_t runningTasks() const;
+
+private:
+    struct Boot
+    {
+        EndpointStatus status;
+        Milliseconds clock {0}; ///< the endpoint's, as read last
+        BootTime clockReadAt; ///< when the answer that named clock arrived
+        bool isClockKnown = false;
+        std::int64_t listedGeneration = -1; ///< whose fence the lists were read under
+        std::uint64_t listNumber = 0; ///< of the hold that gave the lists
+        std::map<RunId, ListedRun> running;
+        std::map<std::int64_t, ListedEnd> ended; ///< not durable yet
+        std::int64_t endsStored = 0;
+        std::map<RunId, std::uint64_t> started; ///< started and perhaps not listed yet, by the newest hold sent before the start was answered
+        std::map<RunId, std::uint64_t> stopped; ///< stopped and perhaps still listed, likewise
+    };
+
+    void learnScheduler(std::int64_t generation, const std::string &address, bool isLeaving);
+    void handle(const std::string &peer, const wire::EndpointGrant &grant);
+    void handle(const std::string &peer, const wire::StartOrder &order);
+    void handle(const std::string &peer, const wire::StopOrder &order);
+    bool isCurrent(const std::string &peer, std::int64_t generation, std::int64_t born, const std::string &endpoint) const;
+    void answerStart(const std::string &peer, const wire::StartOrder &order, wire::StartOutcome::type outcome, const std::string &detail);
+    void startFailed(const std::string &peer, const wire::StartOrder &order, const EndpointError &failure);
+    void report();
+    void hold(Milliseconds wait);
+    void held(std::uint64_t number, std::int64_t fence, std::int64_t born, const HoldAnswer &answer);
+    std::optional<Milliseconds> leaseUntil() const;
+    void reportAbsent();
+
+    AgentOptions options_;
+    AgentHooks hooks_;
+    std::optional<Boot> boot_;
+    std::int64_t generation_ = 0; ///< the highest heard of; never falls
+    std::string scheduler_; ///< its peer address; empty while none is known
+    BootTime leaseEnds_; ///< the runs' lease; only rises
+    std::int64_t reportNumber_ = 0;
+    BootTime lastReport_;
+    std::uint64_t holdNumber_ = 0; ///< of the newest hold sent
+    bool isWaitingHold_ = false; ///< a hold that waits for ends is under way
+    BootTime nextHold_;
+};
+
+} // namespace knapweed::cell
--- /dev/null
+++ b/src/libknapweed/cell/jobtable.cpp
@@ -0,0 +1,135 @@
+// Units by occurrence and step, and what is durable of them.
+
+#include "cell/jobtable.h"
+
+#include <algorithm>
+
+namespace knapweed::cell
+{
+
+int occurrenceCount(const Job &job)
+{
+    return std::max(1, job.spec.occurrences);
+}
+
+WallTime nextDue(const Job &job)
+{
+    if (job.dueOccurrences >= occurrenceCount(job)) {
+        return WallTime::max();
+    }
+    return job.spec.occurrences == 0 ? WallTime::min() : job.spec.firstDue + job.spec.interval * job.dueOccurrences;
+}
+
+bool addDueUnits(Job &job, WallTime now)
+{
+    bool hasNew = false;
+    while (nextDue(job) <= now) {
+        const int occurrence = job.dueOccurrences++;
+        hasNew = true;
+        for (int step = 0; step < static_cast<int>(job.spec.steps.size()); ++step) {
+            const Step &plan = job.spec.steps[step];
+            if (plan.isGang) {
+                Unit &unit = job.units[{occurrence, step, -1}];
+                for (int index = 0; index < plan.tasks; ++index) {
+                    unit.indices.push_back(index);
+                }
+                continue;
+            }
+            for (int index = 0; index < plan.tasks; ++index) {
+                job.units[{occurrence, step, index}].indices = {index};
+            }
+        }
+    }
+    return hasNew;
+}
+
+UnitKey unitKeyOf(const JobSpec &spec, const TaskId &task)
+{
+    const bool isGang = task.step >= 0 && task.step < static_cast<int>(spec.steps.size()) && spec.steps[task.step].isGang;
+    return {task.occurrence, task.step, isGang ? -1 : task.index};
+}
+
+Unit *unitOf(Job &job, const TaskId &task)
+{
+    const auto found = job.units.find(unitKeyOf(job.spec, task));
+    if (found == job.units.end()) {
+        return nullptr;
+    }
+    const std::vector<int> &indices = found->second.indices;
+    return std::find(indices.begin(), indices.end(), task.index) == indices.end() ? nullptr : &found->second;
+}
+
+bool areDependenciesDone(const Job &job, const UnitKey &key)
+{
+    const std::vector<int> &after = job.spec.steps[key.step].after;
+    for (auto unit = job.units.lower_bound({key.occurrence, 0, -1}); unit != job.units.end() && unit->first.occurrence == key.occurrence; ++unit) {
+        const bool isNeeded = std::find(after.begin(), after.end(), unit->first.step) != after.end();
+        if (isNeeded && !unit->second.progress.isDone) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool haveAllSucceeded(const Job &job)
+{
+    if (job.dueOccurrences < occurrenceCount(job)) {
+        return false;
+    }
+    return std::all_of(job.units.begin(), job.units.end(), [](const auto &unit) {
+        return unit.second.progress.isDone;
+    });
+}
+
+std::int64_t acceleratorsOf(const JobSpec &spec)
+{
+    std::int64_t most = 0;
+    for (const Step &step : spec.steps) {
+        most = std::max(most, step.needs.accelerators * step.tasks);
+    }
+    return most;
+}
+
+JobProgress progressOf(const Job &job)
+{
+    JobProgress progress;
+    progress.isCancelled = job.isCancelled;
+    progress.hasFailed = job.hasFailed;
+    for (const auto &[key, unit] : job.units) {
+        if (unit.progress != UnitProgress()) {
+            progress.units[key] = unit.progress;
+        }
+    }
+    return progress;
+}
+
+void applyProgress(Job &job, const JobProgress &progress)
+{
+    job.isCancelled = progress.isCancelled;
+    job.hasFailed = progress.hasFailed;
+    if (!progress.units.empty() && job.spec.occurrences > 0) {
+        // What has run was due, whatever this machine's time of day says.
+        addDueUnits(job, job.spec.firstDue + job.spec.interval * progress.units.rbegin()->first.occurrence);
+    }
+    for (const auto &[key, stored] : progress.units) {
+        const auto unit = job.units.find(key);
+        if (unit == job.units.end()) {
+            continue; // no step or task of this job: written by a version that knew another shape
+        }
+        unit->second.progress = stored;
+        unit->second.phase = stored.isDone ? Unit::Phase::Ended : Unit::Phase::Waiting;
+        job.hasBegun = true;
+    }
+}
+
+std::string jobRecordKey(const std::string &job)
+{
+    return "j." + job;
+}
+
+std::string progressRecordKey(const std::string &job)
+{
+    return "p." + job;
+}
+
+} // namespace knapweed::cell
--- /dev/null
+++ b/src/libknapweed/cell/planner.cpp
@@ -0,0 +1,230 @@
+// Best fit over the endpoints; a unit of the first priority that finds no room displaces the cheapest later work. Room that such a unit waits for is taken
+// out of the table, so that nothing behind it in the queue slips in.
+
+#include "cell/planner.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+
+namespace knapweed::cell
+{
+
+namespace
+{
+
+constexpr std::size_t heldGangs = 1; ///< later gangs without room for which endpoints are kept free; more would idle the fleet
+
+using Table = std::vector<PlannedEndpoint>;
+
+/// Where a unit's tasks would go and what that costs.
+struct Choice
+{
+    std::vector<std::size_t> places; ///< indexes into the table, one for each task
+    std::set<std::size_t> victims;
+    double cost = 0;
+};
+
+bool mayUse(const WaitingUnit &unit, const PlannedEndpoint &endpoint)
+{
+    const bool hasLabel = unit.requiredLabel.empty() || endpoint.labels.count(unit.requiredLabel) != 0;
+    const bool isAdvised = !unit.needsAdvice || unit.advised.count(endpoint.agent) != 0;
+    return endpoint.service == unit.service && hasLabel && isAdvised && fits(unit.needs, endpoint.capacity);
+}
+
+std::size_t stepTasksOn(const WaitingUnit &unit, const PlannedEndpoint &endpoint)
+{
+    const auto found = unit.stepTasks.find(endpoint.agent);
+    return found == unit.stepTasks.end() ? 0 : found->second;
+}
+
+/// Tasks of the unit that the limit of its step still allows there.
+std::size_t allowedOn(const WaitingUnit &unit, const PlannedEndpoint &endpoint)
+{
+    if (unit.tasksPerEndpoint == 0) {
+        return unit.tasks;
+    }
+    const std::size_t taken = stepTasksOn(unit, endpoint);
+    return taken >= unit.tasksPerEndpoint ? 0 : unit.tasksPerEndpoint - taken;
+}
+
+/// Higher is tighter: what is left idle beside the task, scaled to the endpoint.
+double leftover(const Resources &room, const Resources &capacity)
+{
+    const double accelerators = capacity.accelerators > 0 ? double(room.accelerators) / double(capacity.accelerators) : 0;
+    const double cores = capacity.milliCores > 0 ? double(room.milliCores) / double(capacity.milliCores) : 0;
+    return accelerators * 2 + cores;
+}
+
+/// Frees room for one more task on the endpoint by stopping parts of later ranks, the cheapest first. Returns the cost, or nothing when it can't be done.
+std::optional<double> displace(const WaitingUnit &unit, PlannedEndpoint &endpoint, std::set<std::size_t> &victims)
+{
+    Resources room = endpoint.room;
+    std::vector<RunningPart *> candidates;
+    for (RunningPart &part : endpoint.parts) {
+        if (part.isStopping || victims.count(part.unit) != 0) {
+            room += part.needs;
+        } else if (part.rank > unit.rank) {
+            candidates.push_back(&part);
+        }
+    }
+    const auto isCheaper = [](const RunningPart *left, const RunningPart *right) {
+        return left->rank != right->rank ? left->rank > right->rank : left->lostWork < right->lostWork;
+    };
+    std::sort(candidates.begin(), candidates.end(), isCheaper);
+    double cost = 0;
+    std::vector<std::size_t> chosen;
+    for (const RunningPart *part : candidates) {
+        if (fits(unit.needs, room)) {
+            break;
+        }
+        room += part->needs;
+        cost += 1 + part->lostWork;
+        chosen.push_back(part->unit);
+    }
+    if (!fits(unit.needs, room)) {
+        return std::nullopt;
+    }
+    victims.insert(chosen.begin(), chosen.end());
+    return cost;
+}
+
+/// Places every task on the endpoints named by @p places, or returns nothing. With @p displaces it may stop later work.
+std::optional<Choice> choose(const WaitingUnit &unit, const Table &table, const std::vector<std::size_t> &places, bool displaces)
+{
+    Choice choice;
+    std::map<std::size_t, PlannedEndpoint> copies;
+    std::map<std::size_t, std::size_t> used;
+    for (std::size_t task = 0; task < unit.tasks; ++task) {
+        std::optional<std::size_t> best;
+        double bestScore = std::numeric_limits<double>::max();
+        std::set<std::size_t> bestVictims;
+        for (const std::size_t place : places) {
+            if (used[place] >= allowedOn(unit, table[place])) {
+                continue;
+            }
+            PlannedEndpoint &endpoint = copies.try_emplace(place, table[place]).first->second;
+            double score = leftover(endpoint.room, endpoint.capacity) + (unit.avoided.count(endpoint.agent) != 0 ? 100 : 0);
+            std::set<std::size_t> victims = choice.victims;
+            if (!fits(unit.needs, endpoint.room)) {
+                const std::optional<double> cost = displaces ? displace(unit, endpoint, victims) : std::nullopt;
+                if (!cost) {
+                    continue;
+                }
+                score += *cost * 10;
+            }
+            if (score < bestScore) {
+                best = place;
+                bestScore = score;
+                bestVictims = victims;
+            }
+        }
+        if (!best) {
+            return std::nullopt;
+        }
+        copies.at(*best).room -= unit.needs;
+        ++used[*best];
+        choice.victims = bestVictims;
+        choice.places.push_back(*best);
+        choice.cost += bestScore;
+    }
+    return choice;
+}
+
+/// The best choice within one rack when the unit wants that; else over all that it may use.
+std::optional<Choice> chooseAnywhere(const WaitingUnit &unit, const Table &table, bool displaces)
+{
+    std::map<std::string, std::vector<std::size_t>> byRack;
+    std::vector<std::size_t> all;
+    for (std::size_t place = 0; place < table.size(); ++place) {
+        if (mayUse(unit, table[place])) {
+            byRack[table[place].rack].push_back(place);
+            all.push_back(place);
+        }
+    }
+    std::optional<Choice> best;
+    if (!unit.dataRack.empty() && byRack.count(unit.dataRack) != 0) {
+        best = choose(unit, table, byRack.at(unit.dataRack), displaces);
+    }
+    if (!best && unit.prefersOneRack && unit.tasks > 1) {
+        for (const auto &[rack, places] : byRack) {
+            std::optional<Choice> choice = choose(unit, table, places, displaces);
+            if (choice && (!best || choice->cost < best->cost)) {
+                best = std::move(choice);
+            }
+        }
+    }
+    const bool isBound = (!unit.dataRack.empty() || (unit.prefersOneRack && unit.tasks > 1)) && !unit.mayLeaveRack;
+    if (!best && !isBound) {
+        best = choose(unit, table, all, displaces);
+    }
+    return best;
+}
+
+void take(const WaitingUnit &unit, const Choice &choice, Table &table)
+{
+    for (const std::size_t place : choice.places) {
+        table[place].room -= unit.needs;
+    }
+}
+
+/// Where the unit waits for room to come free, with whatever later work would have to end there first.
+std::optional<Choice> chooseHeld(const WaitingUnit &unit, Table table)
+{
+    for (PlannedEndpoint &endpoint : table) {
+        for (RunningPart &part : endpoint.parts) {
+            part.rank = Rank::Later;
+        }
+    }
+    WaitingUnit asFirst = unit;
+    asFirst.rank = Rank::Guaranteed;
+    asFirst.mayLeaveRack = false;
+    return chooseAnywhere(asFirst, table, true);
+}
+
+void markStopped(const std::set<std::size_t> &victims, Table &table)
+{
+    for (PlannedEndpoint &endpoint : table) {
+        for (RunningPart &part : endpoint.parts) {
+            part.isStopping = part.isStopping || victims.count(part.unit) != 0;
+        }
+    }
+}
+
+} // namespace
+
+Plan planUnits(const std::vector<WaitingUnit> &units, std::vector<PlannedEndpoint> endpoints)
+{
+    Plan plan;
+    std::size_t held = 0;
+    for (const WaitingUnit &unit : units) {
+        const std::optional<Choice> direct = chooseAnywhere(unit, endpoints, false);
+        if (direct) {
+            take(unit, *direct, endpoints);
+            PlannedStart start {unit.number, {}};
+            for (const std::size_t place : direct->places) {
+                start.agents.push_back(endpoints[place].agent);
+            }
+            plan.starts.push_back(std::move(start));
+            continue;
+        }
+        plan.blocked.push_back(unit.number);
+        if (unit.rank <= Rank::First) {
+            const std::optional<Choice> choice = chooseAnywhere(unit, endpoints, true);
+            if (choice) {
+                take(unit, *choice, endpoints);
+                markStopped(choice->victims, endpoints);
+                plan.stops.insert(plan.stops.end(), choice->victims.begin(), choice->victims.end());
+            }
+        } else if (unit.tasks > 1 && held < heldGangs) {
+            const std::optional<Choice> choice = chooseHeld(unit, endpoints);
+            if (choice) {
+                ++held;
+                take(unit, *choice, endpoints);
+            }
+        }
+    }
+    return plan;
+}
+
+} // namespace knapweed::cell
--- /dev/null
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -0,0 +1,370 @@
+// Entry points of the scheduler: recovery, callers' calls, and the clock.
+
+#include "cell/scheduler.h"
+
+#include "base/invariant.h"
+#include "base/logging.h"
+
+#include <algorithm>
+
+namespace knapweed::cell
+{
+
+namespace
+{
+
+constexpr Milliseconds clockMargin {300}; ///< for messages under way when a lease's end is computed
+constexpr Milliseconds replanInterval {100}; ///< while units are blocked
+constexpr Seconds statusRetention {150}; ///< how long a job that is over can be asked for; the platform asks for 120 s
+constexpr Milliseconds storeRetry {1000}; ///< Retry-After while the store can't be reached: about the shortest of its outages
+
+std::string stateName(const Job &job)
+{
+    if (job.isCancelled) {
+        return "cancelled";
+    }
+    if (job.hasFailed) {
+        return "failed";
+    }
+    if (haveAllSucceeded(job)) {
+        return "succeeded";
+    }
+    return job.hasBegun ? "running" : "pending";
+}
+
+bool isFinal(const Job &job)
+{
+    return job.isCancelled || job.hasFailed || haveAllSucceeded(job);
+}
+
+} // namespace
+
+Scheduler::Scheduler(SchedulerOptions options)
+    : options_(options)
+{
+}
+
+void Scheduler::load(const std::map<std::string, std::string> &records, BootTime now, WallTime wall)
+{
+    for (const auto &[key, text] : records) {
+        if (key.compare(0, 2, "j.") != 0) {
+            continue;
+        }
+        const Result<JobSpec, JobRecordError> spec = decodeSpec(text);
+        if (!isOk(spec)) {
+            logEvent(LogLevel::Error, "job.unreadable", {{"key", key}, {"detail", error(spec).detail}});
+            continue;
+        }
+        Job job;
+        job.spec = value(spec);
+        job.acceptedAt = now;
+        job.order = ++acceptedJobs_;
+        job.queue.name = job.spec.queue;
+        job.queue.service = job.spec.service;
+        job.queue.priority = job.spec.priority;
+        job.queue.attempts = job.spec.attempts;
+        addDueUnits(job, wall);
+        const auto stored = records.find(progressRecordKey(job.spec.id));
+        if (stored != records.end()) {
+            const Result<JobProgress, JobRecordError> progress = decodeProgress(stored->second);
+            if (isOk(progress)) {
+                applyProgress(job, value(progress));
+            } else {
+                logEvent(LogLevel::Error, "job.unreadable", {{"key", stored->first}, {"detail", error(progress).detail}});
+            }
+        }
+        job.isOver = isFinal(job);
+        job.overAt = now;
+        jobs_[job.spec.id] = std::move(job);
+    }
+    logEvent(LogLevel::Info, "scheduler.loaded", {{"records", std::to_string(records.size())}, {"jobs", std::to_string(jobs_.size())}});
+}
+
+void Scheduler::beginRecovery(const std::set<std::string> &agents, BootTime now)
+{
+    isRecovering_ = true;
+    awaitedAgents_ = agents;
+    recoveryEnds_ = now + options_.lease + clockMargin;
+}
+
+void Scheduler::setConfiguration(const CellConfiguration &configuration)
+{
+    if (configuration.version <= configuration_.version) {
+        return;
+    }
+    configuration_ = configuration;
+    for (auto &[id, job] : jobs_) {
+        const Queue *queue = queueNamed(configuration_, job.spec.queue);
+        if (queue != nullptr) {
+            job.queue = *queue;
+        }
+    }
+    isPlanDue_ = true;
+}
+
+void Scheduler::setStoreReachable(bool isReachable)
+{
+    isStoreReachable_ = isReachable;
+}
+
+void Scheduler::receive(const std::string &peer, const PeerMessage &message, BootTime now, WallTime wall)
+{
+    if (const wire::EndpointReport *report = std::get_if<wire::EndpointReport>(&message)) {
+        handle(peer, *report, now);
+    } else if (const wire::StartResult *result = std::get_if<wire::StartResult>(&message)) {
+        handle(peer, *result, now);
+    } else if (const wire::RunAbsent *absent = std::get_if<wire::RunAbsent>(&message)) {
+        handle(peer, *absent, now);
+    } else if (const wire::JobCall *call = std::get_if<wire::JobCall>(&message)) {
+        handle(peer, *call, now, wall);
+    }
+}
+
+void Scheduler::handle(const std::string &peer, const wire::JobCall &call, BootTime now, WallTime wall)
+{
+    std::uint64_t awaited = 0;
+    wire::JobAnswer reply;
+    switch (call.kind) {
+    case wire::CallKind::Submit:
+        reply = submit(call, awaited, now, wall);
+        break;
+    case wire::CallKind::Query:
+        reply = query(call, awaited);
+        break;
+    case wire::CallKind::Cancel:
+        reply = cancel(call, awaited, now);
+        break;
+    case wire::CallKind::CountWaiting:
+        reply = countWaiting(call);
+        break;
+    }
+    reply.call = call.call;
+    answer(peer, reply, awaited);
+}
+
+wire::JobAnswer Scheduler::submit(const wire::JobCall &call, std::uint64_t &write, BootTime now, WallTime wall)
+{
+    wire::JobAnswer reply;
+    const auto known = jobs_.find(call.job);
+    if (known != jobs_.end()) {
+        write = known->second.acceptedWrite;
+        reply.outcome = wire::CallOutcome::Ok;
+        return reply;
+    }
+    const Result<JobSpec, JobRecordError> spec = decodeSpec(call.spec);
+    if (!isOk(spec) || !isStoreReachable_) {
+        reply.outcome = wire::CallOutcome::Refused;
+        reply.retryAfterMs = storeRetry.count();
+        logEvent(LogLevel::Info, "job.refused", {{"job", call.job}, {"reason", isOk(spec) ? "store unreachable" : error(spec).detail}});
+        return reply;
+    }
+    Job job;
+    job.spec = value(spec);
+    job.acceptedAt = now;
+    job.order = ++acceptedJobs_;
+    const Queue *queue = queueNamed(configuration_, job.spec.queue);
+    if (queue != nullptr) {
+        job.queue = *queue;
+        job.spec.service = queue->service;
+        job.spec.priority = queue->priority;
+        job.spec.attempts = queue->attempts;
+    }
+    addDueUnits(job, wall);
+    job.acceptedWrite = this->write({jobRecordKey(job.spec.id), encodeSpec(job.spec)});
+    write = job.acceptedWrite;
+    jobs_[call.job] = std::move(job);
+    isPlanDue_ = true;
+    reply.outcome = wire::CallOutcome::Ok;
+    return reply;
+}
+
+wire::JobAnswer Scheduler::query(const wire::JobCall &call, std::uint64_t &write) const
+{
+    wire::JobAnswer reply;
+    const auto known = jobs_.find(call.job);
+    if (known == jobs_.end()) {
+        reply.outcome = wire::CallOutcome::Missing;
+        return reply;
+    }
+    const Job &job = known->second;
+    reply.outcome = wire::CallOutcome::Ok;
+    reply.state = stateName(job);
+    // What isn't durable yet isn't shown: the job still runs as far as anyone may know.
+    if (isFinal(job) && job.lastWrite > storedWrite_) {
+        reply.state = "running";
+    }
+    write = job.acceptedWrite;
+    return reply;
+}
+
+wire::JobAnswer Scheduler::cancel(const wire::JobCall &call, std::uint64_t &write, BootTime now)
+{
+    wire::JobAnswer reply;
+    const auto known = jobs_.find(call.job);
+    if (known == jobs_.end()) {
+        reply.outcome = wire::CallOutcome::Missing;
+        return reply;
+    }
+    Job &job = known->second;
+    if (!isFinal(job)) {
+        job.isCancelled = true;
+        writeProgress(job);
+        stopJob(job, now);
+        settleJob(job, now);
+        logEvent(LogLevel::Info, "job.cancelled", {{"job", call.job}});
+    }
+    reply.outcome = wire::CallOutcome::Ok;
+    write = job.lastWrite;
+    return reply;
+}
+
+wire::JobAnswer Scheduler::countWaiting(const wire::JobCall &call) const
+{
+    wire::JobAnswer reply;
+    reply.outcome = wire::CallOutcome::Ok;
+    for (const auto &[id, job] : jobs_) {
+        if (job.spec.queue == call.queue && !job.hasBegun && !isFinal(job)) {
+            ++reply.waiting;
+        }
+    }
+    return reply;
+}
+
+void Scheduler::answer(const std::string &peer, const wire::JobAnswer &answer, std::uint64_t write)
+{
+    if (write > storedWrite_) {
+        pendingAnswers_.push_back({write, peer, answer});
+        return;
+    }
+    output_.messages.emplace_back(peer, answer);
+}
+
+void Scheduler::stored(std::uint64_t write, BootTime now)
+{
+    assertInvariant(write <= output_.lastWrite, "only what was written is stored");
+    storedWrite_ = std::max(storedWrite_, write);
+    std::vector<PendingAnswer> waiting;
+    for (PendingAnswer &pending : pendingAnswers_) {
+        if (pending.write <= storedWrite_) {
+            output_.messages.emplace_back(pending.peer, std::move(pending.answer));
+        } else {
+            waiting.push_back(std::move(pending));
+        }
+    }
+    pendingAnswers_ = std::move(waiting);
+    for (auto &[agent, endpoint] : endpoints_) {
+        advanceStoredEnds(endpoint);
+    }
+    isPlanDue_ = true;
+}
+
+void Scheduler::tick(BootTime now, WallTime wall)
+{
+    checkEndpoints(now);
+    addDueOccurrences(now, wall);
+    if (isRecovering_ && (awaitedAgents_.empty() || now >= recoveryEnds_)) {
+        finishRecovery(now);
+    }
+    if (!isRecovering_ && (isPlanDue_ || (hasBlocked_ && now - plannedAt_ >= replanInterval))) {
+        isPlanDue_ = false;
+        plan(now);
+    }
+    forgetOldJobs(now);
+}
+
+/// A gang of which only some members run can't go on; a member that hasn't been heard of by now has lost its lease.
+void Scheduler::finishRecovery(BootTime now)
+{
+    isRecovering_ = false;
+    isPlanDue_ = true;
+    for (auto &[id, job] : jobs_) {
+        for (auto &[key, unit] : job.units) {
+            std::set<int> present;
+            for (const MemberPlace &member : unit.members) {
+                if (member.second.run == unit.run) {
+                    present.insert(member.second.task.index);
+                }
+            }
+            if (unit.phase == Unit::Phase::Active && present.size() < unit.indices.size()) {
+                stopUnit(unit, now);
+            }
+        }
+    }
+    logEvent(LogLevel::Info,
+        "scheduler.recovered",
+        {{"generation", std::to_string(options_.generation)}, {"endpoints", std::to_string(endpoints_.size())}, {"missing", std::to_string(awaitedAgents_.size())}});
+}
+
+void Scheduler::addDueOccurrences(BootTime now, WallTime wall)
+{
+    for (auto &[id, job] : jobs_) {
+        if (!job.isOver && addDueUnits(job, wall)) {
+            isPlanDue_ = true;
+        }
+    }
+}
+
+void Scheduler::forgetOldJobs(BootTime now)
+{
+    for (auto job = jobs_.begin(); job != jobs_.end();) {
+        const bool isHeld = std::any_of(job->second.units.begin(), job->second.units.end(), [](const auto &unit) {
+            return !unit.second.members.empty();
+        });
+        if (job->second.isOver && !isHeld && now - job->second.overAt > statusRetention) {
+            write({jobRecordKey(job->first), ""});
+            write({progressRecordKey(job->first), ""});
+            job = jobs_.erase(job);
+        } else {
+            ++job;
+        }
+    }
+}
+
+std::uint64_t Scheduler::write(StoreWrite record)
+{
+    output_.writes.push_back(std::move(record));
+    return ++output_.lastWrite;
+}
+
+std::uint64_t Scheduler::writeProgress(Job &job)
+{
+    job.lastWrite = write({progressRecordKey(job.spec.id), encodeProgress(progressOf(job))});
+    return job.lastWrite;
+}
+
+SchedulerOutput Scheduler::takeOutput()
+{
+    SchedulerOutput taken = std::move(output_);
+    output_ = SchedulerOutput();
+    output_.lastWrite = taken.lastWrite;
+    return taken;
+}
+
+bool Scheduler::isRecovering() const
+{
+    return isRecovering_;
+}
+
+bool Scheduler::isBusy() const
+{
+    return isRecovering_ || isPlanDue_ || std::any_of(jobs_.begin(), jobs_.end(), [](const auto &job) {
+        return !job.second.isOver;
+    });
+}
+
+bool Scheduler::isPlanDue() const
+{
+    return isPlanDue_ && !isRecovering_;
+}
+
+const std::map<std::string, Job> &Scheduler::jobs() const
+{
+    return jobs_;
+}
+
+const std::map<std::string, Endpoint> &Scheduler::endpoints() const
+{
+    return endpoints_;
+}
+
+} // namespace knapweed::cell
--- /dev/null
+++ b/src/libknapweed/cell/scheduler.h
@@ -0,0 +1,142 @@
+// The scheduler of the cell: the only writer of job state and the only one that gives orders, as long as its generation is the newest. Pure: messages,
+// answers of the store and the time in; messages and records to store out.
+#pragma once
+
+#include "cell/configuration.h"
+#include "cell/fleet.h"
+#include "cell/jobtable.h"
+#include "cell/planner.h"
+#include "peers/codec.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace knapweed::cell
+{
+
+struct SchedulerOptions
+{
+    std::int64_t generation = 0; ///< of this tenure; the fence of all orders
+    Milliseconds lease {0}; ///< how long an endpoint's runs outlive its agent's last contact
+};
+
+struct StoreWrite
+{
+    std::string key;
+    std::string value; ///< empty: the key is dropped
+};
+
+struct SchedulerOutput
+{
+    std::vector<std::pair<std::string, PeerMessage>> messages; ///< by peer, in order
+    std::vector<StoreWrite> writes; ///< in order; the last one's number is lastWrite
+    std::uint64_t lastWrite = 0;
+};
+
+class Scheduler
+{
+public:
+    explicit Scheduler(SchedulerOptions options);
+
+    /// Takes in the stored records, before anything else. Records that can't be read are logged and skipped.
+    void load(const std::map<std::string, std::string> &records, BootTime now, WallTime wall);
+
+    /// Starts are held back until each of @p agents has reported, or until no lease of an earlier scheduler can still run.
+    void beginRecovery(const std::set<std::string> &agents, BootTime now);
+
+    void setConfiguration(const CellConfiguration &configuration);
+    void setStoreReachable(bool isReachable);
+
+    void receive(const std::string &peer, const PeerMessage &message, BootTime now, WallTime wall);
+
+    /// All writes up to @p write are durable.
+    void stored(std::uint64_t write, BootTime now);
+
+    /// Time-outs, due occurrences, and planning.
+    void tick(BootTime now, WallTime wall);
+
+    SchedulerOutput takeOutput();
+
+    bool isRecovering() const;
+    /// Whether anything waits, runs or is due, so that tick() is needed soon.
+    bool isBusy() const;
+    /// Whether something has changed that planning must look at.
+    bool isPlanDue() const;
+    const std::map<std::string, Job> &jobs() const;
+    const std::map<std::string, Endpoint> &endpoints() const;
+
+private:
+    struct PendingAnswer
+    {
+        std::uint64_t write = 0;
+        std::string peer;
+        wire::JobAnswer answer;
+    };
+
+    void handle(const std::string &peer, const wire::EndpointReport &report, BootTime now);
+    void handle(const std::string &peer, const wire::StartResult &result, BootTime now);
+    void handle(const std::string &peer, const wire::RunAbsent &absent, BootTime now);
+    void handle(const std::string &peer, const wire::JobCall &call, BootTime now, WallTime wall);
+    wire::JobAnswer submit(const wire::JobCall &call, std::uint64_t &write, BootTime now, WallTime wall);
+    wire::JobAnswer query(const wire::JobCall &call, std::uint64_t &write) const;
+    wire::JobAnswer cancel(const wire::JobCall &call, std::uint64_t &write, BootTime now);
+    wire::JobAnswer countWaiting(const wire::JobCall &call) const;
+    void answer(const std::string &peer, const wire::JobAnswer &answer, std::uint64_t write);
+
+    Endpoint *currentEndpoint(const std::string &agent, std::int64_t born, const std::string &id);
+    void renewEndpoint(const std::string &agent, const wire::EndpointReport &report, BootTime now);
+    void applyEnds(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now);
+    std::uint64_t applyEnd(Endpoint &endpoint, const wire::EndRow &end, BootTime now);
+    void applyRunning(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now);
+    void adopt(Endpoint &endpoint, const RunId &run, BootTime now);
+    void noteHealth(Endpoint &endpoint, RunEnd how, BootTime now);
+    void grant(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now);
+    void advanceStoredEnds(Endpoint &endpoint);
+    void vacate(Endpoint &endpoint, const RunId &run, BootTime now);
+    void vacateAll(Endpoint &endpoint, BootTime now);
+
+    void concludeUnit(Job &job, const UnitKey &key, BootTime now);
+    void countFailure(Job &job, const UnitKey &key, std::int64_t run);
+    void settleJob(Job &job, BootTime now);
+    void stopUnit(Unit &unit, BootTime now);
+    void stopJob(Job &job, BootTime now);
+    void sendStop(Endpoint &endpoint, const RunId &run, BootTime now);
+    std::uint64_t writeProgress(Job &job);
+    std::uint64_t write(StoreWrite record);
+
+    void finishRecovery(BootTime now);
+    void checkEndpoints(BootTime now);
+    void checkRuns(Endpoint &endpoint, BootTime now);
+    void addDueOccurrences(BootTime now, WallTime wall);
+    void forgetOldJobs(BootTime now);
+
+    void plan(BootTime now);
+    std::set<std::string> guaranteedJobs() const;
+    std::vector<WaitingUnit> waitingUnits(BootTime now, std::vector<std::pair<std::string, UnitKey>> &names);
+    WaitingUnit describe(const Job &job, const UnitKey &key, const Unit &unit, bool isGuaranteed, BootTime now) const;
+    std::vector<PlannedEndpoint> plannedEndpoints(BootTime now, std::vector<std::pair<std::string, UnitKey>> &names) const;
+    void startUnit(const std::string &jobId, const UnitKey &key, const std::vector<std::string> &agents, BootTime now);
+
+    SchedulerOptions options_;
+    CellConfiguration configuration_;
+    std::map<std::string, Job> jobs_;
+    std::map<std::string, Endpoint> endpoints_; ///< by agent
+    std::vector<PendingAnswer> pendingAnswers_; ///< with a write above storedWrite_
+    SchedulerOutput output_;
+    std::uint64_t storedWrite_ = 0; ///< never above output_.lastWrite
+    std::uint64_t acceptedJobs_ = 0;
+    std::int64_t startedRuns_ = 0;
+    bool isStoreReachable_ = true;
+    bool isRecovering_ = true;
+    bool isPlanDue_ = true; ///< something has changed since the last round
+    bool hasBlocked_ = false; ///< units had no room in the last round; patience and health change with time alone
+    BootTime plannedAt_;
+    std::set<std::string> awaitedAgents_; ///< that have not reported since the recovery began
+    BootTime recoveryEnds_;
+};
+
+} // namespace knapweed::cell
--- /dev/null
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -0,0 +1,390 @@
+// What endpoints report: their runs, the ends of runs, and the fate of orders.
+
+#include "cell/scheduler.h"
+
+#include "base/logging.h"
+
+#include <algorithm>
+
+namespace knapweed::cell
+{
+
+namespace
+{
+
+constexpr Milliseconds clockMargin {300}; ///< for messages under way when a lease's end is computed
+constexpr Milliseconds reportTimeout {1500}; ///< three report intervals: an endpoint that is silent for longer gets no work
+constexpr Milliseconds orderTimeout {1500}; ///< after the agent's own time-out of a call: its answer was lost with its connection
+constexpr Milliseconds stopInterval {1000}; ///< between repeated stops of one run
+constexpr Milliseconds stallTimeout {2500}; ///< no progress for this long, where healthy tasks show some in each report
+constexpr Seconds avoidSpan {6}; ///< for which an endpoint that fails or stalls its runs gets no work
+constexpr int failuresToAvoid = 3; ///< runs that fail in a row: fewer are usual with jobs that can't be done
+
+RunId runIdOf(const wire::RunRef &ref)
+{
+    return {{ref.job, ref.occurrence, ref.step, ref.index}, ref.run};
+}
+
+wire::RunRef wireRef(const RunId &run)
+{
+    wire::RunRef ref;
+    ref.job = run.task.job;
+    ref.occurrence = run.task.occurrence;
+    ref.step = run.task.step;
+    ref.index = run.task.index;
+    ref.run = run.run;
+    return ref;
+}
+
+RunEnd runEndOf(wire::RunEnding::type how)
+{
+    switch (how) {
+    case wire::RunEnding::Done:
+        return RunEnd::Done;
+    case wire::RunEnding::Failed:
+        return RunEnd::Failed;
+    case wire::RunEnding::Stopped:
+        return RunEnd::Stopped;
+    case wire::RunEnding::Lapsed:
+        return RunEnd::Lapsed;
+    case wire::RunEnding::Broken:
+        return RunEnd::Broken;
+    case wire::RunEnding::Alone:
+        return RunEnd::Alone;
+    }
+    return RunEnd::Lapsed;
+}
+
+const char *nameOf(RunEnd how)
+{
+    switch (how) {
+    case RunEnd::Done:
+        return "done";
+    case RunEnd::Failed:
+        return "failed";
+    case RunEnd::Stopped:
+        return "stopped";
+    case RunEnd::Lapsed:
+        return "lapsed";
+    case RunEnd::Broken:
+        return "broken";
+    case RunEnd::Alone:
+        return "alone";
+    }
+    return "lapsed";
+}
+
+Resources countedNeeds(const Step &step)
+{
+    Resources needs = step.needs;
+    if (step.isFiller) {
+        needs.milliCores = 0;
+    }
+    return needs;
+}
+
+bool isStep(const JobSpec &spec, int step)
+{
+    return step >= 0 && step < static_cast<int>(spec.steps.size());
+}
+
+} // namespace
+
+Endpoint *Scheduler::currentEndpoint(const std::string &agent, std::int64_t born, const std::string &id)
+{
+    const auto found = endpoints_.find(agent);
+    return found != endpoints_.end() && found->second.born == born && found->second.id == id ? &found->second : nullptr;
+}
+
+void Scheduler::handle(const std::string &peer, const wire::EndpointReport &report, BootTime now)
+{
+    if (report.generation != options_.generation || report.endpoint.empty()) {
+        return;
+    }
+    const auto known = endpoints_.find(peer);
+    if (known != endpoints_.end() && report.born < known->second.born) {
+        return; // an earlier boot's report that was under way
+    }
+    renewEndpoint(peer, report, now);
+    Endpoint &endpoint = endpoints_.at(peer);
+    grant(endpoint, report, now);
+    if (!report.isListed) {
+        return;
+    }
+    endpoint.isListed = true;
+    applyEnds(endpoint, report, now);
+    applyRunning(endpoint, report, now);
+    advanceStoredEnds(endpoint);
+    if (awaitedAgents_.erase(peer) != 0) {
+        isPlanDue_ = true;
+    }
+}
+
+void Scheduler::renewEndpoint(const std::string &agent, const wire::EndpointReport &report, BootTime now)
+{
+    Endpoint &endpoint = endpoints_[agent];
+    if (endpoint.born != report.born || endpoint.id != report.endpoint) {
+        vacateAll(endpoint, now);
+        endpoint = Endpoint();
+        endpoint.agent = agent;
+        endpoint.id = report.endpoint;
+        endpoint.born = report.born;
+        isPlanDue_ = true;
+        logEvent(LogLevel::Info,
+            "endpoint.joined",
+            {{"agent", agent}, {"endpoint", endpoint.id}, {"service", report.serviceName}, {"rack", report.rack}, {"born", std::to_string(report.born)}});
+    }
+    if (endpoint.isDraining != report.draining) {
+        logEvent(LogLevel::Info, "endpoint.draining", {{"endpoint", endpoint.id}, {"remaining_ms", std::to_string(report.remainingMs)}});
+    }
+    endpoint.service = report.serviceName;
+    endpoint.failureDomain = report.failureDomain;
+    endpoint.rack = report.rack;
+    endpoint.labels = report.labels;
+    endpoint.capacity = {report.milliCores, report.memoryMib, report.accelerators};
+    endpoint.isDraining = report.draining;
+    endpoint.leavesAt = now + Milliseconds(report.remainingMs);
+    endpoint.sequence = report.sequence;
+    endpoint.lastReport = now;
+}
+
+/// The lease runs from when the agent sent the report, which was before now, so it can't outlast what is noted here.
+void Scheduler::grant(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now)
+{
+    endpoint.leaseEnds = now + options_.lease + clockMargin;
+    wire::EndpointGrant grant;
+    grant.generation = options_.generation;
+    grant.sentAtMs = report.sentAtMs;
+    grant.endpoint = endpoint.id;
+    grant.born = endpoint.born;
+    grant.endsStored = endpoint.endsStored;
+    output_.messages.emplace_back(endpoint.agent, grant);
+}
+
+void Scheduler::advanceStoredEnds(Endpoint &endpoint)
+{
+    const std::int64_t before = endpoint.endsStored;
+    while (!endpoint.endsPending.empty() && endpoint.endsPending.front().second <= storedWrite_) {
+        endpoint.endsStored = endpoint.endsPending.front().first;
+        endpoint.endsPending.pop_front();
+    }
+    if (endpoint.endsStored != before) {
+        wire::EndpointGrant grant;
+        grant.generation = options_.generation;
+        grant.endpoint = endpoint.id;
+        grant.born = endpoint.born;
+        grant.endsStored = endpoint.endsStored;
+        output_.messages.emplace_back(endpoint.agent, grant);
+    }
+}
+
+void Scheduler::applyEnds(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now)
+{
+    for (const wire::EndRow &end : report.ended) {
+        if (end.number <= endpoint.endsApplied) {
+            continue;
+        }
+        const std::uint64_t write = applyEnd(endpoint, end, now);
+        endpoint.endsApplied = end.number;
+        endpoint.endsPending.emplace_back(end.number, write);
+    }
+}
+
+/// Returns the write that makes it durable; 0 when there is nothing to write.
+std::uint64_t Scheduler::applyEnd(Endpoint &endpoint, const wire::EndRow &end, BootTime now)
+{
+    const RunId run = runIdOf(end.run);
+    const RunEnd how = runEndOf(end.how);
+    noteHealth(endpoint, how, now);
+    const auto found = jobs_.find(run.task.job);
+    Job *job = found == jobs_.end() ? nullptr : &found->second;
+    Unit *unit = job == nullptr ? nullptr : unitOf(*job, run.task);
+    logEvent(LogLevel::Info,
+        "run.ended",
+        {{"job", run.task.job},
+            {"task", std::to_string(run.task.occurrence) + '.' + std::to_string(run.task.step) + '.' + std::to_string(run.task.index)},
+            {"run", std::to_string(run.run)},
+            {"how", nameOf(how)},
+            {"endpoint", endpoint.id}});
+    if (unit == nullptr) {
+        vacate(endpoint, run, now);
+        return 0;
+    }
+    job->hasBegun = true;
+    const UnitProgress before = unit->progress;
+    const UnitKey key = unitKeyOf(job->spec, run.task);
+    const bool isLasting = job->spec.steps[key.step].isLasting;
+    if (how == RunEnd::Done && !isLasting) {
+        unit->progress.isDone = true;
+        unit->progress.checkpoint.clear();
+    } else if (how == RunEnd::Failed && !isLasting) {
+        unit->failedOn.insert(endpoint.agent);
+        countFailure(*job, key, run.run);
+    }
+    if (!end.checkpoint.empty() && !unit->progress.isDone) {
+        unit->progress.checkpoint = end.checkpoint;
+    }
+    const bool isGangOver = unit->indices.size() > 1 && unit->phase == Unit::Phase::Active && run.run == unit->run && how != RunEnd::Done;
+    vacate(endpoint, run, now);
+    if (isGangOver && !unit->members.empty()) {
+        stopUnit(*unit, now);
+    }
+    if (unit->progress != before) {
+        writeProgress(*job);
+    }
+    settleJob(*job, now);
+    return unit->progress != before || job->lastWrite > storedWrite_ ? job->lastWrite : 0;
+}
+
+void Scheduler::noteHealth(Endpoint &endpoint, RunEnd how, BootTime now)
+{
+    if (how == RunEnd::Done) {
+        endpoint.failuresInRow = 0;
+    } else if (how == RunEnd::Failed && ++endpoint.failuresInRow >= failuresToAvoid) {
+        endpoint.avoidUntil = now + avoidSpan;
+        logEvent(LogLevel::Warning, "endpoint.avoided", {{"endpoint", endpoint.id}, {"reason", "failures"}, {"in_row", std::to_string(endpoint.failuresInRow)}});
+    }
+}
+
+void Scheduler::applyRunning(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now)
+{
+    std::set<RunId> listed;
+    for (const wire::RunRow &row : report.running) {
+        const RunId run = runIdOf(row.run);
+        listed.insert(run);
+        if (endpoint.runs.count(run) == 0) {
+            adopt(endpoint, run, now);
+        }
+        Occupation &occupation = endpoint.runs.at(run);
+        if (occupation.state == Occupation::State::Ordered) {
+            occupation.state = Occupation::State::Listed;
+            occupation.progressAt = now;
+        }
+        if (row.percent != occupation.percent) {
+            occupation.percent = row.percent;
+            occupation.progressAt = now;
+        }
+        occupation.checkpoint = row.checkpoint;
+    }
+    std::vector<RunId> gone;
+    for (const auto &[run, occupation] : endpoint.runs) {
+        if (occupation.state != Occupation::State::Ordered && listed.count(run) == 0) {
+            gone.push_back(run);
+        }
+    }
+    for (const RunId &run : gone) {
+        vacate(endpoint, run, now);
+    }
+}
+
+/// A run that another generation started, or one given up that came late.
+void Scheduler::adopt(Endpoint &endpoint, const RunId &run, BootTime now)
+{
+    Occupation &occupation = endpoint.runs[run];
+    occupation.state = Occupation::State::Listed;
+    occupation.firstOrderedAt = now;
+    occupation.orderedAt = now;
+    occupation.progressAt = now;
+    const auto found = jobs_.find(run.task.job);
+    Job *job = found == jobs_.end() ? nullptr : &found->second;
+    Unit *unit = job == nullptr || !isStep(job->spec, run.task.step) ? nullptr : unitOf(*job, run.task);
+    if (unit == nullptr) {
+        sendStop(endpoint, run, now);
+        return;
+    }
+    occupation.needs = countedNeeds(job->spec.steps[run.task.step]);
+    job->hasBegun = true;
+    const bool isFree = unit->phase == Unit::Phase::Waiting && (isRecovering_ || unit->indices.size() == 1);
+    const bool isSameRun = unit->phase == Unit::Phase::Active && unit->run == run.run;
+    unit->members.insert({endpoint.agent, run});
+    if (!job->isOver && isFree) {
+        unit->phase = Unit::Phase::Active;
+        unit->run = run.run;
+    } else if (job->isOver || !isSameRun) {
+        sendStop(endpoint, run, now);
+    }
+}
+
+void Scheduler::handle(const std::string &peer, const wire::StartResult &result, BootTime now)
+{
+    Endpoint *endpoint = currentEndpoint(peer, result.born, result.endpoint);
+    const RunId run = runIdOf(result.run);
+    if (result.generation != options_.generation || endpoint == nullptr || endpoint->runs.count(run) == 0) {
+        return;
+    }
+    Occupation &occupation = endpoint->runs.at(run);
+    if (result.outcome == wire::StartOutcome::Started) {
+        if (occupation.state == Occupation::State::Ordered) {
+            occupation.state = Occupation::State::Listed;
+            occupation.progressAt = now;
+        }
+        return;
+    }
+    logEvent(LogLevel::Warning, "run.notstarted", {{"job", run.task.job}, {"run", std::to_string(run.run)}, {"endpoint", endpoint->id}, {"reason", result.detail}});
+    const auto job = jobs_.find(run.task.job);
+    Unit *unit = job == jobs_.end() ? nullptr : unitOf(job->second, run.task);
+    if (unit != nullptr && unit->run == run.run) {
+        stopUnit(*unit, now);
+    }
+    if (result.outcome != wire::StartOutcome::Unanswered) {
+        vacate(*endpoint, run, now);
+    }
+}
+
+void Scheduler::handle(const std::string &peer, const wire::RunAbsent &absent, BootTime now)
+{
+    Endpoint *endpoint = currentEndpoint(peer, absent.born, absent.endpoint);
+    if (absent.generation == options_.generation && endpoint != nullptr) {
+        vacate(*endpoint, runIdOf(absent.run), now);
+    }
+}
+
+void Scheduler::sendStop(Endpoint &endpoint, const RunId &run, BootTime now)
+{
+    Occupation &occupation = endpoint.runs.at(run);
+    occupation.state = occupation.state == Occupation::State::Ordered ? Occupation::State::Ordered : Occupation::State::Stopping;
+    occupation.orderedAt = now;
+    wire::StopOrder order;
+    order.generation = options_.generation;
+    order.endpoint = endpoint.id;
+    order.born = endpoint.born;
+    order.run = wireRef(run);
+    output_.messages.emplace_back(endpoint.agent, order);
+}
+
+void Scheduler::checkEndpoints(BootTime now)
+{
+    for (auto &[agent, endpoint] : endpoints_) {
+        if (now >= endpoint.leaseEnds) {
+            if (!endpoint.runs.empty()) {
+                logEvent(LogLevel::Warning, "endpoint.lapsed", {{"endpoint", endpoint.id}, {"runs", std::to_string(endpoint.runs.size())}});
+                vacateAll(endpoint, now);
+            }
+        } else if (now - endpoint.lastReport < reportTimeout) {
+            checkRuns(endpoint, now);
+        }
+    }
+}
+
+void Scheduler::checkRuns(Endpoint &endpoint, BootTime now)
+{
+    for (auto &[run, occupation] : endpoint.runs) {
+        const bool isSilent = occupation.state == Occupation::State::Ordered && now - occupation.orderedAt > orderTimeout;
+        const auto job = jobs_.find(run.task.job);
+        Unit *unit = job == jobs_.end() ? nullptr : unitOf(job->second, run.task);
+        const bool shouldStop = occupation.state == Occupation::State::Stopping || (unit != nullptr && unit->isStopping);
+        if (isSilent || (shouldStop && now - occupation.orderedAt > stopInterval)) {
+            sendStop(endpoint, run, now);
+            continue;
+        }
+        const bool isWorking = occupation.state == Occupation::State::Listed && unit != nullptr && !unit->isStopping;
+        if (isWorking && !job->second.spec.steps[run.task.step].isLasting && now - occupation.progressAt > stallTimeout) {
+            logEvent(LogLevel::Warning, "run.stalled", {{"job", run.task.job}, {"run", std::to_string(run.run)}, {"endpoint", endpoint.id}, {"percent", std::to_string(occupation.percent)}});
+            unit->failedOn.insert(endpoint.agent);
+            endpoint.avoidUntil = now + avoidSpan;
+            stopUnit(*unit, now);
+        }
+    }
+}
+
+} // namespace knapweed::cell
--- /dev/null
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -0,0 +1,259 @@
+// Puts the tables before the planner and carries out what it decides.
+
+#include "cell/scheduler.h"
+
+#include "base/invariant.h"
+#include "base/logging.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace knapweed::cell
+{
+
+namespace
+{
+
+constexpr Milliseconds reportTimeout {1200}; ///< two report intervals and a delay: an endpoint that is silent for longer gets no work
+constexpr Milliseconds urgentRackPatience {800}; ///< how long a unit of the first priority waits for its rack: a third of the reclaim bound
+constexpr Milliseconds rackPatience {2000}; ///< for the others: under the three seconds for which nothing may idle beside waiting work
+constexpr double acceleratorCores = 8; ///< cores that one accelerator counts for in the price of lost work
+constexpr double checkpointSeconds = 0.5; ///< work between two checkpoints
+constexpr std::int64_t runsPerGeneration = 1000000; ///< run numbers of one tenure, so that a later tenure's are higher
+constexpr std::size_t plannedUnits = 400; ///< units looked at in one round; bounds its time on a small machine
+
+Resources countedNeeds(const Step &step)
+{
+    Resources needs = step.needs;
+    if (step.isFiller) {
+        needs.milliCores = 0;
+    }
+    return needs;
+}
+
+Rank rankOf(const Job &job, bool isGuaranteed)
+{
+    if (job.queue.priority == 0) {
+        return isGuaranteed ? Rank::Guaranteed : Rank::First;
+    }
+    return job.queue.priority == 1 ? Rank::Second : Rank::Later;
+}
+
+double lostWork(const Step &step, const Occupation &occupation, BootTime now)
+{
+    double seconds = std::chrono::duration<double>(now - occupation.firstOrderedAt).count();
+    if (step.hasCheckpoints) {
+        seconds = std::min(seconds, checkpointSeconds);
+    }
+    return seconds * (double(step.needs.milliCores) / 1000 + acceleratorCores * double(step.needs.accelerators));
+}
+
+} // namespace
+
+/// The jobs of the first priority that fit into their accounts' guarantees, by order of acceptance.
+std::set<std::string> Scheduler::guaranteedJobs() const
+{
+    std::vector<const Job *> first;
+    for (const auto &[id, job] : jobs_) {
+        if (!job.isOver && job.queue.priority == 0) {
+            first.push_back(&job);
+        }
+    }
+    std::sort(first.begin(), first.end(), [](const Job *left, const Job *right) {
+        return left->order < right->order;
+    });
+    std::map<std::string, std::int64_t> used;
+    std::set<std::string> guaranteed;
+    for (const Job *job : first) {
+        const std::int64_t needed = acceleratorsOf(job->spec);
+        std::int64_t &sum = used[job->spec.account];
+        if (sum + needed <= guaranteedAccelerators(configuration_, job->spec.account)) {
+            sum += needed;
+            guaranteed.insert(job->spec.id);
+        }
+    }
+    return guaranteed;
+}
+
+WaitingUnit Scheduler::describe(const Job &job, const UnitKey &key, const Unit &unit, bool isGuaranteed, BootTime now) const
+{
+    const Step &step = job.spec.steps[key.step];
+    WaitingUnit waiting;
+    waiting.rank = rankOf(job, isGuaranteed);
+    waiting.tasks = unit.indices.size();
+    waiting.needs = countedNeeds(step);
+    waiting.service = job.queue.service;
+    waiting.requiredLabel = step.requiredLabel;
+    waiting.dataRack = step.dataRack;
+    waiting.prefersOneRack = step.prefersOneRack;
+    waiting.mayLeaveRack = now - unit.readySince > (waiting.rank <= Rank::First ? urgentRackPatience : rackPatience);
+    waiting.tasksPerEndpoint = static_cast<std::size_t>(step.tasksPerEndpoint);
+    waiting.avoided = unit.failedOn;
+    if (step.tasksPerEndpoint > 0) {
+        for (const auto &[otherKey, other] : job.units) {
+            if (otherKey.occurrence != key.occurrence || otherKey.step != key.step) {
+                continue;
+            }
+            for (const MemberPlace &member : other.members) {
+                ++waiting.stepTasks[member.first];
+            }
+        }
+    }
+    return waiting;
+}
+
+std::vector<WaitingUnit> Scheduler::waitingUnits(BootTime now, std::vector<std::pair<std::string, UnitKey>> &names)
+{
+    const std::set<std::string> guaranteed = guaranteedJobs();
+    struct Item
+    {
+        std::tuple<Rank, int, std::uint64_t> order;
+        WaitingUnit unit;
+        std::pair<std::string, UnitKey> name;
+    };
+    std::vector<Item> items;
+    for (auto &[id, job] : jobs_) {
+        if (job.isOver || job.acceptedWrite > storedWrite_) {
+            continue;
+        }
+        const bool isGuaranteed = guaranteed.count(id) != 0;
+        for (auto &[key, unit] : job.units) {
+            if (unit.phase != Unit::Phase::Waiting || !areDependenciesDone(job, key)) {
+                continue;
+            }
+            if (unit.readySince == BootTime()) {
+                unit.readySince = now;
+            }
+            WaitingUnit waiting = describe(job, key, unit, isGuaranteed, now);
+            items.push_back({{waiting.rank, job.queue.priority, job.order}, std::move(waiting), {id, key}});
+        }
+    }
+    std::stable_sort(items.begin(), items.end(), [](const Item &left, const Item &right) {
+        return left.order < right.order;
+    });
+    if (items.size() > plannedUnits) {
+        items.resize(plannedUnits);
+    }
+    std::vector<WaitingUnit> units;
+    for (Item &item : items) {
+        item.unit.number = names.size();
+        names.push_back(item.name);
+        units.push_back(std::move(item.unit));
+    }
+    return units;
+}
+
+std::vector<PlannedEndpoint> Scheduler::plannedEndpoints(BootTime now, std::vector<std::pair<std::string, UnitKey>> &names) const
+{
+    const std::set<std::string> guaranteed = guaranteedJobs();
+    std::map<std::pair<std::string, UnitKey>, std::size_t> numbers;
+    std::map<std::size_t, double> lost;
+    std::vector<PlannedEndpoint> planned;
+    for (const auto &[agent, endpoint] : endpoints_) {
+        const bool isUsable = endpoint.isListed && !endpoint.isDraining && now - endpoint.lastReport < reportTimeout && now >= endpoint.avoidUntil;
+        if (!isUsable) {
+            continue;
+        }
+        PlannedEndpoint row;
+        row.agent = agent;
+        row.service = endpoint.service;
+        row.rack = endpoint.rack;
+        row.labels = {endpoint.labels.begin(), endpoint.labels.end()};
+        row.capacity = endpoint.capacity;
+        row.room = freeRoom(endpoint);
+        for (const auto &[run, occupation] : endpoint.runs) {
+            const auto job = jobs_.find(run.task.job);
+            if (job == jobs_.end()) {
+                continue;
+            }
+            const UnitKey key = unitKeyOf(job->second.spec, run.task);
+            const auto [number, isNew] = numbers.try_emplace({run.task.job, key}, names.size());
+            if (isNew) {
+                names.emplace_back(run.task.job, key);
+            }
+            const auto unit = job->second.units.find(key);
+            RunningPart part;
+            part.unit = number->second;
+            part.rank = rankOf(job->second, guaranteed.count(run.task.job) != 0);
+            part.needs = occupation.needs;
+            part.isStopping = unit == job->second.units.end() || unit->second.isStopping || unit->second.progress.isDone;
+            lost[part.unit] += lostWork(job->second.spec.steps[key.step], occupation, now);
+            row.parts.push_back(part);
+        }
+        planned.push_back(std::move(row));
+    }
+    for (PlannedEndpoint &row : planned) {
+        for (RunningPart &part : row.parts) {
+            part.lostWork = lost[part.unit];
+        }
+    }
+    return planned;
+}
+
+void Scheduler::plan(BootTime now)
+{
+    std::vector<std::pair<std::string, UnitKey>> names;
+    const std::vector<WaitingUnit> units = waitingUnits(now, names);
+    hasBlocked_ = false;
+    plannedAt_ = now;
+    if (units.empty()) {
+        return;
+    }
+    const Plan plan = planUnits(units, plannedEndpoints(now, names));
+    hasBlocked_ = !plan.blocked.empty();
+    for (const PlannedStart &start : plan.starts) {
+        startUnit(names[start.number].first, names[start.number].second, start.agents, now);
+    }
+    for (const std::size_t number : plan.stops) {
+        const auto &[jobId, key] = names[number];
+        logEvent(LogLevel::Info, "unit.preempted", {{"job", jobId}, {"step", std::to_string(key.step)}});
+        stopUnit(jobs_.at(jobId).units.at(key), now);
+    }
+}
+
+void Scheduler::startUnit(const std::string &jobId, const UnitKey &key, const std::vector<std::string> &agents, BootTime now)
+{
+    Job &job = jobs_.at(jobId);
+    Unit &unit = job.units.at(key);
+    assertInvariant(unit.members.empty() && !unit.progress.isDone && !job.isOver, "only what doesn't run and isn't done is started");
+    assertInvariant(agents.size() == unit.indices.size(), "each task of a unit has a place");
+    unit.phase = Unit::Phase::Active;
+    unit.isStopping = false;
+    unit.run = options_.generation * runsPerGeneration + ++startedRuns_;
+    job.hasBegun = true;
+    const Step &step = job.spec.steps[key.step];
+    for (std::size_t i = 0; i < agents.size(); ++i) {
+        Endpoint &endpoint = endpoints_.at(agents[i]);
+        const RunId run {{jobId, key.occurrence, key.step, unit.indices[i]}, unit.run};
+        Occupation &occupation = endpoint.runs[run];
+        occupation.needs = countedNeeds(step);
+        occupation.orderedAt = now;
+        occupation.firstOrderedAt = now;
+        occupation.progressAt = now;
+        unit.members.insert({endpoint.agent, run});
+        const Resources room = freeRoom(endpoint);
+        assertInvariant(room.milliCores >= 0 && room.memoryMib >= 0 && room.accelerators >= 0, "an endpoint is never ordered more than it holds");
+        wire::StartOrder order;
+        order.generation = options_.generation;
+        order.endpoint = endpoint.id;
+        order.born = endpoint.born;
+        order.run.job = jobId;
+        order.run.occurrence = key.occurrence;
+        order.run.step = key.step;
+        order.run.index = run.task.index;
+        order.run.run = run.run;
+        order.input = job.spec.input;
+        order.checkpoint = unit.progress.checkpoint;
+        output_.messages.emplace_back(endpoint.agent, order);
+    }
+    logEvent(LogLevel::Info,
+        "unit.started",
+        {{"job", jobId},
+            {"step", std::to_string(key.step)},
+            {"index", std::to_string(key.index)},
+            {"run", std::to_string(unit.run)},
+            {"first", agents.front()},
+            {"waited_ms", std::to_string((now - unit.readySince).count())}});
+}
+
+} // namespace knapweed::cell
--- /dev/null
+++ b/src/libknapweed/cell/schedulerunits.cpp
@@ -0,0 +1,110 @@
+// The life of a unit: started, stopped, concluded; and of its job.
+
+#include "cell/scheduler.h"
+
+#include "base/logging.h"
+
+#include <algorithm>
+
+namespace knapweed::cell
+{
+
+void Scheduler::vacate(Endpoint &endpoint, const RunId &run, BootTime now)
+{
+    if (endpoint.runs.erase(run) == 0) {
+        return;
+    }
+    isPlanDue_ = true;
+    const auto job = jobs_.find(run.task.job);
+    if (job == jobs_.end()) {
+        return;
+    }
+    const UnitKey key = unitKeyOf(job->second.spec, run.task);
+    const auto unit = job->second.units.find(key);
+    if (unit != job->second.units.end() && unit->second.members.erase({endpoint.agent, run}) != 0 && unit->second.members.empty()) {
+        concludeUnit(job->second, key, now);
+    }
+}
+
+void Scheduler::vacateAll(Endpoint &endpoint, BootTime now)
+{
+    std::vector<RunId> runs;
+    for (const auto &[run, occupation] : endpoint.runs) {
+        runs.push_back(run);
+    }
+    for (const RunId &run : runs) {
+        // The rest of a gang that has lost a member ends by itself within the platform's limit; stopping it frees the room sooner.
+        const auto job = jobs_.find(run.task.job);
+        Unit *unit = job == jobs_.end() ? nullptr : unitOf(job->second, run.task);
+        vacate(endpoint, run, now);
+        if (unit != nullptr && !unit->members.empty() && unit->run == run.run) {
+            stopUnit(*unit, now);
+        }
+    }
+}
+
+/// Nothing of the unit takes room anywhere any more.
+void Scheduler::concludeUnit(Job &job, const UnitKey &key, BootTime now)
+{
+    Unit &unit = job.units.at(key);
+    unit.isStopping = false;
+    unit.phase = unit.progress.isDone || job.isOver ? Unit::Phase::Ended : Unit::Phase::Waiting;
+    unit.readySince = now;
+}
+
+/// A gang's members may all list a failure of one run: it counts once.
+void Scheduler::countFailure(Job &job, const UnitKey &key, std::int64_t run)
+{
+    Unit &unit = job.units.at(key);
+    if (run <= unit.progress.countedRun) {
+        return;
+    }
+    unit.progress.countedRun = run;
+    ++unit.progress.failures;
+    if (unit.progress.failures >= job.queue.attempts && !job.isOver) {
+        job.hasFailed = true;
+        logEvent(LogLevel::Info, "job.failed", {{"job", job.spec.id}, {"failures", std::to_string(unit.progress.failures)}, {"attempts", std::to_string(job.queue.attempts)}});
+    }
+}
+
+/// Notes when nothing of the job needs to start any more.
+void Scheduler::settleJob(Job &job, BootTime now)
+{
+    if (job.isOver || !(job.isCancelled || job.hasFailed || haveAllSucceeded(job))) {
+        return;
+    }
+    job.isOver = true;
+    job.overAt = now;
+    stopJob(job, now);
+    for (auto &[key, unit] : job.units) {
+        if (unit.members.empty()) {
+            unit.phase = Unit::Phase::Ended;
+        }
+    }
+    logEvent(LogLevel::Info, "job.over", {{"job", job.spec.id}, {"state", job.isCancelled ? "cancelled" : job.hasFailed ? "failed" : "succeeded"}});
+}
+
+void Scheduler::stopJob(Job &job, BootTime now)
+{
+    for (auto &[key, unit] : job.units) {
+        // Members of a gang that is done end by themselves, as done.
+        if (!unit.members.empty() && !unit.progress.isDone) {
+            stopUnit(unit, now);
+        }
+    }
+}
+
+void Scheduler::stopUnit(Unit &unit, BootTime now)
+{
+    unit.isStopping = true;
+    for (const auto &[agent, run] : unit.members) {
+        const auto endpoint = endpoints_.find(agent);
+        const auto occupation = endpoint == endpoints_.end() ? std::map<RunId, Occupation>::iterator() : endpoint->second.runs.find(run);
+        if (endpoint == endpoints_.end() || occupation == endpoint->second.runs.end() || occupation->second.state == Occupation::State::Stopping) {
+            continue;
+        }
+        sendStop(endpoint->second, run, now);
+    }
+}
+
+} // namespace knapweed::cell
--- /dev/null
+++ b/src/libknapweed/cell/settings.cpp
@@ -0,0 +1,129 @@
+// Reading and checking of a cell process's settings. Each key stands here once, with its range and default.
+
+#include "cell/settings.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <optional>
+#include <sstream>
+
+namespace knapweed::cell
+{
+
+namespace
+{
+
+constexpr std::size_t seedLimit = 64;
+constexpr Milliseconds shortestLease {500}; ///< a report interval: a shorter lease would lapse between two reports
+
+const TextRule nameRule {TextRule::Form::Identifier, 1, 128, std::nullopt};
+const TextRule addressRule {TextRule::Form::Line, 9, 21, std::nullopt};
+const Choices roles {{"agent", static_cast<int>(ProcessRole::Agent)}, {"entry", static_cast<int>(ProcessRole::Entry)}};
+const Choices logLevels {
+    {"debug", static_cast<int>(LogLevel::Debug)},
+    {"info", static_cast<int>(LogLevel::Info)},
+    {"warning", static_cast<int>(LogLevel::Warning)},
+    {"error", static_cast<int>(LogLevel::Error)},
+};
+
+Address readAddress(JsonObjectReader &root, const std::string &key)
+{
+    const std::string text = root.text(key, addressRule);
+    const Address address = parseAddress(text);
+    if (root.isPresent() && !text.empty() && address.port == 0) {
+        root.fault(key, text, "an IPv4 address and a port, as 10.0.0.1:7000");
+    }
+    return address;
+}
+
+std::vector<Address> readSeeds(JsonObjectReader &root, std::uint16_t peerPort)
+{
+    std::vector<Address> seeds;
+    const nlohmann::json *list = root.member("seeds");
+    if (list == nullptr) {
+        return seeds;
+    }
+    if (!list->is_array() || list->size() > seedLimit) {
+        root.fault("seeds", describeFound(*list), "a list of at most 64 addresses");
+        return seeds;
+    }
+    for (const nlohmann::json &item : *list) {
+        Address seed = parseAddress(item.is_string() ? item.get<std::string>() : std::string());
+        if (seed.port == 0) {
+            root.fault("seeds", describeFound(item), "an IPv4 address and a port, as 10.0.0.1:7000");
+            continue;
+        }
+        seed.port = peerPort; // the list names another service of the same instances
+        if (std::find(seeds.begin(), seeds.end(), seed) == seeds.end()) {
+            seeds.push_back(seed);
+        }
+    }
+    return seeds;
+}
+
+CellSettings readRoot(JsonObjectReader &root, const JsonReport &report)
+{
+    CellSettings settings;
+    settings.role = static_cast<ProcessRole>(root.choice("role", roles));
+    const bool isRoleKnown = report.faults.empty();
+    settings.name = root.text("name", nameRule);
+    settings.region = root.text("region", nameRule);
+    settings.failureDomain = root.text("failure_domain", nameRule);
+    settings.peers.ip = root.text("ip", {TextRule::Form::IpAddress, 7, 15, std::nullopt});
+    settings.peers.port = static_cast<std::uint16_t>(root.integer("peer_port", {1, 65535, std::nullopt}));
+    settings.metricsPort = static_cast<std::uint16_t>(root.integer("metrics_port", {1, 65535, std::nullopt}));
+    settings.seeds = readSeeds(root, settings.peers.port);
+    settings.store = readAddress(root, "store");
+    settings.lease = root.duration("lease_ms", {shortestLease, Seconds(600), std::nullopt});
+    settings.grace = Milliseconds(static_cast<std::int64_t>(1000 * root.number("grace_s", {0, 3600, 6})));
+    settings.logLevel = static_cast<LogLevel>(root.choice("log_level", logLevels, "info"));
+    if (!root.isPresent() || (isRoleKnown && settings.role == ProcessRole::Entry)) {
+        settings.callers = readAddress(root, "callers");
+        settings.readiness = readAddress(root, "readiness");
+    }
+    if (!root.isPresent() || (isRoleKnown && settings.role == ProcessRole::Agent)) {
+        settings.endpointReports = readAddress(root, "endpoint_reports");
+        settings.endpoint = readAddress(root, "endpoint");
+    }
+    root.finish();
+    return settings;
+}
+
+} // namespace
+
+Result<CellSettings, SettingsError> parseCellSettings(const std::string &json)
+{
+    JsonReport report;
+    const nlohmann::json document = parseJson(json, report);
+    if (!report.faults.empty()) {
+        return SettingsError {report.faults};
+    }
+    JsonObjectReader root(&document, "", report);
+    CellSettings settings = readRoot(root, report);
+    if (!report.faults.empty()) {
+        return SettingsError {report.faults};
+    }
+    return settings;
+}
+
+Result<CellSettings, SettingsError> readCellSettings(const std::string &fileName)
+{
+    std::ifstream file(fileName, std::ios::binary);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf())) {
+        return SettingsError {{faultLine(fileName, "no readable text", "the name of a settings file")}};
+    }
+    return parseCellSettings(text.str());
+}
+
+std::vector<FieldDescription> describeCellSettings()
+{
+    JsonReport report;
+    JsonObjectReader root(nullptr, "", report);
+    readRoot(root, report);
+    return report.fields;
+}
+
+} // namespace knapweed::cell
--- /dev/null
+++ b/src/libknapweed/jobs/jobrecord.cpp
@@ -0,0 +1,153 @@
+// JSON with short keys, because each byte that is written to the platform's store is paid for.
+
+#include "jobs/jobrecord.h"
+
+#include <nlohmann/json.hpp>
+
+namespace knapweed::cell
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+json encodeStep(const Step &step)
+{
+    json out = {{"n", step.tasks}, {"c", step.needs.milliCores}, {"m", step.needs.memoryMib}, {"a", step.needs.accelerators}, {"e", step.estimate.count()}};
+    if (!step.after.empty()) {
+        out["after"] = step.after;
+    }
+    const std::pair<const char *, bool> flags[] = {{"gang", step.isGang},
+        {"rack", step.prefersOneRack},
+        {"ckpt", step.hasCheckpoints},
+        {"spec", step.maySpeculate},
+        {"last", step.isLasting},
+        {"fill", step.isFiller}};
+    for (const auto &[name, isSet] : flags) {
+        if (isSet) {
+            out[name] = true;
+        }
+    }
+    const std::pair<const char *, std::string> texts[] = {{"label", step.requiredLabel}, {"data", step.dataRack}, {"image", step.image}};
+    for (const auto &[name, text] : texts) {
+        if (!text.empty()) {
+            out[name] = text;
+        }
+    }
+    const std::pair<const char *, std::int64_t> numbers[] = {
+        {"apart", step.tasksPerEndpoint}, {"miss", step.mayMiss}, {"target", step.latencyTarget.count()}};
+    for (const auto &[name, number] : numbers) {
+        if (number != 0) {
+            out[name] = number;
+        }
+    }
+    return out;
+}
+
+Step decodeStep(const json &in)
+{
+    Step step;
+    step.tasks = in.at("n").get<int>();
+    step.needs = {in.at("c").get<std::int64_t>(), in.at("m").get<std::int64_t>(), in.at("a").get<std::int64_t>()};
+    step.estimate = Milliseconds(in.at("e").get<std::int64_t>());
+    step.after = in.value("after", std::vector<int>());
+    step.isGang = in.value("gang", false);
+    step.prefersOneRack = in.value("rack", false);
+    step.hasCheckpoints = in.value("ckpt", false);
+    step.maySpeculate = in.value("spec", false);
+    step.isLasting = in.value("last", false);
+    step.isFiller = in.value("fill", false);
+    step.requiredLabel = in.value("label", std::string());
+    step.dataRack = in.value("data", std::string());
+    step.image = in.value("image", std::string());
+    step.tasksPerEndpoint = in.value("apart", 0);
+    step.mayMiss = in.value("miss", 0);
+    step.latencyTarget = Milliseconds(in.value("target", std::int64_t(0)));
+    return step;
+}
+
+} // namespace
+
+std::string encodeSpec(const JobSpec &spec)
+{
+    json out = {{"id", spec.id}, {"queue", spec.queue}, {"account", spec.account}, {"service", spec.service}, {"priority", spec.priority}, {"attempts", spec.attempts}, {"input", spec.input}, {"steps", json::array()}};
+    for (const Step &step : spec.steps) {
+        out["steps"].push_back(encodeStep(step));
+    }
+    if (spec.occurrences > 0) {
+        out["times"] = spec.occurrences;
+        out["first"] = std::chrono::duration_cast<Milliseconds>(spec.firstDue.time_since_epoch()).count();
+        out["every"] = spec.interval.count();
+    }
+    return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<JobSpec, JobRecordError> decodeSpec(const std::string &text)
+{
+    try {
+        const json in = json::parse(text);
+        JobSpec spec;
+        spec.id = in.at("id").get<std::string>();
+        spec.queue = in.at("queue").get<std::string>();
+        spec.account = in.at("account").get<std::string>();
+        spec.service = in.value("service", std::string());
+        spec.priority = in.value("priority", 0);
+        spec.attempts = in.value("attempts", 1);
+        spec.input = in.at("input").get<std::string>();
+        for (const json &step : in.at("steps")) {
+            spec.steps.push_back(decodeStep(step));
+        }
+        spec.occurrences = in.value("times", 0);
+        spec.firstDue = WallTime(Milliseconds(in.value("first", std::int64_t(0))));
+        spec.interval = Milliseconds(in.value("every", std::int64_t(0)));
+        return spec;
+    } catch (const json::exception &failure) {
+        return JobRecordError {failure.what()};
+    }
+}
+
+std::string encodeProgress(const JobProgress &progress)
+{
+    json out = json::object();
+    if (progress.isCancelled) {
+        out["x"] = true;
+    }
+    if (progress.hasFailed) {
+        out["f"] = true;
+    }
+    json units = json::array();
+    for (const auto &[key, unit] : progress.units) {
+        json row = {key.occurrence, key.step, key.index, unit.isDone ? 1 : 0, unit.failures, unit.countedRun};
+        if (!unit.checkpoint.empty()) {
+            row.push_back(unit.checkpoint);
+        }
+        units.push_back(std::move(row));
+    }
+    out["u"] = std::move(units);
+    return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<JobProgress, JobRecordError> decodeProgress(const std::string &text)
+{
+    try {
+        const json in = json::parse(text);
+        JobProgress progress;
+        progress.isCancelled = in.value("x", false);
+        progress.hasFailed = in.value("f", false);
+        for (const json &row : in.at("u")) {
+            const UnitKey key {row.at(0).get<int>(), row.at(1).get<int>(), row.at(2).get<int>()};
+            UnitProgress unit;
+            unit.isDone = row.at(3).get<int>() != 0;
+            unit.failures = row.at(4).get<int>();
+            unit.countedRun = row.at(5).get<std::int64_t>();
+            unit.checkpoint = row.size() > 6 ? row.at(6).get<std::string>() : std::string();
+            progress.units[key] = unit;
+        }
+        return progress;
+    } catch (const json::exception &failure) {
+        return JobRecordError {failure.what()};
+    }
+}
+
+} // namespace knapweed::cell
--- a/src/libknapweed/peers/codec.h
+++ b/src/libknapweed/peers/codec.h
@@ -39,7 +39,17 @@
     wire::OutcomeReport,
     wire::OutcomeAck,
     wire::AttemptQuery,
-    wire::JobCancel>;
+    wire::JobCancel,
+    wire::EndpointReport,
+    wire::EndpointGrant,
+    wire::StartOrder,
+    wire::StartResult,
+    wire::StopOrder,
+    wire::RunAbsent,
+    wire::SchedulerNotice,
+    wire::JobCall,
+    wire::JobAnswer,
+    wire::CellConfigurationOffer>;
 
 struct CodecError
 {
