--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -202,6 +202,146 @@
   }
 }
 
+int _kRunEndingValues[] = {
+  RunEnding::Done,
+  RunEnding::Failed,
+  RunEnding::Stopped,
+  RunEnding::Lapsed,
+  RunEnding::Broken,
+  RunEnding::Alone
+};
+const char* _kRunEndingNames[] = {
+  "Done",
+  "Failed",
+  "Stopped",
+  "Lapsed",
+  "Broken",
+  "Alone"
+};
+const std::map<int, const char*> _RunEnding_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(6, _kRunEndingValues, _kRunEndingNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const RunEnding::type& val) {
+  std::map<int, const char*>::const_iterator it = _RunEnding_VALUES_TO_NAMES.find(val);
+  if (it != _RunEnding_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const RunEnding::type& val) {
+  std::map<int, const char*>::const_iterator it = _RunEnding_VALUES_TO_NAMES.find(val);
+  if (it != _RunEnding_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kCallKindValues[] = {
+  CallKind::Submit,
+  CallKind::Query,
+  CallKind::Cancel,
+  CallKind::CountWaiting
+};
+const char* _kCallKindNames[] = {
+  "Submit",
+  "Query",
+  "Cancel",
+  "CountWaiting"
+};
+const std::map<int, const char*> _CallKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kCallKindValues, _kCallKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const CallKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _CallKind_VALUES_TO_NAMES.find(val);
+  if (it != _CallKind_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const CallKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _CallKind_VALUES_TO_NAMES.find(val);
+  if (it != _CallKind_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kCallOutcomeValues[] = {
+  CallOutcome::Ok,
+  CallOutcome::Refused,
+  CallOutcome::Missing,
+  CallOutcome::Unknown,
+  CallOutcome::NotScheduler
+};
+const char* _kCallOutcomeNames[] = {
+  "Ok",
+  "Refused",
+  "Missing",
+  "Unknown",
+  "NotScheduler"
+};
+const std::map<int, const char*> _CallOutcome_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kCallOutcomeValues, _kCallOutcomeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const CallOutcome::type& val) {
+  std::map<int, const char*>::const_iterator it = _CallOutcome_VALUES_TO_NAMES.find(val);
+  if (it != _CallOutcome_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const CallOutcome::type& val) {
+  std::map<int, const char*>::const_iterator it = _CallOutcome_VALUES_TO_NAMES.find(val);
+  if (it != _CallOutcome_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kStartOutcomeValues[] = {
+  StartOutcome::Started,
+  StartOutcome::Rejected,
+  StartOutcome::Unanswered,
+  StartOutcome::NoRoom,
+  StartOutcome::BadTicket
+};
+const char* _kStartOutcomeNames[] = {
+  "Started",
+  "Rejected",
+  "Unanswered",
+  "NoRoom",
+  "BadTicket"
+};
+const std::map<int, const char*> _StartOutcome_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kStartOutcomeValues, _kStartOutcomeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const StartOutcome::type& val) {
+  std::map<int, const char*>::const_iterator it = _StartOutcome_VALUES_TO_NAMES.find(val);
+  if (it != _StartOutcome_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const StartOutcome::type& val) {
+  std::map<int, const char*>::const_iterator it = _StartOutcome_VALUES_TO_NAMES.find(val);
+  if (it != _StartOutcome_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 AttemptId::~AttemptId() noexcept {
 }
@@ -6819,4 +6959,2683 @@
   out << ")";
 }
 
+
+RunRef::~RunRef() noexcept {
+}
+
+
+void RunRef::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void RunRef::__set_occurrence(const int32_t val) {
+  this->occurrence = val;
+}
+
+void RunRef::__set_step(const int32_t val) {
+  this->step = val;
+}
+
+void RunRef::__set_index(const int32_t val) {
+  this->index = val;
+}
+
+void RunRef::__set_run(const int64_t val) {
+  this->run = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunRef& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunRef::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->occurrence);
+          this->__isset.occurrence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->step);
+          this->__isset.step = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RunRef::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunRef");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("occurrence", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->occurrence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->step);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunRef &a, RunRef &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.occurrence, b.occurrence);
+  swap(a.step, b.step);
+  swap(a.index, b.index);
+  swap(a.run, b.run);
+  swap(a.__isset, b.__isset);
+}
+
+RunRef::RunRef(const RunRef& other204) {
+  job = other204.job;
+  occurrence = other204.occurrence;
+  step = other204.step;
+  index = other204.index;
+  run = other204.run;
+  __isset = other204.__isset;
+}
+RunRef::RunRef(RunRef&& other205) noexcept {
+  job = std::move(other205.job);
+  occurrence = other205.occurrence;
+  step = other205.step;
+  index = other205.index;
+  run = other205.run;
+  __isset = other205.__isset;
+}
+RunRef& RunRef::operator=(const RunRef& other206) {
+  job = other206.job;
+  occurrence = other206.occurrence;
+  step = other206.step;
+  index = other206.index;
+  run = other206.run;
+  __isset = other206.__isset;
+  return *this;
+}
+RunRef& RunRef::operator=(RunRef&& other207) noexcept {
+  job = std::move(other207.job);
+  occurrence = other207.occurrence;
+  step = other207.step;
+  index = other207.index;
+  run = other207.run;
+  __isset = other207.__isset;
+  return *this;
+}
+void RunRef::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunRef(";
+  out << "job=" << to_string(job);
+  out << ", " << "occurrence=" << to_string(occurrence);
+  out << ", " << "step=" << to_string(step);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "run=" << to_string(run);
+  out << ")";
+}
+
+
+RunRow::~RunRow() noexcept {
+}
+
+
+void RunRow::__set_run(const RunRef& val) {
+  this->run = val;
+}
+
+void RunRow::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+
+void RunRow::__set_percent(const int32_t val) {
+  this->percent = val;
+}
+
+void RunRow::__set_load(const int64_t val) {
+  this->load = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunRow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->run.read(iprot);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->percent);
+          this->__isset.percent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->load);
+          this->__isset.load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RunRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunRow");
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->run.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("percent", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->percent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->load);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunRow &a, RunRow &b) {
+  using ::std::swap;
+  swap(a.run, b.run);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.percent, b.percent);
+  swap(a.load, b.load);
+  swap(a.__isset, b.__isset);
+}
+
+RunRow::RunRow(const RunRow& other208) {
+  run = other208.run;
+  checkpoint = other208.checkpoint;
+  percent = other208.percent;
+  load = other208.load;
+  __isset = other208.__isset;
+}
+RunRow::RunRow(RunRow&& other209) noexcept {
+  run = std::move(other209.run);
+  checkpoint = std::move(other209.checkpoint);
+  percent = other209.percent;
+  load = other209.load;
+  __isset = other209.__isset;
+}
+RunRow& RunRow::operator=(const RunRow& other210) {
+  run = other210.run;
+  checkpoint = other210.checkpoint;
+  percent = other210.percent;
+  load = other210.load;
+  __isset = other210.__isset;
+  return *this;
+}
+RunRow& RunRow::operator=(RunRow&& other211) noexcept {
+  run = std::move(other211.run);
+  checkpoint = std::move(other211.checkpoint);
+  percent = other211.percent;
+  load = other211.load;
+  __isset = other211.__isset;
+  return *this;
+}
+void RunRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunRow(";
+  out << "run=" << to_string(run);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ", " << "percent=" << to_string(percent);
+  out << ", " << "load=" << to_string(load);
+  out << ")";
+}
+
+
+EndRow::~EndRow() noexcept {
+}
+
+
+void EndRow::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void EndRow::__set_run(const RunRef& val) {
+  this->run = val;
+}
+
+void EndRow::__set_how(const RunEnding::type val) {
+  this->how = val;
+}
+
+void EndRow::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndRow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->run.read(iprot);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast212;
+          xfer += iprot->readI32(ecast212);
+          this->how = static_cast<RunEnding::type>(ecast212);
+          this->__isset.how = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndRow");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->run.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("how", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->how));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndRow &a, EndRow &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.run, b.run);
+  swap(a.how, b.how);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.__isset, b.__isset);
+}
+
+EndRow::EndRow(const EndRow& other213) {
+  number = other213.number;
+  run = other213.run;
+  how = other213.how;
+  checkpoint = other213.checkpoint;
+  __isset = other213.__isset;
+}
+EndRow::EndRow(EndRow&& other214) noexcept {
+  number = other214.number;
+  run = std::move(other214.run);
+  how = other214.how;
+  checkpoint = std::move(other214.checkpoint);
+  __isset = other214.__isset;
+}
+EndRow& EndRow::operator=(const EndRow& other215) {
+  number = other215.number;
+  run = other215.run;
+  how = other215.how;
+  checkpoint = other215.checkpoint;
+  __isset = other215.__isset;
+  return *this;
+}
+EndRow& EndRow::operator=(EndRow&& other216) noexcept {
+  number = other216.number;
+  run = std::move(other216.run);
+  how = other216.how;
+  checkpoint = std::move(other216.checkpoint);
+  __isset = other216.__isset;
+  return *this;
+}
+void EndRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndRow(";
+  out << "number=" << to_string(number);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "how=" << to_string(how);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ")";
+}
+
+
+EndpointReport::~EndpointReport() noexcept {
+}
+
+
+void EndpointReport::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void EndpointReport::__set_sentAtMs(const int64_t val) {
+  this->sentAtMs = val;
+}
+
+void EndpointReport::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void EndpointReport::__set_born(const int64_t val) {
+  this->born = val;
+}
+
+void EndpointReport::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void EndpointReport::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+
+void EndpointReport::__set_labels(const std::vector<std::string> & val) {
+  this->labels = val;
+}
+
+void EndpointReport::__set_milliCores(const int64_t val) {
+  this->milliCores = val;
+}
+
+void EndpointReport::__set_memoryMib(const int64_t val) {
+  this->memoryMib = val;
+}
+
+void EndpointReport::__set_accelerators(const int64_t val) {
+  this->accelerators = val;
+}
+
+void EndpointReport::__set_draining(const bool val) {
+  this->draining = val;
+}
+
+void EndpointReport::__set_isListed(const bool val) {
+  this->isListed = val;
+}
+
+void EndpointReport::__set_running(const std::vector<RunRow> & val) {
+  this->running = val;
+}
+
+void EndpointReport::__set_ended(const std::vector<EndRow> & val) {
+  this->ended = val;
+}
+
+void EndpointReport::__set_generation(const int64_t val) {
+  this->generation = val;
+}
+
+void EndpointReport::__set_remainingMs(const int64_t val) {
+  this->remainingMs = val;
+}
+
+void EndpointReport::__set_rack(const std::string& val) {
+  this->rack = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentAtMs);
+          this->__isset.sentAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->labels.clear();
+            uint32_t _size217;
+            ::apache::thrift::protocol::TType _etype220;
+            xfer += iprot->readListBegin(_etype220, _size217);
+            this->labels.resize(_size217);
+            uint32_t _i221;
+            for (_i221 = 0; _i221 < _size217; ++_i221)
+            {
+              xfer += iprot->readString(this->labels[_i221]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.labels = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->milliCores);
+          this->__isset.milliCores = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->memoryMib);
+          this->__isset.memoryMib = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->accelerators);
+          this->__isset.accelerators = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->draining);
+          this->__isset.draining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isListed);
+          this->__isset.isListed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->running.clear();
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->running.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
+            {
+              xfer += this->running[_i226].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ended.clear();
+            uint32_t _size227;
+            ::apache::thrift::protocol::TType _etype230;
+            xfer += iprot->readListBegin(_etype230, _size227);
+            this->ended.resize(_size227);
+            uint32_t _i231;
+            for (_i231 = 0; _i231 < _size227; ++_i231)
+            {
+              xfer += this->ended[_i231].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->generation);
+          this->__isset.generation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->remainingMs);
+          this->__isset.remainingMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->rack);
+          this->__isset.rack = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointReport");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentAtMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sentAtMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
+    std::vector<std::string> ::const_iterator _iter232;
+    for (_iter232 = this->labels.begin(); _iter232 != this->labels.end(); ++_iter232)
+    {
+      xfer += oprot->writeString((*_iter232));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("milliCores", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->milliCores);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("memoryMib", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->memoryMib);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("accelerators", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->accelerators);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("draining", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->draining);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isListed", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->isListed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
+    std::vector<RunRow> ::const_iterator _iter233;
+    for (_iter233 = this->running.begin(); _iter233 != this->running.end(); ++_iter233)
+    {
+      xfer += (*_iter233).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
+    std::vector<EndRow> ::const_iterator _iter234;
+    for (_iter234 = this->ended.begin(); _iter234 != this->ended.end(); ++_iter234)
+    {
+      xfer += (*_iter234).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->generation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remainingMs", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->remainingMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rack", ::apache::thrift::protocol::T_STRING, 17);
+  xfer += oprot->writeString(this->rack);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointReport &a, EndpointReport &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.sentAtMs, b.sentAtMs);
+  swap(a.endpoint, b.endpoint);
+  swap(a.born, b.born);
+  swap(a.serviceName, b.serviceName);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.labels, b.labels);
+  swap(a.milliCores, b.milliCores);
+  swap(a.memoryMib, b.memoryMib);
+  swap(a.accelerators, b.accelerators);
+  swap(a.draining, b.draining);
+  swap(a.isListed, b.isListed);
+  swap(a.running, b.running);
+  swap(a.ended, b.ended);
+  swap(a.generation, b.generation);
+  swap(a.remainingMs, b.remainingMs);
+  swap(a.rack, b.rack);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointReport::EndpointReport(const EndpointReport& other235) {
+  sequence = other235.sequence;
+  sentAtMs = other235.sentAtMs;
+  endpoint = other235.endpoint;
+  born = other235.born;
+  serviceName = other235.serviceName;
+  failureDomain = other235.failureDomain;
+  labels = other235.labels;
+  milliCores = other235.milliCores;
+  memoryMib = other235.memoryMib;
+  accelerators = other235.accelerators;
+  draining = other235.draining;
+  isListed = other235.isListed;
+  running = other235.running;
+  ended = other235.ended;
+  generation = other235.generation;
+  remainingMs = other235.remainingMs;
+  rack = other235.rack;
+  __isset = other235.__isset;
+}
+EndpointReport::EndpointReport(EndpointReport&& other236) noexcept {
+  sequence = other236.sequence;
+  sentAtMs = other236.sentAtMs;
+  endpoint = std::move(other236.endpoint);
+  born = other236.born;
+  serviceName = std::move(other236.serviceName);
+  failureDomain = std::move(other236.failureDomain);
+  labels = std::move(other236.labels);
+  milliCores = other236.milliCores;
+  memoryMib = other236.memoryMib;
+  accelerators = other236.accelerators;
+  draining = other236.draining;
+  isListed = other236.isListed;
+  running = std::move(other236.running);
+  ended = std::move(other236.ended);
+  generation = other236.generation;
+  remainingMs = other236.remainingMs;
+  rack = std::move(other236.rack);
+  __isset = other236.__isset;
+}
+EndpointReport& EndpointReport::operator=(const EndpointReport& other237) {
+  sequence = other237.sequence;
+  sentAtMs = other237.sentAtMs;
+  endpoint = other237.endpoint;
+  born = other237.born;
+  serviceName = other237.serviceName;
+  failureDomain = other237.failureDomain;
+  labels = other237.labels;
+  milliCores = other237.milliCores;
+  memoryMib = other237.memoryMib;
+  accelerators = other237.accelerators;
+  draining = other237.draining;
+  isListed = other237.isListed;
+  running = other237.running;
+  ended = other237.ended;
+  generation = other237.generation;
+  remainingMs = other237.remainingMs;
+  rack = other237.rack;
+  __isset = other237.__isset;
+  return *this;
+}
+EndpointReport& EndpointReport::operator=(EndpointReport&& other238) noexcept {
+  sequence = other238.sequence;
+  sentAtMs = other238.sentAtMs;
+  endpoint = std::move(other238.endpoint);
+  born = other238.born;
+  serviceName = std::move(other238.serviceName);
+  failureDomain = std::move(other238.failureDomain);
+  labels = std::move(other238.labels);
+  milliCores = other238.milliCores;
+  memoryMib = other238.memoryMib;
+  accelerators = other238.accelerators;
+  draining = other238.draining;
+  isListed = other238.isListed;
+  running = std::move(other238.running);
+  ended = std::move(other238.ended);
+  generation = other238.generation;
+  remainingMs = other238.remainingMs;
+  rack = std::move(other238.rack);
+  __isset = other238.__isset;
+  return *this;
+}
+void EndpointReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointReport(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "sentAtMs=" << to_string(sentAtMs);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "labels=" << to_string(labels);
+  out << ", " << "milliCores=" << to_string(milliCores);
+  out << ", " << "memoryMib=" << to_string(memoryMib);
+  out << ", " << "accelerators=" << to_string(accelerators);
+  out << ", " << "draining=" << to_string(draining);
+  out << ", " << "isListed=" << to_string(isListed);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "ended=" << to_string(ended);
+  out << ", " << "generation=" << to_string(generation);
+  out << ", " << "remainingMs=" << to_string(remainingMs);
+  out << ", " << "rack=" << to_string(rack);
+  out << ")";
+}
+
+
+EndpointGrant::~EndpointGrant() noexcept {
+}
+
+
+void EndpointGrant::__set_generation(const int64_t val) {
+  this->generation = val;
+}
+
+void EndpointGrant::__set_sentAtMs(const int64_t val) {
+  this->sentAtMs = val;
+}
+
+void EndpointGrant::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void EndpointGrant::__set_born(const int64_t val) {
+  this->born = val;
+}
+
+void EndpointGrant::__set_endsStored(const int64_t val) {
+  this->endsStored = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->generation);
+          this->__isset.generation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentAtMs);
+          this->__isset.sentAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->endsStored);
+          this->__isset.endsStored = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointGrant");
+
+  xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->generation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentAtMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sentAtMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endsStored", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->endsStored);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointGrant &a, EndpointGrant &b) {
+  using ::std::swap;
+  swap(a.generation, b.generation);
+  swap(a.sentAtMs, b.sentAtMs);
+  swap(a.endpoint, b.endpoint);
+  swap(a.born, b.born);
+  swap(a.endsStored, b.endsStored);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointGrant::EndpointGrant(const EndpointGrant& other239) {
+  generation = other239.generation;
+  sentAtMs = other239.sentAtMs;
+  endpoint = other239.endpoint;
+  born = other239.born;
+  endsStored = other239.endsStored;
+  __isset = other239.__isset;
+}
+EndpointGrant::EndpointGrant(EndpointGrant&& other240) noexcept {
+  generation = other240.generation;
+  sentAtMs = other240.sentAtMs;
+  endpoint = std::move(other240.endpoint);
+  born = other240.born;
+  endsStored = other240.endsStored;
+  __isset = other240.__isset;
+}
+EndpointGrant& EndpointGrant::operator=(const EndpointGrant& other241) {
+  generation = other241.generation;
+  sentAtMs = other241.sentAtMs;
+  endpoint = other241.endpoint;
+  born = other241.born;
+  endsStored = other241.endsStored;
+  __isset = other241.__isset;
+  return *this;
+}
+EndpointGrant& EndpointGrant::operator=(EndpointGrant&& other242) noexcept {
+  generation = other242.generation;
+  sentAtMs = other242.sentAtMs;
+  endpoint = std::move(other242.endpoint);
+  born = other242.born;
+  endsStored = other242.endsStored;
+  __isset = other242.__isset;
+  return *this;
+}
+void EndpointGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointGrant(";
+  out << "generation=" << to_string(generation);
+  out << ", " << "sentAtMs=" << to_string(sentAtMs);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "endsStored=" << to_string(endsStored);
+  out << ")";
+}
+
+
+StartOrder::~StartOrder() noexcept {
+}
+
+
+void StartOrder::__set_generation(const int64_t val) {
+  this->generation = val;
+}
+
+void StartOrder::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void StartOrder::__set_born(const int64_t val) {
+  this->born = val;
+}
+
+void StartOrder::__set_run(const RunRef& val) {
+  this->run = val;
+}
+
+void StartOrder::__set_input(const std::string& val) {
+  this->input = val;
+}
+
+void StartOrder::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+
+void StartOrder::__set_ticket(const std::string& val) {
+  this->ticket = val;
+}
+std::ostream& operator<<(std::ostream& out, const StartOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StartOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->generation);
+          this->__isset.generation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->run.read(iprot);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->input);
+          this->__isset.input = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->ticket);
+          this->__isset.ticket = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StartOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StartOrder");
+
+  xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->generation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->run.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("input", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->input);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ticket", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->ticket);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StartOrder &a, StartOrder &b) {
+  using ::std::swap;
+  swap(a.generation, b.generation);
+  swap(a.endpoint, b.endpoint);
+  swap(a.born, b.born);
+  swap(a.run, b.run);
+  swap(a.input, b.input);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.ticket, b.ticket);
+  swap(a.__isset, b.__isset);
+}
+
+StartOrder::StartOrder(const StartOrder& other243) {
+  generation = other243.generation;
+  endpoint = other243.endpoint;
+  born = other243.born;
+  run = other243.run;
+  input = other243.input;
+  checkpoint = other243.checkpoint;
+  ticket = other243.ticket;
+  __isset = other243.__isset;
+}
+StartOrder::StartOrder(StartOrder&& other244) noexcept {
+  generation = other244.generation;
+  endpoint = std::move(other244.endpoint);
+  born = other244.born;
+  run = std::move(other244.run);
+  input = std::move(other244.input);
+  checkpoint = std::move(other244.checkpoint);
+  ticket = std::move(other244.ticket);
+  __isset = other244.__isset;
+}
+StartOrder& StartOrder::operator=(const StartOrder& other245) {
+  generation = other245.generation;
+  endpoint = other245.endpoint;
+  born = other245.born;
+  run = other245.run;
+  input = other245.input;
+  checkpoint = other245.checkpoint;
+  ticket = other245.ticket;
+  __isset = other245.__isset;
+  return *this;
+}
+StartOrder& StartOrder::operator=(StartOrder&& other246) noexcept {
+  generation = other246.generation;
+  endpoint = std::move(other246.endpoint);
+  born = other246.born;
+  run = std::move(other246.run);
+  input = std::move(other246.input);
+  checkpoint = std::move(other246.checkpoint);
+  ticket = std::move(other246.ticket);
+  __isset = other246.__isset;
+  return *this;
+}
+void StartOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StartOrder(";
+  out << "generation=" << to_string(generation);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "input=" << to_string(input);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ", " << "ticket=" << to_string(ticket);
+  out << ")";
+}
+
+
+StartResult::~StartResult() noexcept {
+}
+
+
+void StartResult::__set_generation(const int64_t val) {
+  this->generation = val;
+}
+
+void StartResult::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void StartResult::__set_born(const int64_t val) {
+  this->born = val;
+}
+
+void StartResult::__set_run(const RunRef& val) {
+  this->run = val;
+}
+
+void StartResult::__set_outcome(const StartOutcome::type val) {
+  this->outcome = val;
+}
+
+void StartResult::__set_detail(const std::string& val) {
+  this->detail = val;
+}
+std::ostream& operator<<(std::ostream& out, const StartResult& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StartResult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->generation);
+          this->__isset.generation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->run.read(iprot);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast247;
+          xfer += iprot->readI32(ecast247);
+          this->outcome = static_cast<StartOutcome::type>(ecast247);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->detail);
+          this->__isset.detail = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StartResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StartResult");
+
+  xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->generation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->run.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->outcome));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("detail", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->detail);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StartResult &a, StartResult &b) {
+  using ::std::swap;
+  swap(a.generation, b.generation);
+  swap(a.endpoint, b.endpoint);
+  swap(a.born, b.born);
+  swap(a.run, b.run);
+  swap(a.outcome, b.outcome);
+  swap(a.detail, b.detail);
+  swap(a.__isset, b.__isset);
+}
+
+StartResult::StartResult(const StartResult& other248) {
+  generation = other248.generation;
+  endpoint = other248.endpoint;
+  born = other248.born;
+  run = other248.run;
+  outcome = other248.outcome;
+  detail = other248.detail;
+  __isset = other248.__isset;
+}
+StartResult::StartResult(StartResult&& other249) noexcept {
+  generation = other249.generation;
+  endpoint = std::move(other249.endpoint);
+  born = other249.born;
+  run = std::move(other249.run);
+  outcome = other249.outcome;
+  detail = std::move(other249.detail);
+  __isset = other249.__isset;
+}
+StartResult& StartResult::operator=(const StartResult& other250) {
+  generation = other250.generation;
+  endpoint = other250.endpoint;
+  born = other250.born;
+  run = other250.run;
+  outcome = other250.outcome;
+  detail = other250.detail;
+  __isset = other250.__isset;
+  return *this;
+}
+StartResult& StartResult::operator=(StartResult&& other251) noexcept {
+  generation = other251.generation;
+  endpoint = std::move(other251.endpoint);
+  born = other251.born;
+  run = std::move(other251.run);
+  outcome = other251.outcome;
+  detail = std::move(other251.detail);
+  __isset = other251.__isset;
+  return *this;
+}
+void StartResult::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StartResult(";
+  out << "generation=" << to_string(generation);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "detail=" << to_string(detail);
+  out << ")";
+}
+
+
+StopOrder::~StopOrder() noexcept {
+}
+
+
+void StopOrder::__set_generation(const int64_t val) {
+  this->generation = val;
+}
+
+void StopOrder::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void StopOrder::__set_born(const int64_t val) {
+  this->born = val;
+}
+
+void StopOrder::__set_run(const RunRef& val) {
+  this->run = val;
+}
+std::ostream& operator<<(std::ostream& out, const StopOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StopOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->generation);
+          this->__isset.generation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->run.read(iprot);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StopOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StopOrder");
+
+  xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->generation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->run.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StopOrder &a, StopOrder &b) {
+  using ::std::swap;
+  swap(a.generation, b.generation);
+  swap(a.endpoint, b.endpoint);
+  swap(a.born, b.born);
+  swap(a.run, b.run);
+  swap(a.__isset, b.__isset);
+}
+
+StopOrder::StopOrder(const StopOrder& other252) {
+  generation = other252.generation;
+  endpoint = other252.endpoint;
+  born = other252.born;
+  run = other252.run;
+  __isset = other252.__isset;
+}
+StopOrder::StopOrder(StopOrder&& other253) noexcept {
+  generation = other253.generation;
+  endpoint = std::move(other253.endpoint);
+  born = other253.born;
+  run = std::move(other253.run);
+  __isset = other253.__isset;
+}
+StopOrder& StopOrder::operator=(const StopOrder& other254) {
+  generation = other254.generation;
+  endpoint = other254.endpoint;
+  born = other254.born;
+  run = other254.run;
+  __isset = other254.__isset;
+  return *this;
+}
+StopOrder& StopOrder::operator=(StopOrder&& other255) noexcept {
+  generation = other255.generation;
+  endpoint = std::move(other255.endpoint);
+  born = other255.born;
+  run = std::move(other255.run);
+  __isset = other255.__isset;
+  return *this;
+}
+void StopOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StopOrder(";
+  out << "generation=" << to_string(generation);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "run=" << to_string(run);
+  out << ")";
+}
+
+
+RunAbsent::~RunAbsent() noexcept {
+}
+
+
+void RunAbsent::__set_generation(const int64_t val) {
+  this->generation = val;
+}
+
+void RunAbsent::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void RunAbsent::__set_born(const int64_t val) {
+  this->born = val;
+}
+
+void RunAbsent::__set_run(const RunRef& val) {
+  this->run = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunAbsent& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunAbsent::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->generation);
+          this->__isset.generation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->run.read(iprot);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RunAbsent::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunAbsent");
+
+  xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->generation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->run.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunAbsent &a, RunAbsent &b) {
+  using ::std::swap;
+  swap(a.generation, b.generation);
+  swap(a.endpoint, b.endpoint);
+  swap(a.born, b.born);
+  swap(a.run, b.run);
+  swap(a.__isset, b.__isset);
+}
+
+RunAbsent::RunAbsent(const RunAbsent& other256) {
+  generation = other256.generation;
+  endpoint = other256.endpoint;
+  born = other256.born;
+  run = other256.run;
+  __isset = other256.__isset;
+}
+RunAbsent::RunAbsent(RunAbsent&& other257) noexcept {
+  generation = other257.generation;
+  endpoint = std::move(other257.endpoint);
+  born = other257.born;
+  run = std::move(other257.run);
+  __isset = other257.__isset;
+}
+RunAbsent& RunAbsent::operator=(const RunAbsent& other258) {
+  generation = other258.generation;
+  endpoint = other258.endpoint;
+  born = other258.born;
+  run = other258.run;
+  __isset = other258.__isset;
+  return *this;
+}
+RunAbsent& RunAbsent::operator=(RunAbsent&& other259) noexcept {
+  generation = other259.generation;
+  endpoint = std::move(other259.endpoint);
+  born = other259.born;
+  run = std::move(other259.run);
+  __isset = other259.__isset;
+  return *this;
+}
+void RunAbsent::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunAbsent(";
+  out << "generation=" << to_string(generation);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "run=" << to_string(run);
+  out << ")";
+}
+
+
+SchedulerNotice::~SchedulerNotice() noexcept {
+}
+
+
+void SchedulerNotice::__set_generation(const int64_t val) {
+  this->generation = val;
+}
+
+void SchedulerNotice::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void SchedulerNotice::__set_isLeaving(const bool val) {
+  this->isLeaving = val;
+}
+std::ostream& operator<<(std::ostream& out, const SchedulerNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SchedulerNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->generation);
+          this->__isset.generation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isLeaving);
+          this->__isset.isLeaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SchedulerNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SchedulerNotice");
+
+  xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->generation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isLeaving", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->isLeaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SchedulerNotice &a, SchedulerNotice &b) {
+  using ::std::swap;
+  swap(a.generation, b.generation);
+  swap(a.address, b.address);
+  swap(a.isLeaving, b.isLeaving);
+  swap(a.__isset, b.__isset);
+}
+
+SchedulerNotice::SchedulerNotice(const SchedulerNotice& other260) {
+  generation = other260.generation;
+  address = other260.address;
+  isLeaving = other260.isLeaving;
+  __isset = other260.__isset;
+}
+SchedulerNotice::SchedulerNotice(SchedulerNotice&& other261) noexcept {
+  generation = other261.generation;
+  address = std::move(other261.address);
+  isLeaving = other261.isLeaving;
+  __isset = other261.__isset;
+}
+SchedulerNotice& SchedulerNotice::operator=(const SchedulerNotice& other262) {
+  generation = other262.generation;
+  address = other262.address;
+  isLeaving = other262.isLeaving;
+  __isset = other262.__isset;
+  return *this;
+}
+SchedulerNotice& SchedulerNotice::operator=(SchedulerNotice&& other263) noexcept {
+  generation = other263.generation;
+  address = std::move(other263.address);
+  isLeaving = other263.isLeaving;
+  __isset = other263.__isset;
+  return *this;
+}
+void SchedulerNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SchedulerNotice(";
+  out << "generation=" << to_string(generation);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "isLeaving=" << to_string(isLeaving);
+  out << ")";
+}
+
+
+JobCall::~JobCall() noexcept {
+}
+
+
+void JobCall::__set_call(const int64_t val) {
+  this->call = val;
+}
+
+void JobCall::__set_kind(const CallKind::type val) {
+  this->kind = val;
+}
+
+void JobCall::__set_queue(const std::string& val) {
+  this->queue = val;
+}
+
+void JobCall::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void JobCall::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void JobCall::__set_spec(const std::string& val) {
+  this->spec = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobCall& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobCall::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call);
+          this->__isset.call = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast264;
+          xfer += iprot->readI32(ecast264);
+          this->kind = static_cast<CallKind::type>(ecast264);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->queue);
+          this->__isset.queue = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->spec);
+          this->__isset.spec = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JobCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobCall");
+
+  xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->call);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queue", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->queue);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("spec", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->spec);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobCall &a, JobCall &b) {
+  using ::std::swap;
+  swap(a.call, b.call);
+  swap(a.kind, b.kind);
+  swap(a.queue, b.queue);
+  swap(a.job, b.job);
+  swap(a.account, b.account);
+  swap(a.spec, b.spec);
+  swap(a.__isset, b.__isset);
+}
+
+JobCall::JobCall(const JobCall& other265) {
+  call = other265.call;
+  kind = other265.kind;
+  queue = other265.queue;
+  job = other265.job;
+  account = other265.account;
+  spec = other265.spec;
+  __isset = other265.__isset;
+}
+JobCall::JobCall(JobCall&& other266) noexcept {
+  call = other266.call;
+  kind = other266.kind;
+  queue = std::move(other266.queue);
+  job = std::move(other266.job);
+  account = std::move(other266.account);
+  spec = std::move(other266.spec);
+  __isset = other266.__isset;
+}
+JobCall& JobCall::operator=(const JobCall& other267) {
+  call = other267.call;
+  kind = other267.kind;
+  queue = other267.queue;
+  job = other267.job;
+  account = other267.account;
+  spec = other267.spec;
+  __isset = other267.__isset;
+  return *this;
+}
+JobCall& JobCall::operator=(JobCall&& other268) noexcept {
+  call = other268.call;
+  kind = other268.kind;
+  queue = std::move(other268.queue);
+  job = std::move(other268.job);
+  account = std::move(other268.account);
+  spec = std::move(other268.spec);
+  __isset = other268.__isset;
+  return *this;
+}
+void JobCall::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobCall(";
+  out << "call=" << to_string(call);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "queue=" << to_string(queue);
+  out << ", " << "job=" << to_string(job);
+  out << ", " << "account=" << to_string(account);
+  out << ", " << "spec=" << to_string(spec);
+  out << ")";
+}
+
+
+JobAnswer::~JobAnswer() noexcept {
+}
+
+
+void JobAnswer::__set_call(const int64_t val) {
+  this->call = val;
+}
+
+void JobAnswer::__set_outcome(const CallOutcome::type val) {
+  this->outcome = val;
+}
+
+void JobAnswer::__set_state(const std::string& val) {
+  this->state = val;
+}
+
+void JobAnswer::__set_waiting(const int64_t val) {
+  this->waiting = val;
+}
+
+void JobAnswer::__set_retryAfterMs(const int64_t val) {
+  this->retryAfterMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call);
+          this->__isset.call = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast269;
+          xfer += iprot->readI32(ecast269);
+          this->outcome = static_cast<CallOutcome::type>(ecast269);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retryAfterMs);
+          this->__isset.retryAfterMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JobAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobAnswer");
+
+  xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->call);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->outcome));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retryAfterMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->retryAfterMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobAnswer &a, JobAnswer &b) {
+  using ::std::swap;
+  swap(a.call, b.call);
+  swap(a.outcome, b.outcome);
+  swap(a.state, b.state);
+  swap(a.waiting, b.waiting);
+  swap(a.retryAfterMs, b.retryAfterMs);
+  swap(a.__isset, b.__isset);
+}
+
+JobAnswer::JobAnswer(const JobAnswer& other270) {
+  call = other270.call;
+  outcome = other270.outcome;
+  state = other270.state;
+  waiting = other270.waiting;
+  retryAfterMs = other270.retryAfterMs;
+  __isset = other270.__isset;
+}
+JobAnswer::JobAnswer(JobAnswer&& other271) noexcept {
+  call = other271.call;
+  outcome = other271.outcome;
+  state = std::move(other271.state);
+  waiting = other271.waiting;
+  retryAfterMs = other271.retryAfterMs;
+  __isset = other271.__isset;
+}
+JobAnswer& JobAnswer::operator=(const JobAnswer& other272) {
+  call = other272.call;
+  outcome = other272.outcome;
+  state = other272.state;
+  waiting = other272.waiting;
+  retryAfterMs = other272.retryAfterMs;
+  __isset = other272.__isset;
+  return *this;
+}
+JobAnswer& JobAnswer::operator=(JobAnswer&& other273) noexcept {
+  call = other273.call;
+  outcome = other273.outcome;
+  state = std::move(other273.state);
+  waiting = other273.waiting;
+  retryAfterMs = other273.retryAfterMs;
+  __isset = other273.__isset;
+  return *this;
+}
+void JobAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobAnswer(";
+  out << "call=" << to_string(call);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
+  out << ")";
+}
+
+
+CellConfigurationOffer::~CellConfigurationOffer() noexcept {
+}
+
+
+void CellConfigurationOffer::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void CellConfigurationOffer::__set_document(const std::string& val) {
+  this->document = val;
+}
+std::ostream& operator<<(std::ostream& out, const CellConfigurationOffer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CellConfigurationOffer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->document);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CellConfigurationOffer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CellConfigurationOffer");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->document);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CellConfigurationOffer &a, CellConfigurationOffer &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.document, b.document);
+  swap(a.__isset, b.__isset);
+}
+
+CellConfigurationOffer::CellConfigurationOffer(const CellConfigurationOffer& other274) {
+  version = other274.version;
+  document = other274.document;
+  __isset = other274.__isset;
+}
+CellConfigurationOffer::CellConfigurationOffer(CellConfigurationOffer&& other275) noexcept {
+  version = other275.version;
+  document = std::move(other275.document);
+  __isset = other275.__isset;
+}
+CellConfigurationOffer& CellConfigurationOffer::operator=(const CellConfigurationOffer& other276) {
+  version = other276.version;
+  document = other276.document;
+  __isset = other276.__isset;
+  return *this;
+}
+CellConfigurationOffer& CellConfigurationOffer::operator=(CellConfigurationOffer&& other277) noexcept {
+  version = other277.version;
+  document = std::move(other277.document);
+  __isset = other277.__isset;
+  return *this;
+}
+void CellConfigurationOffer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CellConfigurationOffer(";
+  out << "version=" << to_string(version);
+  out << ", " << "document=" << to_string(document);
+  out << ")";
+}
+
 }} // namespace
--- a/src/libknapweed/peers/gen/peers_types.h
+++ b/src/libknapweed/peers/gen/peers_types.h
@@ -108,6 +108,70 @@
 
 std::string to_string(const Reason::type& val);
 
+struct RunEnding {
+  enum type {
+    Done = 1,
+    Failed = 2,
+    Stopped = 3,
+    Lapsed = 4,
+    Broken = 5,
+    Alone = 6
+  };
+};
+
+extern const std::map<int, const char*> _RunEnding_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const RunEnding::type& val);
+
+std::string to_string(const RunEnding::type& val);
+
+struct CallKind {
+  enum type {
+    Submit = 1,
+    Query = 2,
+    Cancel = 3,
+    CountWaiting = 4
+  };
+};
+
+extern const std::map<int, const char*> _CallKind_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const CallKind::type& val);
+
+std::string to_string(const CallKind::type& val);
+
+struct CallOutcome {
+  enum type {
+    Ok = 1,
+    Refused = 2,
+    Missing = 3,
+    Unknown = 4,
+    NotScheduler = 5
+  };
+};
+
+extern const std::map<int, const char*> _CallOutcome_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const CallOutcome::type& val);
+
+std::string to_string(const CallOutcome::type& val);
+
+struct StartOutcome {
+  enum type {
+    Started = 1,
+    Rejected = 2,
+    Unanswered = 3,
+    NoRoom = 4,
+    BadTicket = 5
+  };
+};
+
+extern const std::map<int, const char*> _StartOutcome_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const StartOutcome::type& val);
+
+std::string to_string(const StartOutcome::type& val);
+
 class AttemptId;
 
 class JobSpec;
@@ -178,6 +242,32 @@
 
 class JobCancel;
 
+class RunRef;
+
+class RunRow;
+
+class EndRow;
+
+class EndpointReport;
+
+class EndpointGrant;
+
+class StartOrder;
+
+class StartResult;
+
+class StopOrder;
+
+class RunAbsent;
+
+class SchedulerNotice;
+
+class JobCall;
+
+class JobAnswer;
+
+class CellConfigurationOffer;
+
 typedef struct _AttemptId__isset {
   _AttemptId__isset() : job(false), owner(false), number(false) {}
   bool job :1;
@@ -2677,6 +2767,1011 @@
 
 std::ostream& operator<<(std::ostream& out, const JobCancel& obj);
 
+typedef struct _RunRef__isset {
+  _RunRef__isset() : job(false), occurrence(false), step(false), index(false), run(false) {}
+  bool job :1;
+  bool occurrence :1;
+  bool step :1;
+  bool index :1;
+  bool run :1;
+} _RunRef__isset;
+
+class RunRef : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunRef(const RunRef&);
+  RunRef(RunRef&&) noexcept;
+  RunRef& operator=(const RunRef&);
+  RunRef& operator=(RunRef&&) noexcept;
+  RunRef() noexcept
+         : job(),
+           occurrence(0),
+           step(0),
+           index(0),
+           run(0) {
+  }
+
+  virtual ~RunRef() noexcept;
+  std::string job;
+  int32_t occurrence;
+  int32_t step;
+  int32_t index;
+  int64_t run;
+
+  _RunRef__isset __isset;
+
+  void __set_job(const std::string& val);
+
+  void __set_occurrence(const int32_t val);
+
+  void __set_step(const int32_t val);
+
+  void __set_index(const int32_t val);
+
+  void __set_run(const int64_t val);
+
+  bool operator == (const RunRef & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(occurrence == rhs.occurrence))
+      return false;
+    if (!(step == rhs.step))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    return true;
+  }
+  bool operator != (const RunRef &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunRef & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunRef &a, RunRef &b);
+
+std::ostream& operator<<(std::ostream& out, const RunRef& obj);
+
+typedef struct _RunRow__isset {
+  _RunRow__isset() : run(false), checkpoint(false), percent(false), load(false) {}
+  bool run :1;
+  bool checkpoint :1;
+  bool percent :1;
+  bool load :1;
+} _RunRow__isset;
+
+class RunRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunRow(const RunRow&);
+  RunRow(RunRow&&) noexcept;
+  RunRow& operator=(const RunRow&);
+  RunRow& operator=(RunRow&&) noexcept;
+  RunRow() noexcept
+         : checkpoint(),
+           percent(0),
+           load(0) {
+  }
+
+  virtual ~RunRow() noexcept;
+  RunRef run;
+  std::string checkpoint;
+  int32_t percent;
+  int64_t load;
+
+  _RunRow__isset __isset;
+
+  void __set_run(const RunRef& val);
+
+  void __set_checkpoint(const std::string& val);
+
+  void __set_percent(const int32_t val);
+
+  void __set_load(const int64_t val);
+
+  bool operator == (const RunRow & rhs) const
+  {
+    if (!(run == rhs.run))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    if (!(percent == rhs.percent))
+      return false;
+    if (!(load == rhs.load))
+      return false;
+    return true;
+  }
+  bool operator != (const RunRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunRow &a, RunRow &b);
+
+std::ostream& operator<<(std::ostream& out, const RunRow& obj);
+
+typedef struct _EndRow__isset {
+  _EndRow__isset() : number(false), run(false), how(false), checkpoint(false) {}
+  bool number :1;
+  bool run :1;
+  bool how :1;
+  bool checkpoint :1;
+} _EndRow__isset;
+
+class EndRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndRow(const EndRow&);
+  EndRow(EndRow&&) noexcept;
+  EndRow& operator=(const EndRow&);
+  EndRow& operator=(EndRow&&) noexcept;
+  EndRow() noexcept
+         : number(0),
+           how(static_cast<RunEnding::type>(0)),
+           checkpoint() {
+  }
+
+  virtual ~EndRow() noexcept;
+  int64_t number;
+  RunRef run;
+  /**
+   * 
+   * @see RunEnding
+   */
+  RunEnding::type how;
+  std::string checkpoint;
+
+  _EndRow__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_run(const RunRef& val);
+
+  void __set_how(const RunEnding::type val);
+
+  void __set_checkpoint(const std::string& val);
+
+  bool operator == (const EndRow & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(how == rhs.how))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    return true;
+  }
+  bool operator != (const EndRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndRow &a, EndRow &b);
+
+std::ostream& operator<<(std::ostream& out, const EndRow& obj);
+
+typedef struct _EndpointReport__isset {
+  _EndpointReport__isset() : sequence(false), sentAtMs(false), endpoint(false), born(false), serviceName(false), failureDomain(false), labels(false), milliCores(false), memoryMib(false), accelerators(false), draining(false), isListed(false), running(false), ended(false), generation(false), remainingMs(false), rack(false) {}
+  bool sequence :1;
+  bool sentAtMs :1;
+  bool endpoint :1;
+  bool born :1;
+  bool serviceName :1;
+  bool failureDomain :1;
+  bool labels :1;
+  bool milliCores :1;
+  bool memoryMib :1;
+  bool accelerators :1;
+  bool draining :1;
+  bool isListed :1;
+  bool running :1;
+  bool ended :1;
+  bool generation :1;
+  bool remainingMs :1;
+  bool rack :1;
+} _EndpointReport__isset;
+
+class EndpointReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndpointReport(const EndpointReport&);
+  EndpointReport(EndpointReport&&) noexcept;
+  EndpointReport& operator=(const EndpointReport&);
+  EndpointReport& operator=(EndpointReport&&) noexcept;
+  EndpointReport() noexcept
+                 : sequence(0),
+                   sentAtMs(0),
+                   endpoint(),
+                   born(0),
+                   serviceName(),
+                   failureDomain(),
+                   milliCores(0),
+                   memoryMib(0),
+                   accelerators(0),
+                   draining(0),
+                   isListed(0),
+                   generation(0),
+                   remainingMs(0),
+                   rack() {
+  }
+
+  virtual ~EndpointReport() noexcept;
+  int64_t sequence;
+  int64_t sentAtMs;
+  std::string endpoint;
+  int64_t born;
+  std::string serviceName;
+  std::string failureDomain;
+  std::vector<std::string>  labels;
+  int64_t milliCores;
+  int64_t memoryMib;
+  int64_t accelerators;
+  bool draining;
+  bool isListed;
+  std::vector<RunRow>  running;
+  std::vector<EndRow>  ended;
+  int64_t generation;
+  int64_t remainingMs;
+  std::string rack;
+
+  _EndpointReport__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_sentAtMs(const int64_t val);
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_born(const int64_t val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_failureDomain(const std::string& val);
+
+  void __set_labels(const std::vector<std::string> & val);
+
+  void __set_milliCores(const int64_t val);
+
+  void __set_memoryMib(const int64_t val);
+
+  void __set_accelerators(const int64_t val);
+
+  void __set_draining(const bool val);
+
+  void __set_isListed(const bool val);
+
+  void __set_running(const std::vector<RunRow> & val);
+
+  void __set_ended(const std::vector<EndRow> & val);
+
+  void __set_generation(const int64_t val);
+
+  void __set_remainingMs(const int64_t val);
+
+  void __set_rack(const std::string& val);
+
+  bool operator == (const EndpointReport & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(sentAtMs == rhs.sentAtMs))
+      return false;
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(born == rhs.born))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(failureDomain == rhs.failureDomain))
+      return false;
+    if (!(labels == rhs.labels))
+      return false;
+    if (!(milliCores == rhs.milliCores))
+      return false;
+    if (!(memoryMib == rhs.memoryMib))
+      return false;
+    if (!(accelerators == rhs.accelerators))
+      return false;
+    if (!(draining == rhs.draining))
+      return false;
+    if (!(isListed == rhs.isListed))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(ended == rhs.ended))
+      return false;
+    if (!(generation == rhs.generation))
+      return false;
+    if (!(remainingMs == rhs.remainingMs))
+      return false;
+    if (!(rack == rhs.rack))
+      return false;
+    return true;
+  }
+  bool operator != (const EndpointReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndpointReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndpointReport &a, EndpointReport &b);
+
+std::ostream& operator<<(std::ostream& out, const EndpointReport& obj);
+
+typedef struct _EndpointGrant__isset {
+  _EndpointGrant__isset() : generation(false), sentAtMs(false), endpoint(false), born(false), endsStored(false) {}
+  bool generation :1;
+  bool sentAtMs :1;
+  bool endpoint :1;
+  bool born :1;
+  bool endsStored :1;
+} _EndpointGrant__isset;
+
+class EndpointGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndpointGrant(const EndpointGrant&);
+  EndpointGrant(EndpointGrant&&) noexcept;
+  EndpointGrant& operator=(const EndpointGrant&);
+  EndpointGrant& operator=(EndpointGrant&&) noexcept;
+  EndpointGrant() noexcept
+                : generation(0),
+                  sentAtMs(0),
+                  endpoint(),
+                  born(0),
+                  endsStored(0) {
+  }
+
+  virtual ~EndpointGrant() noexcept;
+  int64_t generation;
+  int64_t sentAtMs;
+  std::string endpoint;
+  int64_t born;
+  int64_t endsStored;
+
+  _EndpointGrant__isset __isset;
+
+  void __set_generation(const int64_t val);
+
+  void __set_sentAtMs(const int64_t val);
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_born(const int64_t val);
+
+  void __set_endsStored(const int64_t val);
+
+  bool operator == (const EndpointGrant & rhs) const
+  {
+    if (!(generation == rhs.generation))
+      return false;
+    if (!(sentAtMs == rhs.sentAtMs))
+      return false;
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(born == rhs.born))
+      return false;
+    if (!(endsStored == rhs.endsStored))
+      return false;
+    return true;
+  }
+  bool operator != (const EndpointGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndpointGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndpointGrant &a, EndpointGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const EndpointGrant& obj);
+
+typedef struct _StartOrder__isset {
+  _StartOrder__isset() : generation(false), endpoint(false), born(false), run(false), input(false), checkpoint(false), ticket(false) {}
+  bool generation :1;
+  bool endpoint :1;
+  bool born :1;
+  bool run :1;
+  bool input :1;
+  bool checkpoint :1;
+  bool ticket :1;
+} _StartOrder__isset;
+
+class StartOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  StartOrder(const StartOrder&);
+  StartOrder(StartOrder&&) noexcept;
+  StartOrder& operator=(const StartOrder&);
+  StartOrder& operator=(StartOrder&&) noexcept;
+  StartOrder() noexcept
+             : generation(0),
+               endpoint(),
+               born(0),
+               input(),
+               checkpoint(),
+               ticket() {
+  }
+
+  virtual ~StartOrder() noexcept;
+  int64_t generation;
+  std::string endpoint;
+  int64_t born;
+  RunRef run;
+  std::string input;
+  std::string checkpoint;
+  std::string ticket;
+
+  _StartOrder__isset __isset;
+
+  void __set_generation(const int64_t val);
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_born(const int64_t val);
+
+  void __set_run(const RunRef& val);
+
+  void __set_input(const std::string& val);
+
+  void __set_checkpoint(const std::string& val);
+
+  void __set_ticket(const std::string& val);
+
+  bool operator == (const StartOrder & rhs) const
+  {
+    if (!(generation == rhs.generation))
+      return false;
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(born == rhs.born))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(input == rhs.input))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    if (!(ticket == rhs.ticket))
+      return false;
+    return true;
+  }
+  bool operator != (const StartOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StartOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StartOrder &a, StartOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const StartOrder& obj);
+
+typedef struct _StartResult__isset {
+  _StartResult__isset() : generation(false), endpoint(false), born(false), run(false), outcome(false), detail(false) {}
+  bool generation :1;
+  bool endpoint :1;
+  bool born :1;
+  bool run :1;
+  bool outcome :1;
+  bool detail :1;
+} _StartResult__isset;
+
+class StartResult : public virtual ::apache::thrift::TBase {
+ public:
+
+  StartResult(const StartResult&);
+  StartResult(StartResult&&) noexcept;
+  StartResult& operator=(const StartResult&);
+  StartResult& operator=(StartResult&&) noexcept;
+  StartResult() noexcept
+              : generation(0),
+                endpoint(),
+                born(0),
+                outcome(static_cast<StartOutcome::type>(0)),
+                detail() {
+  }
+
+  virtual ~StartResult() noexcept;
+  int64_t generation;
+  std::string endpoint;
+  int64_t born;
+  RunRef run;
+  /**
+   * 
+   * @see StartOutcome
+   */
+  StartOutcome::type outcome;
+  std::string detail;
+
+  _StartResult__isset __isset;
+
+  void __set_generation(const int64_t val);
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_born(const int64_t val);
+
+  void __set_run(const RunRef& val);
+
+  void __set_outcome(const StartOutcome::type val);
+
+  void __set_detail(const std::string& val);
+
+  bool operator == (const StartResult & rhs) const
+  {
+    if (!(generation == rhs.generation))
+      return false;
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(born == rhs.born))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (!(detail == rhs.detail))
+      return false;
+    return true;
+  }
+  bool operator != (const StartResult &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StartResult & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StartResult &a, StartResult &b);
+
+std::ostream& operator<<(std::ostream& out, const StartResult& obj);
+
+typedef struct _StopOrder__isset {
+  _StopOrder__isset() : generation(false), endpoint(false), born(false), run(false) {}
+  bool generation :1;
+  bool endpoint :1;
+  bool born :1;
+  bool run :1;
+} _StopOrder__isset;
+
+class StopOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  StopOrder(const StopOrder&);
+  StopOrder(StopOrder&&) noexcept;
+  StopOrder& operator=(const StopOrder&);
+  StopOrder& operator=(StopOrder&&) noexcept;
+  StopOrder() noexcept
+            : generation(0),
+              endpoint(),
+              born(0) {
+  }
+
+  virtual ~StopOrder() noexcept;
+  int64_t generation;
+  std::string endpoint;
+  int64_t born;
+  RunRef run;
+
+  _StopOrder__isset __isset;
+
+  void __set_generation(const int64_t val);
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_born(const int64_t val);
+
+  void __set_run(const RunRef& val);
+
+  bool operator == (const StopOrder & rhs) const
+  {
+    if (!(generation == rhs.generation))
+      return false;
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(born == rhs.born))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    return true;
+  }
+  bool operator != (const StopOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StopOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StopOrder &a, StopOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const StopOrder& obj);
+
+typedef struct _RunAbsent__isset {
+  _RunAbsent__isset() : generation(false), endpoint(false), born(false), run(false) {}
+  bool generation :1;
+  bool endpoint :1;
+  bool born :1;
+  bool run :1;
+} _RunAbsent__isset;
+
+class RunAbsent : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunAbsent(const RunAbsent&);
+  RunAbsent(RunAbsent&&) noexcept;
+  RunAbsent& operator=(const RunAbsent&);
+  RunAbsent& operator=(RunAbsent&&) noexcept;
+  RunAbsent() noexcept
+            : generation(0),
+              endpoint(),
+              born(0) {
+  }
+
+  virtual ~RunAbsent() noexcept;
+  int64_t generation;
+  std::string endpoint;
+  int64_t born;
+  RunRef run;
+
+  _RunAbsent__isset __isset;
+
+  void __set_generation(const int64_t val);
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_born(const int64_t val);
+
+  void __set_run(const RunRef& val);
+
+  bool operator == (const RunAbsent & rhs) const
+  {
+    if (!(generation == rhs.generation))
+      return false;
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(born == rhs.born))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    return true;
+  }
+  bool operator != (const RunAbsent &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunAbsent & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunAbsent &a, RunAbsent &b);
+
+std::ostream& operator<<(std::ostream& out, const RunAbsent& obj);
+
+typedef struct _SchedulerNotice__isset {
+  _SchedulerNotice__isset() : generation(false), address(false), isLeaving(false) {}
+  bool generation :1;
+  bool address :1;
+  bool isLeaving :1;
+} _SchedulerNotice__isset;
+
+class SchedulerNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  SchedulerNotice(const SchedulerNotice&);
+  SchedulerNotice(SchedulerNotice&&) noexcept;
+  SchedulerNotice& operator=(const SchedulerNotice&);
+  SchedulerNotice& operator=(SchedulerNotice&&) noexcept;
+  SchedulerNotice() noexcept
+                  : generation(0),
+                    address(),
+                    isLeaving(0) {
+  }
+
+  virtual ~SchedulerNotice() noexcept;
+  int64_t generation;
+  std::string address;
+  bool isLeaving;
+
+  _SchedulerNotice__isset __isset;
+
+  void __set_generation(const int64_t val);
+
+  void __set_address(const std::string& val);
+
+  void __set_isLeaving(const bool val);
+
+  bool operator == (const SchedulerNotice & rhs) const
+  {
+    if (!(generation == rhs.generation))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(isLeaving == rhs.isLeaving))
+      return false;
+    return true;
+  }
+  bool operator != (const SchedulerNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SchedulerNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SchedulerNotice &a, SchedulerNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const SchedulerNotice& obj);
+
+typedef struct _JobCall__isset {
+  _JobCall__isset() : call(false), kind(false), queue(false), job(false), account(false), spec(false) {}
+  bool call :1;
+  bool kind :1;
+  bool queue :1;
+  bool job :1;
+  bool account :1;
+  bool spec :1;
+} _JobCall__isset;
+
+class JobCall : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobCall(const JobCall&);
+  JobCall(JobCall&&) noexcept;
+  JobCall& operator=(const JobCall&);
+  JobCall& operator=(JobCall&&) noexcept;
+  JobCall() noexcept
+          : call(0),
+            kind(static_cast<CallKind::type>(0)),
+            queue(),
+            job(),
+            account(),
+            spec() {
+  }
+
+  virtual ~JobCall() noexcept;
+  int64_t call;
+  /**
+   * 
+   * @see CallKind
+   */
+  CallKind::type kind;
+  std::string queue;
+  std::string job;
+  std::string account;
+  std::string spec;
+
+  _JobCall__isset __isset;
+
+  void __set_call(const int64_t val);
+
+  void __set_kind(const CallKind::type val);
+
+  void __set_queue(const std::string& val);
+
+  void __set_job(const std::string& val);
+
+  void __set_account(const std::string& val);
+
+  void __set_spec(const std::string& val);
+
+  bool operator == (const JobCall & rhs) const
+  {
+    if (!(call == rhs.call))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(queue == rhs.queue))
+      return false;
+    if (!(job == rhs.job))
+      return false;
+    if (!(account == rhs.account))
+      return false;
+    if (!(spec == rhs.spec))
+      return false;
+    return true;
+  }
+  bool operator != (const JobCall &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobCall & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobCall &a, JobCall &b);
+
+std::ostream& operator<<(std::ostream& out, const JobCall& obj);
+
+typedef struct _JobAnswer__isset {
+  _JobAnswer__isset() : call(false), outcome(false), state(false), waiting(false), retryAfterMs(false) {}
+  bool call :1;
+  bool outcome :1;
+  bool state :1;
+  bool waiting :1;
+  bool retryAfterMs :1;
+} _JobAnswer__isset;
+
+class JobAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobAnswer(const JobAnswer&);
+  JobAnswer(JobAnswer&&) noexcept;
+  JobAnswer& operator=(const JobAnswer&);
+  JobAnswer& operator=(JobAnswer&&) noexcept;
+  JobAnswer() noexcept
+            : call(0),
+              outcome(static_cast<CallOutcome::type>(0)),
+              state(),
+              waiting(0),
+              retryAfterMs(0) {
+  }
+
+  virtual ~JobAnswer() noexcept;
+  int64_t call;
+  /**
+   * 
+   * @see CallOutcome
+   */
+  CallOutcome::type outcome;
+  std::string state;
+  int64_t waiting;
+  int64_t retryAfterMs;
+
+  _JobAnswer__isset __isset;
+
+  void __set_call(const int64_t val);
+
+  void __set_outcome(const CallOutcome::type val);
+
+  void __set_state(const std::string& val);
+
+  void __set_waiting(const int64_t val);
+
+  void __set_retryAfterMs(const int64_t val);
+
+  bool operator == (const JobAnswer & rhs) const
+  {
+    if (!(call == rhs.call))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(retryAfterMs == rhs.retryAfterMs))
+      return false;
+    return true;
+  }
+  bool operator != (const JobAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobAnswer &a, JobAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const JobAnswer& obj);
+
+typedef struct _CellConfigurationOffer__isset {
+  _CellConfigurationOffer__isset() : version(false), document(false) {}
+  bool version :1;
+  bool document :1;
+} _CellConfigurationOffer__isset;
+
+class CellConfigurationOffer : public virtual ::apache::thrift::TBase {
+ public:
+
+  CellConfigurationOffer(const CellConfigurationOffer&);
+  CellConfigurationOffer(CellConfigurationOffer&&) noexcept;
+  CellConfigurationOffer& operator=(const CellConfigurationOffer&);
+  CellConfigurationOffer& operator=(CellConfigurationOffer&&) noexcept;
+  CellConfigurationOffer() noexcept
+                         : version(0),
+                           document() {
+  }
+
+  virtual ~CellConfigurationOffer() noexcept;
+  int64_t version;
+  std::string document;
+
+  _CellConfigurationOffer__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_document(const std::string& val);
+
+  bool operator == (const CellConfigurationOffer & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(document == rhs.document))
+      return false;
+    return true;
+  }
+  bool operator != (const CellConfigurationOffer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CellConfigurationOffer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CellConfigurationOffer &a, CellConfigurationOffer &b);
+
+std::ostream& operator<<(std::ostream& out, const CellConfigurationOffer& obj);
+
 }} // namespace
 
 #endif
--- a/src/libknapweed/peers/peers.thrift
+++ b/src/libknapweed/peers/peers.thrift
@@ -83,3 +83,35 @@
 
 /// To the home entry: a caller cancelled its job at another entry.
 struct JobCancel { 1: string job }
+
+// ---- The cell: entries, one of which is the scheduler, and the agents beside endpoints (src/libknapweed/cell).
+
+enum RunEnding { Done = 1, Failed = 2, Stopped = 3, Lapsed = 4, Broken = 5, Alone = 6 }
+enum CallKind { Submit = 1, Query = 2, Cancel = 3, CountWaiting = 4 }
+enum CallOutcome { Ok = 1, Refused = 2, Missing = 3, Unknown = 4, NotScheduler = 5 }
+enum StartOutcome { Started = 1, Rejected = 2, Unanswered = 3, NoRoom = 4, BadTicket = 5 }
+
+struct RunRef { 1: string job, 2: i32 occurrence, 3: i32 step, 4: i32 index, 5: i64 run }
+struct RunRow { 1: RunRef run, 2: string checkpoint, 3: i32 percent, 4: i64 load }
+struct EndRow { 1: i64 number, 2: RunRef run, 3: RunEnding how, 4: string checkpoint }
+
+/// An agent to the scheduler: its endpoint and what runs there. sentAtMs is the agent's boot clock; the lease that the answer grants runs from then.
+/// isListed: the lists were read under this generation's fence, so no order of an older scheduler can take effect there any more.
+struct EndpointReport {
+  1: i64 sequence, 2: i64 sentAtMs, 3: string endpoint, 4: i64 born, 5: string serviceName, 6: string failureDomain, 7: list<string> labels,
+  8: i64 milliCores, 9: i64 memoryMib, 10: i64 accelerators, 11: bool draining, 12: bool isListed, 13: list<RunRow> running, 14: list<EndRow> ended,
+  15: i64 generation, 16: i64 remainingMs, 17: string rack
+}
+struct EndpointGrant { 1: i64 generation, 2: i64 sentAtMs, 3: string endpoint, 4: i64 born, 5: i64 endsStored }
+struct StartOrder { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run, 5: string input, 6: string checkpoint, 7: string ticket }
+struct StartResult { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run, 5: StartOutcome outcome, 6: string detail }
+struct StopOrder { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run }
+/// The run is not there and can't come any more.
+struct RunAbsent { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run }
+/// Who schedules the cell, by the newest generation that the sender knows. isLeaving: the place is free again.
+struct SchedulerNotice { 1: i64 generation, 2: string address, 3: bool isLeaving }
+/// A caller's call, from the entry that has its connection to the scheduler; may be repeated with the same number.
+struct JobCall { 1: i64 call, 2: CallKind kind, 3: string queue, 4: string job, 5: string account, 6: string spec }
+struct JobAnswer { 1: i64 call, 2: CallOutcome outcome, 3: string state, 4: i64 waiting, 5: i64 retryAfterMs }
+/// A configuration as the operators wrote it, passed on to peers that have an older one.
+struct CellConfigurationOffer { 1: i64 version, 2: string document }
