Give each server of a loop its own requests

Cause: libwebsockets binds an accepted connection to a vhost anew by the Host header and the listening port; all servers of a loop share the port number 'none', so the first one got every request. Now the connection carries its server.

--- a/src/knapweedstaged/callergate.cpp
+++ b/src/knapweedstaged/callergate.cpp
@@ -40,8 +40,7 @@
 
 std::string hostOf(const HttpRequest &request)
 {
-    const auto found = request.headers.find("host");
-    return found == request.headers.end() ? std::string() : found->second.substr(0, found->second.find(':'));
+    return request.host.substr(0, request.host.find(':'));
 }
 
 std::string headerOf(const HttpRequest &request, const char *name)
--- a/src/libknapweed/base/http.h
+++ b/src/libknapweed/base/http.h
@@ -13,6 +13,7 @@
 struct HttpRequest
 {
     std::string method; ///< "GET", "POST", "PUT" or "DELETE"
+    std::string host; ///< of a request received, as the Host header says; not used when sending
     std::string path; ///< without the query, percent-decoded
     std::map<std::string, std::string> query;
     HttpHeaders headers;
@@ -27,7 +28,7 @@
 };
 
 /// The headers that the server passes on, lower case. Others are dropped.
-/// authorization, content-type, host, idempotency-key, prefer, x-deadline-ms, x-fence, x-request-id.
+/// authorization, content-type, idempotency-key, prefer, x-deadline-ms, x-fence, x-request-id.
 bool isPassedHeader(const std::string &name);
 
 /// A response with a JSON body and its content type.
--- a/src/libknapweed/base/httpserver.cpp
+++ b/src/libknapweed/base/httpserver.cpp
@@ -54,8 +54,8 @@
     if (protocol != nullptr && std::string(protocol->name) == listenerProtocol) {
         return listenerCallback(wsi, reason);
     }
-    lws_vhost *vhost = lws_get_vhost(wsi);
-    HttpServer::Private *server = vhost == nullptr ? nullptr : static_cast<HttpServer::Private *>(lws_vhost_user(vhost));
+    // Not by the connection's vhost: libwebsockets binds it anew by the Host header, which may give that of another server of this loop.
+    HttpServer::Private *server = static_cast<HttpServer::Private *>(lws_get_opaque_user_data(wsi));
     return server == nullptr ? 0 : server->serve(wsi, reason, static_cast<const char *>(in), length);
 }
 
@@ -76,7 +76,7 @@
     info.user = this;
     info.keepalive_timeout = static_cast<int>(options.idleTimeout.count());
     vhost = lws_create_vhost(loop->context(), &info);
-    if (vhost == nullptr || !listener->attach(vhost)) {
+    if (vhost == nullptr || !listener->attach(vhost, this)) {
         address.port = 0;
         return false;
     }
--- a/src/libknapweed/base/listener.cpp
+++ b/src/libknapweed/base/listener.cpp
@@ -79,7 +79,7 @@
     return address_;
 }
 
-bool Listener::attach(lws_vhost *vhost)
+bool Listener::attach(lws_vhost *vhost, void *owner)
 {
     lws_adopt_desc_t adoption {};
     adoption.vh = vhost;
@@ -88,6 +88,7 @@
     adoption.vh_prot_name = listenerProtocol;
     adoption.opaque = this;
     vhost_ = vhost;
+    owner_ = owner;
     handle_ = lws_adopt_descriptor_vhost_via_info(&adoption);
     if (handle_ != nullptr) {
         lws_set_opaque_user_data(handle_, this);
@@ -141,7 +142,10 @@
         }
         const int on = 1;
         setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-        lws_adopt_socket_vhost(vhost_, descriptor);
+        lws *handle = lws_adopt_socket_vhost(vhost_, descriptor);
+        if (handle != nullptr) {
+            lws_set_opaque_user_data(handle, owner_);
+        }
     }
     return true;
 }
--- a/src/libknapweed/base/listener.h
+++ b/src/libknapweed/base/listener.h
@@ -26,8 +26,8 @@
 
     Address address() const;
 
-    /// Accepts for @p vhost from now on. Returns false when libwebsockets refuses the socket.
-    bool attach(lws_vhost *vhost);
+    /// Accepts for @p vhost from now on; the opaque user data of each connection is @p owner. Returns false when libwebsockets refuses the socket.
+    bool attach(lws_vhost *vhost, void *owner);
 
     /// Accepts what waits and stops listening. Idempotent.
     void close();
@@ -46,6 +46,7 @@
     int reserve_ = -1; ///< an open descriptor to give up when none is left, so that a caller can be refused
     lws *handle_ = nullptr; ///< not null while attached
     lws_vhost *vhost_ = nullptr;
+    void *owner_ = nullptr;
 };
 
 /// The callback of listenerProtocol; the descriptor's opaque user data is its Listener.
--- a/src/libknapweed/base/lwsrequest.cpp
+++ b/src/libknapweed/base/lwsrequest.cpp
@@ -23,10 +23,9 @@
     lws_token_indexes token;
 };
 
-constexpr std::array<TokenHeader, 3> tokenHeaders {{
+constexpr std::array<TokenHeader, 2> tokenHeaders {{
     {"authorization", WSI_TOKEN_HTTP_AUTHORIZATION},
     {"content-type", WSI_TOKEN_HTTP_CONTENT_TYPE},
-    {"host", WSI_TOKEN_HOST},
 }};
 
 /// With the colon, as libwebsockets keeps them.
@@ -134,6 +133,7 @@
     HttpRequest request;
     request.method = methodName(wsi);
     request.path = path;
+    request.host = readToken(wsi, WSI_TOKEN_HOST);
     readQuery(wsi, request);
     readHeaders(wsi, request);
     return request;
--- a/tests/base/httptest.cpp
+++ b/tests/base/httptest.cpp
@@ -56,6 +56,25 @@
     }
 }
 
+TEST(Http, givesEachServerOfALoopItsOwnRequests)
+{
+    HttpFixture http;
+    std::unique_ptr<HttpServer> other;
+    http.serverTask().call([&]() {
+        other = std::make_unique<HttpServer>(http.serverTask().loop(), Address {"127.0.0.1", 0}, [](const HttpRequest &, const HttpResponder &respond) {
+            respond(jsonResponse(200, "other"));
+        });
+    });
+    const std::optional<HttpResult> first = http.fetch(plainRequest("GET", "/n"));
+    const std::optional<HttpResult> second = http.fetch(other->address(), plainRequest("GET", "/n"));
+    http.serverTask().call([&]() {
+        other.reset();
+    });
+    CHECK(first && isOk(*first) && second && isOk(*second));
+    STRCMP_EQUAL("GET /n ", value(*first).body.c_str());
+    STRCMP_EQUAL("other", value(*second).body.c_str());
+}
+
 TEST(Http, answersEachOfManyConcurrentRequestsWhileLongPollsWait)
 {
     constexpr std::size_t polls = 20;
