--- a/src/libknapweed/cell/planner.cpp
+++ b/src/libknapweed/cell/planner.cpp
@@ -15,7 +15,14 @@
 
 constexpr std::size_t heldGangs = 1; ///< later gangs without room for which endpoints are kept free; more would idle the fleet
 
-using Table = std::vector<PlannedEndpoint>;
+/// Tasks of each step that this round has placed, by agent.
+using PlacedTasks = std::map<std::string, std::map<std::string, std::size_t>>;
+
+struct Table
+{
+    std::vector<PlannedEndpoint> endpoints;
+    PlacedTasks placed;
+};
 
 /// Where a unit's tasks would go and what that costs.
 struct Choice
@@ -32,19 +39,20 @@
     return endpoint.service == unit.service && hasLabel && isAdvised && fits(unit.needs, endpoint.capacity);
 }
 
-std::size_t stepTasksOn(const WaitingUnit &unit, const PlannedEndpoint &endpoint)
+std::size_t countOn(const std::map<std::string, std::size_t> &counts, const std::string &agent)
 {
-    const auto found = unit.stepTasks.find(endpoint.agent);
-    return found == unit.stepTasks.end() ? 0 : found->second;
+    const auto found = counts.find(agent);
+    return found == counts.end() ? 0 : found->second;
 }
 
 /// Tasks of the unit that the limit of its step still allows there.
-std::size_t allowedOn(const WaitingUnit &unit, const PlannedEndpoint &endpoint)
+std::size_t allowedOn(const WaitingUnit &unit, const PlannedEndpoint &endpoint, const PlacedTasks &placed)
 {
     if (unit.tasksPerEndpoint == 0) {
         return unit.tasks;
     }
-    const std::size_t taken = stepTasksOn(unit, endpoint);
+    const auto step = placed.find(unit.stepName);
+    const std::size_t taken = countOn(unit.stepTasks, endpoint.agent) + (step == placed.end() ? 0 : countOn(step->second, endpoint.agent));
     return taken >= unit.tasksPerEndpoint ? 0 : unit.tasksPerEndpoint - taken;
 }
 
@@ -100,10 +108,10 @@
         double bestScore = std::numeric_limits<double>::max();
         std::set<std::size_t> bestVictims;
         for (const std::size_t place : places) {
-            if (used[place] >= allowedOn(unit, table[place])) {
+            if (used[place] >= allowedOn(unit, table.endpoints[place], table.placed)) {
                 continue;
             }
-            PlannedEndpoint &endpoint = copies.try_emplace(place, table[place]).first->second;
+            PlannedEndpoint &endpoint = copies.try_emplace(place, table.endpoints[place]).first->second;
             double score = leftover(endpoint.room, endpoint.capacity) + (unit.avoided.count(endpoint.agent) != 0 ? 100 : 0);
             std::set<std::size_t> victims = choice.victims;
             if (!fits(unit.needs, endpoint.room)) {
@@ -136,9 +144,9 @@
 {
     std::map<std::string, std::vector<std::size_t>> byRack;
     std::vector<std::size_t> all;
-    for (std::size_t place = 0; place < table.size(); ++place) {
-        if (mayUse(unit, table[place])) {
-            byRack[table[place].rack].push_back(place);
+    for (std::size_t place = 0; place < table.endpoints.size(); ++place) {
+        if (mayUse(unit, table.endpoints[place])) {
+            byRack[table.endpoints[place].rack].push_back(place);
             all.push_back(place);
         }
     }
@@ -164,14 +172,17 @@
 void take(const WaitingUnit &unit, const Choice &choice, Table &table)
 {
     for (const std::size_t place : choice.places) {
-        table[place].room -= unit.needs;
+        table.endpoints[place].room -= unit.needs;
+        if (unit.tasksPerEndpoint > 0) {
+            ++table.placed[unit.stepName][table.endpoints[place].agent];
+        }
     }
 }
 
 /// Where the unit waits for room to come free, with whatever later work would have to end there first.
 std::optional<Choice> chooseHeld(const WaitingUnit &unit, Table table)
 {
-    for (PlannedEndpoint &endpoint : table) {
+    for (PlannedEndpoint &endpoint : table.endpoints) {
         for (RunningPart &part : endpoint.parts) {
             part.rank = Rank::Later;
         }
@@ -184,7 +195,7 @@
 
 void markStopped(const std::set<std::size_t> &victims, Table &table)
 {
-    for (PlannedEndpoint &endpoint : table) {
+    for (PlannedEndpoint &endpoint : table.endpoints) {
         for (RunningPart &part : endpoint.parts) {
             part.isStopping = part.isStopping || victims.count(part.unit) != 0;
         }
@@ -195,32 +206,33 @@
 
 Plan planUnits(const std::vector<WaitingUnit> &units, std::vector<PlannedEndpoint> endpoints)
 {
+    Table table {std::move(endpoints), {}};
     Plan plan;
     std::size_t held = 0;
     for (const WaitingUnit &unit : units) {
-        const std::optional<Choice> direct = chooseAnywhere(unit, endpoints, false);
+        const std::optional<Choice> direct = chooseAnywhere(unit, table, false);
         if (direct) {
-            take(unit, *direct, endpoints);
+            take(unit, *direct, table);
             PlannedStart start {unit.number, {}};
             for (const std::size_t place : direct->places) {
-                start.agents.push_back(endpoints[place].agent);
+                start.agents.push_back(table.endpoints[place].agent);
             }
             plan.starts.push_back(std::move(start));
             continue;
         }
         plan.blocked.push_back(unit.number);
         if (unit.rank <= Rank::First) {
-            const std::optional<Choice> choice = chooseAnywhere(unit, endpoints, true);
+            const std::optional<Choice> choice = chooseAnywhere(unit, table, true);
             if (choice) {
-                take(unit, *choice, endpoints);
-                markStopped(choice->victims, endpoints);
+                take(unit, *choice, table);
+                markStopped(choice->victims, table);
                 plan.stops.insert(plan.stops.end(), choice->victims.begin(), choice->victims.end());
             }
         } else if (unit.tasks > 1 && held < heldGangs) {
-            const std::optional<Choice> choice = chooseHeld(unit, endpoints);
+            const std::optional<Choice> choice = chooseHeld(unit, table);
             if (choice) {
                 ++held;
-                take(unit, *choice, endpoints);
+                take(unit, *choice, table);
             }
         }
     }
--- a/src/libknapweed/cell/planner.h
+++ b/src/libknapweed/cell/planner.h
@@ -32,7 +32,8 @@
     bool prefersOneRack = false;
     bool mayLeaveRack = true; ///< it has waited long enough to run where it is slower
     std::size_t tasksPerEndpoint = 0; ///< 0: no limit
-    std::map<std::string, std::size_t> stepTasks; ///< tasks of its step by agent, where tasksPerEndpoint limits them
+    std::string stepName; ///< the same for all units of one step, where tasksPerEndpoint limits them
+    std::map<std::string, std::size_t> stepTasks; ///< tasks of the step that take room already, by agent
     std::set<std::string> avoided; ///< agents to use only when no other has the label and the size
     bool needsAdvice = false;
     std::set<std::string> advised; ///< agents that it may use, when needsAdvice
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -226,6 +226,9 @@
     }
     const bool isGangOver = unit->indices.size() > 1 && unit->phase == Unit::Phase::Active && run.run == unit->run && how != RunEnd::Done;
     vacate(endpoint, run, now);
+    if (unit->progress.isDone && unit->members.empty()) {
+        unit->phase = Unit::Phase::Ended; // also when only its end was ever seen, after a change of scheduler
+    }
     if (isGangOver && !unit->members.empty()) {
         stopUnit(*unit, now);
     }
@@ -294,13 +297,16 @@
     }
     occupation.needs = countedNeeds(job->spec.steps[run.task.step]);
     job->hasBegun = true;
-    const bool isFree = unit->phase == Unit::Phase::Waiting && (isRecovering_ || unit->indices.size() == 1);
-    const bool isSameRun = unit->phase == Unit::Phase::Active && unit->run == run.run;
+    const bool isFirst = unit->members.empty();
     unit->members.insert({endpoint.agent, run});
-    if (!job->isOver && isFree) {
+    if (isFirst) {
         unit->phase = Unit::Phase::Active;
         unit->run = run.run;
-    } else if (job->isOver || !isSameRun) {
+    }
+    // A gang can only be taken over while its other members may still be heard of.
+    const bool isWanted = !job->isOver && !unit->progress.isDone && unit->run == run.run && (isRecovering_ || unit->indices.size() == 1);
+    if (!isWanted && !(unit->progress.isDone && unit->run == run.run)) {
+        unit->isStopping = unit->isStopping || unit->run == run.run;
         sendStop(endpoint, run, now);
     }
 }
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -90,6 +90,7 @@
     waiting.tasksPerEndpoint = static_cast<std::size_t>(step.tasksPerEndpoint);
     waiting.avoided = unit.failedOn;
     if (step.tasksPerEndpoint > 0) {
+        waiting.stepName = job.spec.id + '.' + std::to_string(key.occurrence) + '.' + std::to_string(key.step);
         for (const auto &[otherKey, other] : job.units) {
             if (otherKey.occurrence != key.occurrence || otherKey.step != key.step) {
                 continue;
