Record the agents on the store, and make each process its own member of the group

Now runs start only on agents with a durable record, which later schedulers wait for, and a member's name holds its start.

--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -55,6 +55,7 @@
     self.address = self_;
     self.role = wire::Role::Entry;
     self.incarnation = incarnationNow();
+    member_ = self_ + '/' + std::to_string(self.incarnation);
     self.region = settings_.region;
     self.failureDomain = settings_.failureDomain;
     std::vector<Address> seeds = settings_.seeds;
@@ -245,7 +246,7 @@
     peers_->setDraining(true);
     loop_.cancelTimer(joinTimer_);
     endTenure("shutdown");
-    store_.leave("scheduler", self_, settings_.grace, [this](const Result<Done, platform::StoreError> &) {
+    store_.leave("scheduler", member_, settings_.grace, [this](const Result<Done, platform::StoreError> &) {
         wire::SchedulerNotice notice;
         notice.generation = generation_;
         notice.address = self_;
--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -73,6 +73,7 @@
     CallRelay relay_;
     CallerGate gate_;
     std::string self_; ///< this process's peer address
+    std::string member_; ///< this process in the store's group; a restarted one is another member, so that no two tenures share a generation
     std::unique_ptr<PeerNetwork> peers_;
     std::unique_ptr<HttpServer> peerServer_;
     std::unique_ptr<HttpServer> callerServer_;
--- a/src/knapweedstaged/celltenure.cpp
+++ b/src/knapweedstaged/celltenure.cpp
@@ -34,7 +34,7 @@
         return;
     }
     isJoining_ = true;
-    store_.join(group, self_, turnTopic, groupGeneration_, membershipLifetime, joinTimeout, [this](Result<platform::Membership, platform::StoreError> result) {
+    store_.join(group, member_, turnTopic, groupGeneration_, membershipLifetime, joinTimeout, [this](Result<platform::Membership, platform::StoreError> result) {
         isJoining_ = false;
         if (!isDraining_) {
             joined(result);
@@ -126,16 +126,7 @@
     schedulerCore_->load(loading_, now, std::chrono::system_clock::now());
     schedulerCore_->setConfiguration(feed_.configuration());
     loading_.clear();
-    std::set<std::string> agents;
-    for (const wire::RosterEntry &peer : peers_->roster()) {
-        if (peer.role == wire::Role::Agent) {
-            agents.insert(peer.address);
-        }
-    }
-    if (agents.empty()) {
-        agents.insert("unknown"); // nobody is known yet, so only time tells that nothing runs
-    }
-    schedulerCore_->beginRecovery(agents, now);
+    schedulerCore_->beginRecovery(now);
     learnScheduler(tenure_, self_, "tenure");
     for (const wire::RosterEntry &peer : peers_->roster()) {
         if (peer.address != self_) {
--- a/src/libknapweed/cell/fleet.h
+++ b/src/libknapweed/cell/fleet.h
@@ -44,6 +44,7 @@
     BootTime leavesAt; ///< meaningful while draining
     bool isListed = false; ///< its lists were read under this scheduler's generation
     std::int64_t sequence = 0; ///< of the newest report
+    std::uint64_t recordWrite = 0; ///< the write that makes its agent known to later schedulers; runs start only after it
     BootTime lastReport;
     BootTime leaseEnds; ///< nothing that runs there outlives this without a new grant
     std::map<RunId, Occupation> runs;
--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -18,6 +18,9 @@
 constexpr Seconds statusRetention {150}; ///< how long a job that is over can be asked for; the platform asks for 120 s
 constexpr Milliseconds storeRetry {1000}; ///< Retry-After while the store can't be reached: about the shortest of its outages
 
+const std::string agentRecordPrefix = "a.";
+constexpr Seconds lostAgentRetention {30}; ///< after an agent's lease; then its record goes, so that recoveries don't wait for it
+
 std::string stateName(const Job &job)
 {
     if (job.isCancelled) {
@@ -47,6 +50,10 @@
 void Scheduler::load(const std::map<std::string, std::string> &records, BootTime now, WallTime wall)
 {
     for (const auto &[key, text] : records) {
+        if (key.compare(0, agentRecordPrefix.size(), agentRecordPrefix) == 0) {
+            recordedAgents_.insert(key.substr(agentRecordPrefix.size()));
+            continue;
+        }
         if (key.compare(0, 2, "j.") != 0) {
             continue;
         }
@@ -80,10 +87,10 @@
     logEvent(LogLevel::Info, "scheduler.loaded", {{"records", std::to_string(records.size())}, {"jobs", std::to_string(jobs_.size())}});
 }
 
-void Scheduler::beginRecovery(const std::set<std::string> &agents, BootTime now)
+void Scheduler::beginRecovery(BootTime now)
 {
     isRecovering_ = true;
-    awaitedAgents_ = agents;
+    awaitedAgents_ = recordedAgents_;
     recoveryEnds_ = now + options_.lease + clockMargin;
 }
 
@@ -270,6 +277,28 @@
         plan(now);
     }
     forgetOldJobs(now);
+    forgetLostAgents(now);
+}
+
+/// An endpoint's first report: what may run there must be known to whoever schedules next.
+void Scheduler::recordAgent(Endpoint &endpoint)
+{
+    if (recordedAgents_.insert(endpoint.agent).second) {
+        endpoint.recordWrite = write({agentRecordPrefix + endpoint.agent, endpoint.id});
+    }
+}
+
+void Scheduler::forgetLostAgents(BootTime now)
+{
+    for (auto endpoint = endpoints_.begin(); endpoint != endpoints_.end();) {
+        if (now < endpoint->second.leaseEnds + lostAgentRetention) {
+            ++endpoint;
+            continue;
+        }
+        write({agentRecordPrefix + endpoint->first, ""});
+        recordedAgents_.erase(endpoint->first);
+        endpoint = endpoints_.erase(endpoint);
+    }
 }
 
 /// A gang of which only some members run can't go on; a member that hasn't been heard of by now has lost its lease.
@@ -290,6 +319,11 @@
             }
         }
     }
+    for (const std::string &agent : awaitedAgents_) {
+        // Not heard of for a whole lease: whatever ran there is over. It is recorded again when it reports.
+        write({agentRecordPrefix + agent, ""});
+        recordedAgents_.erase(agent);
+    }
     logEvent(LogLevel::Info,
         "scheduler.recovered",
         {{"generation", std::to_string(options_.generation)}, {"endpoints", std::to_string(endpoints_.size())}, {"missing", std::to_string(awaitedAgents_.size())}});
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -45,8 +45,8 @@
     /// Takes in the stored records, before anything else. Records that can't be read are logged and skipped.
     void load(const std::map<std::string, std::string> &records, BootTime now, WallTime wall);
 
-    /// Starts are held back until each of @p agents has reported, or until no lease of an earlier scheduler can still run.
-    void beginRecovery(const std::set<std::string> &agents, BootTime now);
+    /// Starts are held back until each agent of the records has reported, or until no lease of an earlier scheduler can still run.
+    void beginRecovery(BootTime now);
 
     void setConfiguration(const CellConfiguration &configuration);
     void setStoreReachable(bool isReachable);
@@ -108,6 +108,8 @@
     std::uint64_t writeProgress(Job &job);
     std::uint64_t write(StoreWrite record);
 
+    void recordAgent(Endpoint &endpoint);
+    void forgetLostAgents(BootTime now);
     void finishRecovery(BootTime now);
     void checkEndpoints(BootTime now);
     void checkRuns(Endpoint &endpoint, BootTime now);
@@ -135,7 +137,8 @@
     bool isPlanDue_ = true; ///< something has changed since the last round
     bool hasBlocked_ = false; ///< units had no room in the last round; patience and health change with time alone
     BootTime plannedAt_;
-    std::set<std::string> awaitedAgents_; ///< that have not reported since the recovery began
+    std::set<std::string> awaitedAgents_; ///< recorded by an earlier scheduler and not heard of yet
+    std::set<std::string> recordedAgents_; ///< with a record, or one being written; runs are started at no other
     BootTime recoveryEnds_;
 };
 
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -128,6 +128,7 @@
         endpoint = Endpoint();
         endpoint.agent = agent;
         endpoint.id = report.endpoint;
+        recordAgent(endpoint);
         endpoint.born = report.born;
         isPlanDue_ = true;
         logEvent(LogLevel::Info,
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -151,7 +151,8 @@
     std::map<std::size_t, double> lost;
     std::vector<PlannedEndpoint> planned;
     for (const auto &[agent, endpoint] : endpoints_) {
-        const bool isUsable = endpoint.isListed && !endpoint.isDraining && now - endpoint.lastReport < reportTimeout && now >= endpoint.avoidUntil;
+        const bool isUsable = endpoint.isListed && !endpoint.isDraining && now - endpoint.lastReport < reportTimeout && now >= endpoint.avoidUntil
+            && endpoint.recordWrite <= storedWrite_;
         if (!isUsable) {
             continue;
         }
