Hand over messages of peers outside libwebsockets' receive callback

Ruled out: lost connections (none dropped), malformed messages (trailing bytes are now an error, none seen), message sizes around the receive buffer (test passes without the change).

--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -84,12 +84,13 @@
         const bool isReady = !isDraining_ && feed_.configuration().version > 0;
         respond(jsonResponse(isReady ? 200 : 503, "{}"));
     });
-    metricsServer_ = std::make_unique<HttpServer>(loop_, Address {settings_.peers.ip, settings_.metricsPort}, [this](const HttpRequest &, const HttpResponder &respond) {
-        HttpResponse response;
-        response.headers["content-type"] = "text/plain; version=0.0.4";
-        response.body = metrics_.text();
-        respond(std::move(response));
-    });
+    metricsServer_ =
+        std::make_unique<HttpServer>(loop_, Address {settings_.peers.ip, settings_.metricsPort}, [this](const HttpRequest &, const HttpResponder &respond) {
+            HttpResponse response;
+            response.headers["content-type"] = "text/plain; version=0.0.4";
+            response.body = metrics_.text();
+            respond(std::move(response));
+        });
 }
 
 PeerNetworkEvents CellEntryTask::networkEvents()
--- a/src/knapweedstaged/celltenure.cpp
+++ b/src/knapweedstaged/celltenure.cpp
@@ -34,13 +34,14 @@
         return;
     }
     isJoining_ = true;
-    store_.join(group, member_, turnTopic, groupGeneration_, membershipLifetime, joinTimeout, [this](Result<platform::Membership, platform::StoreError> result) {
-        isJoining_ = false;
-        if (!isDraining_) {
-            joined(result);
-            scheduleJoin(joinInterval);
-        }
-    });
+    store_.join(
+        group, member_, turnTopic, groupGeneration_, membershipLifetime, joinTimeout, [this](Result<platform::Membership, platform::StoreError> result) {
+            isJoining_ = false;
+            if (!isDraining_) {
+                joined(result);
+                scheduleJoin(joinInterval);
+            }
+        });
 }
 
 void CellEntryTask::joined(const Result<platform::Membership, platform::StoreError> &result)
--- a/src/knapweedstaged/journalwriter.cpp
+++ b/src/knapweedstaged/journalwriter.cpp
@@ -112,7 +112,9 @@
         return;
     }
     const platform::StoreError &failure = error(result);
-    logEvent(LogLevel::Warning, "store.append", {{"seq", std::to_string(producer_.sequence)}, {"reason", failure.detail}, {"expected", std::to_string(failure.expected)}});
+    logEvent(LogLevel::Warning,
+        "store.append",
+        {{"seq", std::to_string(producer_.sequence)}, {"reason", failure.detail}, {"expected", std::to_string(failure.expected)}});
     if (failure.kind == platform::StoreError::Kind::Fenced) {
         isFenced_ = true;
         events_.fenced();
--- a/src/libknapweed/base/http.cpp
+++ b/src/libknapweed/base/http.cpp
@@ -11,8 +11,7 @@
 
 bool isPassedHeader(const std::string &name)
 {
-    static const std::array<std::string, 7> passed {
-        "authorization", "content-type", "idempotency-key", "prefer", "x-deadline-ms", "x-fence", "x-request-id"};
+    static const std::array<std::string, 7> passed {"authorization", "content-type", "idempotency-key", "prefer", "x-deadline-ms", "x-fence", "x-request-id"};
     return std::find(passed.begin(), passed.end(), name) != passed.end();
 }
 
--- a/src/libknapweed/base/httpserver.cpp
+++ b/src/libknapweed/base/httpserver.cpp
@@ -330,6 +330,10 @@
     d_->handler = std::move(handler);
     d_->options = options;
     d_->hooks = std::move(hooks);
+    Private *server = d_.get();
+    d_->inbox = std::make_shared<MessageInbox>(loop, [server](std::uint64_t number, std::string message) {
+        server->hooks.received(number, std::move(message));
+    });
     loop.retain(d_);
     d_->open(listen);
 }
@@ -341,6 +345,7 @@
     d_->listener->close();
     // The loop retains d_ longer than what the caller's functions own may live.
     d_->handler = nullptr;
+    d_->inbox->close();
     d_->hooks = {};
     if (d_->vhost != nullptr) {
         lws_vhost_destroy(d_->vhost);
--- a/src/libknapweed/base/httpserverpeers.cpp
+++ b/src/libknapweed/base/httpserverpeers.cpp
@@ -48,7 +48,7 @@
     if (fragment == Fragment::Final) {
         std::string message;
         message.swap(peer.link.incoming);
-        hooks.received(number, std::move(message));
+        inbox->add(number, std::move(message));
     }
     return 0;
 }
--- a/src/libknapweed/base/httpserverprivate.h
+++ b/src/libknapweed/base/httpserverprivate.h
@@ -44,6 +44,7 @@
     HttpHandler handler;
     HttpServerOptions options;
     WebSocketHooks hooks;
+    std::shared_ptr<MessageInbox> inbox; ///< of the WebSocket connections
     std::unique_ptr<Listener> listener;
     lws_vhost *vhost = nullptr;
     Address address;
--- a/src/libknapweed/base/websocketclient.cpp
+++ b/src/libknapweed/base/websocketclient.cpp
@@ -39,6 +39,7 @@
 {
     EventLoop *loop = nullptr;
     WebSocketHooks hooks;
+    std::shared_ptr<MessageInbox> inbox;
     lws_vhost *vhost = nullptr;
     bool isDestroyed = false;
     std::unordered_map<std::uint64_t, Connection> connections;
@@ -152,7 +153,7 @@
     if (fragment == Fragment::Final) {
         std::string message;
         message.swap(connection.link.incoming);
-        hooks.received(number, std::move(message));
+        inbox->add(number, std::move(message));
     }
     return 0;
 }
@@ -169,6 +170,10 @@
 {
     d_->loop = &loop;
     d_->hooks = std::move(hooks);
+    Private *client = d_.get();
+    d_->inbox = std::make_shared<MessageInbox>(loop, [client](std::uint64_t number, std::string message) {
+        client->hooks.received(number, std::move(message));
+    });
     d_->createVhost();
     loop.retain(d_);
 }
@@ -176,6 +181,7 @@
 WebSocketClient::~WebSocketClient()
 {
     d_->isDestroyed = true;
+    d_->inbox->close();
     d_->hooks = {}; // the loop retains d_ longer than what the hooks own may live
     if (d_->vhost != nullptr) {
         lws_vhost_destroy(d_->vhost);
--- a/src/libknapweed/base/websocketlink.cpp
+++ b/src/libknapweed/base/websocketlink.cpp
@@ -14,6 +14,43 @@
 
 }
 
+MessageInbox::MessageInbox(EventLoop &loop, std::function<void(std::uint64_t connection, std::string message)> deliver)
+    : loop_(loop)
+    , deliver_(std::move(deliver))
+{
+}
+
+void MessageInbox::add(std::uint64_t connection, std::string message)
+{
+    messages_.emplace_back(connection, std::move(message));
+    if (messages_.size() > 1) {
+        return;
+    }
+    loop_.post([inbox = weak_from_this()]() {
+        if (const std::shared_ptr<MessageInbox> live = inbox.lock()) {
+            live->deliverAll();
+        }
+    });
+}
+
+void MessageInbox::deliverAll()
+{
+    // A receiver may close the inbox; what comes meanwhile is posted anew.
+    std::deque<std::pair<std::uint64_t, std::string>> messages;
+    messages.swap(messages_);
+    for (auto &[connection, message] : messages) {
+        if (deliver_) {
+            deliver_(connection, std::move(message));
+        }
+    }
+}
+
+void MessageInbox::close()
+{
+    deliver_ = nullptr;
+    messages_.clear();
+}
+
 Fragment receiveFragment(lws *wsi, WebSocketLink &link, const char *bytes, std::size_t length)
 {
     if (link.incoming.size() + length > webSocketMessageLimit) {
--- a/src/libknapweed/base/websocketlink.h
+++ b/src/libknapweed/base/websocketlink.h
@@ -1,9 +1,15 @@
 // The message queue and the reassembly of one WebSocket connection, the same for accepted and for opened connections.
 #pragma once
 
+#include "base/eventloop.h"
+
 #include <cstddef>
+#include <cstdint>
 #include <deque>
+#include <functional>
+#include <memory>
 #include <string>
+#include <utility>
 
 struct lws;
 
@@ -24,6 +30,26 @@
     std::size_t outgoingBytes = 0; ///< invariant: the sum of the sizes in outgoing, at most webSocketQueueLimit
 };
 
+/// Messages that have arrived and are handed over by the loop, not inside libwebsockets' callback: its receive buffer is shared by all connections of a
+/// loop, so a receiver that begins an HTTP call would overwrite the messages that follow in it.
+class MessageInbox : public std::enable_shared_from_this<MessageInbox>
+{
+public:
+    MessageInbox(EventLoop &loop, std::function<void(std::uint64_t connection, std::string message)> deliver);
+
+    void add(std::uint64_t connection, std::string message);
+
+    /// Forgets all messages and delivers none any more.
+    void close();
+
+private:
+    void deliverAll();
+
+    EventLoop &loop_;
+    std::function<void(std::uint64_t, std::string)> deliver_; ///< empty once closed
+    std::deque<std::pair<std::uint64_t, std::string>> messages_; ///< not empty while a delivery is posted
+};
+
 enum class Fragment { Partial, Final, TooLarge };
 
 /// Adds received bytes; after Final the whole message is in link.incoming.
--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -192,6 +192,12 @@
         if (boot_ && boot_->status.born == order.born && boot_->listNumber <= holdNumber_) {
             boot_->started[run] = holdNumber_;
         }
+        logEvent(LogLevel::Info,
+            "run.started",
+            {{"job", run.task.job},
+                {"task", std::to_string(run.task.occurrence) + '.' + std::to_string(run.task.step) + '.' + std::to_string(run.task.index)},
+                {"run", std::to_string(run.run)},
+                {"endpoint", order.endpoint}});
         answerStart(peer, order, wire::StartOutcome::Started, {});
         if (!isWaitingHold_) {
             hold(holdWait);
--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -326,7 +326,9 @@
     }
     logEvent(LogLevel::Info,
         "scheduler.recovered",
-        {{"generation", std::to_string(options_.generation)}, {"endpoints", std::to_string(endpoints_.size())}, {"missing", std::to_string(awaitedAgents_.size())}});
+        {{"generation", std::to_string(options_.generation)},
+            {"endpoints", std::to_string(endpoints_.size())},
+            {"missing", std::to_string(awaitedAgents_.size())}});
 }
 
 void Scheduler::addDueOccurrences(BootTime now, WallTime wall)
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -246,7 +246,8 @@
         endpoint.failuresInRow = 0;
     } else if (how == RunEnd::Failed && ++endpoint.failuresInRow >= failuresToAvoid) {
         endpoint.avoidUntil = now + avoidSpan;
-        logEvent(LogLevel::Warning, "endpoint.avoided", {{"endpoint", endpoint.id}, {"reason", "failures"}, {"in_row", std::to_string(endpoint.failuresInRow)}});
+        logEvent(
+            LogLevel::Warning, "endpoint.avoided", {{"endpoint", endpoint.id}, {"reason", "failures"}, {"in_row", std::to_string(endpoint.failuresInRow)}});
     }
 }
 
@@ -327,7 +328,8 @@
         }
         return;
     }
-    logEvent(LogLevel::Warning, "run.notstarted", {{"job", run.task.job}, {"run", std::to_string(run.run)}, {"endpoint", endpoint->id}, {"reason", result.detail}});
+    logEvent(
+        LogLevel::Warning, "run.notstarted", {{"job", run.task.job}, {"run", std::to_string(run.run)}, {"endpoint", endpoint->id}, {"reason", result.detail}});
     const auto job = jobs_.find(run.task.job);
     Unit *unit = job == jobs_.end() ? nullptr : unitOf(job->second, run.task);
     if (unit != nullptr && unit->run == run.run) {
@@ -386,7 +388,9 @@
         }
         const bool isWorking = occupation.state == Occupation::State::Listed && unit != nullptr && !unit->isStopping;
         if (isWorking && !job->second.spec.steps[run.task.step].isLasting && now - occupation.progressAt > stallTimeout) {
-            logEvent(LogLevel::Warning, "run.stalled", {{"job", run.task.job}, {"run", std::to_string(run.run)}, {"endpoint", endpoint.id}, {"percent", std::to_string(occupation.percent)}});
+            logEvent(LogLevel::Warning,
+                "run.stalled",
+                {{"job", run.task.job}, {"run", std::to_string(run.run)}, {"endpoint", endpoint.id}, {"percent", std::to_string(occupation.percent)}});
             unit->failedOn.insert(endpoint.agent);
             endpoint.avoidUntil = now + avoidSpan;
             stopUnit(*unit, now);
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -31,6 +31,15 @@
     return needs;
 }
 
+std::string joined(const std::vector<std::string> &words)
+{
+    std::string text;
+    for (const std::string &word : words) {
+        text += (text.empty() ? "" : ",") + word;
+    }
+    return text;
+}
+
 Rank rankOf(const Job &job, bool isGuaranteed)
 {
     if (job.queue.priority == 0) {
@@ -254,7 +263,7 @@
             {"step", std::to_string(key.step)},
             {"index", std::to_string(key.index)},
             {"run", std::to_string(unit.run)},
-            {"first", agents.front()},
+            {"agents", joined(agents)},
             {"waited_ms", std::to_string((now - unit.readySince).count())}});
 }
 
--- a/src/libknapweed/cell/schedulerunits.cpp
+++ b/src/libknapweed/cell/schedulerunits.cpp
@@ -63,7 +63,9 @@
     ++unit.progress.failures;
     if (unit.progress.failures >= job.queue.attempts && !job.isOver) {
         job.hasFailed = true;
-        logEvent(LogLevel::Info, "job.failed", {{"job", job.spec.id}, {"failures", std::to_string(unit.progress.failures)}, {"attempts", std::to_string(job.queue.attempts)}});
+        logEvent(LogLevel::Info,
+            "job.failed",
+            {{"job", job.spec.id}, {"failures", std::to_string(unit.progress.failures)}, {"attempts", std::to_string(job.queue.attempts)}});
     }
 }
 
--- a/src/libknapweed/jobs/jobrecord.cpp
+++ b/src/libknapweed/jobs/jobrecord.cpp
@@ -35,8 +35,7 @@
             out[name] = text;
         }
     }
-    const std::pair<const char *, std::int64_t> numbers[] = {
-        {"apart", step.tasksPerEndpoint}, {"miss", step.mayMiss}, {"target", step.latencyTarget.count()}};
+    const std::pair<const char *, std::int64_t> numbers[] = {{"apart", step.tasksPerEndpoint}, {"miss", step.mayMiss}, {"target", step.latencyTarget.count()}};
     for (const auto &[name, number] : numbers) {
         if (number != 0) {
             out[name] = number;
@@ -71,7 +70,14 @@
 
 std::string encodeSpec(const JobSpec &spec)
 {
-    json out = {{"id", spec.id}, {"queue", spec.queue}, {"account", spec.account}, {"service", spec.service}, {"priority", spec.priority}, {"attempts", spec.attempts}, {"input", spec.input}, {"steps", json::array()}};
+    json out = {{"id", spec.id},
+        {"queue", spec.queue},
+        {"account", spec.account},
+        {"service", spec.service},
+        {"priority", spec.priority},
+        {"attempts", spec.attempts},
+        {"input", spec.input},
+        {"steps", json::array()}};
     for (const Step &step : spec.steps) {
         out["steps"].push_back(encodeStep(step));
     }
--- a/src/libknapweed/peers/codec.cpp
+++ b/src/libknapweed/peers/codec.cpp
@@ -71,7 +71,11 @@
         const std::shared_ptr<TMemoryBuffer> buffer =
             std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t *>(body.data()), static_cast<std::uint32_t>(body.size()));
         CompactProtocol protocol(buffer, static_cast<std::int32_t>(bytes.size()), containerLimit);
-        return decoders.at(type)(protocol);
+        PeerMessage message = decoders.at(type)(protocol);
+        if (buffer->available_read() != 0) {
+            return CodecError {std::to_string(buffer->available_read()) + " bytes after the message"};
+        }
+        return message;
     } catch (const std::exception &failure) {
         return CodecError {failure.what()};
     }
--- a/src/libknapweed/peers/peerlinks.cpp
+++ b/src/libknapweed/peers/peerlinks.cpp
@@ -55,7 +55,7 @@
     PeerLink &link = found->second;
     const Result<PeerMessage, CodecError> decoded = decodeMessage(bytes);
     if (!isOk(decoded)) {
-        dropLink(id, "malformed message");
+        dropLink(id, ("malformed message: " + error(decoded).detail).c_str());
         return;
     }
     const PeerMessage &message = value(decoded);
--- a/tests/peers/networktest.cpp
+++ b/tests/peers/networktest.cpp
@@ -1,5 +1,6 @@
 // Contract of the peer network between healthy processes: who connects to whom, order, and waiting messages.
 
+#include "base/httpclient.h"
 #include "peers/testnode.h"
 
 #include <CppUTest/TestHarness.h>
@@ -54,6 +55,95 @@
     CHECK(node.waitReceived("j-1"));
 }
 
+/// Five messages at once, as for the members of a gang on one endpoint, with lengths around the receive buffer's.
+TEST(PeerNetwork, deliversBurstsOfMessagesLongerThanTheReceiveBuffer)
+{
+    TestNode first(wire::Role::Entry, 1);
+    TestNode second(wire::Role::Agent, 2);
+    first.start({});
+    second.start({first.listening()});
+    CHECK(first.waitConnected(second.name()));
+    CHECK(second.waitConnected(first.name()));
+    for (std::size_t length = 4060; length <= 4160; length += 4) {
+        for (int member = 0; member < 5; ++member) {
+            const std::string text = std::to_string(member) + std::string(length, 'x');
+            first.send(second.name(), text);
+            second.send(first.name(), text);
+        }
+        for (int member = 0; member < 5; ++member) {
+            const std::string text = std::to_string(member) + std::string(length, 'x');
+            CHECK(second.waitReceived(text));
+            CHECK(first.waitReceived(text));
+        }
+    }
+}
+
+/// The pattern of a gang's orders: each message that arrives in a burst makes its receiver call an HTTP server at once, on a connection that is kept.
+TEST(PeerNetwork, deliversBurstsToReceiversThatCallHttpServersAtOnce)
+{
+    constexpr int rounds = 20;
+    constexpr int members = 5;
+    for (const bool isServerSide : {false, true}) {
+        TestNode sender(wire::Role::Entry, 1);
+        TestNode receiver(wire::Role::Agent, 2);
+        LoopTask target;
+        std::unique_ptr<HttpServer> server;
+        target.call([&]() {
+            server = std::make_unique<HttpServer>(target.loop(), Address {"127.0.0.1", 0}, [](const HttpRequest &, const HttpResponder &respond) {
+                respond(jsonResponse(200, "{}"));
+            });
+        });
+        std::unique_ptr<HttpClient> client;
+        int answers = 0;
+        receiver.task().call([&]() {
+            client = std::make_unique<HttpClient>(receiver.task().loop());
+            receiver.setReceived([&]() {
+                HttpRequest request;
+                request.method = "POST";
+                request.path = "/";
+                request.body = std::string(3000, 'b');
+                client->send(server->address(), request, Milliseconds(1000), [&](const HttpResult &result) {
+                    answers += isOk(result) ? 1 : 0;
+                });
+            });
+        });
+        sender.start({});
+        receiver.start({});
+        if (isServerSide) {
+            sender.send(receiver.name(), "hello");
+        } else {
+            receiver.send(sender.name(), "hello");
+        }
+        CHECK(sender.waitConnected(receiver.name()));
+        for (int round = 0; round < rounds; ++round) {
+            // A receiver that is busy when they arrive reads them all at once.
+            receiver.task().loop().post([]() {
+                std::this_thread::sleep_for(Milliseconds(10));
+            });
+            sender.task().call([&]() {
+                for (int member = 0; member < members; ++member) {
+                    wire::PlacementWithdrawal message;
+                    message.job = std::to_string(round) + '.' + std::to_string(member) + std::string(600, 'x');
+                    sender.network().send(receiver.name(), message);
+                }
+            });
+            for (int member = 0; member < members; ++member) {
+                CHECK(receiver.waitReceived(std::to_string(round) + '.' + std::to_string(member) + std::string(600, 'x')));
+            }
+        }
+        CHECK(receiver.task().waitFor([&]() {
+            return answers >= rounds * members;
+        }));
+        receiver.task().call([&]() {
+            receiver.setReceived(nullptr);
+            client.reset();
+        });
+        target.call([&]() {
+            server.reset();
+        });
+    }
+}
+
 TEST(PeerNetwork, keepsOrderWhenBothSidesConnectAtOnce)
 {
     constexpr int messages = 500;
