Record each start before it is sent, and keep one member in the scheduler's group

Now the record of a job names the agents of its newest runs before the orders go out, so a new scheduler holds back only units that were on agents not heard of; entries that don't schedule look at the group's owner and join only when the place is free. Ruled out: shortening the lease (would stop work through cuts that the platform allows).

--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -65,7 +65,7 @@
     loop_.callEvery(tickInterval, [this]() {
         tick();
     });
-    join();
+    keepPlace();
     logEvent(LogLevel::Info, "process.started", {{"peers", self_}, {"callers", toString(settings_.callers)}, {"store", toString(settings_.store)}});
 }
 
--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -52,6 +52,8 @@
     bool sendToScheduler(const wire::JobCall &call);
     void announce(const std::string &peer);
 
+    void keepPlace();
+    bool isSchedulerConnected() const;
     void join();
     void scheduleJoin(Milliseconds delay);
     void joined(const Result<platform::Membership, platform::StoreError> &result);
@@ -84,7 +86,8 @@
     std::string scheduler_; ///< its peer address; empty while none is known
     std::int64_t groupGeneration_ = 0; ///< of the last answer to a join
     TimerId joinTimer_ = 0;
-    bool isJoining_ = false;
+    bool isJoining_ = false; ///< a join, or a look at the place, is under way
+    MonotonicTime ownerDoubtedSince_ = std::chrono::steady_clock::now(); ///< since when the place is held by an entry that can't be reached
 
     std::int64_t tenure_ = 0; ///< the generation of the own tenure; 0 without one
     std::unique_ptr<JournalWriter> journal_; ///< not null during a tenure
--- a/src/knapweedstaged/celltenure.cpp
+++ b/src/knapweedstaged/celltenure.cpp
@@ -13,7 +13,8 @@
 constexpr const char *turnTopic = "turn"; ///< its one partition is the scheduler's place; it has no records
 constexpr const char *jobTopic = "keyed.jobs";
 constexpr Milliseconds membershipLifetime {1500}; ///< an entry that is silent for so long loses the place
-constexpr Milliseconds joinInterval {400}; ///< three joins within a lifetime
+constexpr Milliseconds joinInterval {400}; ///< three joins, or looks at the place, within a lifetime
+constexpr Seconds staleOwnerLimit {3}; ///< an owner that this entry can't reach for so long is challenged; twice a lifetime
 constexpr Milliseconds joinTimeout {800};
 constexpr Milliseconds loadTimeout {2000}; ///< of one page of records
 constexpr Milliseconds planDelay {8}; ///< what arrives together is planned together
@@ -24,15 +25,47 @@
 {
     loop_.cancelTimer(joinTimer_);
     joinTimer_ = loop_.callAfter(delay, [this]() {
-        join();
+        keepPlace();
     });
 }
 
-void CellEntryTask::join()
+/// The scheduler renews its place. The other entries are no members of the group, because each member that comes or goes has the place dealt anew; they
+/// look whether it is free.
+void CellEntryTask::keepPlace()
 {
     if (isDraining_ || isJoining_) {
         return;
     }
+    if (tenure_ != 0) {
+        join();
+        return;
+    }
+    isJoining_ = true;
+    store_.owner(group, joinTimeout, [this](Result<platform::GroupOwner, platform::StoreError> result) {
+        isJoining_ = false;
+        if (isDraining_) {
+            return;
+        }
+        const MonotonicTime now = std::chrono::steady_clock::now();
+        if (!isOk(result) || isSchedulerConnected()) {
+            ownerDoubtedSince_ = now;
+        }
+        const bool isFree = isOk(result) && (value(result).member.empty() || value(result).member == member_);
+        if (isFree || (isOk(result) && now - ownerDoubtedSince_ > staleOwnerLimit)) {
+            join();
+        } else {
+            scheduleJoin(joinInterval);
+        }
+    });
+}
+
+bool CellEntryTask::isSchedulerConnected() const
+{
+    return !scheduler_.empty() && peers_->isConnected(scheduler_);
+}
+
+void CellEntryTask::join()
+{
     isJoining_ = true;
     store_.join(
         group, member_, turnTopic, groupGeneration_, membershipLifetime, joinTimeout, [this](Result<platform::Membership, platform::StoreError> result) {
@@ -57,6 +90,9 @@
     } else if (!membership.holdsPartition && tenure_ != 0) {
         endTenure("the place was given to another entry");
     }
+    if (!membership.holdsPartition) {
+        store_.leave(group, member_, joinTimeout, [](const Result<Done, platform::StoreError> &) {}); // else its membership lapses by itself
+    }
 }
 
 void CellEntryTask::beginTenure(std::int64_t generation)
--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -78,7 +78,9 @@
         logEvent(LogLevel::Info, "endpoint.left", {{"endpoint", id}});
         boot_->status.isDraining = true;
         boot_->status.remaining = Milliseconds(0);
+        boot_->hasLeft = true;
         report();
+        hold(Milliseconds(0));
     }
 }
 
@@ -261,6 +263,12 @@
             held(number, fence, born, value(result));
         } else {
             logEvent(LogLevel::Warning, "hold.failed", {{"reason", error(result).detail}});
+            if (boot_ && boot_->hasLeft && boot_->status.born == born && error(result).kind == EndpointError::Kind::Refused) {
+                // Nothing listens at its address any more.
+                boot_->running.clear();
+                boot_->started.clear();
+                report();
+            }
             nextHold_ = hooks_.now() + holdRetry;
         }
     });
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -60,6 +60,7 @@
         std::map<std::int64_t, ListedEnd> ended; ///< not durable yet
         std::int64_t endsStored = 0;
         std::map<RunId, std::uint64_t> started; ///< started and perhaps not listed yet, by the newest hold sent before the start was answered
+        bool hasLeft = false; ///< it has said so; what it ran ends with it
         std::map<RunId, std::uint64_t> stopped; ///< stopped and perhaps still listed, likewise
     };
 
--- a/src/libknapweed/cell/fleet.h
+++ b/src/libknapweed/cell/fleet.h
@@ -16,6 +16,7 @@
 struct Occupation
 {
     enum class State {
+        Planned, ///< its start waits until its record is durable
         Ordered, ///< its start is on the way or its fate is unknown
         Listed, ///< the endpoint lists it
         Stopping, ///< told to stop; its room is free only when its end is listed
@@ -44,7 +45,6 @@
     BootTime leavesAt; ///< meaningful while draining
     bool isListed = false; ///< its lists were read under this scheduler's generation
     std::int64_t sequence = 0; ///< of the newest report
-    std::uint64_t recordWrite = 0; ///< the write that makes its agent known to later schedulers; runs start only after it
     BootTime lastReport;
     BootTime leaseEnds; ///< nothing that runs there outlives this without a new grant
     std::map<RunId, Occupation> runs;
--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -18,8 +18,7 @@
 constexpr Seconds statusRetention {150}; ///< how long a job that is over can be asked for; the platform asks for 120 s
 constexpr Milliseconds storeRetry {1000}; ///< Retry-After while the store can't be reached: about the shortest of its outages
 
-const std::string agentRecordPrefix = "a.";
-constexpr Seconds lostAgentRetention {30}; ///< after an agent's lease; then its record goes, so that recoveries don't wait for it
+constexpr Seconds lostAgentRetention {30}; ///< after an agent's lease; then nothing is known of it any more
 
 std::string stateName(const Job &job)
 {
@@ -50,10 +49,6 @@
 void Scheduler::load(const std::map<std::string, std::string> &records, BootTime now, WallTime wall)
 {
     for (const auto &[key, text] : records) {
-        if (key.compare(0, agentRecordPrefix.size(), agentRecordPrefix) == 0) {
-            recordedAgents_.insert(key.substr(agentRecordPrefix.size()));
-            continue;
-        }
         if (key.compare(0, 2, "j.") != 0) {
             continue;
         }
@@ -90,7 +85,13 @@
 void Scheduler::beginRecovery(BootTime now)
 {
     isRecovering_ = true;
-    awaitedAgents_ = recordedAgents_;
+    for (const auto &[id, job] : jobs_) {
+        for (const auto &[key, unit] : job.units) {
+            if (!unit.progress.isDone) {
+                awaitedAgents_.insert(unit.progress.agents.begin(), unit.progress.agents.end());
+            }
+        }
+    }
     recoveryEnds_ = now + options_.lease + clockMargin;
 }
 
@@ -262,6 +263,15 @@
     for (auto &[agent, endpoint] : endpoints_) {
         advanceStoredEnds(endpoint);
     }
+    std::vector<PendingStart> pendingStarts;
+    for (PendingStart &start : pendingStarts_) {
+        if (start.write <= storedWrite_) {
+            sendStart(start, now);
+        } else {
+            pendingStarts.push_back(std::move(start));
+        }
+    }
+    pendingStarts_ = std::move(pendingStarts);
     isPlanDue_ = true;
 }
 
@@ -272,7 +282,10 @@
     if (isRecovering_ && (awaitedAgents_.empty() || now >= recoveryEnds_)) {
         finishRecovery(now);
     }
-    if (!isRecovering_ && (isPlanDue_ || (hasBlocked_ && now - plannedAt_ >= replanInterval))) {
+    if (isRecovering_) {
+        stopPartialGangs(now);
+    }
+    if ((isPlanDue_ || (hasBlocked_ && now - plannedAt_ >= replanInterval))) {
         isPlanDue_ = false;
         plan(now);
     }
@@ -280,14 +293,6 @@
     forgetLostAgents(now);
 }
 
-/// An endpoint's first report: what may run there must be known to whoever schedules next.
-void Scheduler::recordAgent(Endpoint &endpoint)
-{
-    if (recordedAgents_.insert(endpoint.agent).second) {
-        endpoint.recordWrite = write({agentRecordPrefix + endpoint.agent, endpoint.id});
-    }
-}
-
 void Scheduler::forgetLostAgents(BootTime now)
 {
     for (auto endpoint = endpoints_.begin(); endpoint != endpoints_.end();) {
@@ -295,17 +300,21 @@
             ++endpoint;
             continue;
         }
-        write({agentRecordPrefix + endpoint->first, ""});
-        recordedAgents_.erase(endpoint->first);
         endpoint = endpoints_.erase(endpoint);
     }
 }
 
-/// A gang of which only some members run can't go on; a member that hasn't been heard of by now has lost its lease.
-void Scheduler::finishRecovery(BootTime now)
+/// Whether something of the unit may run on an endpoint that hasn't been heard of since the recovery began.
+bool Scheduler::mayRunElsewhere(const Unit &unit) const
+{
+    return std::any_of(unit.progress.agents.begin(), unit.progress.agents.end(), [this](const std::string &agent) {
+        return awaitedAgents_.count(agent) != 0;
+    });
+}
+
+/// A gang of which only some members run can't go on. It is known to be one when each agent that it was recorded with has reported.
+void Scheduler::stopPartialGangs(BootTime now)
 {
-    isRecovering_ = false;
-    isPlanDue_ = true;
     for (auto &[id, job] : jobs_) {
         for (auto &[key, unit] : job.units) {
             std::set<int> present;
@@ -314,21 +323,24 @@
                     present.insert(member.second.task.index);
                 }
             }
-            if (unit.phase == Unit::Phase::Active && present.size() < unit.indices.size()) {
+            const bool isPartial = unit.phase == Unit::Phase::Active && present.size() < unit.indices.size();
+            if (isPartial && !unit.isStopping && !unit.progress.isDone && !mayRunElsewhere(unit)) {
                 stopUnit(unit, now);
             }
         }
     }
-    for (const std::string &agent : awaitedAgents_) {
-        // Not heard of for a whole lease: whatever ran there is over. It is recorded again when it reports.
-        write({agentRecordPrefix + agent, ""});
-        recordedAgents_.erase(agent);
-    }
+}
+
+void Scheduler::finishRecovery(BootTime now)
+{
+    const std::size_t missing = awaitedAgents_.size();
+    awaitedAgents_.clear();
+    stopPartialGangs(now);
+    isRecovering_ = false;
+    isPlanDue_ = true;
     logEvent(LogLevel::Info,
         "scheduler.recovered",
-        {{"generation", std::to_string(options_.generation)},
-            {"endpoints", std::to_string(endpoints_.size())},
-            {"missing", std::to_string(awaitedAgents_.size())}});
+        {{"generation", std::to_string(options_.generation)}, {"endpoints", std::to_string(endpoints_.size())}, {"missing", std::to_string(missing)}});
 }
 
 void Scheduler::addDueOccurrences(BootTime now, WallTime wall)
@@ -390,7 +402,7 @@
 
 bool Scheduler::isPlanDue() const
 {
-    return isPlanDue_ && !isRecovering_;
+    return isPlanDue_;
 }
 
 const std::map<std::string, Job> &Scheduler::jobs() const
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -45,7 +45,8 @@
     /// Takes in the stored records, before anything else. Records that can't be read are logged and skipped.
     void load(const std::map<std::string, std::string> &records, BootTime now, WallTime wall);
 
-    /// Starts are held back until each agent of the records has reported, or until no lease of an earlier scheduler can still run.
+    /// A unit that an earlier scheduler may have started isn't started again until each agent that it was recorded with has reported, or until no lease of
+    /// that scheduler can still run.
     void beginRecovery(BootTime now);
 
     void setConfiguration(const CellConfiguration &configuration);
@@ -77,6 +78,15 @@
         wire::JobAnswer answer;
     };
 
+    struct PendingStart
+    {
+        std::uint64_t write = 0;
+        std::string agent;
+        std::int64_t born = 0;
+        RunId run;
+        wire::StartOrder order;
+    };
+
     void handle(const std::string &peer, const wire::EndpointReport &report, BootTime now);
     void handle(const std::string &peer, const wire::StartResult &result, BootTime now);
     void handle(const std::string &peer, const wire::RunAbsent &absent, BootTime now);
@@ -108,9 +118,11 @@
     std::uint64_t writeProgress(Job &job);
     std::uint64_t write(StoreWrite record);
 
-    void recordAgent(Endpoint &endpoint);
     void forgetLostAgents(BootTime now);
     void finishRecovery(BootTime now);
+    bool mayRunElsewhere(const Unit &unit) const;
+    void stopPartialGangs(BootTime now);
+    void sendStart(const PendingStart &start, BootTime now);
     void checkEndpoints(BootTime now);
     void checkRuns(Endpoint &endpoint, BootTime now);
     void addDueOccurrences(BootTime now, WallTime wall);
@@ -137,8 +149,8 @@
     bool isPlanDue_ = true; ///< something has changed since the last round
     bool hasBlocked_ = false; ///< units had no room in the last round; patience and health change with time alone
     BootTime plannedAt_;
-    std::set<std::string> awaitedAgents_; ///< recorded by an earlier scheduler and not heard of yet
-    std::set<std::string> recordedAgents_; ///< with a record, or one being written; runs are started at no other
+    std::set<std::string> awaitedAgents_; ///< recorded with a run by an earlier scheduler and not heard of yet
+    std::vector<PendingStart> pendingStarts_; ///< whose record isn't durable yet
     BootTime recoveryEnds_;
 };
 
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -128,7 +128,6 @@
         endpoint = Endpoint();
         endpoint.agent = agent;
         endpoint.id = report.endpoint;
-        recordAgent(endpoint);
         endpoint.born = report.born;
         isPlanDue_ = true;
         logEvent(LogLevel::Info,
@@ -261,7 +260,7 @@
             adopt(endpoint, run, now);
         }
         Occupation &occupation = endpoint.runs.at(run);
-        if (occupation.state == Occupation::State::Ordered) {
+        if (occupation.state == Occupation::State::Ordered || occupation.state == Occupation::State::Planned) {
             occupation.state = Occupation::State::Listed;
             occupation.progressAt = now;
         }
@@ -273,7 +272,8 @@
     }
     std::vector<RunId> gone;
     for (const auto &[run, occupation] : endpoint.runs) {
-        if (occupation.state != Occupation::State::Ordered && listed.count(run) == 0) {
+        const bool isListedOnce = occupation.state == Occupation::State::Listed || occupation.state == Occupation::State::Stopping;
+        if (isListedOnce && listed.count(run) == 0) {
             gone.push_back(run);
         }
     }
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -128,7 +128,7 @@
         }
         const bool isGuaranteed = guaranteed.count(id) != 0;
         for (auto &[key, unit] : job.units) {
-            if (unit.phase != Unit::Phase::Waiting || !areDependenciesDone(job, key)) {
+            if (unit.phase != Unit::Phase::Waiting || !areDependenciesDone(job, key) || mayRunElsewhere(unit)) {
                 continue;
             }
             if (unit.readySince == BootTime()) {
@@ -160,8 +160,7 @@
     std::map<std::size_t, double> lost;
     std::vector<PlannedEndpoint> planned;
     for (const auto &[agent, endpoint] : endpoints_) {
-        const bool isUsable = endpoint.isListed && !endpoint.isDraining && now - endpoint.lastReport < reportTimeout && now >= endpoint.avoidUntil
-            && endpoint.recordWrite <= storedWrite_;
+        const bool isUsable = endpoint.isListed && !endpoint.isDraining && now - endpoint.lastReport < reportTimeout && now >= endpoint.avoidUntil;
         if (!isUsable) {
             continue;
         }
@@ -232,11 +231,14 @@
     unit.isStopping = false;
     unit.run = options_.generation * runsPerGeneration + ++startedRuns_;
     job.hasBegun = true;
+    unit.progress.agents = agents;
+    const std::uint64_t write = writeProgress(job);
     const Step &step = job.spec.steps[key.step];
     for (std::size_t i = 0; i < agents.size(); ++i) {
         Endpoint &endpoint = endpoints_.at(agents[i]);
         const RunId run {{jobId, key.occurrence, key.step, unit.indices[i]}, unit.run};
         Occupation &occupation = endpoint.runs[run];
+        occupation.state = Occupation::State::Planned;
         occupation.needs = countedNeeds(step);
         occupation.orderedAt = now;
         occupation.firstOrderedAt = now;
@@ -244,7 +246,8 @@
         unit.members.insert({endpoint.agent, run});
         const Resources room = freeRoom(endpoint);
         assertInvariant(room.milliCores >= 0 && room.memoryMib >= 0 && room.accelerators >= 0, "an endpoint is never ordered more than it holds");
-        wire::StartOrder order;
+        PendingStart pending {write, endpoint.agent, endpoint.born, run, {}};
+        wire::StartOrder &order = pending.order;
         order.generation = options_.generation;
         order.endpoint = endpoint.id;
         order.born = endpoint.born;
@@ -255,10 +258,10 @@
         order.run.run = run.run;
         order.input = job.spec.input;
         order.checkpoint = unit.progress.checkpoint;
-        output_.messages.emplace_back(endpoint.agent, order);
+        pendingStarts_.push_back(std::move(pending));
     }
     logEvent(LogLevel::Info,
-        "unit.started",
+        "unit.planned",
         {{"job", jobId},
             {"step", std::to_string(key.step)},
             {"index", std::to_string(key.index)},
@@ -267,4 +270,19 @@
             {"waited_ms", std::to_string((now - unit.readySince).count())}});
 }
 
+/// The record of the start is durable: whoever schedules next knows where to look for the run.
+void Scheduler::sendStart(const PendingStart &start, BootTime now)
+{
+    Endpoint *endpoint = currentEndpoint(start.agent, start.born, start.order.endpoint);
+    const auto occupation = endpoint == nullptr ? std::map<RunId, Occupation>::iterator() : endpoint->runs.find(start.run);
+    if (endpoint == nullptr || occupation == endpoint->runs.end() || occupation->second.state != Occupation::State::Planned) {
+        return; // stopped or lost meanwhile
+    }
+    occupation->second.state = Occupation::State::Ordered;
+    occupation->second.orderedAt = now;
+    occupation->second.firstOrderedAt = now;
+    occupation->second.progressAt = now;
+    output_.messages.emplace_back(start.agent, start.order);
+}
+
 } // namespace knapweed::cell
--- a/src/libknapweed/cell/schedulerunits.cpp
+++ b/src/libknapweed/cell/schedulerunits.cpp
@@ -99,12 +99,17 @@
 void Scheduler::stopUnit(Unit &unit, BootTime now)
 {
     unit.isStopping = true;
-    for (const auto &[agent, run] : unit.members) {
+    const std::set<MemberPlace> members = unit.members; // what was only planned leaves it at once
+    for (const auto &[agent, run] : members) {
         const auto endpoint = endpoints_.find(agent);
         const auto occupation = endpoint == endpoints_.end() ? std::map<RunId, Occupation>::iterator() : endpoint->second.runs.find(run);
         if (endpoint == endpoints_.end() || occupation == endpoint->second.runs.end() || occupation->second.state == Occupation::State::Stopping) {
             continue;
         }
+        if (occupation->second.state == Occupation::State::Planned) {
+            vacate(endpoint->second, run, now);
+            continue;
+        }
         sendStop(endpoint->second, run, now);
     }
 }
--- a/src/libknapweed/jobs/jobrecord.cpp
+++ b/src/libknapweed/jobs/jobrecord.cpp
@@ -124,9 +124,10 @@
     }
     json units = json::array();
     for (const auto &[key, unit] : progress.units) {
-        json row = {key.occurrence, key.step, key.index, unit.isDone ? 1 : 0, unit.failures, unit.countedRun};
-        if (!unit.checkpoint.empty()) {
+        json row = json::array({key.occurrence, key.step, key.index, unit.isDone ? 1 : 0, unit.failures, unit.countedRun});
+        if (!unit.checkpoint.empty() || !unit.agents.empty()) {
             row.push_back(unit.checkpoint);
+            row.push_back(unit.agents);
         }
         units.push_back(std::move(row));
     }
@@ -148,6 +149,7 @@
             unit.failures = row.at(4).get<int>();
             unit.countedRun = row.at(5).get<std::int64_t>();
             unit.checkpoint = row.size() > 6 ? row.at(6).get<std::string>() : std::string();
+            unit.agents = row.size() > 7 ? row.at(7).get<std::vector<std::string>>() : std::vector<std::string>();
             progress.units[key] = unit;
         }
         return progress;
--- a/src/libknapweed/jobs/jobrecord.h
+++ b/src/libknapweed/jobs/jobrecord.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace knapweed::cell
 {
@@ -23,6 +24,7 @@
     int failures = 0; ///< runs that ended failed
     std::int64_t countedRun = 0; ///< the newest run whose failure is in failures
     std::string checkpoint; ///< what the next run resumes from; empty: from the start
+    std::vector<std::string> agents; ///< of the newest run, by task: nowhere else can anything of the unit run
 
     bool operator==(const UnitProgress &) const = default;
 };
