--- a/src/knapweedstaged/cellagenttask.cpp
+++ b/src/knapweedstaged/cellagenttask.cpp
@@ -40,13 +40,13 @@
     hooks.now = []() {
         return BootClock::now();
     };
-    agent_ = std::make_unique<cell::Agent>(cell::AgentOptions {settings_.lease}, std::move(hooks));
     wire::RosterEntry self;
     self.address = toString(peerServer_->address());
     self.role = wire::Role::Agent;
     self.incarnation = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
     self.region = settings_.region;
     self.failureDomain = settings_.failureDomain;
+    agent_ = std::make_unique<cell::Agent>(cell::AgentOptions {self.incarnation, settings_.lease}, std::move(hooks));
     peers_->attach(*peerServer_, self, settings_.seeds);
     loop_.callEvery(tickInterval, [this]() {
         agent_->tick();
--- a/src/knapweedstaged/celltenure.cpp
+++ b/src/knapweedstaged/celltenure.cpp
@@ -68,7 +68,7 @@
 {
     isJoining_ = true;
     store_.join(
-        group, member_, turnTopic, groupGeneration_, membershipLifetime, joinTimeout, [this](Result<platform::Membership, platform::StoreError> result) {
+        group, member_, turnTopic, groupGeneration_, membershipLifetime, joinTimeout, [this](const Result<platform::Membership, platform::StoreError> &result) {
             isJoining_ = false;
             if (!isDraining_) {
                 joined(result);
--- a/src/knapweedstaged/journalwriter.cpp
+++ b/src/knapweedstaged/journalwriter.cpp
@@ -78,7 +78,7 @@
 
 void JournalWriter::send()
 {
-    store_.append(journalTopic, batch_, producer_, appendTimeout, [this, alive = isAlive_](Result<platform::Appended, platform::StoreError> result) {
+    store_.append(journalTopic, batch_, producer_, appendTimeout, [this, alive = isAlive_](const Result<platform::Appended, platform::StoreError> &result) {
         if (*alive) {
             handle(result);
         }
--- a/src/libknapweed/base/clock.h
+++ b/src/libknapweed/base/clock.h
@@ -20,7 +20,6 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock, Milliseconds>;
-    static constexpr bool is_steady = true;
     static time_point now() noexcept;
 };
 
--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -168,6 +168,7 @@
     result.run = order.run;
     result.outcome = outcome;
     result.detail = detail;
+    result.sequence = reportNumber_;
     hooks_.send(peer, result);
 }
 
@@ -337,6 +338,7 @@
     lastReport_ = now;
     wire::EndpointReport report;
     report.sequence = ++reportNumber_;
+    report.life = options_.life;
     report.sentAtMs = now.time_since_epoch().count();
     report.endpoint = boot_->status.id;
     report.born = boot_->status.born;
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -15,6 +15,7 @@
 
 struct AgentOptions
 {
+    std::int64_t life = 0; ///< tells this process's reports from those of an earlier one at the same address
     Milliseconds lease {0}; ///< from when a report was sent that the scheduler has answered
 };
 
--- a/src/libknapweed/cell/fleet.h
+++ b/src/libknapweed/cell/fleet.h
@@ -25,6 +25,7 @@
     Resources needs;
     BootTime orderedAt; ///< of the last order about it
     BootTime firstOrderedAt;
+    std::int64_t startedSequence = 0; ///< reports up to this one may not hold it yet, though it has started
     int percent = 0;
     BootTime progressAt; ///< when percent last changed
     std::string checkpoint; ///< the newest that the endpoint named
@@ -44,7 +45,8 @@
     bool isDraining = false;
     BootTime leavesAt; ///< meaningful while draining
     bool isListed = false; ///< its lists were read under this scheduler's generation
-    std::int64_t sequence = 0; ///< of the newest report
+    std::int64_t agentLife = 0; ///< of the agent's process that reports
+    std::int64_t sequence = 0; ///< of its newest report; earlier ones that arrive late say nothing of what runs
     BootTime lastReport;
     BootTime leaseEnds; ///< nothing that runs there outlives this without a new grant
     std::map<RunId, Occupation> runs;
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -105,6 +105,10 @@
     if (known != endpoints_.end() && report.born < known->second.born) {
         return; // an earlier boot's report that was under way
     }
+    const bool isSameBoot = known != endpoints_.end() && known->second.born == report.born && known->second.id == report.endpoint;
+    if (isSameBoot && known->second.agentLife == report.life && report.sequence <= known->second.sequence) {
+        return;
+    }
     renewEndpoint(peer, report, now);
     Endpoint &endpoint = endpoints_.at(peer);
     grant(endpoint, report, now);
@@ -124,8 +128,21 @@
 {
     Endpoint &endpoint = endpoints_[agent];
     if (endpoint.born != report.born || endpoint.id != report.endpoint) {
+        // A start without an answer may still be carried out by the next boot when that has the same id.
+        std::map<RunId, Occupation> undecided;
+        if (endpoint.id == report.endpoint) {
+            for (const auto &[run, occupation] : endpoint.runs) {
+                if (occupation.state == Occupation::State::Ordered) {
+                    undecided.insert({run, occupation});
+                }
+            }
+        }
+        for (const auto &[run, occupation] : undecided) {
+            endpoint.runs.erase(run);
+        }
         vacateAll(endpoint, now);
         endpoint = Endpoint();
+        endpoint.runs = std::move(undecided);
         endpoint.agent = agent;
         endpoint.id = report.endpoint;
         endpoint.born = report.born;
@@ -133,6 +150,9 @@
         logEvent(LogLevel::Info,
             "endpoint.joined",
             {{"agent", agent}, {"endpoint", endpoint.id}, {"service", report.serviceName}, {"rack", report.rack}, {"born", std::to_string(report.born)}});
+        for (const auto &[run, occupation] : std::map<RunId, Occupation>(endpoint.runs)) {
+            sendStop(endpoint, run, now);
+        }
     }
     if (endpoint.isDraining != report.draining) {
         logEvent(LogLevel::Info, "endpoint.draining", {{"endpoint", endpoint.id}, {"remaining_ms", std::to_string(report.remainingMs)}});
@@ -145,6 +165,7 @@
     endpoint.isDraining = report.draining;
     endpoint.leavesAt = now + Milliseconds(report.remainingMs);
     endpoint.sequence = report.sequence;
+    endpoint.agentLife = report.life;
     endpoint.lastReport = now;
 }
 
@@ -263,6 +284,7 @@
         if (occupation.state == Occupation::State::Ordered || occupation.state == Occupation::State::Planned) {
             occupation.state = Occupation::State::Listed;
             occupation.progressAt = now;
+            occupation.startedSequence = 0;
         }
         if (row.percent != occupation.percent) {
             occupation.percent = row.percent;
@@ -273,7 +295,7 @@
     std::vector<RunId> gone;
     for (const auto &[run, occupation] : endpoint.runs) {
         const bool isListedOnce = occupation.state == Occupation::State::Listed || occupation.state == Occupation::State::Stopping;
-        if (isListedOnce && listed.count(run) == 0) {
+        if (isListedOnce && listed.count(run) == 0 && report.sequence > occupation.startedSequence) {
             gone.push_back(run);
         }
     }
@@ -325,6 +347,7 @@
         if (occupation.state == Occupation::State::Ordered) {
             occupation.state = Occupation::State::Listed;
             occupation.progressAt = now;
+            occupation.startedSequence = result.sequence;
         }
         return;
     }
--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -7556,6 +7556,10 @@
 void EndpointReport::__set_rack(const std::string& val) {
   this->rack = val;
 }
+
+void EndpointReport::__set_life(const int64_t val) {
+  this->life = val;
+}
 std::ostream& operator<<(std::ostream& out, const EndpointReport& obj)
 {
   obj.printTo(out);
@@ -7756,6 +7760,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->life);
+          this->__isset.life = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7865,6 +7877,10 @@
   xfer += oprot->writeString(this->rack);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("life", ::apache::thrift::protocol::T_I64, 18);
+  xfer += oprot->writeI64(this->life);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7889,6 +7905,7 @@
   swap(a.generation, b.generation);
   swap(a.remainingMs, b.remainingMs);
   swap(a.rack, b.rack);
+  swap(a.life, b.life);
   swap(a.__isset, b.__isset);
 }
 
@@ -7910,6 +7927,7 @@
   generation = other235.generation;
   remainingMs = other235.remainingMs;
   rack = other235.rack;
+  life = other235.life;
   __isset = other235.__isset;
 }
 EndpointReport::EndpointReport(EndpointReport&& other236) noexcept {
@@ -7930,6 +7948,7 @@
   generation = other236.generation;
   remainingMs = other236.remainingMs;
   rack = std::move(other236.rack);
+  life = other236.life;
   __isset = other236.__isset;
 }
 EndpointReport& EndpointReport::operator=(const EndpointReport& other237) {
@@ -7950,6 +7969,7 @@
   generation = other237.generation;
   remainingMs = other237.remainingMs;
   rack = other237.rack;
+  life = other237.life;
   __isset = other237.__isset;
   return *this;
 }
@@ -7971,6 +7991,7 @@
   generation = other238.generation;
   remainingMs = other238.remainingMs;
   rack = std::move(other238.rack);
+  life = other238.life;
   __isset = other238.__isset;
   return *this;
 }
@@ -7994,6 +8015,7 @@
   out << ", " << "generation=" << to_string(generation);
   out << ", " << "remainingMs=" << to_string(remainingMs);
   out << ", " << "rack=" << to_string(rack);
+  out << ", " << "life=" << to_string(life);
   out << ")";
 }
 
@@ -8447,6 +8469,10 @@
 void StartResult::__set_detail(const std::string& val) {
   this->detail = val;
 }
+
+void StartResult::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
 std::ostream& operator<<(std::ostream& out, const StartResult& obj)
 {
   obj.printTo(out);
@@ -8525,6 +8551,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8566,6 +8600,10 @@
   xfer += oprot->writeString(this->detail);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8579,6 +8617,7 @@
   swap(a.run, b.run);
   swap(a.outcome, b.outcome);
   swap(a.detail, b.detail);
+  swap(a.sequence, b.sequence);
   swap(a.__isset, b.__isset);
 }
 
@@ -8589,6 +8628,7 @@
   run = other248.run;
   outcome = other248.outcome;
   detail = other248.detail;
+  sequence = other248.sequence;
   __isset = other248.__isset;
 }
 StartResult::StartResult(StartResult&& other249) noexcept {
@@ -8598,6 +8638,7 @@
   run = std::move(other249.run);
   outcome = other249.outcome;
   detail = std::move(other249.detail);
+  sequence = other249.sequence;
   __isset = other249.__isset;
 }
 StartResult& StartResult::operator=(const StartResult& other250) {
@@ -8607,6 +8648,7 @@
   run = other250.run;
   outcome = other250.outcome;
   detail = other250.detail;
+  sequence = other250.sequence;
   __isset = other250.__isset;
   return *this;
 }
@@ -8617,6 +8659,7 @@
   run = std::move(other251.run);
   outcome = other251.outcome;
   detail = std::move(other251.detail);
+  sequence = other251.sequence;
   __isset = other251.__isset;
   return *this;
 }
@@ -8629,6 +8672,7 @@
   out << ", " << "run=" << to_string(run);
   out << ", " << "outcome=" << to_string(outcome);
   out << ", " << "detail=" << to_string(detail);
+  out << ", " << "sequence=" << to_string(sequence);
   out << ")";
 }
 
--- a/src/libknapweed/peers/gen/peers_types.h
+++ b/src/libknapweed/peers/gen/peers_types.h
@@ -2975,7 +2975,7 @@
 std::ostream& operator<<(std::ostream& out, const EndRow& obj);
 
 typedef struct _EndpointReport__isset {
-  _EndpointReport__isset() : sequence(false), sentAtMs(false), endpoint(false), born(false), serviceName(false), failureDomain(false), labels(false), milliCores(false), memoryMib(false), accelerators(false), draining(false), isListed(false), running(false), ended(false), generation(false), remainingMs(false), rack(false) {}
+  _EndpointReport__isset() : sequence(false), sentAtMs(false), endpoint(false), born(false), serviceName(false), failureDomain(false), labels(false), milliCores(false), memoryMib(false), accelerators(false), draining(false), isListed(false), running(false), ended(false), generation(false), remainingMs(false), rack(false), life(false) {}
   bool sequence :1;
   bool sentAtMs :1;
   bool endpoint :1;
@@ -2993,6 +2993,7 @@
   bool generation :1;
   bool remainingMs :1;
   bool rack :1;
+  bool life :1;
 } _EndpointReport__isset;
 
 class EndpointReport : public virtual ::apache::thrift::TBase {
@@ -3016,7 +3017,8 @@
                    isListed(0),
                    generation(0),
                    remainingMs(0),
-                   rack() {
+                   rack(),
+                   life(0) {
   }
 
   virtual ~EndpointReport() noexcept;
@@ -3037,6 +3039,7 @@
   int64_t generation;
   int64_t remainingMs;
   std::string rack;
+  int64_t life;
 
   _EndpointReport__isset __isset;
 
@@ -3074,6 +3077,8 @@
 
   void __set_rack(const std::string& val);
 
+  void __set_life(const int64_t val);
+
   bool operator == (const EndpointReport & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -3110,6 +3115,8 @@
       return false;
     if (!(rack == rhs.rack))
       return false;
+    if (!(life == rhs.life))
+      return false;
     return true;
   }
   bool operator != (const EndpointReport &rhs) const {
@@ -3288,13 +3295,14 @@
 std::ostream& operator<<(std::ostream& out, const StartOrder& obj);
 
 typedef struct _StartResult__isset {
-  _StartResult__isset() : generation(false), endpoint(false), born(false), run(false), outcome(false), detail(false) {}
+  _StartResult__isset() : generation(false), endpoint(false), born(false), run(false), outcome(false), detail(false), sequence(false) {}
   bool generation :1;
   bool endpoint :1;
   bool born :1;
   bool run :1;
   bool outcome :1;
   bool detail :1;
+  bool sequence :1;
 } _StartResult__isset;
 
 class StartResult : public virtual ::apache::thrift::TBase {
@@ -3309,7 +3317,8 @@
                 endpoint(),
                 born(0),
                 outcome(static_cast<StartOutcome::type>(0)),
-                detail() {
+                detail(),
+                sequence(0) {
   }
 
   virtual ~StartResult() noexcept;
@@ -3323,6 +3332,7 @@
    */
   StartOutcome::type outcome;
   std::string detail;
+  int64_t sequence;
 
   _StartResult__isset __isset;
 
@@ -3338,6 +3348,8 @@
 
   void __set_detail(const std::string& val);
 
+  void __set_sequence(const int64_t val);
+
   bool operator == (const StartResult & rhs) const
   {
     if (!(generation == rhs.generation))
@@ -3352,6 +3364,8 @@
       return false;
     if (!(detail == rhs.detail))
       return false;
+    if (!(sequence == rhs.sequence))
+      return false;
     return true;
   }
   bool operator != (const StartResult &rhs) const {
--- a/src/libknapweed/peers/peers.thrift
+++ b/src/libknapweed/peers/peers.thrift
@@ -96,15 +96,16 @@
 struct EndRow { 1: i64 number, 2: RunRef run, 3: RunEnding how, 4: string checkpoint }
 
 /// An agent to the scheduler: its endpoint and what runs there. sentAtMs is the agent's boot clock; the lease that the answer grants runs from then.
-/// isListed: the lists were read under this generation's fence, so no order of an older scheduler can take effect there any more.
+/// sequence rises within one life of the agent's process. isListed: the lists were read under this generation's fence, so no order of an older scheduler can take effect there any more.
 struct EndpointReport {
   1: i64 sequence, 2: i64 sentAtMs, 3: string endpoint, 4: i64 born, 5: string serviceName, 6: string failureDomain, 7: list<string> labels,
   8: i64 milliCores, 9: i64 memoryMib, 10: i64 accelerators, 11: bool draining, 12: bool isListed, 13: list<RunRow> running, 14: list<EndRow> ended,
-  15: i64 generation, 16: i64 remainingMs, 17: string rack
+  15: i64 generation, 16: i64 remainingMs, 17: string rack, 18: i64 life
 }
 struct EndpointGrant { 1: i64 generation, 2: i64 sentAtMs, 3: string endpoint, 4: i64 born, 5: i64 endsStored }
 struct StartOrder { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run, 5: string input, 6: string checkpoint, 7: string ticket }
-struct StartResult { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run, 5: StartOutcome outcome, 6: string detail }
+/// sequence is of the agent's newest report: only later ones can be expected to hold the run.
+struct StartResult { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run, 5: StartOutcome outcome, 6: string detail, 7: i64 sequence }
 struct StopOrder { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run }
 /// The run is not there and can't come any more.
 struct RunAbsent { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run }
--- /dev/null
+++ b/tests/cell/fakeendpoint.cpp
@@ -0,0 +1,218 @@
+// The endpoint's side of the protocol.
+
+#include "cell/fakeendpoint.h"
+
+#include <algorithm>
+
+namespace knapweed::cell
+{
+
+namespace
+{
+
+constexpr Milliseconds stopTime {200};
+constexpr Milliseconds gangPatience {3000};
+constexpr Milliseconds longestLease {6000};
+
+std::string text(const RunId &run)
+{
+    return run.task.job + '.' + std::to_string(run.task.occurrence) + '.' + std::to_string(run.task.step) + '.' + std::to_string(run.task.index) + " run "
+        + std::to_string(run.run);
+}
+
+} // namespace
+
+FakeEndpoint::FakeEndpoint(Floor &floor, std::string id, Resources capacity, double clockRate)
+    : floor_(floor)
+    , clockRate_(clockRate)
+{
+    status_.id = std::move(id);
+    status_.born = 1;
+    status_.service = "svc";
+    status_.capacity = capacity;
+    status_.rack = "r1";
+    status_.labels = {"kind", "r1"};
+}
+
+Milliseconds FakeEndpoint::clock() const
+{
+    return Milliseconds(static_cast<std::int64_t>(double((now_ - bootedAt_).count()) * clockRate_));
+}
+
+EndpointStatus FakeEndpoint::status()
+{
+    ++status_.sequence;
+    return status_;
+}
+
+std::size_t FakeEndpoint::runs() const
+{
+    return running_.size();
+}
+
+bool FakeEndpoint::isGang(const RunId &run) const
+{
+    return floor_.jobs.at(run.task.job).steps.at(run.task.step).isGang;
+}
+
+GangName FakeEndpoint::gangOf(const RunId &run) const
+{
+    return {run.task.job, run.task.occurrence, run.task.step, run.run};
+}
+
+void FakeEndpoint::finish(const RunId &run, RunEnd how)
+{
+    running_.erase(run);
+    --floor_.running[run.task];
+    floor_.present[gangOf(run)].erase(run.task.index);
+    over_[run.task] = std::max(over_[run.task], run.run);
+    ++lastEnd_;
+    ended_[lastEnd_] = {lastEnd_, run, how, {}};
+}
+
+void FakeEndpoint::advance(BootTime now)
+{
+    const double passed = double((now - now_).count());
+    now_ = now;
+    std::vector<std::pair<RunId, RunEnd>> over;
+    for (auto &[run, state] : running_) {
+        const bool isMember = isGang(run);
+        const std::size_t members = isMember ? static_cast<std::size_t>(floor_.jobs.at(run.task.job).steps.at(run.task.step).tasks) : 1;
+        const bool isTogether = !isMember || floor_.present[gangOf(run)].size() == members;
+        state.workMs += isTogether ? passed : 0;
+        if (clock() >= leaseUntil_) {
+            over.emplace_back(run, RunEnd::Lapsed);
+        } else if (state.isStopping && now >= state.stopsAt) {
+            over.emplace_back(run, RunEnd::Stopped);
+        } else if (isMember && floor_.finished.count(gangOf(run)) != 0) {
+            over.emplace_back(run, RunEnd::Done);
+        } else if (state.workMs >= state.neededMs) {
+            over.emplace_back(run, RunEnd::Done);
+        } else if (isMember && !isTogether && state.workMs > 0) {
+            over.emplace_back(run, RunEnd::Broken);
+        } else if (isMember && !isTogether && now - state.startedAt > gangPatience) {
+            over.emplace_back(run, RunEnd::Alone);
+        }
+    }
+    for (const auto &[run, how] : over) {
+        if (how == RunEnd::Done && isGang(run)) {
+            floor_.finished.insert(gangOf(run));
+        }
+        finish(run, how);
+    }
+}
+
+void FakeEndpoint::extendLease(Milliseconds until)
+{
+    leaseUntil_ = std::max(leaseUntil_, std::min(until, clock() + longestLease));
+}
+
+Result<HoldAnswer, EndpointError> FakeEndpoint::hold(const HoldRequest &request)
+{
+    if (request.endpoint != status_.id) {
+        return EndpointError {EndpointError::Kind::OtherBoot, "421"};
+    }
+    if (request.fence < fence_) {
+        return EndpointError {EndpointError::Kind::Fenced, "fence"};
+    }
+    fence_ = request.fence;
+    if (request.leaseUntil) {
+        extendLease(*request.leaseUntil);
+    }
+    for (auto end = ended_.begin(); end != ended_.end() && end->first <= request.endsStored; end = ended_.erase(end)) {
+        if (end->second.how == RunEnd::Done) {
+            floor_.noted.insert(end->second.run.task);
+        }
+    }
+    HoldAnswer answer;
+    answer.clock = clock();
+    answer.born = status_.born;
+    for (const auto &[run, state] : running_) {
+        answer.running.push_back({run, {}, static_cast<int>(100 * state.workMs / std::max(1.0, state.neededMs)), 0});
+    }
+    for (const auto &[number, end] : ended_) {
+        answer.ended.push_back(end);
+    }
+    return answer;
+}
+
+Result<Milliseconds, EndpointError> FakeEndpoint::start(const StartRequest &request)
+{
+    if (request.endpoint != status_.id) {
+        return EndpointError {EndpointError::Kind::OtherBoot, "421"};
+    }
+    if (request.fence < fence_) {
+        return EndpointError {EndpointError::Kind::Fenced, "fence"};
+    }
+    fence_ = request.fence;
+    if (running_.count(request.run) != 0) {
+        return clock();
+    }
+    if (request.run.run <= over_[request.run.task]) {
+        return EndpointError {EndpointError::Kind::Refused, "old"};
+    }
+    if (request.leaseUntil <= clock()) {
+        return EndpointError {EndpointError::Kind::Refused, "late"};
+    }
+    extendLease(request.leaseUntil);
+    if (++floor_.running[request.run.task] > 1) {
+        floor_.faults.push_back("two runs of one task: " + text(request.run));
+    }
+    if (floor_.noted.count(request.run.task) != 0) {
+        floor_.faults.push_back("started after its end was acknowledged: " + text(request.run));
+    }
+    Running &state = running_[request.run];
+    state.startedAt = now_;
+    state.neededMs = double(floor_.jobs.at(request.run.task.job).steps.at(request.run.task.step).estimate.count());
+    floor_.present[gangOf(request.run)].insert(request.run.task.index);
+    checkRoom();
+    return clock();
+}
+
+Result<Milliseconds, EndpointError> FakeEndpoint::stop(const StopRequest &request)
+{
+    if (request.endpoint != status_.id) {
+        return EndpointError {EndpointError::Kind::OtherBoot, "421"};
+    }
+    if (request.fence < fence_) {
+        return EndpointError {EndpointError::Kind::Fenced, "fence"};
+    }
+    fence_ = request.fence;
+    over_[request.run.task] = std::max(over_[request.run.task], request.run.run);
+    const auto found = running_.find(request.run);
+    if (found != running_.end() && !found->second.isStopping) {
+        found->second.isStopping = true;
+        found->second.stopsAt = now_ + stopTime;
+    }
+    return clock();
+}
+
+void FakeEndpoint::checkRoom()
+{
+    Resources room = status_.capacity;
+    for (const auto &[run, state] : running_) {
+        room -= floor_.jobs.at(run.task.job).steps.at(run.task.step).needs;
+    }
+    if (room.milliCores < 0 || room.memoryMib < 0 || room.accelerators < 0) {
+        floor_.faults.push_back("over capacity: " + status_.id);
+    }
+}
+
+void FakeEndpoint::reboot(std::int64_t born)
+{
+    for (const auto &[run, state] : running_) {
+        --floor_.running[run.task];
+        floor_.present[gangOf(run)].erase(run.task.index);
+    }
+    running_.clear();
+    ended_.clear();
+    over_.clear();
+    lastEnd_ = 0;
+    fence_ = 0;
+    leaseUntil_ = Milliseconds(0);
+    bootedAt_ = now_;
+    status_.born = born;
+    status_.sequence = 0;
+}
+
+} // namespace knapweed::cell
--- /dev/null
+++ b/tests/cell/plannertest.cpp
@@ -0,0 +1,185 @@
+// Where units go, each test named after the load that it stands for.
+
+#include "cell/planner.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace knapweed::cell;
+
+namespace
+{
+
+PlannedEndpoint endpoint(const std::string &agent, const std::string &rack = "r1", Resources room = {16000, 64000, 8})
+{
+    PlannedEndpoint row;
+    row.agent = agent;
+    row.service = "svc";
+    row.rack = rack;
+    row.labels = {"kind", rack};
+    row.capacity = {16000, 64000, 8};
+    row.room = room;
+    return row;
+}
+
+WaitingUnit unit(std::size_t number, std::size_t tasks, Resources needs, Rank rank = Rank::Second)
+{
+    WaitingUnit waiting;
+    waiting.number = number;
+    waiting.rank = rank;
+    waiting.tasks = tasks;
+    waiting.needs = needs;
+    waiting.service = "svc";
+    return waiting;
+}
+
+RunningPart part(std::size_t unit, Rank rank, Resources needs, double lostWork)
+{
+    RunningPart running;
+    running.unit = unit;
+    running.rank = rank;
+    running.needs = needs;
+    running.lostWork = lostWork;
+    return running;
+}
+
+const PlannedStart *startOf(const Plan &plan, std::size_t number)
+{
+    for (const PlannedStart &start : plan.starts) {
+        if (start.number == number) {
+            return &start;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+TEST_GROUP(Planner) {};
+
+TEST(Planner, smallTasksFillBrokenEndpointsAndLeaveWholeOnesFree)
+{
+    const Plan plan = planUnits({unit(1, 1, {1000, 1000, 1})}, {endpoint("a"), endpoint("b", "r1", {8000, 32000, 4})});
+    CHECK(startOf(plan, 1) != nullptr);
+    STRCMP_EQUAL("b", startOf(plan, 1)->agents.front().c_str());
+}
+
+TEST(Planner, limitOfAStepHoldsAmongUnitsOfOneRound)
+{
+    std::vector<WaitingUnit> units;
+    for (std::size_t number = 0; number < 3; ++number) {
+        WaitingUnit waiting = unit(number, 1, {1000, 1000, 1});
+        waiting.tasksPerEndpoint = 1;
+        waiting.stepName = "job.0.0";
+        units.push_back(waiting);
+    }
+    const Plan plan = planUnits(units, {endpoint("a"), endpoint("b")});
+    LONGS_EQUAL(2, plan.starts.size());
+    CHECK(plan.starts[0].agents != plan.starts[1].agents);
+    LONGS_EQUAL(1, plan.blocked.size());
+}
+
+TEST(Planner, limitOfAStepCountsWhatRuns)
+{
+    WaitingUnit waiting = unit(1, 1, {1000, 1000, 1});
+    waiting.tasksPerEndpoint = 1;
+    waiting.stepName = "job.0.0";
+    waiting.stepTasks["a"] = 1;
+    const Plan plan = planUnits({waiting}, {endpoint("a", "r1", {15000, 63000, 7}), endpoint("b")});
+    STRCMP_EQUAL("b", startOf(plan, 1)->agents.front().c_str());
+}
+
+TEST(Planner, gangStartsWholeOrNotAtAll)
+{
+    const Plan plan = planUnits({unit(1, 3, {1000, 1000, 8})}, {endpoint("a"), endpoint("b")});
+    CHECK(plan.starts.empty());
+    LONGS_EQUAL(1, plan.blocked.size());
+}
+
+TEST(Planner, gangPrefersOneRackAndWaitsForItWhileItMust)
+{
+    WaitingUnit gang = unit(1, 2, {1000, 1000, 8});
+    gang.prefersOneRack = true;
+    gang.mayLeaveRack = false;
+    const std::vector<PlannedEndpoint> split {endpoint("a", "r1"), endpoint("b", "r2")};
+    CHECK(planUnits({gang}, split).starts.empty());
+    gang.mayLeaveRack = true;
+    LONGS_EQUAL(1, planUnits({gang}, split).starts.size());
+    const Plan plan = planUnits({gang}, {endpoint("a", "r1"), endpoint("b", "r2"), endpoint("c", "r2")});
+    CHECK(startOf(plan, 1)->agents == (std::vector<std::string> {"b", "c"}) || startOf(plan, 1)->agents == (std::vector<std::string> {"c", "b"}));
+}
+
+TEST(Planner, tasksGoWhereTheirDataIs)
+{
+    WaitingUnit waiting = unit(1, 1, {1000, 1000, 1});
+    waiting.dataRack = "r2";
+    const Plan plan = planUnits({waiting}, {endpoint("a", "r1", {2000, 2000, 1}), endpoint("b", "r2")});
+    STRCMP_EQUAL("b", startOf(plan, 1)->agents.front().c_str());
+}
+
+TEST(Planner, labelsServicesAndAdviceLimitWhereAUnitGoes)
+{
+    WaitingUnit labelled = unit(1, 1, {1000, 1000, 1});
+    labelled.requiredLabel = "other";
+    CHECK(planUnits({labelled}, {endpoint("a")}).starts.empty());
+    WaitingUnit foreign = unit(1, 1, {1000, 1000, 1});
+    foreign.service = "another";
+    CHECK(planUnits({foreign}, {endpoint("a")}).starts.empty());
+    WaitingUnit advised = unit(1, 1, {1000, 1000, 1});
+    advised.needsAdvice = true;
+    CHECK(planUnits({advised}, {endpoint("a")}).starts.empty());
+    advised.advised = {"a"};
+    LONGS_EQUAL(1, planUnits({advised}, {endpoint("a")}).starts.size());
+}
+
+/// The guaranteed gang of a client account arrives while others borrow its accelerators.
+TEST(Planner, guaranteedGangTakesItsRoomBackFromTheCheapestLaterWork)
+{
+    PlannedEndpoint cheap = endpoint("cheap", "r1", {15000, 63000, 0});
+    cheap.parts = {part(7, Rank::Later, {1000, 1000, 8}, 1)};
+    PlannedEndpoint dear = endpoint("dear", "r1", {15000, 63000, 0});
+    dear.parts = {part(8, Rank::Later, {1000, 1000, 8}, 500)};
+    const Plan plan = planUnits({unit(1, 1, {1000, 1000, 8}, Rank::Guaranteed)}, {dear, cheap});
+    CHECK(plan.starts.empty());
+    LONGS_EQUAL(1, plan.stops.size());
+    LONGS_EQUAL(7, plan.stops.front());
+}
+
+TEST(Planner, roomOfADisplacedRunIsKeptForWhomItWasStopped)
+{
+    PlannedEndpoint stopping = endpoint("a", "r1", {15000, 63000, 4});
+    stopping.parts = {part(7, Rank::Later, {1000, 1000, 4}, 1)};
+    stopping.parts.front().isStopping = true;
+    const Plan plan = planUnits({unit(1, 1, {1000, 1000, 8}, Rank::Guaranteed), unit(2, 1, {1000, 1000, 1}, Rank::Later)}, {stopping});
+    CHECK(plan.starts.empty());
+    CHECK(plan.stops.empty());
+}
+
+TEST(Planner, guaranteedWorkIsNeverDisplaced)
+{
+    PlannedEndpoint full = endpoint("a", "r1", {15000, 63000, 0});
+    full.parts = {part(7, Rank::Guaranteed, {1000, 1000, 8}, 0)};
+    CHECK(planUnits({unit(1, 1, {1000, 1000, 8}, Rank::Guaranteed)}, {full}).stops.empty());
+    CHECK(planUnits({unit(1, 1, {1000, 1000, 8}, Rank::First)}, {full}).stops.empty());
+}
+
+/// A stream of small tasks would take each accelerator that comes free before the gang ever finds enough of them.
+TEST(Planner, blockedGangIsNotOvertakenByAStreamOfSmallTasks)
+{
+    PlannedEndpoint busy = endpoint("a", "r1", {15000, 63000, 7});
+    busy.parts = {part(7, Rank::Later, {1000, 1000, 1}, 1)};
+    PlannedEndpoint other = endpoint("b", "r1", {15000, 63000, 7});
+    other.parts = {part(8, Rank::Later, {1000, 1000, 1}, 1)};
+    const Plan plan = planUnits({unit(1, 2, {1000, 1000, 8}, Rank::Second), unit(2, 1, {1000, 1000, 1}, Rank::Later)}, {busy, other});
+    CHECK(plan.starts.empty());
+    CHECK(plan.stops.empty());
+}
+
+TEST(Planner, endpointsWhereAUnitFailedComeLast)
+{
+    WaitingUnit waiting = unit(1, 1, {1000, 1000, 1});
+    waiting.avoided = {"a"};
+    STRCMP_EQUAL("b", startOf(planUnits({waiting}, {endpoint("a", "r1", {1000, 1000, 1}), endpoint("b")}), 1)->agents.front().c_str());
+    STRCMP_EQUAL("a", startOf(planUnits({waiting}, {endpoint("a")}), 1)->agents.front().c_str());
+}
--- /dev/null
+++ b/tests/cell/schedulertest.cpp
@@ -0,0 +1,385 @@
+// The scheduler's protocol: what must be durable before what, what a new scheduler may take over, and how runs end.
+
+#include "cell/table.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <memory>
+
+using namespace knapweed;
+using namespace knapweed::cell;
+
+TEST_GROUP(Scheduler)
+{
+    std::map<std::string, std::string> records; ///< what is durable
+    BootTime now = BootTime(Milliseconds(1000000));
+    WallTime wall = WallTime(Seconds(1800000000));
+    Milliseconds lease = Milliseconds(6000);
+
+    std::unique_ptr<Scheduler> makeScheduler(std::int64_t generation)
+    {
+        std::unique_ptr<Scheduler> scheduler = std::make_unique<Scheduler>(SchedulerOptions {generation, lease});
+        scheduler->load(records, now, wall);
+        scheduler->setConfiguration(plainConfiguration());
+        scheduler->beginRecovery(now);
+        scheduler->tick(now, wall);
+        return scheduler;
+    }
+
+    /// Makes everything written durable, until nothing is written any more. Returns all messages.
+    SchedulerOutput settle(Scheduler & scheduler)
+    {
+        SchedulerOutput all;
+        for (int round = 0; round < 20; ++round) {
+            scheduler.tick(now, wall);
+            const SchedulerOutput output = scheduler.takeOutput();
+            all.messages.insert(all.messages.end(), output.messages.begin(), output.messages.end());
+            for (const StoreWrite &write : output.writes) {
+                if (write.value.empty()) {
+                    records.erase(write.key);
+                } else {
+                    records[write.key] = write.value;
+                }
+            }
+            if (!output.writes.empty()) {
+                scheduler.stored(output.lastWrite, now);
+            }
+        }
+        return all;
+    }
+
+    SchedulerOutput send(Scheduler & scheduler, const std::string &peer, const PeerMessage &message)
+    {
+        scheduler.receive(peer, message, now, wall);
+        return settle(scheduler);
+    }
+
+    std::vector<wire::StartOrder> startsOf(const SchedulerOutput &output)
+    {
+        std::vector<wire::StartOrder> orders;
+        for (const auto &[peer, order] : messagesOf<wire::StartOrder>(output)) {
+            orders.push_back(order);
+        }
+        return orders;
+    }
+
+    std::string stateOf(Scheduler & scheduler, const std::string &job)
+    {
+        const auto answers = messagesOf<wire::JobAnswer>(send(scheduler, "entry", callOf(wire::CallKind::Query, job)));
+        return answers.empty()                                        ? std::string("none")
+            : answers.front().second.outcome == wire::CallOutcome::Ok ? answers.front().second.state
+                                                                      : std::string("missing");
+    }
+
+    void advance(Milliseconds time)
+    {
+        now += time;
+        wall += time;
+    }
+};
+
+TEST(Scheduler, answersASubmissionOnlyWhenItIsDurable)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    scheduler->receive("entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})})), now, wall);
+    const SchedulerOutput before = scheduler->takeOutput();
+    CHECK(messagesOf<wire::JobAnswer>(before).empty());
+    CHECK(!before.writes.empty());
+    scheduler->stored(before.lastWrite, now);
+    LONGS_EQUAL(1, messagesOf<wire::JobAnswer>(scheduler->takeOutput()).size());
+}
+
+TEST(Scheduler, refusesAtOnceWhileTheStoreIsLost)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    scheduler->setStoreReachable(false);
+    const auto answers = messagesOf<wire::JobAnswer>(send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})}))));
+    LONGS_EQUAL(1, answers.size());
+    CHECK(answers.front().second.outcome == wire::CallOutcome::Refused);
+    CHECK(answers.front().second.retryAfterMs > 0);
+    CHECK(scheduler->jobs().empty());
+}
+
+TEST(Scheduler, sendsAStartOnlyAfterItsRecordIsDurable)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    scheduler->receive("entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})})), now, wall);
+    const SchedulerOutput submitted = scheduler->takeOutput();
+    scheduler->stored(submitted.lastWrite, now);
+    scheduler->tick(now, wall);
+    const SchedulerOutput planned = scheduler->takeOutput();
+    CHECK(messagesOf<wire::StartOrder>(planned).empty());
+    CHECK(!planned.writes.empty());
+    CHECK(planned.writes.back().value.find("\"a\"") != std::string::npos);
+    scheduler->stored(planned.lastWrite, now);
+    LONGS_EQUAL(1, messagesOf<wire::StartOrder>(scheduler->takeOutput()).size());
+}
+
+TEST(Scheduler, cancelledBetweenPlanAndRecordIsNeverStarted)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    scheduler->receive("entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})})), now, wall);
+    scheduler->stored(scheduler->takeOutput().lastWrite, now);
+    scheduler->tick(now, wall);
+    scheduler->receive("entry", callOf(wire::CallKind::Cancel, "j1"), now, wall);
+    CHECK(startsOf(settle(*scheduler)).empty());
+    STRCMP_EQUAL("cancelled", stateOf(*scheduler, "j1").c_str());
+}
+
+TEST(Scheduler, showsSuccessOnlyWhenTheEndIsDurableAndThenAcknowledgesIt)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    const std::vector<wire::StartOrder> starts = startsOf(send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})}))));
+    LONGS_EQUAL(1, starts.size());
+    wire::EndpointReport report = reportOf("i-a", 1);
+    report.ended = {endOf(1, starts.front().run, wire::RunEnding::Done)};
+    scheduler->receive("a", report, now, wall);
+    scheduler->receive("entry", callOf(wire::CallKind::Query, "j1"), now, wall);
+    const SchedulerOutput before = scheduler->takeOutput();
+    STRCMP_EQUAL("running", messagesOf<wire::JobAnswer>(before).front().second.state.c_str());
+    for (const auto &[peer, grant] : messagesOf<wire::EndpointGrant>(before)) {
+        LONGS_EQUAL(0, grant.endsStored);
+    }
+    scheduler->stored(before.lastWrite, now);
+    const auto grants = messagesOf<wire::EndpointGrant>(scheduler->takeOutput());
+    LONGS_EQUAL(1, grants.back().second.endsStored);
+    STRCMP_EQUAL("succeeded", stateOf(*scheduler, "j1").c_str());
+}
+
+/// The end of a run is all that a new scheduler ever sees of it.
+TEST(Scheduler, doesNotStartAgainWhatOnlyItsEndIsSeenOf)
+{
+    std::unique_ptr<Scheduler> first = makeScheduler(1);
+    send(*first, "a", reportOf("i-a", 1));
+    const std::vector<wire::StartOrder> starts = startsOf(send(*first, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})}))));
+    std::unique_ptr<Scheduler> second = makeScheduler(2);
+    wire::EndpointReport report = reportOf("i-a", 2);
+    report.ended = {endOf(1, starts.front().run, wire::RunEnding::Done)};
+    CHECK(startsOf(send(*second, "a", report)).empty());
+    STRCMP_EQUAL("succeeded", stateOf(*second, "j1").c_str());
+}
+
+TEST(Scheduler, takesOverWhatRunsOnRecordedAgents)
+{
+    std::unique_ptr<Scheduler> first = makeScheduler(1);
+    send(*first, "a", reportOf("i-a", 1));
+    const std::vector<wire::StartOrder> starts = startsOf(send(*first, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})}))));
+    std::unique_ptr<Scheduler> second = makeScheduler(2);
+    wire::EndpointReport report = reportOf("i-a", 2);
+    report.running = {rowOf(starts.front().run, 40)};
+    CHECK(startsOf(send(*second, "a", report)).empty());
+    CHECK(messagesOf<wire::StopOrder>(settle(*second)).empty());
+    LONGS_EQUAL(1, second->endpoints().at("a").runs.size());
+}
+
+/// An agent that is cut off while the scheduler changes still runs what it had.
+TEST(Scheduler, waitsForTheLeaseOfARecordedAgentThatIsNotHeardOf)
+{
+    std::unique_ptr<Scheduler> first = makeScheduler(1);
+    send(*first, "a", reportOf("i-a", 1));
+    LONGS_EQUAL(1, startsOf(send(*first, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})})))).size());
+    std::unique_ptr<Scheduler> second = makeScheduler(2);
+    CHECK(startsOf(send(*second, "b", reportOf("i-b", 2))).empty());
+    CHECK(second->isRecovering());
+    advance(lease - Milliseconds(100));
+    CHECK(startsOf(send(*second, "b", reportOf("i-b", 2))).empty());
+    advance(Milliseconds(500));
+    LONGS_EQUAL(1, startsOf(send(*second, "b", reportOf("i-b", 2))).size());
+}
+
+TEST(Scheduler, startsAtOnceWhatNoMissingAgentCanHave)
+{
+    std::unique_ptr<Scheduler> first = makeScheduler(1);
+    send(*first, "a", reportOf("i-a", 1));
+    send(*first, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 8})})));
+    send(*first, "entry", submitOf(plainJob("j2", "usual", {plainStep(1, {1000, 100, 8})})));
+    std::unique_ptr<Scheduler> second = makeScheduler(2);
+    const std::vector<wire::StartOrder> starts = startsOf(send(*second, "b", reportOf("i-b", 2)));
+    LONGS_EQUAL(1, starts.size());
+    STRCMP_EQUAL("j2", starts.front().run.job.c_str());
+}
+
+TEST(Scheduler, stopsAGangOfWhichOnlySomeMembersWereTakenOver)
+{
+    Step gang = plainStep(2, {1000, 100, 8});
+    gang.isGang = true;
+    std::unique_ptr<Scheduler> first = makeScheduler(1);
+    send(*first, "a", reportOf("i-a", 1));
+    send(*first, "b", reportOf("i-b", 1));
+    const std::vector<wire::StartOrder> starts = startsOf(send(*first, "entry", submitOf(plainJob("j1", "usual", {gang}))));
+    LONGS_EQUAL(2, starts.size());
+    std::unique_ptr<Scheduler> second = makeScheduler(2);
+    const bool isFirstOnA = starts.front().endpoint == "i-a";
+    wire::EndpointReport report = reportOf("i-a", 2);
+    report.running = {rowOf(isFirstOnA ? starts[0].run : starts[1].run)};
+    CHECK(messagesOf<wire::StopOrder>(send(*second, "a", report)).empty());
+    LONGS_EQUAL(1, messagesOf<wire::StopOrder>(send(*second, "b", reportOf("i-b", 2))).size());
+}
+
+TEST(Scheduler, countsAFailedGangOnceAndFailsTheJobAfterItsAttempts)
+{
+    Step gang = plainStep(2, {1000, 100, 4});
+    gang.isGang = true;
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    std::vector<wire::StartOrder> starts = startsOf(send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {gang}))));
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        LONGS_EQUAL(2, starts.size());
+        STRCMP_EQUAL("running", stateOf(*scheduler, "j1").c_str());
+        wire::EndpointReport report = reportOf("i-a", 1);
+        report.ended = {endOf(2 * attempt + 1, starts[0].run, wire::RunEnding::Failed), endOf(2 * attempt + 2, starts[1].run, wire::RunEnding::Failed)};
+        starts = startsOf(send(*scheduler, "a", report));
+    }
+    CHECK(starts.empty());
+    STRCMP_EQUAL("failed", stateOf(*scheduler, "j1").c_str());
+}
+
+TEST(Scheduler, startsNothingBeforeTheStepsThatItDependsOnAreDone)
+{
+    Step second = plainStep(1, {1000, 100, 1});
+    second.after = {0};
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    std::vector<wire::StartOrder> starts = startsOf(send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1}), second}))));
+    LONGS_EQUAL(1, starts.size());
+    LONGS_EQUAL(0, starts.front().run.step);
+    wire::EndpointReport report = reportOf("i-a", 1);
+    report.ended = {endOf(1, starts.front().run, wire::RunEnding::Done)};
+    starts = startsOf(send(*scheduler, "a", report));
+    LONGS_EQUAL(1, starts.size());
+    LONGS_EQUAL(1, starts.front().run.step);
+}
+
+TEST(Scheduler, startsEachOccurrenceWhenItIsDue)
+{
+    JobSpec spec = plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})});
+    spec.occurrences = 2;
+    spec.firstDue = wall + Milliseconds(1000);
+    spec.interval = Milliseconds(500);
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    CHECK(startsOf(send(*scheduler, "entry", submitOf(spec))).empty());
+    advance(Milliseconds(999));
+    CHECK(startsOf(send(*scheduler, "a", reportOf("i-a", 1))).empty());
+    advance(Milliseconds(1));
+    LONGS_EQUAL(1, startsOf(settle(*scheduler)).size());
+    advance(Milliseconds(500));
+    const std::vector<wire::StartOrder> starts = startsOf(settle(*scheduler));
+    LONGS_EQUAL(1, starts.size());
+    LONGS_EQUAL(1, starts.front().run.occurrence);
+}
+
+/// An order whose answer is lost may still be carried out: its room and its task stay taken until the endpoint says that it never will.
+TEST(Scheduler, keepsRoomAndTaskOfAnUnansweredStartUntilItIsSurelyAbsent)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    const std::vector<wire::StartOrder> starts = startsOf(send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 8})}))));
+    wire::StartResult result;
+    result.generation = 1;
+    result.endpoint = "i-a";
+    result.born = 100;
+    result.run = starts.front().run;
+    result.outcome = wire::StartOutcome::Unanswered;
+    const SchedulerOutput output = send(*scheduler, "a", result);
+    CHECK(startsOf(output).empty());
+    LONGS_EQUAL(1, messagesOf<wire::StopOrder>(output).size());
+    CHECK(startsOf(send(*scheduler, "a", reportOf("i-a", 1))).empty());
+    wire::RunAbsent absent;
+    absent.generation = 1;
+    absent.endpoint = "i-a";
+    absent.born = 100;
+    absent.run = starts.front().run;
+    const std::vector<wire::StartOrder> again = startsOf(send(*scheduler, "a", absent));
+    LONGS_EQUAL(1, again.size());
+    CHECK(again.front().run.run > starts.front().run.run);
+}
+
+TEST(Scheduler, givesUpRunsOfASilentAgentOnlyAfterItsLease)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    LONGS_EQUAL(1, startsOf(send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})})))).size());
+    advance(lease - Milliseconds(10));
+    CHECK(startsOf(send(*scheduler, "b", reportOf("i-b", 1))).empty());
+    advance(Milliseconds(400));
+    LONGS_EQUAL(1, startsOf(send(*scheduler, "b", reportOf("i-b", 1))).size());
+}
+
+/// A task that stands still while its endpoint reports health.
+TEST(Scheduler, movesAStalledTaskToAnotherEndpoint)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    const std::vector<wire::StartOrder> starts = startsOf(send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})}))));
+    send(*scheduler, "b", reportOf("i-b", 1));
+    SchedulerOutput output;
+    for (int second = 0; second < 4 && messagesOf<wire::StopOrder>(output).empty(); ++second) {
+        wire::EndpointReport report = reportOf("i-a", 1);
+        report.running = {rowOf(starts.front().run, 20)};
+        output = send(*scheduler, "a", report);
+        send(*scheduler, "b", reportOf("i-b", 1));
+        advance(Milliseconds(1000));
+    }
+    LONGS_EQUAL(1, messagesOf<wire::StopOrder>(output).size());
+    wire::EndpointReport report = reportOf("i-a", 1);
+    report.ended = {endOf(1, starts.front().run, wire::RunEnding::Stopped)};
+    send(*scheduler, "b", reportOf("i-b", 1));
+    const std::vector<wire::StartOrder> again = startsOf(send(*scheduler, "a", report));
+    LONGS_EQUAL(1, again.size());
+    STRCMP_EQUAL("i-b", again.front().endpoint.c_str());
+}
+
+TEST(Scheduler, ignoresReportsOfEarlierBootsAndOtherGenerations)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(3);
+    send(*scheduler, "a", reportOf("i-a", 3));
+    wire::EndpointReport old = reportOf("i-old", 3);
+    old.born = 50;
+    send(*scheduler, "a", old);
+    STRCMP_EQUAL("i-a", scheduler->endpoints().at("a").id.c_str());
+    send(*scheduler, "b", reportOf("i-b", 2));
+    LONGS_EQUAL(0, scheduler->endpoints().count("b"));
+}
+
+TEST(Scheduler, startsNothingOnADrainingEndpoint)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    wire::EndpointReport report = reportOf("i-a", 1);
+    report.draining = true;
+    report.remainingMs = 2000;
+    send(*scheduler, "a", report);
+    CHECK(startsOf(send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})})))).empty());
+}
+
+/// A caller sends the same submission again after its answer was lost.
+TEST(Scheduler, repeatedSubmissionStaysOneJob)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    const JobSpec spec = plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})});
+    LONGS_EQUAL(1, startsOf(send(*scheduler, "entry", submitOf(spec))).size());
+    const SchedulerOutput again = send(*scheduler, "other", submitOf(spec));
+    CHECK(startsOf(again).empty());
+    CHECK(messagesOf<wire::JobAnswer>(again).front().second.outcome == wire::CallOutcome::Ok);
+}
+
+/// The queue of a running job is taken out of the configuration, and then the scheduler changes.
+TEST(Scheduler, goesOnWithJobsOfARemovedQueueAfterAChangeOfScheduler)
+{
+    std::unique_ptr<Scheduler> first = makeScheduler(1);
+    send(*first, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})})));
+    std::unique_ptr<Scheduler> second = std::make_unique<Scheduler>(SchedulerOptions {2, lease});
+    second->load(records, now, wall);
+    CellConfiguration without = plainConfiguration();
+    std::erase_if(without.queues, [](const Queue &queue) {
+        return queue.name == "usual";
+    });
+    second->setConfiguration(without);
+    second->beginRecovery(now);
+    LONGS_EQUAL(1, startsOf(send(*second, "a", reportOf("i-a", 2))).size());
+}
--- /dev/null
+++ b/tests/cell/world.h
@@ -0,0 +1,108 @@
+// Schedulers, agents and endpoints on one driven clock, with messages, calls and writes that are late, lost, or carried out without an answer.
+#pragma once
+
+#include "cell/agent.h"
+#include "cell/fakeendpoint.h"
+#include "cell/scheduler.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <pcg_random.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace knapweed::cell
+{
+
+struct WorldOptions
+{
+    std::uint64_t seed = 1;
+    int agents = 4;
+    double lossShare = 0; ///< of messages between processes
+    double lateCallShare = 0; ///< of calls to endpoints: no answer, carried out up to three seconds later
+    bool changesSchedulers = false;
+    bool killsAgents = false;
+    bool cutsAgents = false;
+    bool rebootsEndpoints = false;
+    bool losesStore = false;
+};
+
+class World
+{
+public:
+    explicit World(WorldOptions options);
+    ~World();
+
+    void submit(const JobSpec &spec);
+    void cancel(const std::string &job);
+    /// Plays on for @p span; troubles come only while @p isTroubled.
+    void play(Milliseconds span, bool isTroubled);
+
+    /// What should never have happened.
+    const std::vector<std::string> &faults() const;
+    /// Jobs that were accepted and are not over.
+    std::size_t openJobs() const;
+    std::size_t acceptedJobs() const;
+    std::size_t succeededJobs() const;
+    std::int64_t generation() const;
+
+private:
+    struct SchedulerNode
+    {
+        std::unique_ptr<Scheduler> scheduler;
+        std::int64_t generation = 0;
+        std::string name;
+        std::vector<std::pair<std::uint64_t, std::vector<StoreWrite>>> unwritten; ///< by number of the last write
+        bool isWriting = false;
+        bool isGone = false;
+    };
+
+    struct AgentNode
+    {
+        std::unique_ptr<Agent> agent;
+        std::unique_ptr<FakeEndpoint> endpoint;
+        std::string name;
+        std::uint64_t life = 0; ///< answers to an earlier life's calls are dropped
+        BootTime cutUntil;
+        BootTime deadUntil;
+        BootTime nextBeat;
+    };
+
+    void after(Milliseconds delay, std::function<void()> event);
+    double chance();
+    Milliseconds between(int least, int most);
+    void startAgent(AgentNode &node);
+    EndpointDriver driverOf(AgentNode &node);
+    template<typename Answer>
+    void callEndpoint(AgentNode &node, std::function<Answer()> call, std::function<void(Answer)> callback, Milliseconds wait);
+    void deliver(const std::string &from, const std::string &to, const PeerMessage &message);
+    void receive(const std::string &from, const std::string &to, const PeerMessage &message);
+    bool isCut(const std::string &process) const;
+    void newScheduler();
+    void flush(SchedulerNode &node);
+    void writeNext(const std::shared_ptr<SchedulerNode> &node);
+    void trouble();
+    void step();
+
+    WorldOptions options_;
+    pcg32 random_;
+    Floor floor_;
+    BootTime now_ = BootTime(Milliseconds(100000));
+    std::multimap<BootTime, std::function<void()>> events_;
+    std::map<std::string, AgentNode> agents_;
+    std::vector<std::shared_ptr<SchedulerNode>> schedulers_; ///< the newest last
+    std::map<std::string, std::string> records_;
+    std::int64_t epoch_ = 0; ///< of the store's fence
+    BootTime storeDownUntil_;
+    std::int64_t born_ = 1;
+    std::map<std::string, JobSpec> submitted_;
+    std::set<std::string> accepted_;
+    std::set<std::string> cancelled_;
+    std::set<std::string> shownSucceeded_;
+    std::map<std::int64_t, std::pair<wire::CallKind::type, std::string>> calls_;
+    std::int64_t lastCall_ = 0;
+};
+
+} // namespace knapweed::cell
