--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -249,19 +249,19 @@
     HoldRequest request;
     request.endpoint = boot_->status.id;
     request.fence = generation_;
-    request.endsStored = boot_->endsStored;
+    request.endsStored = boot_->endsStored > boot_->endsForgotten ? boot_->endsStored : 0;
     request.leaseUntil = leaseUntil();
     request.wait = wait;
     const std::uint64_t number = ++holdNumber_;
     const bool waits = wait.count() > 0;
     isWaitingHold_ = isWaitingHold_ || waits;
-    hooks_.driver.hold(request, [this, number, waits, fence = request.fence, born = boot_->status.born](Result<HoldAnswer, EndpointError> result) {
+    hooks_.driver.hold(request, [this, number, waits, fence = request.fence, born = boot_->status.born, endsStored = request.endsStored](Result<HoldAnswer, EndpointError> result) {
         if (waits) {
             isWaitingHold_ = false;
             nextHold_ = hooks_.now();
         }
         if (isOk(result)) {
-            held(number, fence, born, value(result));
+            held(number, fence, born, endsStored, value(result));
         } else {
             logEvent(LogLevel::Warning, "hold.failed", {{"reason", error(result).detail}});
             if (boot_ && boot_->hasLeft && boot_->status.born == born && error(result).kind == EndpointError::Kind::Refused) {
@@ -275,18 +275,31 @@
     });
 }
 
-void Agent::held(std::uint64_t number, std::int64_t fence, std::int64_t born, const HoldAnswer &answer)
+void Agent::held(std::uint64_t number, std::int64_t fence, std::int64_t born, std::int64_t endsStored, const HoldAnswer &answer)
 {
-    const bool isOtherBoot = !boot_ || boot_->status.born != born || (answer.born != 0 && answer.born != born);
-    if (isOtherBoot || number < boot_->listNumber) {
+    if (!boot_ || boot_->status.born != born) {
         return;
     }
-    boot_->listNumber = number;
+    if (answer.born != 0 && answer.born != born) {
+        // The next boot under the same id answers already; nothing is done there before it has reported.
+        logEvent(LogLevel::Info, "endpoint.otherboot", {{"endpoint", boot_->status.id}, {"born", std::to_string(answer.born)}});
+        boot_->listedGeneration = -1;
+        boot_->isClockKnown = false;
+        boot_->endsForgotten = boot_->endsStored;
+        return;
+    }
+    // Answers may overtake each other; the endpoint's own clock tells which lists are newer, but for two within one of its milliseconds.
+    if (boot_->isClockKnown && answer.clock <= boot_->clock) {
+        nextHold_ = hooks_.now();
+        return;
+    }
+    boot_->listNumber = std::max(boot_->listNumber, number);
+    boot_->endsForgotten = std::max(boot_->endsForgotten, endsStored);
     boot_->clock = answer.clock;
     boot_->clockReadAt = hooks_.now();
     boot_->isClockKnown = true;
     const bool isFirst = boot_->listedGeneration != fence;
-    boot_->listedGeneration = fence;
+    boot_->listedGeneration = std::max(boot_->listedGeneration, fence);
     const std::size_t runsBefore = boot_->running.size();
     boot_->running.clear();
     for (const ListedRun &run : answer.running) {
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -56,10 +56,11 @@
         BootTime clockReadAt; ///< when the answer that named clock arrived
         bool isClockKnown = false;
         std::int64_t listedGeneration = -1; ///< whose fence the lists were read under
-        std::uint64_t listNumber = 0; ///< of the hold that gave the lists
+        std::uint64_t listNumber = 0; ///< of the newest hold whose answer has been taken
         std::map<RunId, ListedRun> running;
         std::map<std::int64_t, ListedEnd> ended; ///< not durable yet
-        std::int64_t endsStored = 0;
+        std::int64_t endsStored = 0; ///< known to be durable
+        std::int64_t endsForgotten = 0; ///< that this boot is known to have forgotten; said once only, because the next boot counts from 1 again
         std::map<RunId, std::uint64_t> started; ///< started and perhaps not listed yet, by the newest hold sent before the start was answered
         bool hasLeft = false; ///< it has said so; what it ran ends with it
         std::map<RunId, std::uint64_t> stopped; ///< stopped and perhaps still listed, likewise
@@ -74,7 +75,7 @@
     void startFailed(const std::string &peer, const wire::StartOrder &order, const EndpointError &failure);
     void report();
     void hold(Milliseconds wait);
-    void held(std::uint64_t number, std::int64_t fence, std::int64_t born, const HoldAnswer &answer);
+    void held(std::uint64_t number, std::int64_t fence, std::int64_t born, std::int64_t endsStored, const HoldAnswer &answer);
     std::optional<Milliseconds> leaseUntil() const;
     void reportAbsent();
 
--- a/src/libknapweed/cell/endpointstatus.h
+++ b/src/libknapweed/cell/endpointstatus.h
@@ -49,7 +49,7 @@
 {
     std::string endpoint;
     std::int64_t fence = 0;
-    std::int64_t endsStored = 0;
+    std::int64_t endsStored = 0; ///< ends up to this number are forgotten; 0: none
     std::optional<Milliseconds> leaseUntil; ///< on the endpoint's clock; none: as it is
     Milliseconds wait {0}; ///< for an end, at most two seconds
 };
