--- a/src/libknapweed/base/http.h
+++ b/src/libknapweed/base/http.h
@@ -13,11 +13,11 @@
 struct HttpRequest
 {
     std::string method; ///< "GET", "POST", "PUT" or "DELETE"
-    std::string host; ///< of a request received, as the Host header says; not used when sending
     std::string path; ///< without the query, percent-decoded
     std::map<std::string, std::string> query;
     HttpHeaders headers;
     std::string body;
+    std::string host = {}; ///< of a request received, as the Host header says; not used when sending
 };
 
 struct HttpResponse
--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -187,7 +187,7 @@
     request.checkpoint = order.checkpoint;
     request.ticket = order.ticket;
     request.leaseUntil = *until;
-    hooks_.driver.start(request, [this, peer, order, run = request.run](Result<Milliseconds, EndpointError> result) {
+    hooks_.driver.start(request, [this, peer, order, run = request.run](const Result<Milliseconds, EndpointError> &result) {
         if (!isOk(result)) {
             startFailed(peer, order, error(result));
             return;
@@ -229,7 +229,7 @@
         return;
     }
     StopRequest request {order.endpoint, order.generation, runIdOf(order.run)};
-    hooks_.driver.stop(request, [this, run = request.run, born = order.born](Result<Milliseconds, EndpointError> result) {
+    hooks_.driver.stop(request, [this, run = request.run, born = order.born](const Result<Milliseconds, EndpointError> &result) {
         if (!isOk(result)) {
             logEvent(LogLevel::Warning, "stop.failed", {{"job", run.task.job}, {"run", std::to_string(run.run)}, {"reason", error(result).detail}});
             return; // the scheduler asks again
@@ -255,24 +255,25 @@
     const std::uint64_t number = ++holdNumber_;
     const bool waits = wait.count() > 0;
     isWaitingHold_ = isWaitingHold_ || waits;
-    hooks_.driver.hold(request, [this, number, waits, fence = request.fence, born = boot_->status.born, endsStored = request.endsStored](Result<HoldAnswer, EndpointError> result) {
-        if (waits) {
-            isWaitingHold_ = false;
-            nextHold_ = hooks_.now();
-        }
-        if (isOk(result)) {
-            held(number, fence, born, endsStored, value(result));
-        } else {
-            logEvent(LogLevel::Warning, "hold.failed", {{"reason", error(result).detail}});
-            if (boot_ && boot_->hasLeft && boot_->status.born == born && error(result).kind == EndpointError::Kind::Refused) {
-                // Nothing listens at its address any more.
-                boot_->running.clear();
-                boot_->started.clear();
-                report();
+    hooks_.driver.hold(request,
+        [this, number, waits, fence = request.fence, born = boot_->status.born, endsStored = request.endsStored](Result<HoldAnswer, EndpointError> result) {
+            if (waits) {
+                isWaitingHold_ = false;
+                nextHold_ = hooks_.now();
             }
-            nextHold_ = hooks_.now() + holdRetry;
-        }
-    });
+            if (isOk(result)) {
+                held(number, fence, born, endsStored, value(result));
+            } else {
+                logEvent(LogLevel::Warning, "hold.failed", {{"reason", error(result).detail}});
+                if (boot_ && boot_->hasLeft && boot_->status.born == born && error(result).kind == EndpointError::Kind::Refused) {
+                    // Nothing listens at its address any more.
+                    boot_->running.clear();
+                    boot_->started.clear();
+                    report();
+                }
+                nextHold_ = hooks_.now() + holdRetry;
+            }
+        });
 }
 
 void Agent::held(std::uint64_t number, std::int64_t fence, std::int64_t born, std::int64_t endsStored, const HoldAnswer &answer)
--- a/src/libknapweed/cell/settings.cpp
+++ b/src/libknapweed/cell/settings.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <fstream>
 #include <optional>
 #include <sstream>
@@ -28,11 +29,17 @@
     {"error", static_cast<int>(LogLevel::Error)},
 };
 
+bool isUsable(const Address &address)
+{
+    in_addr number {};
+    return address.port != 0 && inet_pton(AF_INET, address.ip.c_str(), &number) == 1;
+}
+
 Address readAddress(JsonObjectReader &root, const std::string &key)
 {
     const std::string text = root.text(key, addressRule);
-    const Address address = parseAddress(text);
-    if (root.isPresent() && !text.empty() && address.port == 0) {
+    Address address = parseAddress(text);
+    if (root.isPresent() && !text.empty() && !isUsable(address)) {
         root.fault(key, text, "an IPv4 address and a port, as 10.0.0.1:7000");
     }
     return address;
@@ -51,7 +58,7 @@
     }
     for (const nlohmann::json &item : *list) {
         Address seed = parseAddress(item.is_string() ? item.get<std::string>() : std::string());
-        if (seed.port == 0) {
+        if (!isUsable(seed)) {
             root.fault("seeds", describeFound(item), "an IPv4 address and a port, as 10.0.0.1:7000");
             continue;
         }
--- a/src/libknapweed/jobs/job.h
+++ b/src/libknapweed/jobs/job.h
@@ -3,9 +3,9 @@
 
 #include "base/clock.h"
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace knapweed::cell
@@ -50,7 +50,12 @@
     int step = 0;
     int index = 0;
 
-    auto operator<=>(const TaskId &) const = default;
+    bool operator==(const TaskId &) const = default;
+
+    bool operator<(const TaskId &other) const
+    {
+        return std::tie(job, occurrence, step, index) < std::tie(other.job, other.occurrence, other.step, other.index);
+    }
 };
 
 /// One start of a task. Run numbers of a task rise; the members of a gang share one.
@@ -59,7 +64,12 @@
     TaskId task;
     std::int64_t run = 0;
 
-    auto operator<=>(const RunId &) const = default;
+    bool operator==(const RunId &) const = default;
+
+    bool operator<(const RunId &other) const
+    {
+        return std::tie(task, run) < std::tie(other.task, other.run);
+    }
 };
 
 struct Step
--- a/src/libknapweed/jobs/jobrecord.h
+++ b/src/libknapweed/jobs/jobrecord.h
@@ -36,7 +36,12 @@
     int step = 0;
     int index = -1;
 
-    auto operator<=>(const UnitKey &) const = default;
+    bool operator==(const UnitKey &) const = default;
+
+    bool operator<(const UnitKey &other) const
+    {
+        return std::tie(occurrence, step, index) < std::tie(other.occurrence, other.step, other.index);
+    }
 };
 
 struct JobProgress
--- /dev/null
+++ b/tests/adapter/documentstest.cpp
@@ -0,0 +1,115 @@
+// The platform's documents as they come: complete, short of fields, with fields of another type, and unreadable.
+
+#include "documents.h"
+#include "endpointcalls.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace knapweed;
+using namespace knapweed::platform;
+
+TEST_GROUP(PlatformDocuments) {};
+
+TEST(PlatformDocuments, configurationGivesQueuesKeysAndGuarantees)
+{
+    const Result<cell::CellConfiguration, DocumentError> decoded = decodeConfiguration(R"({"version":7,"routes":[{"name":"r1","host":"h.example",
+        "pathPrefix":"/a/","kind":"non_idempotent","timeoutMs":3000,"sloMs":1000,"priority":1,"service":"s1","maxAttempts":4,"stretch":3.5,"public":false,
+        "advice":{"decideMs":30,"eachMs":2,"validMs":3000}}],"services":[],"limits":{"maxBodyBytes":1000},
+        "tenants":[{"name":"t1","apiKeys":["k1","k2"],"guaranteed":{"gpu":16}}],"newField":1})");
+    CHECK(isOk(decoded));
+    const cell::CellConfiguration &configuration = value(decoded);
+    LONGS_EQUAL(7, configuration.version);
+    LONGS_EQUAL(1, configuration.queues.size());
+    const cell::Queue &queue = configuration.queues.front();
+    STRCMP_EQUAL("s1", queue.service.c_str());
+    LONGS_EQUAL(1, queue.priority);
+    LONGS_EQUAL(4, queue.attempts);
+    DOUBLES_EQUAL(3.5, queue.stretch, 0.001);
+    LONGS_EQUAL(1000, queue.slack.count());
+    CHECK(queue.advice.isRequired);
+    LONGS_EQUAL(3000, queue.advice.validity.count());
+    STRCMP_EQUAL("t1", configuration.accountByKey.at("k2").c_str());
+    LONGS_EQUAL(16, cell::guaranteedAccelerators(configuration, "t1"));
+    LONGS_EQUAL(1000, configuration.maximumBodyBytes);
+}
+
+TEST(PlatformDocuments, configurationWithoutAVersionIsNone)
+{
+    CHECK(!isOk(decodeConfiguration("{}")));
+    CHECK(!isOk(decodeConfiguration("not json")));
+    CHECK(!isOk(decodeConfiguration(R"({"version":"7"})")));
+    CHECK(isOk(decodeConfiguration(R"({"version":7,"routes":5,"tenants":[{"apiKeys":3}, 4]})")));
+}
+
+TEST(PlatformDocuments, submissionHonoursEveryField)
+{
+    const Result<cell::JobSpec, DocumentError> decoded = decodeSubmission(R"({"spec":"text","times":3,"firstMs":1000,"intervalMs":500,"steps":[
+        {"count":4,"cpu":500,"memMb":256,"gpu":2,"estMs":900,"affinity":"r1-3","gang":true,"rackLocality":true,"requires":"a","antiAffinity":2,
+         "speculative":true,"image":"i1"},
+        {"cpu":2000,"dependsOn":[0],"checkpointing":true,"longRunning":true,"fills":true,"targetMs":40,"mayMiss":1}]})");
+    CHECK(isOk(decoded));
+    const cell::JobSpec &spec = value(decoded);
+    STRCMP_EQUAL("text", spec.input.c_str());
+    LONGS_EQUAL(3, spec.occurrences);
+    LONGS_EQUAL(500, spec.interval.count());
+    const cell::Step &first = spec.steps.at(0);
+    LONGS_EQUAL(4, first.tasks);
+    CHECK(first.needs == (cell::Resources {500, 256, 2}));
+    LONGS_EQUAL(900, first.estimate.count());
+    STRCMP_EQUAL("r1-3", first.dataRack.c_str());
+    CHECK(first.isGang && first.prefersOneRack && first.maySpeculate);
+    STRCMP_EQUAL("a", first.requiredLabel.c_str());
+    LONGS_EQUAL(2, first.tasksPerEndpoint);
+    STRCMP_EQUAL("i1", first.image.c_str());
+    const cell::Step &second = spec.steps.at(1);
+    LONGS_EQUAL(1, second.tasks);
+    LONGS_EQUAL(0, second.after.at(0));
+    CHECK(second.hasCheckpoints && second.isLasting && second.isFiller);
+    LONGS_EQUAL(40, second.latencyTarget.count());
+    LONGS_EQUAL(1, second.mayMiss);
+}
+
+TEST(PlatformDocuments, submissionsThatCanNeverRunAreRefused)
+{
+    CHECK(!isOk(decodeSubmission("")));
+    CHECK(!isOk(decodeSubmission(R"({"spec":"x"})")));
+    CHECK(!isOk(decodeSubmission(R"({"spec":"x","steps":[]})")));
+    CHECK(!isOk(decodeSubmission(R"({"spec":"x","steps":[{"dependsOn":[0]}]})")));
+    CHECK(!isOk(decodeSubmission(R"({"spec":"x","steps":[{},{"dependsOn":[-1]}]})")));
+}
+
+TEST(PlatformDocuments, endpointReportsOfAnotherWriterNameNoEndpoint)
+{
+    const char *good = R"({"service":"s1","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"draining","remainingMs":1500,"coldLeftMs":0,
+        "capacity":{"cpu":16000,"memMb":32768,"gpu":8},"labels":["a","r1-3"],"clockMs":5,"seq":4,"born":1779173895892})";
+    const Result<cell::EndpointStatus, DocumentError> decoded = decodeEndpointStatus("i-1", good);
+    CHECK(isOk(decoded));
+    STRCMP_EQUAL("r1-3", value(decoded).rack.c_str());
+    CHECK(value(decoded).isDraining);
+    LONGS_EQUAL(1500, value(decoded).remaining.count());
+    CHECK(value(decoded).born == 1779173895892);
+    CHECK(!isOk(decodeEndpointStatus("", good)));
+    CHECK(!isOk(decodeEndpointStatus("i-1", R"({"service":"s1","state":"resting","seq":4})")));
+    CHECK(!isOk(decodeEndpointStatus("i-1", R"({"service":7,"state":"ready","seq":4})")));
+    CHECK(!isOk(decodeEndpointStatus("i-1", R"({"service":"s1","state":"ready","seq":"4"})")));
+    CHECK(!isOk(decodeEndpointStatus("i-1", "\xff\xfe")));
+}
+
+TEST(PlatformDocuments, taskNamesGoBothWays)
+{
+    const cell::TaskId task {"5c0e7a21d94b36f8", 3, 1, 17};
+    STRCMP_EQUAL("5c0e7a21d94b36f8.3.1.17", taskName(task).c_str());
+    cell::TaskId parsed;
+    CHECK(parseTaskName(taskName(task), parsed));
+    CHECK(parsed == task);
+    for (const char *bad : {"", "a", "a.1.2", "a.1.2.x", "a.1.2.3.4", ".1.2.3", "a.1.2.-3"}) {
+        CHECK(!parseTaskName(bad, parsed));
+    }
+}
+
+TEST(PlatformDocuments, keysStandBehindTheirScheme)
+{
+    STRCMP_EQUAL("abc", accessKey("Token abc").c_str());
+    STRCMP_EQUAL("", accessKey("Bearer abc").c_str());
+    STRCMP_EQUAL("", accessKey("").c_str());
+}
--- a/tests/cell/world.h
+++ b/tests/cell/world.h
@@ -94,6 +94,7 @@
     std::map<std::string, AgentNode> agents_;
     std::vector<std::shared_ptr<SchedulerNode>> schedulers_; ///< the newest last
     std::map<std::string, std::string> records_;
+    bool isTroubled_ = true; ///< messages and calls are lost only then
     std::int64_t epoch_ = 0; ///< of the store's fence
     BootTime storeDownUntil_;
     std::int64_t born_ = 1;
--- /dev/null
+++ b/tests/jobs/jobrecordtest.cpp
@@ -0,0 +1,69 @@
+// What is written of a job is read back the same, and what can't be read is an error.
+
+#include "jobs/jobrecord.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace knapweed;
+using namespace knapweed::cell;
+
+TEST_GROUP(JobRecord) {};
+
+TEST(JobRecord, specComesBackWhole)
+{
+    JobSpec spec;
+    spec.id = "j1";
+    spec.queue = "q";
+    spec.account = "a";
+    spec.service = "s";
+    spec.priority = 2;
+    spec.attempts = 4;
+    spec.input = "text \"with\" \xff bytes";
+    spec.occurrences = 3;
+    spec.firstDue = WallTime(Milliseconds(1234567));
+    spec.interval = Milliseconds(500);
+    Step step;
+    step.tasks = 4;
+    step.needs = {500, 256, 2};
+    step.estimate = Milliseconds(900);
+    step.isGang = step.prefersOneRack = step.hasCheckpoints = step.maySpeculate = step.isLasting = step.isFiller = true;
+    step.requiredLabel = "l";
+    step.dataRack = "r";
+    step.image = "i";
+    step.tasksPerEndpoint = 2;
+    step.mayMiss = 1;
+    step.latencyTarget = Milliseconds(40);
+    Step second;
+    second.after = {0};
+    spec.steps = {step, second};
+    const Result<JobSpec, JobRecordError> decoded = decodeSpec(encodeSpec(spec));
+    CHECK(isOk(decoded));
+    // Bytes that aren't UTF-8 are replaced; all else is the same, so a second round changes nothing.
+    STRCMP_EQUAL(encodeSpec(spec).c_str(), encodeSpec(value(decoded)).c_str());
+    const JobSpec &back = value(decoded);
+    LONGS_EQUAL(3, back.occurrences);
+    CHECK(back.firstDue == spec.firstDue);
+    CHECK(back.steps.at(0).isGang && back.steps.at(0).isLasting && back.steps.at(0).isFiller && back.steps.at(0).maySpeculate);
+    LONGS_EQUAL(0, back.steps.at(1).after.at(0));
+    CHECK(back.steps.at(0).needs == step.needs);
+    LONGS_EQUAL(4, back.attempts);
+}
+
+TEST(JobRecord, progressComesBackWhole)
+{
+    JobProgress progress;
+    progress.isCancelled = true;
+    progress.units[{0, 1, -1}] = {true, 1, 77, "", {}};
+    progress.units[{2, 0, 5}] = {false, 2, 88, "ckpt", {"10.0.0.1:7000", "10.0.0.2:7000"}};
+    const Result<JobProgress, JobRecordError> decoded = decodeProgress(encodeProgress(progress));
+    CHECK(isOk(decoded));
+    CHECK(value(decoded) == progress);
+}
+
+TEST(JobRecord, unreadableRecordsAreErrors)
+{
+    CHECK(!isOk(decodeSpec("")));
+    CHECK(!isOk(decodeSpec(R"({"id":"j1"})")));
+    CHECK(!isOk(decodeProgress("[]")));
+    CHECK(!isOk(decodeProgress(R"({"u":[[1]]})")));
+}
--- /dev/null
+++ b/tests/settings/cellsettingstest.cpp
@@ -0,0 +1,123 @@
+// Contract of a cell process's settings: the templates render to good ones, each fault gives one line, and the page agrees with the code.
+
+#include "cell/settings.h"
+#include "documentation.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace knapweed;
+using namespace knapweed::cell;
+
+namespace
+{
+
+nlohmann::json entryCell()
+{
+    return nlohmann::json::parse(R"({"role":"entry","name":"front-1","region":"west","failure_domain":"west-a","ip":"10.1.0.19","peer_port":7000,
+        "metrics_port":7001,"seeds":["10.1.0.19:8526","10.2.0.35:8526","10.2.0.35:8526"],"store":"10.200.1.7:8524","lease_ms":6000,"grace_s":6,
+        "callers":"10.1.0.19:8521","readiness":"10.1.0.19:8523"})");
+}
+
+std::string cellFaults(const nlohmann::json &settings)
+{
+    const Result<CellSettings, SettingsError> parsed = parseCellSettings(settings.dump());
+    std::string lines;
+    if (!isOk(parsed)) {
+        for (const std::string &line : error(parsed).lines) {
+            lines += line + '\n';
+        }
+    }
+    return lines;
+}
+
+/// Fills a template with one value for each kind of placeholder that it uses.
+std::string rendered(std::string text)
+{
+    const std::pair<const char *, const char *> values[] = {{"{{nodeName|json}}", "\"n\""},
+        {"{{region|json}}", "\"r\""},
+        {"{{zone|json}}", "\"z\""},
+        {"{{ip|json}}", "\"10.1.0.19\""},
+        {"{{portRange.0}}", "7000"},
+        {"{{portRange.1}}", "7001"},
+        {"{{seeds|json}}", "[\"10.1.0.19:8526\"]"},
+        {"{{platform.address|json}}", "\"10.200.1.7:8524\""},
+        {"{{bounds.holdMaxMs}}", "6000"},
+        {"{{bounds.graceS}}", "6"},
+        {"{{listen.front|json}}", "\"10.1.0.19:8521\""},
+        {"{{listen.readiness|json}}", "\"10.1.0.19:8523\""},
+        {"{{listen.control|json}}", "\"10.1.0.20:8526\""},
+        {"{{app|json}}", "\"10.1.0.20:8529\""}};
+    for (const auto &[placeholder, value] : values) {
+        for (std::size_t at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder)) {
+            text.replace(at, std::string(placeholder).size(), value);
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_GROUP(CellSettings) {};
+
+TEST(CellSettings, templatesRenderToGoodSettings)
+{
+    for (const char *file : {"deploy/entry.json", "deploy/agent.json"}) {
+        const Result<CellSettings, SettingsError> parsed = parseCellSettings(rendered(readSourceFile(file)));
+        CHECK_TEXT(isOk(parsed), file);
+    }
+}
+
+TEST(CellSettings, seedsAreKnownByThePeerPort)
+{
+    const Result<CellSettings, SettingsError> parsed = parseCellSettings(entryCell().dump());
+    CHECK(isOk(parsed));
+    LONGS_EQUAL(2, value(parsed).seeds.size());
+    LONGS_EQUAL(7000, value(parsed).seeds.back().port);
+    STRCMP_EQUAL("10.2.0.35", value(parsed).seeds.back().ip.c_str());
+    LONGS_EQUAL(6000, value(parsed).grace.count());
+}
+
+TEST(CellSettings, eachFaultIsOneLine)
+{
+    struct Case
+    {
+        const char *key;
+        const char *value;
+    };
+    const Case cases[] = {{"role", "\"other\""},
+        {"ip", "\"host\""},
+        {"peer_port", "0"},
+        {"store", "\"10.200.1.7\""},
+        {"lease_ms", "10"},
+        {"seeds", "7"},
+        {"seeds", "[\"10.1.0.19\"]"},
+        {"callers", "\"somewhere:12345\""},
+        {"unknown", "1"}};
+    for (const Case &fault : cases) {
+        nlohmann::json settings = entryCell();
+        settings[fault.key] = nlohmann::json::parse(fault.value);
+        const std::string lines = cellFaults(settings);
+        CHECK_TEXT(lines.find(fault.key) == 0, lines.c_str());
+    }
+    CHECK(!cellFaults(nlohmann::json::array()).empty());
+}
+
+TEST(CellSettings, thePageListsEveryKey)
+{
+    const std::vector<std::vector<std::string>> rows = tableRows(readSourceFile("docs/cell-settings.md"));
+    std::size_t listed = 0;
+    for (const FieldDescription &field : describeCellSettings()) {
+        const auto row = std::find_if(rows.begin(), rows.end(), [&](const std::vector<std::string> &cells) {
+            return cells.front() == '`' + field.path + '`';
+        });
+        CHECK_TEXT(row != rows.end(), field.path.c_str());
+        STRCMP_EQUAL(field.allowed.c_str(), row->at(3).c_str());
+        STRCMP_EQUAL((field.fallback.empty() ? std::string() : '`' + field.fallback + '`').c_str(), row->at(4).c_str());
+        ++listed;
+    }
+    LONGS_EQUAL(rows.size() - 2, listed);
+}
