--- a/src/knapweedstaged/main.cpp
+++ b/src/knapweedstaged/main.cpp
@@ -44,7 +44,7 @@
 int runCell(const knapweed::cell::CellSettings &settings)
 {
     knapweed::blockTerminationSignals();
-    knapweed::initializeLogging(settings.name, settings.logLevel);
+    knapweed::initializeLogging(settings.name, settings.logLevel, knapweed::LogStream::StandardOutput);
     const bool isEntry = settings.role == knapweed::ProcessRole::Entry;
     return isEntry ? knapweed::runTask<knapweed::CellEntryTask>(settings) : knapweed::runTask<knapweed::CellAgentTask>(settings);
 }
--- a/src/libknapweed/base/logging.cpp
+++ b/src/libknapweed/base/logging.cpp
@@ -1,4 +1,4 @@
-// Writes events through log4cplus to standard error.
+// Writes events through log4cplus to one of the standard streams.
 
 #include "base/logging.h"
 
@@ -53,12 +53,12 @@
 
 } // namespace
 
-void initializeLogging(const std::string &process, LogLevel level)
+void initializeLogging(const std::string &process, LogLevel level, LogStream stream)
 {
     static log4cplus::Initializer initializer;
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(stream == LogStream::StandardError, true));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%qZ} %p " + process + " %m%n"));
     root.addAppender(appender);
     root.setLogLevel(levelOf(level));
--- a/src/libknapweed/base/logging.h
+++ b/src/libknapweed/base/logging.h
@@ -12,8 +12,10 @@
 
 using LogField = std::pair<const char *, std::string>;
 
-/// Sets the process's name in each line and the lowest level written. Lines go to standard error.
-void initializeLogging(const std::string &process, LogLevel level);
+enum class LogStream { StandardError, StandardOutput };
+
+/// Sets the process's name in each line, the lowest level written and where lines go.
+void initializeLogging(const std::string &process, LogLevel level, LogStream stream = LogStream::StandardError);
 
 /// Writes "time level process event key=value ..."; values with blanks or quotes are quoted as JSON strings.
 void logEvent(LogLevel level, const char *event, std::initializer_list<LogField> fields = {});
--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -2,8 +2,8 @@
 
 #include "cell/agent.h"
 
-#include "base/invariant.h"
 #include "base/logging.h"
+#include "cell/runwire.h"
 
 #include <algorithm>
 
@@ -20,27 +20,6 @@
 constexpr Milliseconds idleHold {2000}; ///< while nothing runs, the lists only change by late orders
 constexpr double slowestClock = 0.98; ///< an endpoint's clock may run this much slower than ours
 
-RunId runIdOf(const wire::RunRef &ref)
-{
-    return {{ref.job, ref.occurrence, ref.step, ref.index}, ref.run};
-}
-
-wire::RunRef wireRef(const RunId &run)
-{
-    wire::RunRef ref;
-    ref.job = run.task.job;
-    ref.occurrence = run.task.occurrence;
-    ref.step = run.task.step;
-    ref.index = run.task.index;
-    ref.run = run.run;
-    return ref;
-}
-
-wire::RunEnding::type wireEnd(RunEnd how)
-{
-    return static_cast<wire::RunEnding::type>(static_cast<int>(how) + 1);
-}
-
 } // namespace
 
 Agent::Agent(AgentOptions options, AgentHooks hooks)
@@ -159,19 +138,6 @@
     return boot_->clock + Milliseconds(static_cast<std::int64_t>(rest));
 }
 
-void Agent::answerStart(const std::string &peer, const wire::StartOrder &order, wire::StartOutcome::type outcome, const std::string &detail)
-{
-    wire::StartResult result;
-    result.generation = order.generation;
-    result.endpoint = order.endpoint;
-    result.born = order.born;
-    result.run = order.run;
-    result.outcome = outcome;
-    result.detail = detail;
-    result.sequence = reportNumber_;
-    hooks_.send(peer, result);
-}
-
 void Agent::handle(const std::string &peer, const wire::StartOrder &order)
 {
     const std::optional<Milliseconds> until = leaseUntil();
@@ -195,12 +161,8 @@
         if (boot_ && boot_->status.born == order.born && boot_->listNumber <= holdNumber_) {
             boot_->started[run] = holdNumber_;
         }
-        logEvent(LogLevel::Info,
-            "run.started",
-            {{"job", run.task.job},
-                {"task", std::to_string(run.task.occurrence) + '.' + std::to_string(run.task.step) + '.' + std::to_string(run.task.index)},
-                {"run", std::to_string(run.run)},
-                {"endpoint", order.endpoint}});
+        logEvent(
+            LogLevel::Info, "run.started", {{"job", run.task.job}, {"task", nameOf(run.task)}, {"run", std::to_string(run.run)}, {"endpoint", order.endpoint}});
         answerStart(peer, order, wire::StartOutcome::Started, {});
         if (!isWaitingHold_) {
             hold(holdWait);
@@ -323,76 +285,6 @@
     nextHold_ = hooks_.now() + (!boot_->ended.empty() ? holdRetry : boot_->running.empty() && boot_->started.empty() ? idleHold : Milliseconds(0));
 }
 
-/// Tells the scheduler of stopped runs that a later list doesn't hold: they can't come any more. The report with their ends goes before.
-void Agent::reportAbsent()
-{
-    for (auto stopped = boot_->stopped.begin(); stopped != boot_->stopped.end();) {
-        if (stopped->second >= boot_->listNumber || boot_->running.count(stopped->first) != 0) {
-            stopped = stopped->second >= boot_->listNumber ? std::next(stopped) : boot_->stopped.erase(stopped);
-            continue;
-        }
-        wire::RunAbsent absent;
-        absent.generation = generation_;
-        absent.endpoint = boot_->status.id;
-        absent.born = boot_->status.born;
-        absent.run = wireRef(stopped->first);
-        if (!scheduler_.empty()) {
-            hooks_.send(scheduler_, absent);
-        }
-        stopped = boot_->stopped.erase(stopped);
-    }
-}
-
-void Agent::report()
-{
-    if (!boot_ || scheduler_.empty()) {
-        return;
-    }
-    const BootTime now = hooks_.now();
-    lastReport_ = now;
-    wire::EndpointReport report;
-    report.sequence = ++reportNumber_;
-    report.life = options_.life;
-    report.sentAtMs = now.time_since_epoch().count();
-    report.endpoint = boot_->status.id;
-    report.born = boot_->status.born;
-    report.serviceName = boot_->status.service;
-    report.failureDomain = boot_->status.failureDomain;
-    report.rack = boot_->status.rack;
-    report.labels = boot_->status.labels;
-    report.milliCores = boot_->status.capacity.milliCores;
-    report.memoryMib = boot_->status.capacity.memoryMib;
-    report.accelerators = boot_->status.capacity.accelerators;
-    report.draining = boot_->status.isDraining;
-    report.remainingMs = boot_->status.remaining.count();
-    report.generation = generation_;
-    report.isListed = boot_->listedGeneration == generation_;
-    for (const auto &[id, run] : boot_->running) {
-        wire::RunRow row;
-        row.run = wireRef(id);
-        row.checkpoint = run.checkpoint;
-        row.percent = run.percent;
-        row.load = run.load;
-        report.running.push_back(std::move(row));
-    }
-    for (const auto &[id, number] : boot_->started) {
-        if (boot_->running.count(id) == 0) {
-            wire::RunRow row;
-            row.run = wireRef(id);
-            report.running.push_back(std::move(row));
-        }
-    }
-    for (const auto &[number, end] : boot_->ended) {
-        wire::EndRow row;
-        row.number = number;
-        row.run = wireRef(end.run);
-        row.how = wireEnd(end.how);
-        row.checkpoint = end.checkpoint;
-        report.ended.push_back(std::move(row));
-    }
-    hooks_.send(scheduler_, report);
-}
-
 void Agent::tick()
 {
     if (!boot_) {
--- a/src/libknapweed/cell/fleet.h
+++ b/src/libknapweed/cell/fleet.h
@@ -12,6 +12,8 @@
 namespace knapweed::cell
 {
 
+constexpr Milliseconds leaseMargin {300}; ///< for messages under way when the end of a lease is computed
+
 /// A run that takes room on an endpoint.
 struct Occupation
 {
--- a/src/libknapweed/cell/jobtable.cpp
+++ b/src/libknapweed/cell/jobtable.cpp
@@ -81,6 +81,11 @@
     });
 }
 
+bool isFinal(const Job &job)
+{
+    return job.isCancelled || job.hasFailed || haveAllSucceeded(job);
+}
+
 std::int64_t acceleratorsOf(const JobSpec &spec)
 {
     std::int64_t most = 0;
--- a/src/libknapweed/cell/jobtable.h
+++ b/src/libknapweed/cell/jobtable.h
@@ -68,6 +68,9 @@
 
 bool haveAllSucceeded(const Job &job);
 
+/// Whether nothing can change what the job is shown as any more.
+bool isFinal(const Job &job);
+
 /// The accelerators that the tasks of its widest step take.
 std::int64_t acceleratorsOf(const JobSpec &spec);
 
--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -1,4 +1,4 @@
-// Entry points of the scheduler: recovery, callers' calls, and the clock.
+// Entry points of the scheduler: recovery, the store's answers, and the clock.
 
 #include "cell/scheduler.h"
 
@@ -13,32 +13,11 @@
 namespace
 {
 
-constexpr Milliseconds clockMargin {300}; ///< for messages under way when a lease's end is computed
 constexpr Milliseconds replanInterval {100}; ///< while units are blocked
 constexpr Seconds statusRetention {150}; ///< how long a job that is over can be asked for; the platform asks for 120 s
-constexpr Milliseconds storeRetry {1000}; ///< Retry-After while the store can't be reached: about the shortest of its outages
 
 constexpr Seconds lostAgentRetention {30}; ///< after an agent's lease; then nothing is known of it any more
 
-std::string stateName(const Job &job)
-{
-    if (job.isCancelled) {
-        return "cancelled";
-    }
-    if (job.hasFailed) {
-        return "failed";
-    }
-    if (haveAllSucceeded(job)) {
-        return "succeeded";
-    }
-    return job.hasBegun ? "running" : "pending";
-}
-
-bool isFinal(const Job &job)
-{
-    return job.isCancelled || job.hasFailed || haveAllSucceeded(job);
-}
-
 } // namespace
 
 Scheduler::Scheduler(SchedulerOptions options)
@@ -92,7 +71,7 @@
             }
         }
     }
-    recoveryEnds_ = now + options_.lease + clockMargin;
+    recoveryEnds_ = now + options_.lease + leaseMargin;
 }
 
 void Scheduler::setConfiguration(const CellConfiguration &configuration)
@@ -128,125 +107,6 @@
     }
 }
 
-void Scheduler::handle(const std::string &peer, const wire::JobCall &call, BootTime now, WallTime wall)
-{
-    std::uint64_t awaited = 0;
-    wire::JobAnswer reply;
-    switch (call.kind) {
-    case wire::CallKind::Submit:
-        reply = submit(call, awaited, now, wall);
-        break;
-    case wire::CallKind::Query:
-        reply = query(call, awaited);
-        break;
-    case wire::CallKind::Cancel:
-        reply = cancel(call, awaited, now);
-        break;
-    case wire::CallKind::CountWaiting:
-        reply = countWaiting(call);
-        break;
-    }
-    reply.call = call.call;
-    answer(peer, reply, awaited);
-}
-
-wire::JobAnswer Scheduler::submit(const wire::JobCall &call, std::uint64_t &write, BootTime now, WallTime wall)
-{
-    wire::JobAnswer reply;
-    const auto known = jobs_.find(call.job);
-    if (known != jobs_.end()) {
-        write = known->second.acceptedWrite;
-        reply.outcome = wire::CallOutcome::Ok;
-        return reply;
-    }
-    const Result<JobSpec, JobRecordError> spec = decodeSpec(call.spec);
-    if (!isOk(spec) || !isStoreReachable_) {
-        reply.outcome = wire::CallOutcome::Refused;
-        reply.retryAfterMs = storeRetry.count();
-        logEvent(LogLevel::Info, "job.refused", {{"job", call.job}, {"reason", isOk(spec) ? "store unreachable" : error(spec).detail}});
-        return reply;
-    }
-    Job job;
-    job.spec = value(spec);
-    job.acceptedAt = now;
-    job.order = ++acceptedJobs_;
-    const Queue *queue = queueNamed(configuration_, job.spec.queue);
-    if (queue != nullptr) {
-        job.queue = *queue;
-        job.spec.service = queue->service;
-        job.spec.priority = queue->priority;
-        job.spec.attempts = queue->attempts;
-    }
-    addDueUnits(job, wall);
-    job.acceptedWrite = this->write({jobRecordKey(job.spec.id), encodeSpec(job.spec)});
-    write = job.acceptedWrite;
-    jobs_[call.job] = std::move(job);
-    isPlanDue_ = true;
-    reply.outcome = wire::CallOutcome::Ok;
-    return reply;
-}
-
-wire::JobAnswer Scheduler::query(const wire::JobCall &call, std::uint64_t &write) const
-{
-    wire::JobAnswer reply;
-    const auto known = jobs_.find(call.job);
-    if (known == jobs_.end()) {
-        reply.outcome = wire::CallOutcome::Missing;
-        return reply;
-    }
-    const Job &job = known->second;
-    reply.outcome = wire::CallOutcome::Ok;
-    reply.state = stateName(job);
-    // What isn't durable yet isn't shown: the job still runs as far as anyone may know.
-    if (isFinal(job) && job.lastWrite > storedWrite_) {
-        reply.state = "running";
-    }
-    write = job.acceptedWrite;
-    return reply;
-}
-
-wire::JobAnswer Scheduler::cancel(const wire::JobCall &call, std::uint64_t &write, BootTime now)
-{
-    wire::JobAnswer reply;
-    const auto known = jobs_.find(call.job);
-    if (known == jobs_.end()) {
-        reply.outcome = wire::CallOutcome::Missing;
-        return reply;
-    }
-    Job &job = known->second;
-    if (!isFinal(job)) {
-        job.isCancelled = true;
-        writeProgress(job);
-        stopJob(job, now);
-        settleJob(job, now);
-        logEvent(LogLevel::Info, "job.cancelled", {{"job", call.job}});
-    }
-    reply.outcome = wire::CallOutcome::Ok;
-    write = job.lastWrite;
-    return reply;
-}
-
-wire::JobAnswer Scheduler::countWaiting(const wire::JobCall &call) const
-{
-    wire::JobAnswer reply;
-    reply.outcome = wire::CallOutcome::Ok;
-    for (const auto &[id, job] : jobs_) {
-        if (job.spec.queue == call.queue && !job.hasBegun && !isFinal(job)) {
-            ++reply.waiting;
-        }
-    }
-    return reply;
-}
-
-void Scheduler::answer(const std::string &peer, const wire::JobAnswer &answer, std::uint64_t write)
-{
-    if (write > storedWrite_) {
-        pendingAnswers_.push_back({write, peer, answer});
-        return;
-    }
-    output_.messages.emplace_back(peer, answer);
-}
-
 void Scheduler::stored(std::uint64_t write, BootTime now)
 {
     assertInvariant(write <= output_.lastWrite, "only what was written is stored");
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -3,6 +3,7 @@
 #include "cell/scheduler.h"
 
 #include "base/logging.h"
+#include "cell/runwire.h"
 
 #include <algorithm>
 
@@ -12,7 +13,6 @@
 namespace
 {
 
-constexpr Milliseconds clockMargin {300}; ///< for messages under way when a lease's end is computed
 constexpr Milliseconds reportTimeout {1500}; ///< three report intervals: an endpoint that is silent for longer gets no work
 constexpr Milliseconds orderTimeout {1500}; ///< after the agent's own time-out of a call: its answer was lost with its connection
 constexpr Milliseconds stopInterval {1000}; ///< between repeated stops of one run
@@ -20,69 +20,6 @@
 constexpr Seconds avoidSpan {6}; ///< for which an endpoint that fails or stalls its runs gets no work
 constexpr int failuresToAvoid = 3; ///< runs that fail in a row: fewer are usual with jobs that can't be done
 
-RunId runIdOf(const wire::RunRef &ref)
-{
-    return {{ref.job, ref.occurrence, ref.step, ref.index}, ref.run};
-}
-
-wire::RunRef wireRef(const RunId &run)
-{
-    wire::RunRef ref;
-    ref.job = run.task.job;
-    ref.occurrence = run.task.occurrence;
-    ref.step = run.task.step;
-    ref.index = run.task.index;
-    ref.run = run.run;
-    return ref;
-}
-
-RunEnd runEndOf(wire::RunEnding::type how)
-{
-    switch (how) {
-    case wire::RunEnding::Done:
-        return RunEnd::Done;
-    case wire::RunEnding::Failed:
-        return RunEnd::Failed;
-    case wire::RunEnding::Stopped:
-        return RunEnd::Stopped;
-    case wire::RunEnding::Lapsed:
-        return RunEnd::Lapsed;
-    case wire::RunEnding::Broken:
-        return RunEnd::Broken;
-    case wire::RunEnding::Alone:
-        return RunEnd::Alone;
-    }
-    return RunEnd::Lapsed;
-}
-
-const char *nameOf(RunEnd how)
-{
-    switch (how) {
-    case RunEnd::Done:
-        return "done";
-    case RunEnd::Failed:
-        return "failed";
-    case RunEnd::Stopped:
-        return "stopped";
-    case RunEnd::Lapsed:
-        return "lapsed";
-    case RunEnd::Broken:
-        return "broken";
-    case RunEnd::Alone:
-        return "alone";
-    }
-    return "lapsed";
-}
-
-Resources countedNeeds(const Step &step)
-{
-    Resources needs = step.needs;
-    if (step.isFiller) {
-        needs.milliCores = 0;
-    }
-    return needs;
-}
-
 bool isStep(const JobSpec &spec, int step)
 {
     return step >= 0 && step < static_cast<int>(spec.steps.size());
@@ -172,7 +109,7 @@
 /// The lease runs from when the agent sent the report, which was before now, so it can't outlast what is noted here.
 void Scheduler::grant(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now)
 {
-    endpoint.leaseEnds = now + options_.lease + clockMargin;
+    endpoint.leaseEnds = now + options_.lease + leaseMargin;
     wire::EndpointGrant grant;
     grant.generation = options_.generation;
     grant.sentAtMs = report.sentAtMs;
@@ -222,11 +159,7 @@
     Unit *unit = job == nullptr ? nullptr : unitOf(*job, run.task);
     logEvent(LogLevel::Info,
         "run.ended",
-        {{"job", run.task.job},
-            {"task", std::to_string(run.task.occurrence) + '.' + std::to_string(run.task.step) + '.' + std::to_string(run.task.index)},
-            {"run", std::to_string(run.run)},
-            {"how", nameOf(how)},
-            {"endpoint", endpoint.id}});
+        {{"job", run.task.job}, {"task", nameOf(run.task)}, {"run", std::to_string(run.run)}, {"how", nameOf(how)}, {"endpoint", endpoint.id}});
     if (unit == nullptr) {
         vacate(endpoint, run, now);
         return 0;
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -4,6 +4,7 @@
 
 #include "base/invariant.h"
 #include "base/logging.h"
+#include "cell/runwire.h"
 
 #include <algorithm>
 #include <tuple>
@@ -22,15 +23,6 @@
 constexpr std::int64_t runsPerGeneration = 1000000; ///< run numbers of one tenure, so that a later tenure's are higher
 constexpr std::size_t plannedUnits = 400; ///< units looked at in one round; bounds its time on a small machine
 
-Resources countedNeeds(const Step &step)
-{
-    Resources needs = step.needs;
-    if (step.isFiller) {
-        needs.milliCores = 0;
-    }
-    return needs;
-}
-
 std::string joined(const std::vector<std::string> &words)
 {
     std::string text;
@@ -251,11 +243,7 @@
         order.generation = options_.generation;
         order.endpoint = endpoint.id;
         order.born = endpoint.born;
-        order.run.job = jobId;
-        order.run.occurrence = key.occurrence;
-        order.run.step = key.step;
-        order.run.index = run.task.index;
-        order.run.run = run.run;
+        order.run = wireRef(run);
         order.input = job.spec.input;
         order.checkpoint = unit.progress.checkpoint;
         pendingStarts_.push_back(std::move(pending));
--- a/src/libknapweed/cell/schedulerunits.cpp
+++ b/src/libknapweed/cell/schedulerunits.cpp
@@ -72,7 +72,7 @@
 /// Notes when nothing of the job needs to start any more.
 void Scheduler::settleJob(Job &job, BootTime now)
 {
-    if (job.isOver || !(job.isCancelled || job.hasFailed || haveAllSucceeded(job))) {
+    if (job.isOver || !isFinal(job)) {
         return;
     }
     job.isOver = true;
