--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -62,6 +62,7 @@
     void jobsLoaded();
     void endTenure(const char *reason);
     void flush();
+    void ask(const cell::AdviceQuestion &question);
     void schedulePlan();
     void tick();
     void finishDrain(MonotonicTime now);
--- a/src/knapweedstaged/celltenure.cpp
+++ b/src/knapweedstaged/celltenure.cpp
@@ -1,5 +1,6 @@
 // How an entry becomes the scheduler, and stops being it: the group's partition says whose turn it is, and only the fenced append proves it.
 
+#include "advicecall.h"
 #include "base/logging.h"
 #include "cellentrytask.h"
 
@@ -17,6 +18,7 @@
 constexpr Seconds staleOwnerLimit {3}; ///< an owner that this entry can't reach for so long is challenged; twice a lifetime
 constexpr Milliseconds joinTimeout {800};
 constexpr Milliseconds loadTimeout {2000}; ///< of one page of records
+constexpr Milliseconds adviceTimeout {3000}; ///< the adviser takes calls one after the other
 constexpr Milliseconds planDelay {8}; ///< what arrives together is planned together
 
 } // namespace
@@ -192,9 +194,12 @@
 {
     while (schedulerCore_ != nullptr) {
         cell::SchedulerOutput output = schedulerCore_->takeOutput();
-        if (output.messages.empty() && output.writes.empty()) {
+        if (output.messages.empty() && output.writes.empty() && output.questions.empty()) {
             break;
         }
+        for (const cell::AdviceQuestion &question : output.questions) {
+            ask(question);
+        }
         if (!output.writes.empty()) {
             journal_->write(std::move(output.writes), output.lastWrite);
         }
@@ -209,6 +214,21 @@
     schedulePlan();
 }
 
+void CellEntryTask::ask(const cell::AdviceQuestion &question)
+{
+    if (settings_.advice.port == 0) {
+        logEvent(LogLevel::Error, "advice.unconfigured", {{"job", std::get<0>(question.step)}});
+        return;
+    }
+    platform::askAdvice(
+        http_, settings_.advice, question, adviceTimeout, [this, step = question.step, tenure = tenure_](const std::optional<cell::AdviceAnswer> &answer) {
+            if (schedulerCore_ != nullptr && tenure_ == tenure) {
+                schedulerCore_->adviceAnswered(step, answer);
+                flush();
+            }
+        });
+}
+
 void CellEntryTask::schedulePlan()
 {
     if (isPlanScheduled_ || schedulerCore_ == nullptr) {
--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -135,6 +135,22 @@
     isPlanDue_ = true;
 }
 
+void Scheduler::adviceAnswered(const StepName &step, const std::optional<AdviceAnswer> &answer)
+{
+    const auto advice = advice_.find(step);
+    const auto job = jobs_.find(std::get<0>(step));
+    if (advice == advice_.end() || job == jobs_.end()) {
+        return;
+    }
+    if (answer) {
+        noteAnswer(advice->second, *answer, job->second.queue.advice.validity);
+        isPlanDue_ = true;
+    } else {
+        advice->second.asked.clear();
+        logEvent(LogLevel::Warning, "advice.failed", {{"job", std::get<0>(step)}, {"step", std::to_string(std::get<2>(step))}});
+    }
+}
+
 void Scheduler::tick(BootTime now, WallTime wall)
 {
     checkEndpoints(now);
@@ -221,6 +237,7 @@
         if (job->second.isOver && !isHeld && now - job->second.overAt > statusRetention) {
             write({jobRecordKey(job->first), ""});
             write({progressRecordKey(job->first), ""});
+            advice_.erase(advice_.lower_bound({job->first, 0, 0}), advice_.lower_bound({job->first + '\0', 0, 0}));
             job = jobs_.erase(job);
         } else {
             ++job;
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -2,6 +2,7 @@
 // answers of the store and the time in; messages and records to store out.
 #pragma once
 
+#include "cell/advice.h"
 #include "cell/configuration.h"
 #include "cell/fleet.h"
 #include "cell/jobtable.h"
@@ -35,6 +36,7 @@
     std::vector<std::pair<std::string, PeerMessage>> messages; ///< by peer, in order
     std::vector<StoreWrite> writes; ///< in order; the last one's number is lastWrite
     std::uint64_t lastWrite = 0;
+    std::vector<AdviceQuestion> questions; ///< for the placement adviser
 };
 
 class Scheduler
@@ -57,6 +59,9 @@
     /// All writes up to @p write are durable.
     void stored(std::uint64_t write, BootTime now);
 
+    /// The adviser's answer to a question; none when it failed, and the question will be put again.
+    void adviceAnswered(const StepName &step, const std::optional<AdviceAnswer> &answer);
+
     /// Time-outs, due occurrences, and planning.
     void tick(BootTime now, WallTime wall);
 
@@ -133,12 +138,14 @@
     std::vector<WaitingUnit> waitingUnits(BootTime now, std::vector<std::pair<std::string, UnitKey>> &names);
     WaitingUnit describe(const Job &job, const UnitKey &key, const Unit &unit, bool isGuaranteed, BootTime now) const;
     std::vector<PlannedEndpoint> plannedEndpoints(BootTime now, std::vector<std::pair<std::string, UnitKey>> &names) const;
+    void addAdvice(const Job &job, const UnitKey &key, WaitingUnit &waiting, BootTime now);
     void startUnit(const std::string &jobId, const UnitKey &key, const std::vector<std::string> &agents, BootTime now);
 
     SchedulerOptions options_;
     CellConfiguration configuration_;
     std::map<std::string, Job> jobs_;
     std::map<std::string, Endpoint> endpoints_; ///< by agent
+    std::map<StepName, StepAdvice> advice_; ///< of steps that have waited in queues that need advice
     std::vector<PendingAnswer> pendingAnswers_; ///< with a write above storedWrite_
     SchedulerOutput output_;
     std::uint64_t storedWrite_ = 0; ///< never above output_.lastWrite
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -104,6 +104,31 @@
     return waiting;
 }
 
+/// Limits the unit to endpoints with a ticket, where its queue needs one, and asks for those that lack it.
+void Scheduler::addAdvice(const Job &job, const UnitKey &key, WaitingUnit &waiting, BootTime now)
+{
+    if (!job.queue.advice.isRequired) {
+        return;
+    }
+    const StepName step(job.spec.id, key.occurrence, key.step);
+    StepAdvice &advice = advice_[step];
+    std::set<std::string> usable;
+    waiting.needsAdvice = true;
+    for (const auto &[agent, endpoint] : endpoints_) {
+        if (endpoint.service != job.queue.service || endpoint.isDraining || now - endpoint.lastReport >= reportTimeout) {
+            continue;
+        }
+        usable.insert(endpoint.id);
+        if (!ticketFor(advice, endpoint.id, now).empty()) {
+            waiting.advised.insert(agent);
+        }
+    }
+    std::vector<std::string> question = takeQuestion(advice, usable, now);
+    if (!question.empty()) {
+        output_.questions.push_back({step, std::move(question)});
+    }
+}
+
 std::vector<WaitingUnit> Scheduler::waitingUnits(BootTime now, std::vector<std::pair<std::string, UnitKey>> &names)
 {
     const std::set<std::string> guaranteed = guaranteedJobs();
@@ -127,6 +152,7 @@
                 unit.readySince = now;
             }
             WaitingUnit waiting = describe(job, key, unit, isGuaranteed, now);
+            addAdvice(job, key, waiting, now);
             items.push_back({{waiting.rank, job.queue.priority, job.order}, std::move(waiting), {id, key}});
         }
     }
@@ -246,6 +272,10 @@
         order.run = wireRef(run);
         order.input = job.spec.input;
         order.checkpoint = unit.progress.checkpoint;
+        const auto advice = advice_.find({jobId, key.occurrence, key.step});
+        if (advice != advice_.end()) {
+            order.ticket = ticketFor(advice->second, endpoint.id, now);
+        }
         pendingStarts_.push_back(std::move(pending));
     }
     logEvent(LogLevel::Info,
--- a/src/libknapweed/cell/settings.cpp
+++ b/src/libknapweed/cell/settings.cpp
@@ -89,6 +89,10 @@
     if (!root.isPresent() || (isRoleKnown && settings.role == ProcessRole::Entry)) {
         settings.callers = readAddress(root, "callers");
         settings.readiness = readAddress(root, "readiness");
+        const nlohmann::json *advice = root.member("advice");
+        if (advice != nullptr && !advice->is_null()) {
+            settings.advice = readAddress(root, "advice");
+        }
     }
     if (!root.isPresent() || (isRoleKnown && settings.role == ProcessRole::Agent)) {
         settings.endpointReports = readAddress(root, "endpoint_reports");
--- a/src/libknapweed/cell/settings.h
+++ b/src/libknapweed/cell/settings.h
@@ -28,6 +28,7 @@
     Milliseconds grace {0}; ///< from SIGTERM to SIGKILL
     LogLevel logLevel = LogLevel::Info;
     Address callers; ///< entry only
+    Address advice; ///< entry only; port 0 where there is no placement adviser
     Address readiness; ///< entry only
     Address endpointReports; ///< agent only: where the endpoint sends its reports
     Address endpoint; ///< agent only: where the endpoint takes orders
--- a/tests/cell/fakeendpoint.cpp
+++ b/tests/cell/fakeendpoint.cpp
@@ -84,9 +84,7 @@
             over.emplace_back(run, RunEnd::Lapsed);
         } else if (state.isStopping && now >= state.stopsAt) {
             over.emplace_back(run, RunEnd::Stopped);
-        } else if (isMember && floor_.finished.count(gangOf(run)) != 0) {
-            over.emplace_back(run, RunEnd::Done);
-        } else if (state.workMs >= state.neededMs) {
+        } else if (state.workMs >= state.neededMs || (isMember && floor_.finished.count(gangOf(run)) != 0)) {
             over.emplace_back(run, RunEnd::Done);
         } else if (isMember && !isTogether && state.workMs > 0) {
             over.emplace_back(run, RunEnd::Broken);
--- a/tests/cell/schedulertest.cpp
+++ b/tests/cell/schedulertest.cpp
@@ -383,3 +383,45 @@
     second->beginRecovery(now);
     LONGS_EQUAL(1, startsOf(send(*second, "a", reportOf("i-a", 2))).size());
 }
+
+/// A queue whose policy lets only some endpoints run a step, and only with a ticket.
+TEST(Scheduler, startsOnlyWithATicketWhereTheQueueNeedsAdvice)
+{
+    CellConfiguration configuration = plainConfiguration();
+    configuration.version = 2;
+    configuration.queues[1].advice = {true, Milliseconds(10), Milliseconds(1), Milliseconds(3000)};
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    scheduler->setConfiguration(configuration);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    send(*scheduler, "b", reportOf("i-b", 1));
+    scheduler->receive("entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})})), now, wall);
+    scheduler->stored(scheduler->takeOutput().lastWrite, now);
+    scheduler->tick(now, wall);
+    const SchedulerOutput asked = scheduler->takeOutput();
+    LONGS_EQUAL(1, asked.questions.size());
+    LONGS_EQUAL(2, asked.questions.front().endpoints.size());
+    CHECK(startsOf(settle(*scheduler)).empty());
+    scheduler->adviceAnswered(asked.questions.front().step, AdviceAnswer {{{"i-b", "ticket-b"}}});
+    const std::vector<wire::StartOrder> starts = startsOf(settle(*scheduler));
+    LONGS_EQUAL(1, starts.size());
+    STRCMP_EQUAL("i-b", starts.front().endpoint.c_str());
+    STRCMP_EQUAL("ticket-b", starts.front().ticket.c_str());
+}
+
+TEST_GROUP(Advice) {};
+
+TEST(Advice, ticketsHoldFromTheQuestionAndAreRenewedAhead)
+{
+    const BootTime asked = BootTime(Milliseconds(1000));
+    StepAdvice advice;
+    LONGS_EQUAL(2, takeQuestion(advice, {"a", "b"}, asked).size());
+    CHECK(takeQuestion(advice, {"a", "b"}, asked + Milliseconds(100)).empty());
+    noteAnswer(advice, {{{"a", "t"}}}, Milliseconds(3000));
+    STRCMP_EQUAL("t", ticketFor(advice, "a", asked + Milliseconds(2500)).c_str());
+    STRCMP_EQUAL("", ticketFor(advice, "a", asked + Milliseconds(2700)).c_str());
+    STRCMP_EQUAL("", ticketFor(advice, "b", asked).c_str());
+    CHECK(takeQuestion(advice, {"a", "b"}, asked + Milliseconds(1000)).empty());
+    const std::vector<std::string> again = takeQuestion(advice, {"a", "b"}, asked + Milliseconds(2100));
+    LONGS_EQUAL(1, again.size());
+    STRCMP_EQUAL("a", again.front().c_str());
+}
--- a/tests/settings/cellsettingstest.cpp
+++ b/tests/settings/cellsettingstest.cpp
@@ -50,6 +50,7 @@
         {"{{listen.front|json}}", "\"10.1.0.19:8521\""},
         {"{{listen.readiness|json}}", "\"10.1.0.19:8523\""},
         {"{{listen.control|json}}", "\"10.1.0.20:8526\""},
+        {"{{advice|json}}", "null"},
         {"{{app|json}}", "\"10.1.0.20:8529\""}};
     for (const auto &[placeholder, value] : values) {
         for (std::size_t at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder)) {
