--- a/src/knapweedstaged/main.cpp
+++ b/src/knapweedstaged/main.cpp
@@ -13,6 +13,7 @@
 #include <popt.h>
 
 #include <cstdio>
+#include <cstdlib>
 #include <memory>
 
 namespace
@@ -46,7 +47,10 @@
     knapweed::blockTerminationSignals();
     knapweed::initializeLogging(settings.name, settings.logLevel, knapweed::LogStream::StandardOutput);
     const bool isEntry = settings.role == knapweed::ProcessRole::Entry;
-    return isEntry ? knapweed::runTask<knapweed::CellEntryTask>(settings) : knapweed::runTask<knapweed::CellAgentTask>(settings);
+    const int status = isEntry ? knapweed::runTask<knapweed::CellEntryTask>(settings) : knapweed::runTask<knapweed::CellAgentTask>(settings);
+    // Everything is answered and logged. The teardown of libraries and their threads can outlast the grace time, and nothing needs it.
+    std::fflush(nullptr);
+    std::quick_exit(status);
 }
 
 } // namespace
