--- a/src/libknapweed/base/settings.cpp
+++ b/src/libknapweed/base/settings.cpp
@@ -156,14 +156,23 @@
     return settings;
 }
 
-Result<Settings, SettingsError> readSettings(const std::string &fileName)
+Result<std::string, SettingsError> readSettingsText(const std::string &fileName)
 {
     std::ifstream file(fileName, std::ios::binary);
     std::ostringstream text;
     if (!file || !(text << file.rdbuf())) {
         return SettingsError {{faultLine(fileName, "no readable text", "the name of a settings file")}};
     }
-    return parseSettings(text.str());
+    return text.str();
+}
+
+Result<Settings, SettingsError> readSettings(const std::string &fileName)
+{
+    const Result<std::string, SettingsError> text = readSettingsText(fileName);
+    if (!isOk(text)) {
+        return error(text);
+    }
+    return parseSettings(value(text));
 }
 
 std::vector<FieldDescription> describeSettings()
--- a/src/libknapweed/base/settings.h
+++ b/src/libknapweed/base/settings.h
@@ -49,6 +49,9 @@
     std::vector<std::string> lines;
 };
 
+/// The text of a settings file.
+Result<std::string, SettingsError> readSettingsText(const std::string &fileName);
+
 Result<Settings, SettingsError> parseSettings(const std::string &json);
 Result<Settings, SettingsError> readSettings(const std::string &fileName);
 
--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -302,21 +302,6 @@
     }
 }
 
-std::int64_t Agent::generation() const
-{
-    return generation_;
-}
-
-const std::string &Agent::scheduler() const
-{
-    return scheduler_;
-}
-
-bool Agent::hasEndpoint() const
-{
-    return boot_.has_value();
-}
-
 std::size_t Agent::runningTasks() const
 {
     return boot_ ? boot_->running.size() : 0;
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -43,9 +43,6 @@
     /// Reports and renews when it is time. To be called some times a second.
     void tick();
 
-    std::int64_t generation() const;
-    const std::string &scheduler() const;
-    bool hasEndpoint() const;
     std::size_t runningTasks() const;
 
 private:
--- a/src/libknapweed/cell/agentreports.cpp
+++ b/src/libknapweed/cell/agentreports.cpp
@@ -61,7 +61,7 @@
     report.memoryMib = boot_->status.capacity.memoryMib;
     report.accelerators = boot_->status.capacity.accelerators;
     report.draining = boot_->status.isDraining;
-    report.remainingMs = boot_->status.remaining.count();
+    report.leavesInMs = boot_->status.remaining.count();
     report.generation = generation_;
     report.isListed = boot_->listedGeneration == generation_;
     for (const auto &[id, run] : boot_->running) {
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -92,7 +92,7 @@
         }
     }
     if (endpoint.isDraining != report.draining) {
-        logEvent(LogLevel::Info, "endpoint.draining", {{"endpoint", endpoint.id}, {"remaining_ms", std::to_string(report.remainingMs)}});
+        logEvent(LogLevel::Info, "endpoint.draining", {{"endpoint", endpoint.id}, {"remaining_ms", std::to_string(report.leavesInMs)}});
     }
     endpoint.service = report.serviceName;
     endpoint.failureDomain = report.failureDomain;
@@ -100,7 +100,7 @@
     endpoint.labels = report.labels;
     endpoint.capacity = {report.milliCores, report.memoryMib, report.accelerators};
     endpoint.isDraining = report.draining;
-    endpoint.leavesAt = now + Milliseconds(report.remainingMs);
+    endpoint.leavesAt = now + Milliseconds(report.leavesInMs);
     endpoint.sequence = report.sequence;
     endpoint.agentLife = report.life;
     endpoint.lastReport = now;
--- a/src/libknapweed/cell/settings.cpp
+++ b/src/libknapweed/cell/settings.cpp
@@ -6,9 +6,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
-#include <fstream>
 #include <optional>
-#include <sstream>
 
 namespace knapweed::cell
 {
@@ -121,12 +119,11 @@
 
 Result<CellSettings, SettingsError> readCellSettings(const std::string &fileName)
 {
-    std::ifstream file(fileName, std::ios::binary);
-    std::ostringstream text;
-    if (!file || !(text << file.rdbuf())) {
-        return SettingsError {{faultLine(fileName, "no readable text", "the name of a settings file")}};
+    const Result<std::string, SettingsError> text = readSettingsText(fileName);
+    if (!isOk(text)) {
+        return error(text);
     }
-    return parseCellSettings(text.str());
+    return parseCellSettings(value(text));
 }
 
 std::vector<FieldDescription> describeCellSettings()
--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -7549,8 +7549,8 @@
   this->generation = val;
 }
 
-void EndpointReport::__set_remainingMs(const int64_t val) {
-  this->remainingMs = val;
+void EndpointReport::__set_leavesInMs(const int64_t val) {
+  this->leavesInMs = val;
 }
 
 void EndpointReport::__set_rack(const std::string& val) {
@@ -7746,8 +7746,8 @@
         break;
       case 16:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->remainingMs);
-          this->__isset.remainingMs = true;
+          xfer += iprot->readI64(this->leavesInMs);
+          this->__isset.leavesInMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7869,8 +7869,8 @@
   xfer += oprot->writeI64(this->generation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("remainingMs", ::apache::thrift::protocol::T_I64, 16);
-  xfer += oprot->writeI64(this->remainingMs);
+  xfer += oprot->writeFieldBegin("leavesInMs", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->leavesInMs);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("rack", ::apache::thrift::protocol::T_STRING, 17);
@@ -7903,7 +7903,7 @@
   swap(a.running, b.running);
   swap(a.ended, b.ended);
   swap(a.generation, b.generation);
-  swap(a.remainingMs, b.remainingMs);
+  swap(a.leavesInMs, b.leavesInMs);
   swap(a.rack, b.rack);
   swap(a.life, b.life);
   swap(a.__isset, b.__isset);
@@ -7925,7 +7925,7 @@
   running = other235.running;
   ended = other235.ended;
   generation = other235.generation;
-  remainingMs = other235.remainingMs;
+  leavesInMs = other235.leavesInMs;
   rack = other235.rack;
   life = other235.life;
   __isset = other235.__isset;
@@ -7946,7 +7946,7 @@
   running = std::move(other236.running);
   ended = std::move(other236.ended);
   generation = other236.generation;
-  remainingMs = other236.remainingMs;
+  leavesInMs = other236.leavesInMs;
   rack = std::move(other236.rack);
   life = other236.life;
   __isset = other236.__isset;
@@ -7967,7 +7967,7 @@
   running = other237.running;
   ended = other237.ended;
   generation = other237.generation;
-  remainingMs = other237.remainingMs;
+  leavesInMs = other237.leavesInMs;
   rack = other237.rack;
   life = other237.life;
   __isset = other237.__isset;
@@ -7989,7 +7989,7 @@
   running = std::move(other238.running);
   ended = std::move(other238.ended);
   generation = other238.generation;
-  remainingMs = other238.remainingMs;
+  leavesInMs = other238.leavesInMs;
   rack = std::move(other238.rack);
   life = other238.life;
   __isset = other238.__isset;
@@ -8013,7 +8013,7 @@
   out << ", " << "running=" << to_string(running);
   out << ", " << "ended=" << to_string(ended);
   out << ", " << "generation=" << to_string(generation);
-  out << ", " << "remainingMs=" << to_string(remainingMs);
+  out << ", " << "leavesInMs=" << to_string(leavesInMs);
   out << ", " << "rack=" << to_string(rack);
   out << ", " << "life=" << to_string(life);
   out << ")";
--- a/src/libknapweed/peers/gen/peers_types.h
+++ b/src/libknapweed/peers/gen/peers_types.h
@@ -2975,7 +2975,7 @@
 std::ostream& operator<<(std::ostream& out, const EndRow& obj);
 
 typedef struct _EndpointReport__isset {
-  _EndpointReport__isset() : sequence(false), sentAtMs(false), endpoint(false), born(false), serviceName(false), failureDomain(false), labels(false), milliCores(false), memoryMib(false), accelerators(false), draining(false), isListed(false), running(false), ended(false), generation(false), remainingMs(false), rack(false), life(false) {}
+  _EndpointReport__isset() : sequence(false), sentAtMs(false), endpoint(false), born(false), serviceName(false), failureDomain(false), labels(false), milliCores(false), memoryMib(false), accelerators(false), draining(false), isListed(false), running(false), ended(false), generation(false), leavesInMs(false), rack(false), life(false) {}
   bool sequence :1;
   bool sentAtMs :1;
   bool endpoint :1;
@@ -2991,7 +2991,7 @@
   bool running :1;
   bool ended :1;
   bool generation :1;
-  bool remainingMs :1;
+  bool leavesInMs :1;
   bool rack :1;
   bool life :1;
 } _EndpointReport__isset;
@@ -3016,7 +3016,7 @@
                    draining(0),
                    isListed(0),
                    generation(0),
-                   remainingMs(0),
+                   leavesInMs(0),
                    rack(),
                    life(0) {
   }
@@ -3037,7 +3037,7 @@
   std::vector<RunRow>  running;
   std::vector<EndRow>  ended;
   int64_t generation;
-  int64_t remainingMs;
+  int64_t leavesInMs;
   std::string rack;
   int64_t life;
 
@@ -3073,7 +3073,7 @@
 
   void __set_generation(const int64_t val);
 
-  void __set_remainingMs(const int64_t val);
+  void __set_leavesInMs(const int64_t val);
 
   void __set_rack(const std::string& val);
 
@@ -3111,7 +3111,7 @@
       return false;
     if (!(generation == rhs.generation))
       return false;
-    if (!(remainingMs == rhs.remainingMs))
+    if (!(leavesInMs == rhs.leavesInMs))
       return false;
     if (!(rack == rhs.rack))
       return false;
--- a/src/libknapweed/peers/peers.thrift
+++ b/src/libknapweed/peers/peers.thrift
@@ -100,7 +100,7 @@
 struct EndpointReport {
   1: i64 sequence, 2: i64 sentAtMs, 3: string endpoint, 4: i64 born, 5: string serviceName, 6: string failureDomain, 7: list<string> labels,
   8: i64 milliCores, 9: i64 memoryMib, 10: i64 accelerators, 11: bool draining, 12: bool isListed, 13: list<RunRow> running, 14: list<EndRow> ended,
-  15: i64 generation, 16: i64 remainingMs, 17: string rack, 18: i64 life
+  15: i64 generation, 16: i64 leavesInMs, 17: string rack, 18: i64 life
 }
 struct EndpointGrant { 1: i64 generation, 2: i64 sentAtMs, 3: string endpoint, 4: i64 born, 5: i64 endsStored }
 struct StartOrder { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run, 5: string input, 6: string checkpoint, 7: string ticket }
--- a/tests/cell/schedulertest.cpp
+++ b/tests/cell/schedulertest.cpp
@@ -351,7 +351,7 @@
     std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
     wire::EndpointReport report = reportOf("i-a", 1);
     report.draining = true;
-    report.remainingMs = 2000;
+    report.leavesInMs = 2000;
     send(*scheduler, "a", report);
     CHECK(startsOf(send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})})))).empty());
 }
