Name the jobs' topic and the scheduler's group in one place each, and drop what nothing calls

A plan was asked for twice after each durable write (flush() does it), hasLabel() had no caller, and a comment still said that the topic has one partition. No behaviour changes.

--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -245,19 +245,7 @@
     drainStartedAt_ = monotonicNow();
     logEvent(LogLevel::Info, "process.draining", {{"open_calls", std::to_string(relay_.size())}});
     peers_->setDraining(true);
-    loop_.cancelTimer(joinTimer_);
-    endTenure("shutdown");
-    store_.leave("scheduler", member_, settings_.grace, [this](const Result<Done, platform::StoreError> &) {
-        wire::SchedulerNotice notice;
-        notice.generation = generation_;
-        notice.address = self_;
-        notice.isLeaving = true;
-        for (const wire::RosterEntry &peer : peers_->roster()) {
-            if (peer.role == wire::Role::Entry && peer.address != self_) {
-                peers_->send(peer.address, notice);
-            }
-        }
-    });
+    leavePlace();
 }
 
 void CellEntryTask::finishDrain(MonotonicTime now)
--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -61,6 +61,7 @@
     void loadJobs(const std::string &afterKey);
     void jobsLoaded();
     void endTenure(const char *reason);
+    void leavePlace();
     void flush();
     void ask(const cell::AdviceQuestion &question);
     void schedulePlan();
--- a/src/knapweedstaged/celltenure.cpp
+++ b/src/knapweedstaged/celltenure.cpp
@@ -11,8 +11,7 @@
 {
 
 constexpr const char *group = "scheduler";
-constexpr const char *turnTopic = "turn"; ///< its one partition is the scheduler's place; it has no records
-constexpr const char *jobTopic = "keyed.jobs";
+constexpr const char *turnTopic = "turn"; ///< its partition 0 is the scheduler's place; it has no records
 constexpr Milliseconds membershipLifetime {1500}; ///< an entry that is silent for so long loses the place
 constexpr Milliseconds joinInterval {400}; ///< three joins, or looks at the place, within a lifetime
 constexpr Seconds staleOwnerLimit {3}; ///< an owner that this entry can't reach for so long is challenged; twice a lifetime
@@ -108,7 +107,6 @@
     events.stored = [this](std::uint64_t write) {
         if (schedulerCore_ != nullptr) {
             schedulerCore_->stored(write, BootClock::now());
-            schedulePlan();
             flush();
         }
     };
@@ -190,6 +188,23 @@
     }
 }
 
+void CellEntryTask::leavePlace()
+{
+    loop_.cancelTimer(joinTimer_);
+    endTenure("shutdown");
+    store_.leave(group, member_, settings_.grace, [this](const Result<Done, platform::StoreError> &) {
+        wire::SchedulerNotice notice;
+        notice.generation = generation_;
+        notice.address = self_;
+        notice.isLeaving = true;
+        for (const wire::RosterEntry &peer : peers_->roster()) {
+            if (peer.role == wire::Role::Entry && peer.address != self_) {
+                peers_->send(peer.address, notice);
+            }
+        }
+    });
+}
+
 void CellEntryTask::flush()
 {
     while (schedulerCore_ != nullptr) {
--- a/src/knapweedstaged/journalwriter.cpp
+++ b/src/knapweedstaged/journalwriter.cpp
@@ -13,7 +13,6 @@
 namespace
 {
 
-constexpr const char *journalTopic = "keyed.jobs";
 constexpr const char *producerName = "scheduler";
 constexpr std::size_t batchRecords = 400; ///< of one append
 constexpr std::size_t batchBytes = std::size_t(1) << 20; ///< of one append; half of what the store takes
@@ -78,7 +77,7 @@
 
 void JournalWriter::send()
 {
-    store_.append(journalTopic, batch_, producer_, appendTimeout, [this, alive = isAlive_](const Result<platform::Appended, platform::StoreError> &result) {
+    store_.append(jobTopic, batch_, producer_, appendTimeout, [this, alive = isAlive_](const Result<platform::Appended, platform::StoreError> &result) {
         if (*alive) {
             handle(result);
         }
--- a/src/knapweedstaged/journalwriter.h
+++ b/src/knapweedstaged/journalwriter.h
@@ -13,6 +13,9 @@
 namespace knapweed
 {
 
+/// The topic of the jobs' records, which a tenure reads at its start and then writes alone.
+constexpr const char *jobTopic = "keyed.jobs";
+
 struct JournalEvents
 {
     std::function<void(std::uint64_t write)> stored; ///< all writes up to this number are durable
--- a/src/libknapweed/cell/fleet.cpp
+++ b/src/libknapweed/cell/fleet.cpp
@@ -2,8 +2,6 @@
 
 #include "cell/fleet.h"
 
-#include <algorithm>
-
 namespace knapweed::cell
 {
 
@@ -16,9 +14,4 @@
     return room;
 }
 
-bool hasLabel(const Endpoint &endpoint, const std::string &label)
-{
-    return std::find(endpoint.labels.begin(), endpoint.labels.end(), label) != endpoint.labels.end();
-}
-
 } // namespace knapweed::cell
--- a/src/libknapweed/cell/fleet.h
+++ b/src/libknapweed/cell/fleet.h
@@ -62,6 +62,4 @@
 /// Room that nothing takes or may still take.
 Resources freeRoom(const Endpoint &endpoint);
 
-bool hasLabel(const Endpoint &endpoint, const std::string &label);
-
 } // namespace knapweed::cell
--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -161,7 +161,7 @@
     if (isRecovering_) {
         stopPartialGangs(now);
     }
-    if ((isPlanDue_ || (hasBlocked_ && now - plannedAt_ >= replanInterval))) {
+    if (isPlanDue_ || (hasBlocked_ && now - plannedAt_ >= replanInterval)) {
         isPlanDue_ = false;
         plan(now);
     }
