Refuse late starts in each later boot of an endpoint before its lists count

Ruled out: the scheduler's own view of undecided orders, which covers only those not yet stopped. The agent now remembers starts without an answer for as long as an order may be late, and stops them in a later boot under the same id before it reports that boot's lists, so nothing is started there earlier.

--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -18,6 +18,8 @@
 constexpr Milliseconds holdWait {500}; ///< for an end; progress is read as often
 constexpr Milliseconds holdRetry {200}; ///< after a hold failed, or while ends wait to become durable
 constexpr Milliseconds idleHold {2000}; ///< while nothing runs, the lists only change by late orders
+constexpr Seconds lateOrderSpan {15}; ///< an order without an answer may be carried out seconds later; the platform's bench plays up to 12
+constexpr Milliseconds refusalInterval {400}; ///< between repeated stops of late starts
 constexpr double slowestClock = 0.98; ///< an endpoint's clock may run this much slower than ours
 
 } // namespace
@@ -36,9 +38,7 @@
     }
     const bool isNews = !isSameBoot || boot_->status.isDraining != status.isDraining;
     if (!isSameBoot) {
-        boot_ = Boot();
-        nextHold_ = hooks_.now();
-        logEvent(LogLevel::Info, "endpoint.boot", {{"endpoint", status.id}, {"service", status.service}, {"born", std::to_string(status.born)}});
+        beginBoot(status);
     }
     if (status.isDraining && isNews) {
         logEvent(LogLevel::Info, "endpoint.draining", {{"endpoint", status.id}, {"remaining_ms", std::to_string(status.remaining.count())}});
@@ -51,6 +51,47 @@
     return true;
 }
 
+void Agent::beginBoot(const EndpointStatus &status)
+{
+    const BootTime now = hooks_.now();
+    boot_ = Boot();
+    boot_->status = status;
+    nextHold_ = now;
+    std::erase_if(lateStarts_, [now](const auto &start) {
+        return start.second.until <= now;
+    });
+    for (const auto &[run, start] : lateStarts_) {
+        if (start.endpoint == status.id) {
+            boot_->refusedFirst.insert(run);
+        }
+    }
+    logEvent(LogLevel::Info,
+        "endpoint.boot",
+        {{"endpoint", status.id},
+            {"service", status.service},
+            {"born", std::to_string(status.born)},
+            {"late_starts", std::to_string(boot_->refusedFirst.size())}});
+    refuseLateStarts();
+}
+
+/// A stop makes the endpoint refuse a start that arrives after it.
+void Agent::refuseLateStarts()
+{
+    boot_->refusedAt = hooks_.now();
+    for (const RunId &run : boot_->refusedFirst) {
+        hooks_.driver.stop({boot_->status.id, generation_, run}, [this, run, born = boot_->status.born](const Result<Milliseconds, EndpointError> &result) {
+            if (!isOk(result)) {
+                logEvent(LogLevel::Warning, "stop.failed", {{"job", run.task.job}, {"run", std::to_string(run.run)}, {"reason", error(result).detail}});
+                return; // repeated by tick()
+            }
+            if (boot_ && boot_->status.born == born && boot_->refusedFirst.erase(run) != 0 && boot_->refusedFirst.empty()) {
+                boot_->refusalHold = holdNumber_;
+                hold(Milliseconds(0));
+            }
+        });
+    }
+}
+
 void Agent::endpointLeft(const std::string &id)
 {
     if (boot_ && boot_->status.id == id) {
@@ -176,6 +217,7 @@
     wire::StartOutcome::type outcome = wire::StartOutcome::Rejected;
     if (failure.kind == Kind::Unanswered) {
         outcome = wire::StartOutcome::Unanswered;
+        lateStarts_[runIdOf(order.run)] = {order.endpoint, hooks_.now() + lateOrderSpan};
     } else if (failure.kind == Kind::NoRoom) {
         outcome = wire::StartOutcome::NoRoom;
     } else if (failure.kind == Kind::BadTicket) {
@@ -251,6 +293,9 @@
         boot_->endsForgotten = boot_->endsStored;
         return;
     }
+    if (!boot_->refusedFirst.empty() || number <= boot_->refusalHold) {
+        return;
+    }
     // Answers may overtake each other; the endpoint's own clock tells which lists are newer, but for two within one of its milliseconds.
     if (boot_->isClockKnown && answer.clock <= boot_->clock) {
         nextHold_ = hooks_.now();
@@ -295,6 +340,9 @@
     if (now - lastReport_ >= (isBusy ? busyReport : idleReport)) {
         report();
     }
+    if (!boot_->refusedFirst.empty() && now - boot_->refusedAt >= refusalInterval) {
+        refuseLateStarts();
+    }
     if (!isWaitingHold_ && now >= nextHold_) {
         const bool canWait = boot_->ended.empty() && isBusy && boot_->isClockKnown;
         nextHold_ = now + idleHold;
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace knapweed::cell
@@ -61,6 +62,16 @@
         std::map<RunId, std::uint64_t> started; ///< started and perhaps not listed yet, by the newest hold sent before the start was answered
         bool hasLeft = false; ///< it has said so; what it ran ends with it
         std::map<RunId, std::uint64_t> stopped; ///< stopped and perhaps still listed, likewise
+        std::set<RunId> refusedFirst; ///< late starts of an earlier boot that this one must refuse before it gets work; its lists don't count until empty
+        BootTime refusedAt; ///< when their stops were sent last
+        std::uint64_t refusalHold = 0; ///< lists of holds up to this one were read before the last of them was refused
+    };
+
+    /// A start without an answer. It may still be carried out, also by a later boot under the same id.
+    struct LateStart
+    {
+        std::string endpoint;
+        BootTime until;
     };
 
     void learnScheduler(std::int64_t generation, const std::string &address, bool isLeaving);
@@ -70,6 +81,8 @@
     bool isCurrent(const std::string &peer, std::int64_t generation, std::int64_t born, const std::string &endpoint) const;
     void answerStart(const std::string &peer, const wire::StartOrder &order, wire::StartOutcome::type outcome, const std::string &detail);
     void startFailed(const std::string &peer, const wire::StartOrder &order, const EndpointError &failure);
+    void beginBoot(const EndpointStatus &status);
+    void refuseLateStarts();
     void report();
     void hold(Milliseconds wait);
     void held(std::uint64_t number, std::int64_t fence, std::int64_t born, std::int64_t endsStored, const HoldAnswer &answer);
@@ -79,6 +92,7 @@
     AgentOptions options_;
     AgentHooks hooks_;
     std::optional<Boot> boot_;
+    std::map<RunId, LateStart> lateStarts_;
     std::int64_t generation_ = 0; ///< the highest heard of; never falls
     std::string scheduler_; ///< its peer address; empty while none is known
     BootTime leaseEnds_; ///< the runs' lease; only rises
--- /dev/null
+++ b/tests/cell/agenttest.cpp
@@ -0,0 +1,172 @@
+// The agent's protocol with its endpoint: what happens to orders without an answer, also across boots under one id.
+
+#include "cell/agent.h"
+#include "cell/runwire.h"
+#include "cell/table.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <vector>
+
+using namespace knapweed;
+using namespace knapweed::cell;
+
+TEST_GROUP(Agent)
+{
+    static constexpr const char *schedulerName = "scheduler";
+
+    struct StartCall
+    {
+        StartRequest request;
+        OrderCallback callback;
+    };
+    struct StopCall
+    {
+        StopRequest request;
+        OrderCallback callback;
+    };
+    struct HoldCall
+    {
+        HoldRequest request;
+        HoldCallback callback;
+    };
+
+    BootTime now = BootTime(Milliseconds(1000000));
+    std::vector<StartCall> starts;
+    std::vector<StopCall> stops;
+    std::vector<HoldCall> holds;
+    std::vector<PeerMessage> sent;
+    std::int64_t clock = 1000; ///< of the endpoint
+    std::unique_ptr<Agent> agent;
+
+    void setup() override
+    {
+        AgentHooks hooks;
+        hooks.driver.start = [this](const StartRequest &request, OrderCallback callback) {
+            starts.push_back({request, std::move(callback)});
+        };
+        hooks.driver.stop = [this](const StopRequest &request, OrderCallback callback) {
+            stops.push_back({request, std::move(callback)});
+        };
+        hooks.driver.hold = [this](const HoldRequest &request, HoldCallback callback) {
+            holds.push_back({request, std::move(callback)});
+        };
+        hooks.send = [this](const std::string &, const PeerMessage &message) {
+            sent.push_back(message);
+        };
+        hooks.now = [this]() {
+            return now;
+        };
+        agent = std::make_unique<Agent>(AgentOptions {1, Milliseconds(6000)}, std::move(hooks));
+        agent->endpointReported(statusOf(100));
+        wire::SchedulerNotice notice;
+        notice.generation = 7;
+        notice.address = schedulerName;
+        agent->receive(schedulerName, notice);
+        answerHolds(100);
+        grantLease(100);
+    }
+
+    EndpointStatus statusOf(std::int64_t born)
+    {
+        EndpointStatus status;
+        status.id = "i-1";
+        status.born = born;
+        status.sequence = 1;
+        status.service = testService;
+        return status;
+    }
+
+    void answerHolds(std::int64_t born)
+    {
+        while (!holds.empty()) {
+            const HoldCall call = std::move(holds.front());
+            holds.erase(holds.begin());
+            if (call.request.wait.count() > 0) {
+                continue; // answered by nothing in these tests
+            }
+            HoldAnswer answer;
+            answer.clock = Milliseconds(++clock);
+            answer.born = born;
+            call.callback(answer);
+        }
+    }
+
+    void grantLease(std::int64_t born)
+    {
+        wire::EndpointGrant grant;
+        grant.generation = 7;
+        grant.sentAtMs = now.time_since_epoch().count();
+        grant.endpoint = "i-1";
+        grant.born = born;
+        agent->receive(schedulerName, grant);
+    }
+
+    wire::StartOrder orderOf(std::int64_t run)
+    {
+        wire::StartOrder order;
+        order.generation = 7;
+        order.endpoint = "i-1";
+        order.born = 100;
+        order.run = wireRef(RunId {TaskId {"job", 0, 0, 0}, run});
+        return order;
+    }
+
+    void failStarts(EndpointError::Kind kind)
+    {
+        while (!starts.empty()) {
+            const StartCall call = std::move(starts.front());
+            starts.erase(starts.begin());
+            call.callback(EndpointError {kind, "failed"});
+        }
+    }
+
+    bool isListedInLastReport()
+    {
+        bool isListed = false;
+        for (const PeerMessage &message : sent) {
+            if (const wire::EndpointReport *report = std::get_if<wire::EndpointReport>(&message)) {
+                isListed = report->isListed;
+            }
+        }
+        return isListed;
+    }
+};
+
+TEST(Agent, laterBootRefusesLateStartsBeforeItsListsCount)
+{
+    agent->receive(schedulerName, orderOf(41));
+    failStarts(EndpointError::Kind::Unanswered);
+    agent->endpointReported(statusOf(200));
+    LONGS_EQUAL(1, stops.size());
+    LONGS_EQUAL(41, stops[0].request.run.run);
+    answerHolds(200);
+    CHECK_FALSE(isListedInLastReport());
+
+    stops[0].callback(Milliseconds(5));
+    answerHolds(200);
+    CHECK_TRUE(isListedInLastReport());
+}
+
+TEST(Agent, refusalOfLateStartsIsRepeatedUntilAnswered)
+{
+    agent->receive(schedulerName, orderOf(41));
+    failStarts(EndpointError::Kind::Unanswered);
+    agent->endpointReported(statusOf(200));
+    stops[0].callback(EndpointError {EndpointError::Kind::Unanswered, "timed out"});
+    now += Milliseconds(500);
+    agent->tick();
+    LONGS_EQUAL(2, stops.size());
+    answerHolds(200);
+    CHECK_FALSE(isListedInLastReport());
+}
+
+TEST(Agent, lateStartsAreForgottenWhenTheyCanNoLongerCome)
+{
+    agent->receive(schedulerName, orderOf(41));
+    failStarts(EndpointError::Kind::Unanswered);
+    now += Seconds(20);
+    agent->endpointReported(statusOf(200));
+    LONGS_EQUAL(0, stops.size());
+}
