Repeat starts without an answer under their run number

Cause: with applied_late half of the orders get no answer; each cost a time-out, a stop, a list and a new run, and a gang's others with it. A repeat of the same run is answered at once and carried out at most once. Whoever answers otherwise after an unanswered attempt leaves the fate open. Ruled out: shorter time-outs alone (a stop would still be needed).

--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace knapweed::cell
 {
@@ -79,8 +80,11 @@
     void handle(const std::string &peer, const wire::StartOrder &order);
     void handle(const std::string &peer, const wire::StopOrder &order);
     bool isCurrent(const std::string &peer, std::int64_t generation, std::int64_t born, const std::string &endpoint) const;
+    void tryStart(const std::string &peer, const wire::StartOrder &order, int attempt);
+    void started(const std::string &peer, const wire::StartOrder &order);
+    std::vector<RunId> lateStartsOf(const TaskId &task) const;
     void answerStart(const std::string &peer, const wire::StartOrder &order, wire::StartOutcome::type outcome, const std::string &detail);
-    void startFailed(const std::string &peer, const wire::StartOrder &order, const EndpointError &failure);
+    void startFailed(const std::string &peer, const wire::StartOrder &order, EndpointError failure, int attempt);
     void beginBoot(const EndpointStatus &status);
     void refuseLateStarts();
     void report();
--- a/src/libknapweed/cell/fleet.h
+++ b/src/libknapweed/cell/fleet.h
@@ -22,6 +22,7 @@
         Ordered, ///< its start is on the way or its fate is unknown
         Listed, ///< the endpoint lists it
         Stopping, ///< told to stop; its room is free only when its end is listed
+        Departed, ///< its boot is over; a copy of its start may come late until the next boot under the same id has reported its lists
     };
     State state = State::Ordered;
     Resources needs;
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -113,6 +113,8 @@
     void advanceStoredEnds(Endpoint &endpoint);
     void vacate(Endpoint &endpoint, const RunId &run, BootTime now);
     void vacateAll(Endpoint &endpoint, BootTime now);
+    void vacateDeparted(Endpoint &endpoint, BootTime now);
+    void vacateRuns(Endpoint &endpoint, const std::vector<RunId> &runs, BootTime now);
 
     void concludeUnit(Job &job, const UnitKey &key, BootTime now);
     void countFailure(Job &job, const UnitKey &key, std::int64_t run);
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -53,6 +53,7 @@
         return;
     }
     endpoint.isListed = true;
+    vacateDeparted(endpoint, now);
     applyEnds(endpoint, report, now);
     applyRunning(endpoint, report, now);
     advanceStoredEnds(endpoint);
@@ -65,21 +66,24 @@
 {
     Endpoint &endpoint = endpoints_[agent];
     if (endpoint.born != report.born || endpoint.id != report.endpoint) {
-        // A start without an answer may still be carried out by the next boot when that has the same id.
-        std::map<RunId, Occupation> undecided;
+        // Under the same id a start may still be carried out by the next boot: what had no answer is stopped there, and nothing is started elsewhere before
+        // that boot's lists are known.
+        std::map<RunId, Occupation> kept;
         if (endpoint.id == report.endpoint) {
-            for (const auto &[run, occupation] : endpoint.runs) {
-                if (occupation.state == Occupation::State::Ordered) {
-                    undecided.insert({run, occupation});
+            for (auto &[run, occupation] : endpoint.runs) {
+                const bool isSent = occupation.state != Occupation::State::Planned;
+                if (isSent) {
+                    occupation.state = occupation.state == Occupation::State::Ordered ? Occupation::State::Ordered : Occupation::State::Departed;
+                    kept.insert({run, occupation});
                 }
             }
         }
-        for (const auto &[run, occupation] : undecided) {
+        for (const auto &[run, occupation] : kept) {
             endpoint.runs.erase(run);
         }
         vacateAll(endpoint, now);
         endpoint = Endpoint();
-        endpoint.runs = std::move(undecided);
+        endpoint.runs = std::move(kept);
         endpoint.agent = agent;
         endpoint.id = report.endpoint;
         endpoint.born = report.born;
@@ -88,7 +92,9 @@
             "endpoint.joined",
             {{"agent", agent}, {"endpoint", endpoint.id}, {"service", report.serviceName}, {"rack", report.rack}, {"born", std::to_string(report.born)}});
         for (const auto &[run, occupation] : std::map<RunId, Occupation>(endpoint.runs)) {
-            sendStop(endpoint, run, now);
+            if (occupation.state == Occupation::State::Ordered) {
+                sendStop(endpoint, run, now);
+            }
         }
     }
     if (endpoint.isDraining != report.draining) {
--- a/src/libknapweed/cell/schedulerunits.cpp
+++ b/src/libknapweed/cell/schedulerunits.cpp
@@ -32,6 +32,22 @@
     for (const auto &[run, occupation] : endpoint.runs) {
         runs.push_back(run);
     }
+    vacateRuns(endpoint, runs, now);
+}
+
+void Scheduler::vacateDeparted(Endpoint &endpoint, BootTime now)
+{
+    std::vector<RunId> runs;
+    for (const auto &[run, occupation] : endpoint.runs) {
+        if (occupation.state == Occupation::State::Departed) {
+            runs.push_back(run);
+        }
+    }
+    vacateRuns(endpoint, runs, now);
+}
+
+void Scheduler::vacateRuns(Endpoint &endpoint, const std::vector<RunId> &runs, BootTime now)
+{
     for (const RunId &run : runs) {
         // The rest of a gang that has lost a member ends by itself within the platform's limit; stopping it frees the room sooner.
         const auto job = jobs_.find(run.task.job);
--- a/tests/cell/agenttest.cpp
+++ b/tests/cell/agenttest.cpp
@@ -113,6 +113,24 @@
         return order;
     }
 
+    void failOneStart(EndpointError::Kind kind)
+    {
+        const StartCall call = std::move(starts.front());
+        starts.erase(starts.begin());
+        call.callback(EndpointError {kind, "failed"});
+    }
+
+    std::vector<wire::StartResult> results()
+    {
+        std::vector<wire::StartResult> found;
+        for (const PeerMessage &message : sent) {
+            if (const wire::StartResult *result = std::get_if<wire::StartResult>(&message)) {
+                found.push_back(*result);
+            }
+        }
+        return found;
+    }
+
     void failStarts(EndpointError::Kind kind)
     {
         while (!starts.empty()) {
@@ -170,3 +188,48 @@
     agent->endpointReported(statusOf(200));
     LONGS_EQUAL(0, stops.size());
 }
+
+TEST(Agent, startWithoutAnswerIsSentAgainUnderItsRun)
+{
+    agent->receive(schedulerName, orderOf(41));
+    failOneStart(EndpointError::Kind::Unanswered);
+    LONGS_EQUAL(1, starts.size());
+    LONGS_EQUAL(41, starts[0].request.run.run);
+    starts[0].callback(Milliseconds(5));
+    LONGS_EQUAL(1, results().size());
+    LONGS_EQUAL(wire::StartOutcome::Started, results()[0].outcome);
+}
+
+TEST(Agent, refusalAfterAnUnansweredAttemptLeavesTheFateOpen)
+{
+    agent->receive(schedulerName, orderOf(41));
+    failOneStart(EndpointError::Kind::Unanswered);
+    failOneStart(EndpointError::Kind::NoRoom);
+    LONGS_EQUAL(1, results().size());
+    LONGS_EQUAL(wire::StartOutcome::Unanswered, results()[0].outcome);
+}
+
+TEST(Agent, startIsGivenUpAfterSomeAttempts)
+{
+    agent->receive(schedulerName, orderOf(41));
+    int attempts = 0;
+    for (; !starts.empty(); ++attempts) {
+        failOneStart(EndpointError::Kind::Unanswered);
+    }
+    LONGS_EQUAL(3, attempts);
+    LONGS_EQUAL(1, results().size());
+    LONGS_EQUAL(wire::StartOutcome::Unanswered, results()[0].outcome);
+}
+
+TEST(Agent, lateStartOfTheTaskIsRefusedBeforeANewOne)
+{
+    agent->receive(schedulerName, orderOf(41));
+    failStarts(EndpointError::Kind::Unanswered);
+    agent->receive(schedulerName, orderOf(42));
+    LONGS_EQUAL(0, starts.size());
+    LONGS_EQUAL(1, stops.size());
+    LONGS_EQUAL(41, stops[0].request.run.run);
+    stops[0].callback(Milliseconds(5));
+    LONGS_EQUAL(1, starts.size());
+    LONGS_EQUAL(42, starts[0].request.run.run);
+}
--- a/tests/cell/world.cpp
+++ b/tests/cell/world.cpp
@@ -13,7 +13,7 @@
 {
 
 constexpr Milliseconds stepTime {5};
-constexpr Milliseconds callTimeout {800};
+constexpr Milliseconds callTimeout {400}; ///< the adapter's for orders
 constexpr Milliseconds lease {5000};
 
 } // namespace
