Don't take a gang's member that waits for slower ones as stalled

Cause: the members of a gang end together; one whose share is done stays at 100 % until the slowest is done too. After 2.5 s without progress the whole gang was stopped and its endpoint avoided for 6 s. Ruled out: processor time (the same without it), preemption alone (390 stops, most of them of room that the restarted gangs took). The next dearest is work thrown away by preemption.

--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -352,7 +352,9 @@
             sendStop(endpoint, run, now);
             continue;
         }
-        const bool isWorking = occupation.state == Occupation::State::Listed && unit != nullptr && !unit->isStopping;
+        // A gang ends together: a member that has done its share waits for the slower ones.
+        const bool isWaitingForGang = unit != nullptr && unit->indices.size() > 1 && occupation.percent >= 100;
+        const bool isWorking = occupation.state == Occupation::State::Listed && unit != nullptr && !unit->isStopping && !isWaitingForGang;
         if (isWorking && !job->second.spec.steps[run.task.step].isLasting && now - occupation.progressAt > stallTimeout) {
             logEvent(LogLevel::Warning,
                 "run.stalled",
--- /dev/null
+++ b/tests/cell/schedulerfixture.h
@@ -0,0 +1,86 @@
+// A scheduler on a driven clock whose records become durable at once, for tests of its protocol and of its decisions under load.
+#pragma once
+
+#include "cell/table.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace knapweed::cell
+{
+
+class SchedulerFixture : public Utest
+{
+protected:
+    std::map<std::string, std::string> records; ///< what is durable
+    BootTime now = BootTime(Milliseconds(1000000));
+    WallTime wall = WallTime(Seconds(1800000000));
+    Milliseconds lease = Milliseconds(6000);
+
+    std::unique_ptr<Scheduler> makeScheduler(std::int64_t generation)
+    {
+        std::unique_ptr<Scheduler> scheduler = std::make_unique<Scheduler>(SchedulerOptions {generation, lease});
+        scheduler->load(records, now, wall);
+        scheduler->setConfiguration(plainConfiguration());
+        scheduler->beginRecovery(now);
+        scheduler->tick(now, wall);
+        return scheduler;
+    }
+
+    /// Makes everything written durable, until nothing is written any more. Returns all messages.
+    SchedulerOutput settle(Scheduler &scheduler)
+    {
+        SchedulerOutput all;
+        for (int round = 0; round < 20; ++round) {
+            scheduler.tick(now, wall);
+            const SchedulerOutput output = scheduler.takeOutput();
+            all.messages.insert(all.messages.end(), output.messages.begin(), output.messages.end());
+            for (const StoreWrite &write : output.writes) {
+                if (write.value.empty()) {
+                    records.erase(write.key);
+                } else {
+                    records[write.key] = write.value;
+                }
+            }
+            if (!output.writes.empty()) {
+                scheduler.stored(output.lastWrite, now);
+            }
+        }
+        return all;
+    }
+
+    SchedulerOutput send(Scheduler &scheduler, const std::string &peer, const PeerMessage &message)
+    {
+        scheduler.receive(peer, message, now, wall);
+        return settle(scheduler);
+    }
+
+    std::vector<wire::StartOrder> startsOf(const SchedulerOutput &output)
+    {
+        std::vector<wire::StartOrder> orders;
+        for (const auto &[peer, order] : messagesOf<wire::StartOrder>(output)) {
+            orders.push_back(order);
+        }
+        return orders;
+    }
+
+    std::string stateOf(Scheduler &scheduler, const std::string &job)
+    {
+        const auto answers = messagesOf<wire::JobAnswer>(send(scheduler, "entry", callOf(wire::CallKind::Query, job)));
+        return answers.empty()                                        ? std::string("none")
+            : answers.front().second.outcome == wire::CallOutcome::Ok ? answers.front().second.state
+                                                                      : std::string("missing");
+    }
+
+    void advance(Milliseconds time)
+    {
+        now += time;
+        wall += time;
+    }
+};
+
+} // namespace knapweed::cell
--- a/tests/cell/schedulertest.cpp
+++ b/tests/cell/schedulertest.cpp
@@ -1,6 +1,6 @@
 // The scheduler's protocol: what must be durable before what, what a new scheduler may take over, and how runs end.
 
-#include "cell/table.h"
+#include "cell/schedulerfixture.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -10,74 +10,7 @@
 using namespace knapweed;
 using namespace knapweed::cell;
 
-TEST_GROUP(Scheduler)
-{
-    std::map<std::string, std::string> records; ///< what is durable
-    BootTime now = BootTime(Milliseconds(1000000));
-    WallTime wall = WallTime(Seconds(1800000000));
-    Milliseconds lease = Milliseconds(6000);
-
-    std::unique_ptr<Scheduler> makeScheduler(std::int64_t generation)
-    {
-        std::unique_ptr<Scheduler> scheduler = std::make_unique<Scheduler>(SchedulerOptions {generation, lease});
-        scheduler->load(records, now, wall);
-        scheduler->setConfiguration(plainConfiguration());
-        scheduler->beginRecovery(now);
-        scheduler->tick(now, wall);
-        return scheduler;
-    }
-
-    /// Makes everything written durable, until nothing is written any more. Returns all messages.
-    SchedulerOutput settle(Scheduler & scheduler)
-    {
-        SchedulerOutput all;
-        for (int round = 0; round < 20; ++round) {
-            scheduler.tick(now, wall);
-            const SchedulerOutput output = scheduler.takeOutput();
-            all.messages.insert(all.messages.end(), output.messages.begin(), output.messages.end());
-            for (const StoreWrite &write : output.writes) {
-                if (write.value.empty()) {
-                    records.erase(write.key);
-                } else {
-                    records[write.key] = write.value;
-                }
-            }
-            if (!output.writes.empty()) {
-                scheduler.stored(output.lastWrite, now);
-            }
-        }
-        return all;
-    }
-
-    SchedulerOutput send(Scheduler & scheduler, const std::string &peer, const PeerMessage &message)
-    {
-        scheduler.receive(peer, message, now, wall);
-        return settle(scheduler);
-    }
-
-    std::vector<wire::StartOrder> startsOf(const SchedulerOutput &output)
-    {
-        std::vector<wire::StartOrder> orders;
-        for (const auto &[peer, order] : messagesOf<wire::StartOrder>(output)) {
-            orders.push_back(order);
-        }
-        return orders;
-    }
-
-    std::string stateOf(Scheduler & scheduler, const std::string &job)
-    {
-        const auto answers = messagesOf<wire::JobAnswer>(send(scheduler, "entry", callOf(wire::CallKind::Query, job)));
-        return answers.empty()                                        ? std::string("none")
-            : answers.front().second.outcome == wire::CallOutcome::Ok ? answers.front().second.state
-                                                                      : std::string("missing");
-    }
-
-    void advance(Milliseconds time)
-    {
-        now += time;
-        wall += time;
-    }
-};
+TEST_GROUP_BASE(Scheduler, SchedulerFixture) {};
 
 TEST(Scheduler, answersASubmissionOnlyWhenItIsDurable)
 {
