Entries try for the scheduler's place one after the other

Cause: when the place is free every entry sees it within 0.4 s and joins; each join and each leaving of those without it has the partitions dealt anew, which takes the place from its holder. Now an entry waits its turn by address among the entries that it is connected to, looks again, and joins only a place that is still free.

--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -54,6 +54,8 @@
 
     void keepPlace();
     bool isSchedulerConnected() const;
+    void ownerSeen(const Result<platform::GroupOwner, platform::StoreError> &result);
+    Milliseconds turnDelay() const;
     void join();
     void scheduleJoin(Milliseconds delay);
     void joined(const Result<platform::Membership, platform::StoreError> &result);
@@ -89,6 +91,7 @@
     std::int64_t groupGeneration_ = 0; ///< of the last answer to a join
     TimerId joinTimer_ = 0;
     bool isJoining_ = false; ///< a join, or a look at the place, is under way
+    bool isPlaceFree_ = false; ///< at the last look
     MonotonicTime ownerDoubtedSince_ = std::chrono::steady_clock::now(); ///< since when the place is held by an entry that can't be reached
 
     std::int64_t tenure_ = 0; ///< the generation of the own tenure; 0 without one
--- a/src/knapweedstaged/celltenure.cpp
+++ b/src/knapweedstaged/celltenure.cpp
@@ -2,6 +2,7 @@
 
 #include "advicecall.h"
 #include "base/logging.h"
+#include "cell/turn.h"
 #include "cellentrytask.h"
 
 namespace knapweed
@@ -42,22 +43,46 @@
         return;
     }
     isJoining_ = true;
-    store_.owner(group, joinTimeout, [this](Result<platform::GroupOwner, platform::StoreError> result) {
+    store_.owner(group, joinTimeout, [this](const Result<platform::GroupOwner, platform::StoreError> &result) {
         isJoining_ = false;
-        if (isDraining_) {
-            return;
+        if (!isDraining_) {
+            ownerSeen(result);
         }
-        const MonotonicTime now = std::chrono::steady_clock::now();
-        if (!isOk(result) || isSchedulerConnected()) {
-            ownerDoubtedSince_ = now;
+    });
+}
+
+/// A free place is taken only when it is still free after the entries before this one had their turn.
+void CellEntryTask::ownerSeen(const Result<platform::GroupOwner, platform::StoreError> &result)
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    if (!isOk(result) || isSchedulerConnected()) {
+        ownerDoubtedSince_ = now;
+    }
+    const bool wasFree = isPlaceFree_;
+    const bool isOwn = isOk(result) && value(result).member == member_;
+    const bool isDoubted = isOk(result) && now - ownerDoubtedSince_ > staleOwnerLimit;
+    isPlaceFree_ = isOk(result) && (value(result).member.empty() || isDoubted);
+    const Milliseconds delay = turnDelay();
+    if (isOwn || (isPlaceFree_ && (wasFree || delay.count() == 0))) {
+        if (isDoubted) {
+            logEvent(LogLevel::Warning, "tenure.challenged", {{"owner", value(result).member}, {"scheduler", scheduler_}});
         }
-        const bool isFree = isOk(result) && (value(result).member.empty() || value(result).member == member_);
-        if (isFree || (isOk(result) && now - ownerDoubtedSince_ > staleOwnerLimit)) {
-            join();
-        } else {
-            scheduleJoin(joinInterval);
+        isPlaceFree_ = false;
+        join();
+    } else {
+        scheduleJoin(isPlaceFree_ ? delay : joinInterval);
+    }
+}
+
+Milliseconds CellEntryTask::turnDelay() const
+{
+    std::vector<std::string> others;
+    for (const wire::RosterEntry &peer : peers_->roster()) {
+        if (peer.role == wire::Role::Entry && peer.address != self_ && peers_->isConnected(peer.address)) {
+            others.push_back(peer.address);
         }
-    });
+    }
+    return cell::turnDelay(self_, others);
 }
 
 bool CellEntryTask::isSchedulerConnected() const
