Urgent work beyond a guarantee displaces only what it is worth

A unit of rank First now throws away at most twice its own work; guaranteed units are not limited, because their room is owed. The log says what a planned unit takes, its rank and estimate. Tests: urgentJobBeyondItsGuaranteeSparesALongGang.

--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -253,7 +253,8 @@
     if (boot_ && boot_->status.born == order.born && boot_->listNumber <= holdNumber_) {
         boot_->started[run] = holdNumber_;
     }
-    logEvent(LogLevel::Info, "run.started", {{"job", run.task.job}, {"task", nameOf(run.task)}, {"run", std::to_string(run.run)}, {"endpoint", order.endpoint}});
+    logEvent(
+        LogLevel::Info, "run.started", {{"job", run.task.job}, {"task", nameOf(run.task)}, {"run", std::to_string(run.run)}, {"endpoint", order.endpoint}});
     answerStart(peer, order, wire::StartOutcome::Started, {});
     if (!isWaitingHold_) {
         hold(holdWait);
--- a/src/libknapweed/cell/planner.cpp
+++ b/src/libknapweed/cell/planner.cpp
@@ -32,6 +32,23 @@
     double cost = 0;
 };
 
+double lostWork(const Choice &choice, const Table &table)
+{
+    std::map<std::size_t, double> lost;
+    for (const PlannedEndpoint &endpoint : table.endpoints) {
+        for (const RunningPart &part : endpoint.parts) {
+            if (choice.victims.count(part.unit) != 0) {
+                lost[part.unit] = part.lostWork;
+            }
+        }
+    }
+    double sum = 0;
+    for (const auto &[unit, work] : lost) {
+        sum += work;
+    }
+    return sum;
+}
+
 bool mayUse(const WaitingUnit &unit, const PlannedEndpoint &endpoint)
 {
     const bool hasLabel = unit.requiredLabel.empty() || endpoint.labels.count(unit.requiredLabel) != 0;
@@ -193,6 +210,19 @@
     return chooseAnywhere(asFirst, table, true);
 }
 
+/// Where the unit goes when later work makes room, unless that throws away more than the unit is worth.
+std::optional<Choice> chooseDisplacing(const WaitingUnit &unit, const Table &table)
+{
+    if (unit.rank > Rank::First) {
+        return std::nullopt;
+    }
+    std::optional<Choice> choice = chooseAnywhere(unit, table, true);
+    if (choice && unit.rank == Rank::First && lostWork(*choice, table) > unit.affordableLoss) {
+        return std::nullopt;
+    }
+    return choice;
+}
+
 void markStopped(const std::set<std::size_t> &victims, Table &table)
 {
     for (PlannedEndpoint &endpoint : table.endpoints) {
@@ -221,18 +251,16 @@
             continue;
         }
         plan.blocked.push_back(unit.number);
-        if (unit.rank <= Rank::First) {
-            const std::optional<Choice> choice = chooseAnywhere(unit, table, true);
-            if (choice) {
-                take(unit, *choice, table);
-                markStopped(choice->victims, table);
-                plan.stops.insert(plan.stops.end(), choice->victims.begin(), choice->victims.end());
-            }
-        } else if (unit.tasks > 1 && held < heldGangs) {
-            const std::optional<Choice> choice = chooseHeld(unit, table);
-            if (choice) {
+        const std::optional<Choice> choice = chooseDisplacing(unit, table);
+        if (choice) {
+            take(unit, *choice, table);
+            markStopped(choice->victims, table);
+            plan.stops.insert(plan.stops.end(), choice->victims.begin(), choice->victims.end());
+        } else if (unit.rank != Rank::Guaranteed && unit.tasks > 1 && held < heldGangs) {
+            const std::optional<Choice> place = chooseHeld(unit, table);
+            if (place) {
                 ++held;
-                take(unit, *choice, table);
+                take(unit, *place, table);
             }
         }
     }
--- a/src/libknapweed/cell/planner.h
+++ b/src/libknapweed/cell/planner.h
@@ -35,6 +35,7 @@
     std::string stepName; ///< the same for all units of one step, where tasksPerEndpoint limits them
     std::map<std::string, std::size_t> stepTasks; ///< tasks of the step that take room already, by agent
     std::set<std::string> avoided; ///< agents to use only when no other has the label and the size
+    double affordableLoss = 0; ///< core-seconds of later work that may be thrown away for a unit of rank First
     bool needsAdvice = false;
     std::set<std::string> advised; ///< agents that it may use, when needsAdvice
 };
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -19,6 +19,7 @@
 constexpr Milliseconds urgentRackPatience {800}; ///< how long a unit of the first priority waits for its rack: a third of the reclaim bound
 constexpr Milliseconds rackPatience {2000}; ///< for the others: under the three seconds for which nothing may idle beside waiting work
 constexpr double acceleratorCores = 8; ///< cores that one accelerator counts for in the price of lost work
+constexpr double firstLossShare = 2; ///< of a unit's own work: urgent work beyond a guarantee is worth several times as much as later work of its size
 constexpr double checkpointSeconds = 0.5; ///< work between two checkpoints
 constexpr std::int64_t runsPerGeneration = 1000000; ///< run numbers of one tenure, so that a later tenure's are higher
 constexpr std::size_t plannedUnits = 400; ///< units looked at in one round; bounds its time on a small machine
@@ -40,13 +41,25 @@
     return job.queue.priority == 1 ? Rank::Second : Rank::Later;
 }
 
+/// Processor time that a second of the task takes, with its accelerators.
+double coreEquivalents(const Resources &needs)
+{
+    return double(needs.milliCores) / 1000 + acceleratorCores * double(needs.accelerators);
+}
+
+/// Work of others that may be thrown away for the unit.
+double affordableLoss(Rank rank, const Step &step, std::size_t tasks)
+{
+    return (rank == Rank::First ? firstLossShare : 0) * double(tasks) * coreEquivalents(step.needs) * std::chrono::duration<double>(step.estimate).count();
+}
+
 double lostWork(const Step &step, const Occupation &occupation, BootTime now)
 {
     double seconds = std::chrono::duration<double>(now - occupation.firstOrderedAt).count();
     if (step.hasCheckpoints) {
         seconds = std::min(seconds, checkpointSeconds);
     }
-    return seconds * (double(step.needs.milliCores) / 1000 + acceleratorCores * double(step.needs.accelerators));
+    return seconds * coreEquivalents(step.needs);
 }
 
 } // namespace
@@ -90,6 +103,7 @@
     waiting.mayLeaveRack = now - unit.readySince > (waiting.rank <= Rank::First ? urgentRackPatience : rackPatience);
     waiting.tasksPerEndpoint = static_cast<std::size_t>(step.tasksPerEndpoint);
     waiting.avoided = unit.failedOn;
+    waiting.affordableLoss = affordableLoss(waiting.rank, step, waiting.tasks);
     if (step.tasksPerEndpoint > 0) {
         waiting.stepName = job.spec.id + '.' + std::to_string(key.occurrence) + '.' + std::to_string(key.step);
         for (const auto &[otherKey, other] : job.units) {
@@ -252,6 +266,7 @@
     unit.progress.agents = agents;
     const std::uint64_t write = writeProgress(job);
     const Step &step = job.spec.steps[key.step];
+    const Rank rank = rankOf(job, guaranteedJobs().count(jobId) != 0);
     for (std::size_t i = 0; i < agents.size(); ++i) {
         Endpoint &endpoint = endpoints_.at(agents[i]);
         const RunId run {{jobId, key.occurrence, key.step, unit.indices[i]}, unit.run};
@@ -285,6 +300,12 @@
             {"index", std::to_string(key.index)},
             {"run", std::to_string(unit.run)},
             {"agents", joined(agents)},
+            {"cores", std::to_string(step.needs.milliCores / 1000)},
+            {"memory_gib", std::to_string(step.needs.memoryMib / 1024)},
+            {"accelerators", std::to_string(step.needs.accelerators)},
+            {"estimate_ms", std::to_string(step.estimate.count())},
+            {"checkpoints", step.hasCheckpoints ? "yes" : "no"},
+            {"rank", std::to_string(static_cast<int>(rank))},
             {"waited_ms", std::to_string((now - unit.readySince).count())}});
 }
 
--- a/tests/cell/loadtest.cpp
+++ b/tests/cell/loadtest.cpp
@@ -7,32 +7,29 @@
 using namespace knapweed;
 using namespace knapweed::cell;
 
-TEST_GROUP_BASE(SchedulerLoad, SchedulerFixture)
-{
-    /// Starts a gang of two on two endpoints.
-    std::vector<wire::StartOrder> startGang(Scheduler &scheduler)
-    {
-        send(scheduler, "a1", reportOf("i-1", 1));
-        send(scheduler, "a2", reportOf("i-2", 1));
-        Step step = plainStep(2, {1000, 1000, 8});
-        step.isGang = true;
-        return startsOf(send(scheduler, "entry", submitOf(plainJob("gang", "usual", {step}))));
-    }
+TEST_GROUP_BASE(SchedulerLoad, SchedulerFixture) {/// Starts a gang of two on two endpoints.
+    std::vector<wire::StartOrder> startGang(Scheduler & scheduler) {send(scheduler, "a1", reportOf("i-1", 1));
+send(scheduler, "a2", reportOf("i-2", 1));
+Step step = plainStep(2, {1000, 1000, 8});
+step.isGang = true;
+return startsOf(send(scheduler, "entry", submitOf(plainJob("gang", "usual", {step}))));
+}
 
-    SchedulerOutput reportProgress(Scheduler &scheduler, const std::vector<wire::StartOrder> &orders, int first, int second)
-    {
-        SchedulerOutput all;
-        int percent[] = {first, second};
-        for (std::size_t i = 0; i < orders.size(); ++i) {
-            const std::string endpoint = orders[i].endpoint;
-            wire::EndpointReport report = reportOf(endpoint, 1);
-            report.running = {rowOf(orders[i].run, percent[i])};
-            const SchedulerOutput output = send(scheduler, "a" + endpoint.substr(2), report);
-            all.messages.insert(all.messages.end(), output.messages.begin(), output.messages.end());
-        }
-        return all;
+SchedulerOutput reportProgress(Scheduler &scheduler, const std::vector<wire::StartOrder> &orders, int first, int second)
+{
+    SchedulerOutput all;
+    int percent[] = {first, second};
+    for (std::size_t i = 0; i < orders.size(); ++i) {
+        const std::string endpoint = orders[i].endpoint;
+        wire::EndpointReport report = reportOf(endpoint, 1);
+        report.running = {rowOf(orders[i].run, percent[i])};
+        const SchedulerOutput output = send(scheduler, "a" + endpoint.substr(2), report);
+        all.messages.insert(all.messages.end(), output.messages.begin(), output.messages.end());
     }
-};
+    return all;
+}
+}
+;
 
 TEST(SchedulerLoad, memberOfAnUnevenGangThatWaitsForTheOthersIsNotStalled)
 {
--- a/tests/cell/plannertest.cpp
+++ b/tests/cell/plannertest.cpp
@@ -176,6 +176,18 @@
     CHECK(plan.stops.empty());
 }
 
+/// Urgent work beyond a guarantee waits rather than throw away a long run that is nearly done.
+TEST(Planner, urgentJobBeyondItsGuaranteeSparesALongGang)
+{
+    PlannedEndpoint full = endpoint("a", "r1", {15000, 63000, 0});
+    full.parts = {part(7, Rank::Second, {1000, 1000, 8}, 5000)};
+    WaitingUnit urgent = unit(1, 1, {1000, 1000, 1}, Rank::First);
+    urgent.affordableLoss = 600;
+    CHECK(planUnits({urgent}, {full}).stops.empty());
+    urgent.rank = Rank::Guaranteed;
+    LONGS_EQUAL(1, planUnits({urgent}, {full}).stops.size());
+}
+
 TEST(Planner, endpointsWhereAUnitFailedComeLast)
 {
     WaitingUnit waiting = unit(1, 1, {1000, 1000, 1});
