Give the scheduler's place to entries with more of a core

Cause: front instances of the grown sites differ (0.12 to 0.5 of a core, 10 to 200 Mbit/s). Entries name their share in the roster (new setting processor_share, from the platform's limits); the order of tries goes by it, and a scheduler hands over to an entry with twice its share after 3 s of a tenure, four times as late after each hand-over.

--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -58,6 +58,7 @@
     member_ = self_ + '/' + std::to_string(self.incarnation);
     self.region = settings_.region;
     self.failureDomain = settings_.failureDomain;
+    self.processorPermille = processorPermille();
     std::vector<Address> seeds = settings_.seeds;
     std::erase(seeds, peerServer_->address());
     peers_->attach(*peerServer_, self, seeds);
@@ -223,6 +224,11 @@
     return true;
 }
 
+std::int32_t CellEntryTask::processorPermille() const
+{
+    return static_cast<std::int32_t>(1000 * settings_.processorShare);
+}
+
 void CellEntryTask::tick()
 {
     const MonotonicTime now = monotonicNow();
@@ -245,7 +251,7 @@
     drainStartedAt_ = monotonicNow();
     logEvent(LogLevel::Info, "process.draining", {{"open_calls", std::to_string(relay_.size())}});
     peers_->setDraining(true);
-    leavePlace();
+    leavePlace("shutdown");
 }
 
 void CellEntryTask::finishDrain(MonotonicTime now)
--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -9,6 +9,7 @@
 #include "callrelay.h"
 #include "cell/scheduler.h"
 #include "cell/settings.h"
+#include "cell/turn.h"
 #include "configurationfeed.h"
 #include "journalwriter.h"
 #include "peers/peernetwork.h"
@@ -55,7 +56,10 @@
     void keepPlace();
     bool isSchedulerConnected() const;
     void ownerSeen(const Result<platform::GroupOwner, platform::StoreError> &result);
-    Milliseconds turnDelay() const;
+    std::int32_t processorPermille() const;
+    std::vector<cell::TurnCandidate> otherCandidates() const;
+    bool isHandOverDue() const;
+    void handOver();
     void join();
     void scheduleJoin(Milliseconds delay);
     void joined(const Result<platform::Membership, platform::StoreError> &result);
@@ -63,7 +67,7 @@
     void loadJobs(const std::string &afterKey);
     void jobsLoaded();
     void endTenure(const char *reason);
-    void leavePlace();
+    void leavePlace(const char *reason);
     void flush();
     void ask(const cell::AdviceQuestion &question);
     void schedulePlan();
@@ -94,6 +98,8 @@
     bool isPlaceFree_ = false; ///< at the last look
     MonotonicTime ownerDoubtedSince_ = std::chrono::steady_clock::now(); ///< since when the place is held by an entry that can't be reached
 
+    MonotonicTime tenureBegan_;
+    Milliseconds handOverAfter_ {3000}; ///< of a tenure; by then the peers are connected
     std::int64_t tenure_ = 0; ///< the generation of the own tenure; 0 without one
     std::unique_ptr<JournalWriter> journal_; ///< not null during a tenure
     std::unique_ptr<cell::Scheduler> schedulerCore_; ///< not null once the jobs of a tenure are loaded
--- a/src/knapweedstaged/celltenure.cpp
+++ b/src/knapweedstaged/celltenure.cpp
@@ -16,6 +16,7 @@
 constexpr Milliseconds membershipLifetime {1500}; ///< an entry that is silent for so long loses the place
 constexpr Milliseconds joinInterval {400}; ///< three joins, or looks at the place, within a lifetime
 constexpr Seconds staleOwnerLimit {3}; ///< an owner that this entry can't reach for so long is challenged; twice a lifetime
+constexpr int handOverBackoff = 4; ///< a place that comes back after a hand-over was not wanted; the next try can wait
 constexpr Milliseconds joinTimeout {800};
 constexpr Milliseconds loadTimeout {2000}; ///< of one page of records
 constexpr Milliseconds adviceTimeout {3000}; ///< the adviser takes calls one after the other
@@ -38,6 +39,10 @@
     if (isDraining_ || isJoining_) {
         return;
     }
+    if (tenure_ != 0 && isHandOverDue()) {
+        handOver();
+        return;
+    }
     if (tenure_ != 0) {
         join();
         return;
@@ -62,7 +67,7 @@
     const bool isOwn = isOk(result) && value(result).member == member_;
     const bool isDoubted = isOk(result) && now - ownerDoubtedSince_ > staleOwnerLimit;
     isPlaceFree_ = isOk(result) && (value(result).member.empty() || isDoubted);
-    const Milliseconds delay = turnDelay();
+    const Milliseconds delay = cell::turnDelay({self_, processorPermille()}, otherCandidates());
     if (isOwn || (isPlaceFree_ && (wasFree || delay.count() == 0))) {
         if (isDoubted) {
             logEvent(LogLevel::Warning, "tenure.challenged", {{"owner", value(result).member}, {"scheduler", scheduler_}});
@@ -74,15 +79,30 @@
     }
 }
 
-Milliseconds CellEntryTask::turnDelay() const
+std::vector<cell::TurnCandidate> CellEntryTask::otherCandidates() const
 {
-    std::vector<std::string> others;
+    std::vector<cell::TurnCandidate> others;
     for (const wire::RosterEntry &peer : peers_->roster()) {
         if (peer.role == wire::Role::Entry && peer.address != self_ && peers_->isConnected(peer.address)) {
-            others.push_back(peer.address);
+            others.push_back({peer.address, peer.processorPermille});
         }
     }
-    return cell::turnDelay(self_, others);
+    return others;
+}
+
+bool CellEntryTask::isHandOverDue() const
+{
+    const bool isSettled = schedulerCore_ != nullptr && !schedulerCore_->isRecovering() && std::chrono::steady_clock::now() - tenureBegan_ > handOverAfter_;
+    return isSettled && cell::hasBetterCandidate({self_, processorPermille()}, otherCandidates());
+}
+
+/// Leaves the place to an entry with more of a core; this one looks at it again like all others.
+void CellEntryTask::handOver()
+{
+    logEvent(LogLevel::Info, "tenure.handedover", {{"generation", std::to_string(tenure_)}, {"processor_permille", std::to_string(processorPermille())}});
+    handOverAfter_ *= handOverBackoff;
+    leavePlace("an entry with more of a core is connected");
+    scheduleJoin(joinInterval);
 }
 
 bool CellEntryTask::isSchedulerConnected() const
@@ -127,6 +147,7 @@
         return; // an answer from before a tenure that is known; the next join tells
     }
     tenure_ = generation;
+    tenureBegan_ = std::chrono::steady_clock::now();
     logEvent(LogLevel::Info, "tenure.begun", {{"generation", std::to_string(generation)}});
     JournalEvents events;
     events.stored = [this](std::uint64_t write) {
@@ -213,10 +234,10 @@
     }
 }
 
-void CellEntryTask::leavePlace()
+void CellEntryTask::leavePlace(const char *reason)
 {
     loop_.cancelTimer(joinTimer_);
-    endTenure("shutdown");
+    endTenure(reason);
     store_.leave(group, member_, settings_.grace, [this](const Result<Done, platform::StoreError> &) {
         wire::SchedulerNotice notice;
         notice.generation = generation_;
--- a/src/libknapweed/cell/settings.cpp
+++ b/src/libknapweed/cell/settings.cpp
@@ -83,6 +83,7 @@
     settings.store = readAddress(root, "store");
     settings.lease = root.duration("lease_ms", {shortestLease, Seconds(600), std::nullopt});
     settings.grace = Milliseconds(static_cast<std::int64_t>(1000 * root.number("grace_s", {0, 3600, 6})));
+    settings.processorShare = root.number("processor_share", {0.001, 1024, 1});
     settings.logLevel = static_cast<LogLevel>(root.choice("log_level", logLevels, "info"));
     if (!root.isPresent() || (isRoleKnown && settings.role == ProcessRole::Entry)) {
         settings.callers = readAddress(root, "callers");
--- a/src/libknapweed/cell/settings.h
+++ b/src/libknapweed/cell/settings.h
@@ -26,6 +26,7 @@
     Address store;
     Milliseconds lease {0}; ///< how long runs outlive the last contact of their agent
     Milliseconds grace {0}; ///< from SIGTERM to SIGKILL
+    double processorShare = 1; ///< cores that the process may use; the scheduler's place goes to those that have most
     LogLevel logLevel = LogLevel::Info;
     Address callers; ///< entry only
     Address advice; ///< entry only; port 0 where there is no placement adviser
--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -1021,6 +1021,10 @@
 void RosterEntry::__set_failureDomain(const std::string& val) {
   this->failureDomain = val;
 }
+
+void RosterEntry::__set_processorPermille(const int32_t val) {
+  this->processorPermille = val;
+}
 std::ostream& operator<<(std::ostream& out, const RosterEntry& obj)
 {
   obj.printTo(out);
@@ -1091,6 +1095,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->processorPermille);
+          this->__isset.processorPermille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1128,6 +1140,10 @@
   xfer += oprot->writeString(this->failureDomain);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("processorPermille", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->processorPermille);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1140,6 +1156,7 @@
   swap(a.incarnation, b.incarnation);
   swap(a.region, b.region);
   swap(a.failureDomain, b.failureDomain);
+  swap(a.processorPermille, b.processorPermille);
   swap(a.__isset, b.__isset);
 }
 
@@ -1149,6 +1166,7 @@
   incarnation = other20.incarnation;
   region = other20.region;
   failureDomain = other20.failureDomain;
+  processorPermille = other20.processorPermille;
   __isset = other20.__isset;
 }
 RosterEntry::RosterEntry(RosterEntry&& other21) noexcept {
@@ -1157,6 +1175,7 @@
   incarnation = other21.incarnation;
   region = std::move(other21.region);
   failureDomain = std::move(other21.failureDomain);
+  processorPermille = other21.processorPermille;
   __isset = other21.__isset;
 }
 RosterEntry& RosterEntry::operator=(const RosterEntry& other22) {
@@ -1165,6 +1184,7 @@
   incarnation = other22.incarnation;
   region = other22.region;
   failureDomain = other22.failureDomain;
+  processorPermille = other22.processorPermille;
   __isset = other22.__isset;
   return *this;
 }
@@ -1174,6 +1194,7 @@
   incarnation = other23.incarnation;
   region = std::move(other23.region);
   failureDomain = std::move(other23.failureDomain);
+  processorPermille = other23.processorPermille;
   __isset = other23.__isset;
   return *this;
 }
@@ -1185,6 +1206,7 @@
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "region=" << to_string(region);
   out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "processorPermille=" << to_string(processorPermille);
   out << ")";
 }
 
--- a/src/libknapweed/peers/gen/peers_types.h
+++ b/src/libknapweed/peers/gen/peers_types.h
@@ -512,12 +512,13 @@
 std::ostream& operator<<(std::ostream& out, const Member& obj);
 
 typedef struct _RosterEntry__isset {
-  _RosterEntry__isset() : address(false), role(false), incarnation(false), region(false), failureDomain(false) {}
+  _RosterEntry__isset() : address(false), role(false), incarnation(false), region(false), failureDomain(false), processorPermille(false) {}
   bool address :1;
   bool role :1;
   bool incarnation :1;
   bool region :1;
   bool failureDomain :1;
+  bool processorPermille :1;
 } _RosterEntry__isset;
 
 class RosterEntry : public virtual ::apache::thrift::TBase {
@@ -532,7 +533,8 @@
                 role(static_cast<Role::type>(0)),
                 incarnation(0),
                 region(),
-                failureDomain() {
+                failureDomain(),
+                processorPermille(0) {
   }
 
   virtual ~RosterEntry() noexcept;
@@ -545,6 +547,7 @@
   int64_t incarnation;
   std::string region;
   std::string failureDomain;
+  int32_t processorPermille;
 
   _RosterEntry__isset __isset;
 
@@ -558,6 +561,8 @@
 
   void __set_failureDomain(const std::string& val);
 
+  void __set_processorPermille(const int32_t val);
+
   bool operator == (const RosterEntry & rhs) const
   {
     if (!(address == rhs.address))
@@ -570,6 +575,8 @@
       return false;
     if (!(failureDomain == rhs.failureDomain))
       return false;
+    if (!(processorPermille == rhs.processorPermille))
+      return false;
     return true;
   }
   bool operator != (const RosterEntry &rhs) const {
--- a/src/libknapweed/peers/peers.thrift
+++ b/src/libknapweed/peers/peers.thrift
@@ -27,7 +27,8 @@
 /// One part of a gang: the agent that has authority over it and the accelerators that it takes there.
 struct Member { 1: string agent, 2: string worker, 3: list<i32> accelerators }
 
-struct RosterEntry { 1: string address, 2: Role role, 3: i64 incarnation, 4: string region, 5: string failureDomain }
+/// processorPermille: thousandths of a core that the process may use; 0 when not known.
+struct RosterEntry { 1: string address, 2: Role role, 3: i64 incarnation, 4: string region, 5: string failureDomain, 6: i32 processorPermille }
 
 struct Hello { 1: RosterEntry sender, 2: i32 protocolVersion }
 struct Heartbeat { 1: i64 sequence, 2: list<RosterEntry> roster, 3: i64 configurationVersion, 4: bool draining }
--- a/tests/settings/cellsettingstest.cpp
+++ b/tests/settings/cellsettingstest.cpp
@@ -47,6 +47,7 @@
         {"{{platform.address|json}}", "\"10.200.1.7:8524\""},
         {"{{bounds.holdMaxMs}}", "6000"},
         {"{{bounds.graceS}}", "6"},
+        {"{{limits.cpuShare}}", "0.25"},
         {"{{listen.front|json}}", "\"10.1.0.19:8521\""},
         {"{{listen.readiness|json}}", "\"10.1.0.19:8523\""},
         {"{{listen.control|json}}", "\"10.1.0.20:8526\""},
