Keep the scheduler's place still under a slow store, and records free of agents that are gone

A turn is now as long as three looks, and each owner is judged from when it was first seen. Then: a unit that waits kept the agents of its last run in its record, so each new scheduler waited a lease for those that were gone. They leave it when nothing of the unit can run any more. Tests: Turn slowStoreLengthensEachTurn, freshOwnerIsNotChallengedForTheOneBefore and one more; Scheduler waitsForNoAgentThatALaterStopLeftWithoutRuns, whatWasShownAsOverStaysSoWhileLaterRecordsAreWritten; each failed before.

--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -55,7 +55,7 @@
 
     void keepPlace();
     bool isSchedulerConnected() const;
-    void ownerSeen(const Result<platform::GroupOwner, platform::StoreError> &result);
+    void ownerSeen(const Result<platform::GroupOwner, platform::StoreError> &result, Milliseconds lookTime);
     std::int32_t processorPermille() const;
     std::vector<cell::TurnCandidate> otherCandidates() const;
     bool isHandOverDue() const;
@@ -96,7 +96,7 @@
     TimerId joinTimer_ = 0;
     bool isJoining_ = false; ///< a join, or a look at the place, is under way
     bool isPlaceFree_ = false; ///< at the last look
-    MonotonicTime ownerDoubtedSince_ = std::chrono::steady_clock::now(); ///< since when the place is held by an entry that can't be reached
+    cell::OwnerDoubt ownerDoubt_;
 
     MonotonicTime tenureBegan_;
     Milliseconds handOverAfter_ {3000}; ///< of a tenure; by then the peers are connected
--- a/src/knapweedstaged/celltenure.cpp
+++ b/src/knapweedstaged/celltenure.cpp
@@ -15,7 +15,6 @@
 constexpr const char *turnTopic = "turn"; ///< its partition 0 is the scheduler's place; it has no records
 constexpr Milliseconds membershipLifetime {1500}; ///< an entry that is silent for so long loses the place
 constexpr Milliseconds joinInterval {400}; ///< three joins, or looks at the place, within a lifetime
-constexpr Seconds staleOwnerLimit {3}; ///< an owner that this entry can't reach for so long is challenged; twice a lifetime
 constexpr int handOverBackoff = 4; ///< a place that comes back after a hand-over was not wanted; the next try can wait
 constexpr Milliseconds joinTimeout {800};
 constexpr Milliseconds loadTimeout {2000}; ///< of one page of records
@@ -48,26 +47,28 @@
         return;
     }
     isJoining_ = true;
-    store_.owner(group, joinTimeout, [this](const Result<platform::GroupOwner, platform::StoreError> &result) {
+    store_.owner(group, joinTimeout, [this, began = std::chrono::steady_clock::now()](const Result<platform::GroupOwner, platform::StoreError> &result) {
         isJoining_ = false;
         if (!isDraining_) {
-            ownerSeen(result);
+            ownerSeen(result, std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - began));
         }
     });
 }
 
 /// A free place is taken only when it is still free after the entries before this one had their turn.
-void CellEntryTask::ownerSeen(const Result<platform::GroupOwner, platform::StoreError> &result)
+void CellEntryTask::ownerSeen(const Result<platform::GroupOwner, platform::StoreError> &result, Milliseconds lookTime)
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
-    if (!isOk(result) || isSchedulerConnected()) {
-        ownerDoubtedSince_ = now;
+    if (isOk(result)) {
+        ownerDoubt_.seen(value(result).member, isSchedulerConnected(), now);
+    } else {
+        ownerDoubt_.unseen(now);
     }
     const bool wasFree = isPlaceFree_;
     const bool isOwn = isOk(result) && value(result).member == member_;
-    const bool isDoubted = isOk(result) && now - ownerDoubtedSince_ > staleOwnerLimit;
+    const bool isDoubted = isOk(result) && ownerDoubt_.isDue(now);
     isPlaceFree_ = isOk(result) && (value(result).member.empty() || isDoubted);
-    const Milliseconds delay = cell::turnDelay({self_, processorPermille()}, otherCandidates());
+    const Milliseconds delay = cell::turnDelay({self_, processorPermille()}, otherCandidates(), lookTime);
     if (isOwn || (isPlaceFree_ && (wasFree || delay.count() == 0))) {
         if (isDoubted) {
             logEvent(LogLevel::Warning, "tenure.challenged", {{"owner", value(result).member}, {"scheduler", scheduler_}});
--- a/src/libknapweed/cell/jobtable.h
+++ b/src/libknapweed/cell/jobtable.h
@@ -45,6 +45,7 @@
     bool isOver = false; ///< no unit will start any more
     std::uint64_t acceptedWrite = 0; ///< the write that makes its submission durable
     std::uint64_t lastWrite = 0; ///< of its progress
+    std::uint64_t finalWrite = 0; ///< the write that makes its end durable, once it is over; later ones change nothing that callers see
     BootTime acceptedAt;
     std::uint64_t order = 0; ///< of acceptance
     BootTime overAt;
--- a/src/libknapweed/cell/schedulercalls.cpp
+++ b/src/libknapweed/cell/schedulercalls.cpp
@@ -98,7 +98,7 @@
     reply.outcome = wire::CallOutcome::Ok;
     reply.state = stateName(job);
     // What isn't durable yet isn't shown: the job still runs as far as anyone may know.
-    if (isFinal(job) && job.lastWrite > storedWrite_) {
+    if (isFinal(job) && job.finalWrite > storedWrite_) {
         reply.state = "running";
     }
     write = job.acceptedWrite;
--- a/src/libknapweed/cell/schedulerunits.cpp
+++ b/src/libknapweed/cell/schedulerunits.cpp
@@ -55,6 +55,8 @@
         vacate(endpoint, run, now);
         if (unit != nullptr && !unit->members.empty() && unit->run == run.run) {
             stopUnit(*unit, now);
+        } else if (unit != nullptr && unit->phase == Unit::Phase::Waiting) {
+            writeProgress(job->second);
         }
     }
 }
@@ -64,6 +66,9 @@
 {
     Unit &unit = job.units.at(key);
     unit.isStopping = false;
+    if (!unit.progress.isDone) {
+        unit.progress.agents.clear(); // else the next scheduler would wait for agents that may be gone
+    }
     unit.phase = unit.progress.isDone || job.isOver ? Unit::Phase::Ended : Unit::Phase::Waiting;
     unit.readySince = now;
 }
@@ -93,6 +98,7 @@
     }
     job.isOver = true;
     job.overAt = now;
+    job.finalWrite = job.lastWrite;
     stopJob(job, now);
     for (auto &[key, unit] : job.units) {
         if (unit.members.empty()) {
--- a/src/libknapweed/cell/turn.cpp
+++ b/src/libknapweed/cell/turn.cpp
@@ -11,10 +11,14 @@
 namespace
 {
 
-constexpr Milliseconds turnSpan {120}; ///< for a join and the look that tells of it: twenty times a usual answer of the store
+constexpr Milliseconds shortestTurn {120}; ///< for a join and the look that tells of it: twenty times a usual answer of the store
+constexpr Milliseconds longestDelay {3000}; ///< twice the lifetime of a membership
+constexpr int looksInATurn = 3; ///< where the store is slow: the first one's join, and a look that may have begun just before it was done
 constexpr std::ptrdiff_t longestQueue = 6; ///< later ones wait no longer: when all before them are gone the place must not stay empty for seconds
 constexpr std::int32_t handOverFactor = 2; ///< less of a difference isn't worth the pause of a hand-over
 
+constexpr Seconds staleOwnerLimit {3}; ///< twice the lifetime of a membership: an owner that is gone has lapsed by then
+
 bool isBefore(const TurnCandidate &left, const TurnCandidate &right)
 {
     return std::tie(right.processorPermille, left.address) < std::tie(left.processorPermille, right.address);
@@ -22,12 +26,12 @@
 
 } // namespace
 
-Milliseconds turnDelay(const TurnCandidate &self, const std::vector<TurnCandidate> &others)
+Milliseconds turnDelay(const TurnCandidate &self, const std::vector<TurnCandidate> &others, Milliseconds lookTime)
 {
     const std::ptrdiff_t before = std::count_if(others.begin(), others.end(), [&self](const TurnCandidate &other) {
         return isBefore(other, self);
     });
-    return turnSpan * std::min(before, longestQueue);
+    return std::min(longestDelay, std::max(shortestTurn, looksInATurn * lookTime) * std::min(before, longestQueue));
 }
 
 bool hasBetterCandidate(const TurnCandidate &self, const std::vector<TurnCandidate> &others)
@@ -37,4 +41,22 @@
     });
 }
 
+void OwnerDoubt::seen(const std::string &owner, bool isSchedulerConnected, MonotonicTime now)
+{
+    if (owner != owner_ || isSchedulerConnected) {
+        since_ = now;
+    }
+    owner_ = owner;
+}
+
+void OwnerDoubt::unseen(MonotonicTime now)
+{
+    since_ = now;
+}
+
+bool OwnerDoubt::isDue(MonotonicTime now) const
+{
+    return !owner_.empty() && now - since_ > staleOwnerLimit;
+}
+
 } // namespace knapweed::cell
--- a/src/libknapweed/cell/turn.h
+++ b/src/libknapweed/cell/turn.h
@@ -18,11 +18,27 @@
     std::int32_t processorPermille = 0; ///< thousandths of a core that it may use
 };
 
-/// How long @p self waits before it takes a place that it sees free, given the entries that it is connected to. The first in order waits not at all; each
-/// later one leaves those before it the time to have taken it.
-Milliseconds turnDelay(const TurnCandidate &self, const std::vector<TurnCandidate> &others);
+/// How long @p self waits before it takes a place that it sees free, given the entries that it is connected to and how long the store took to answer. The first
+/// in order waits not at all; each later one leaves those before it the time to have taken it.
+Milliseconds turnDelay(const TurnCandidate &self, const std::vector<TurnCandidate> &others, Milliseconds lookTime);
 
 /// Whether one of @p others has so much more of a core than @p self that a hand-over pays.
 bool hasBetterCandidate(const TurnCandidate &self, const std::vector<TurnCandidate> &others);
 
+/// Whether the place's owner is to be challenged: an entry that could not be reached for long, while the store could. Each owner is judged from when it was
+/// first seen, so that the successor of one that was challenged has time to make itself known.
+class OwnerDoubt
+{
+public:
+    /// The store named @p owner at @p now; empty when the place is free.
+    void seen(const std::string &owner, bool isSchedulerConnected, MonotonicTime now);
+    /// The store gave no answer at @p now, so nothing counts against the owner.
+    void unseen(MonotonicTime now);
+    bool isDue(MonotonicTime now) const;
+
+private:
+    std::string owner_;
+    MonotonicTime since_; ///< meaningful while owner_ is not empty
+};
+
 } // namespace knapweed::cell
--- a/tests/cell/schedulertest.cpp
+++ b/tests/cell/schedulertest.cpp
@@ -84,6 +84,23 @@
 }
 
 /// The end of a run is all that a new scheduler ever sees of it.
+/// The late end of a cancelled run brings a checkpoint, which is written once more.
+TEST(Scheduler, whatWasShownAsOverStaysSoWhileLaterRecordsAreWritten)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    const std::vector<wire::StartOrder> starts = startsOf(send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})}))));
+    send(*scheduler, "entry", callOf(wire::CallKind::Cancel, "j1"));
+    STRCMP_EQUAL("cancelled", stateOf(*scheduler, "j1").c_str());
+    wire::EndpointReport report = reportOf("i-a", 1);
+    report.ended = {endOf(1, starts.front().run, wire::RunEnding::Stopped)};
+    report.ended.front().checkpoint = "saved";
+    scheduler->receive("a", report, now, wall);
+    scheduler->receive("entry", callOf(wire::CallKind::Query, "j1"), now, wall);
+    const auto answers = messagesOf<wire::JobAnswer>(scheduler->takeOutput());
+    STRCMP_EQUAL("cancelled", answers.front().second.state.c_str());
+}
+
 TEST(Scheduler, doesNotStartAgainWhatOnlyItsEndIsSeenOf)
 {
     std::unique_ptr<Scheduler> first = makeScheduler(1);
@@ -124,6 +141,20 @@
     LONGS_EQUAL(1, startsOf(send(*second, "b", reportOf("i-b", 2))).size());
 }
 
+TEST(Scheduler, waitsForNoAgentThatALaterStopLeftWithoutRuns)
+{
+    std::unique_ptr<Scheduler> first = makeScheduler(1);
+    send(*first, "a", reportOf("i-a", 1));
+    const std::vector<wire::StartOrder> starts = startsOf(send(*first, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})}))));
+    LONGS_EQUAL(1, starts.size());
+    wire::EndpointReport leaving = reportOf("i-a", 1);
+    leaving.draining = true;
+    leaving.ended = {endOf(1, starts.front().run, wire::RunEnding::Stopped)};
+    send(*first, "a", leaving);
+    std::unique_ptr<Scheduler> second = makeScheduler(2);
+    LONGS_EQUAL(1, startsOf(send(*second, "b", reportOf("i-b", 2))).size());
+}
+
 TEST(Scheduler, startsAtOnceWhatNoMissingAgentCanHave)
 {
     std::unique_ptr<Scheduler> first = makeScheduler(1);
--- a/tests/cell/turntest.cpp
+++ b/tests/cell/turntest.cpp
@@ -11,6 +11,13 @@
 using namespace knapweed;
 using namespace knapweed::cell;
 
+namespace
+{
+
+constexpr Milliseconds usualLook {5}; ///< at the place, by a store that is well
+
+} // namespace
+
 TEST_GROUP(Turn) {};
 
 TEST(Turn, entriesThatAllSeeTheirSchedulerCutOffTryOneAfterTheOther)
@@ -24,7 +31,7 @@
                 others.push_back({other, 250});
             }
         }
-        delays.insert(turnDelay({self, 250}, others));
+        delays.insert(turnDelay({self, 250}, others, usualLook));
     }
     LONGS_EQUAL(entries.size(), delays.size());
     LONGS_EQUAL(0, delays.begin()->count());
@@ -32,7 +39,7 @@
 
 TEST(Turn, anEntryThatSeesNoOtherTriesAtOnce)
 {
-    LONGS_EQUAL(0, turnDelay({"10.1.0.3:1", 250}, {}).count());
+    LONGS_EQUAL(0, turnDelay({"10.1.0.3:1", 250}, {}, usualLook).count());
 }
 
 TEST(Turn, theLastOfManyWaitsUnderASecond)
@@ -41,14 +48,47 @@
     for (int i = 10; i < 50; ++i) {
         others.push_back({"10.0.0." + std::to_string(i), 250});
     }
-    CHECK(turnDelay({"10.9.0.1", 250}, others) < Seconds(1));
+    CHECK(turnDelay({"10.9.0.1", 250}, others, usualLook) < Seconds(1));
 }
 
 TEST(Turn, smallMachinesLeaveThePlaceToLargeOnes)
 {
-    LONGS_EQUAL(0, turnDelay({"10.9.0.1", 500}, {{"10.1.0.1", 120}, {"10.1.0.2", 120}}).count());
-    CHECK(turnDelay({"10.1.0.1", 120}, {{"10.9.0.1", 500}}).count() > 0);
+    LONGS_EQUAL(0, turnDelay({"10.9.0.1", 500}, {{"10.1.0.1", 120}, {"10.1.0.2", 120}}, usualLook).count());
+    CHECK(turnDelay({"10.1.0.1", 120}, {{"10.9.0.1", 500}}, usualLook).count() > 0);
     CHECK_TRUE(hasBetterCandidate({"10.1.0.1", 120}, {{"10.9.0.1", 500}}));
     CHECK_FALSE(hasBetterCandidate({"10.1.0.1", 250}, {{"10.9.0.1", 250}}));
     CHECK_FALSE(hasBetterCandidate({"10.1.0.1", 500}, {{"10.9.0.1", 120}}));
 }
+
+/// A slow store and entries that restart one after the other: nobody knows the scheduler for seconds, and each new one would be challenged by all others.
+TEST(Turn, freshOwnerIsNotChallengedForTheOneBefore)
+{
+    OwnerDoubt doubt;
+    const MonotonicTime start = MonotonicTime(Seconds(1000));
+    doubt.seen("a", false, start);
+    doubt.seen("a", false, start + Milliseconds(3100));
+    CHECK_TRUE(doubt.isDue(start + Milliseconds(3100)));
+    doubt.seen("b", false, start + Milliseconds(3200));
+    CHECK_FALSE(doubt.isDue(start + Milliseconds(6000)));
+    CHECK_TRUE(doubt.isDue(start + Milliseconds(6300)));
+}
+
+TEST(Turn, ownerThatIsConnectedOrUnseenIsNotDoubted)
+{
+    OwnerDoubt doubt;
+    const MonotonicTime start = MonotonicTime(Seconds(1000));
+    doubt.seen("a", false, start);
+    doubt.seen("a", true, start + Seconds(2));
+    CHECK_FALSE(doubt.isDue(start + Seconds(4)));
+    doubt.unseen(start + Seconds(6));
+    CHECK_FALSE(doubt.isDue(start + Seconds(8)));
+}
+
+/// With a slow store the next in order would look before the first one's join is done.
+TEST(Turn, slowStoreLengthensEachTurn)
+{
+    const std::vector<TurnCandidate> before {{"10.1.0.1", 250}};
+    const Milliseconds slowLook {300};
+    CHECK(turnDelay({"10.2.0.1", 250}, before, slowLook) > 2 * slowLook);
+    CHECK(turnDelay({"10.2.0.1", 250}, before, Seconds(5)) <= Seconds(3));
+}
