Refuse submissions at once that surely weren't stored when the store goes away

Records that were never sent, or whose appends were all refused, are now taken back and their callers told to come again; what may be written still waits. Tests: WriteQueue and StoreOutage groups of the cell.

--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -64,6 +64,7 @@
     void scheduleJoin(Milliseconds delay);
     void joined(const Result<platform::Membership, platform::StoreError> &result);
     void beginTenure(std::int64_t generation);
+    void refuseOpenSubmissions(bool isStoreReachable);
     void loadJobs(const std::string &afterKey);
     void jobsLoaded();
     void endTenure(const char *reason);
--- a/src/knapweedstaged/celltenure.cpp
+++ b/src/knapweedstaged/celltenure.cpp
@@ -160,6 +160,7 @@
     events.reachable = [this](bool isReachable) {
         if (schedulerCore_ != nullptr) {
             schedulerCore_->setStoreReachable(isReachable);
+            refuseOpenSubmissions(isReachable);
         }
     };
     events.fenced = [this]() {
@@ -175,6 +176,22 @@
     });
 }
 
+/// Callers whose submission surely isn't stored needn't wait for the store's return.
+void CellEntryTask::refuseOpenSubmissions(bool isStoreReachable)
+{
+    if (isStoreReachable) {
+        return;
+    }
+    for (const std::string &job : schedulerCore_->openSubmissions()) {
+        if (journal_->withdraw(cell::jobRecordKey(job))) {
+            schedulerCore_->withdraw(job);
+        }
+    }
+    loop_.post([this]() {
+        flush();
+    });
+}
+
 void CellEntryTask::loadJobs(const std::string &afterKey)
 {
     const std::int64_t tenure = tenure_;
--- a/src/knapweedstaged/journalwriter.cpp
+++ b/src/knapweedstaged/journalwriter.cpp
@@ -5,7 +5,6 @@
 #include "base/logging.h"
 
 #include <algorithm>
-#include <map>
 
 namespace knapweed
 {
@@ -14,8 +13,6 @@
 {
 
 constexpr const char *producerName = "scheduler";
-constexpr std::size_t batchRecords = 400; ///< of one append
-constexpr std::size_t batchBytes = std::size_t(1) << 20; ///< of one append; half of what the store takes
 constexpr Milliseconds appendTimeout {900}; ///< over 100 times a usual answer, under half of a caller's patience
 constexpr Milliseconds firstRetry {60}; ///< doubled with each failure in a row
 constexpr Milliseconds longestRetry {500};
@@ -45,39 +42,33 @@
 
 void JournalWriter::write(std::vector<cell::StoreWrite> records, std::uint64_t lastWrite)
 {
-    std::uint64_t number = lastWrite - records.size();
-    for (cell::StoreWrite &record : records) {
-        pending_.push_back({{std::move(record.key), std::move(record.value), 0}, ++number});
-    }
+    queue_.add(std::move(records), lastWrite);
     sendNext();
 }
 
+bool JournalWriter::withdraw(const std::string &key)
+{
+    return queue_.withdraw(key);
+}
+
 void JournalWriter::sendNext()
 {
-    if (isSending_ || isFenced_ || begun_ || pending_.empty()) {
+    if (isSending_ || isFenced_ || begun_ || queue_.isEmpty()) {
         return;
     }
-    // Of several records of one key only the last counts.
-    std::map<std::string, std::string> newest;
-    std::size_t bytes = 0;
-    while (!pending_.empty() && newest.size() < batchRecords && bytes < batchBytes) {
-        Pending &next = pending_.front();
-        bytes += next.record.key.size() + next.record.value.size();
-        batchNumber_ = next.number;
-        newest[next.record.key] = std::move(next.record.value);
-        pending_.pop_front();
-    }
-    batch_.clear();
-    for (auto &[key, value] : newest) {
-        batch_.push_back({key, std::move(value), 0});
-    }
+    queue_.beginBatch();
     isSending_ = true;
     send();
 }
 
+/// An empty batch, of which all was withdrawn, is sent too: its answer tells that the store is back.
 void JournalWriter::send()
 {
-    store_.append(jobTopic, batch_, producer_, appendTimeout, [this, alive = isAlive_](const Result<platform::Appended, platform::StoreError> &result) {
+    std::vector<platform::KeyedRecord> records;
+    for (const cell::StoreWrite &write : queue_.batch()) {
+        records.push_back({write.key, write.value, 0});
+    }
+    store_.append(jobTopic, records, producer_, appendTimeout, [this, alive = isAlive_](const Result<platform::Appended, platform::StoreError> &result) {
         if (*alive) {
             handle(result);
         }
@@ -105,7 +96,7 @@
             begun_ = nullptr;
             begun();
         } else {
-            events_.stored(batchNumber_);
+            events_.stored(queue_.batchNumber());
         }
         sendNext();
         return;
@@ -125,6 +116,9 @@
         retry(Milliseconds(0));
         return;
     }
+    if (failure.kind != platform::StoreError::Kind::NotDone) {
+        queue_.batchMayBeWritten();
+    }
     ++failures_;
     if (failures_ >= failuresToUnreachable) {
         setReachable(false);
--- a/src/knapweedstaged/journalwriter.h
+++ b/src/knapweedstaged/journalwriter.h
@@ -3,10 +3,9 @@
 #pragma once
 
 #include "base/eventloop.h"
-#include "cell/scheduler.h"
+#include "cell/writequeue.h"
 #include "storeclient.h"
 
-#include <deque>
 #include <functional>
 #include <memory>
 
@@ -34,13 +33,10 @@
     /// Takes records whose last has the number @p lastWrite.
     void write(std::vector<cell::StoreWrite> records, std::uint64_t lastWrite);
 
-private:
-    struct Pending
-    {
-        platform::KeyedRecord record;
-        std::uint64_t number = 0;
-    };
+    /// Takes the record of @p key back. False when it may have been written. To be called only from the event reachable(false).
+    bool withdraw(const std::string &key);
 
+private:
     void sendNext();
     void send();
     void retry(Milliseconds delay);
@@ -52,9 +48,7 @@
     JournalEvents events_;
     platform::Producer producer_;
     std::function<void()> begun_; ///< set until the epoch is raised
-    std::deque<Pending> pending_;
-    std::vector<platform::KeyedRecord> batch_; ///< of the append under way; the same until its fate is known
-    std::uint64_t batchNumber_ = 0; ///< of its last record
+    cell::WriteQueue queue_;
     bool isSending_ = false;
     bool isFenced_ = false;
     bool isReachable_ = true;
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -54,6 +54,11 @@
     void setConfiguration(const CellConfiguration &configuration);
     void setStoreReachable(bool isReachable);
 
+    /// Jobs whose submission is not durable and that nothing else was recorded of.
+    std::vector<std::string> openSubmissions() const;
+    /// The submission was surely not stored and won't be: it is refused, and the job was never there.
+    void withdraw(const std::string &job);
+
     void receive(const std::string &peer, const PeerMessage &message, BootTime now, WallTime wall);
 
     /// All writes up to @p write are durable.
@@ -81,6 +86,7 @@
         std::uint64_t write = 0;
         std::string peer;
         wire::JobAnswer answer;
+        bool isSubmission = false;
     };
 
     struct PendingStart
@@ -100,7 +106,7 @@
     wire::JobAnswer query(const wire::JobCall &call, std::uint64_t &write) const;
     wire::JobAnswer cancel(const wire::JobCall &call, std::uint64_t &write, BootTime now);
     wire::JobAnswer countWaiting(const wire::JobCall &call) const;
-    void answer(const std::string &peer, const wire::JobAnswer &answer, std::uint64_t write);
+    void answer(const std::string &peer, const wire::JobCall &call, const wire::JobAnswer &answer, std::uint64_t write);
 
     Endpoint *currentEndpoint(const std::string &agent, std::int64_t born, const std::string &id);
     void renewEndpoint(const std::string &agent, const wire::EndpointReport &report, BootTime now);
--- a/src/libknapweed/cell/schedulercalls.cpp
+++ b/src/libknapweed/cell/schedulercalls.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/scheduler.h"
 
+#include "base/invariant.h"
 #include "base/logging.h"
 
 namespace knapweed::cell
@@ -47,7 +48,7 @@
         break;
     }
     reply.call = call.call;
-    answer(peer, reply, awaited);
+    answer(peer, call, reply, awaited);
 }
 
 wire::JobAnswer Scheduler::submit(const wire::JobCall &call, std::uint64_t &write, BootTime now, WallTime wall)
@@ -138,10 +139,44 @@
     return reply;
 }
 
-void Scheduler::answer(const std::string &peer, const wire::JobAnswer &answer, std::uint64_t write)
+std::vector<std::string> Scheduler::openSubmissions() const
+{
+    std::vector<std::string> open;
+    for (const auto &[id, job] : jobs_) {
+        if (job.acceptedWrite > storedWrite_ && job.lastWrite == 0) {
+            open.push_back(id);
+        }
+    }
+    return open;
+}
+
+void Scheduler::withdraw(const std::string &job)
+{
+    const auto found = jobs_.find(job);
+    if (found == jobs_.end()) {
+        return;
+    }
+    assertInvariant(found->second.acceptedWrite > storedWrite_ && !found->second.hasBegun, "only what was never accepted is withdrawn");
+    logEvent(LogLevel::Info, "job.refused", {{"job", job}, {"reason", "the store went away before it was accepted"}});
+    std::vector<PendingAnswer> others;
+    for (PendingAnswer &pending : pendingAnswers_) {
+        if (pending.write != found->second.acceptedWrite) {
+            others.push_back(std::move(pending));
+            continue;
+        }
+        pending.answer.outcome = pending.isSubmission ? wire::CallOutcome::Refused : wire::CallOutcome::Missing;
+        pending.answer.retryAfterMs = storeRetry.count();
+        pending.answer.state.clear();
+        output_.messages.emplace_back(pending.peer, std::move(pending.answer));
+    }
+    pendingAnswers_ = std::move(others);
+    jobs_.erase(found);
+}
+
+void Scheduler::answer(const std::string &peer, const wire::JobCall &call, const wire::JobAnswer &answer, std::uint64_t write)
 {
     if (write > storedWrite_) {
-        pendingAnswers_.push_back({write, peer, answer});
+        pendingAnswers_.push_back({write, peer, answer, call.kind == wire::CallKind::Submit});
         return;
     }
     output_.messages.emplace_back(peer, answer);
--- /dev/null
+++ b/src/libknapweed/cell/writequeue.cpp
@@ -0,0 +1,80 @@
+// Batches of records.
+
+#include "cell/writequeue.h"
+
+#include <algorithm>
+#include <map>
+
+namespace knapweed::cell
+{
+
+namespace
+{
+
+constexpr std::size_t batchRecords = 400; ///< of one append
+constexpr std::size_t batchBytes = std::size_t(1) << 20; ///< of one append; half of what the store takes
+
+} // namespace
+
+void WriteQueue::add(std::vector<StoreWrite> records, std::uint64_t lastWrite)
+{
+    std::uint64_t number = lastWrite - records.size();
+    for (StoreWrite &record : records) {
+        pending_.push_back({std::move(record), ++number});
+    }
+}
+
+bool WriteQueue::isEmpty() const
+{
+    return pending_.empty();
+}
+
+void WriteQueue::beginBatch()
+{
+    std::map<std::string, std::string> newest;
+    std::size_t bytes = 0;
+    while (!pending_.empty() && newest.size() < batchRecords && bytes < batchBytes) {
+        Pending &next = pending_.front();
+        bytes += next.record.key.size() + next.record.value.size();
+        batchNumber_ = next.number;
+        newest[next.record.key] = std::move(next.record.value);
+        pending_.pop_front();
+    }
+    batch_.clear();
+    mayBeWritten_ = false;
+    for (auto &[key, value] : newest) {
+        batch_.push_back({key, std::move(value)});
+    }
+}
+
+const std::vector<StoreWrite> &WriteQueue::batch() const
+{
+    return batch_;
+}
+
+std::uint64_t WriteQueue::batchNumber() const
+{
+    return batchNumber_;
+}
+
+void WriteQueue::batchMayBeWritten()
+{
+    mayBeWritten_ = true;
+}
+
+bool WriteQueue::withdraw(const std::string &key)
+{
+    const auto isOfKey = [&key](const StoreWrite &record) {
+        return record.key == key;
+    };
+    if (mayBeWritten_ && std::any_of(batch_.begin(), batch_.end(), isOfKey)) {
+        return false;
+    }
+    std::erase_if(batch_, isOfKey);
+    std::erase_if(pending_, [&key](const Pending &pending) {
+        return pending.record.key == key;
+    });
+    return true;
+}
+
+} // namespace knapweed::cell
--- /dev/null
+++ b/tests/cell/writequeuetest.cpp
@@ -0,0 +1,74 @@
+// Records on their way to the store, and what may still be taken back.
+
+#include "cell/schedulerfixture.h"
+#include "cell/writequeue.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace knapweed;
+using namespace knapweed::cell;
+
+TEST_GROUP(WriteQueue)
+{
+    WriteQueue queue;
+};
+
+TEST(WriteQueue, batchHoldsTheNewestRecordOfEachKey)
+{
+    queue.add({{"a", "1"}, {"b", "1"}, {"a", "2"}}, 3);
+    queue.beginBatch();
+    LONGS_EQUAL(2, queue.batch().size());
+    STRCMP_EQUAL("2", queue.batch().front().value.c_str());
+    LONGS_EQUAL(3, queue.batchNumber());
+    CHECK_TRUE(queue.isEmpty());
+}
+
+TEST(WriteQueue, refusedBatchGivesARecordBack)
+{
+    queue.add({{"a", "1"}, {"b", "1"}}, 2);
+    queue.beginBatch();
+    CHECK_TRUE(queue.withdraw("a"));
+    LONGS_EQUAL(1, queue.batch().size());
+}
+
+TEST(WriteQueue, batchWithoutAnswerKeepsItsRecordsButNotWhatWaitsBehindIt)
+{
+    queue.add({{"a", "1"}}, 1);
+    queue.beginBatch();
+    queue.batchMayBeWritten();
+    queue.add({{"b", "1"}}, 2);
+    CHECK_FALSE(queue.withdraw("a"));
+    CHECK_TRUE(queue.withdraw("b"));
+    LONGS_EQUAL(1, queue.batch().size());
+    CHECK_TRUE(queue.isEmpty());
+}
+
+TEST_GROUP_BASE(StoreOutage, SchedulerFixture) {};
+
+/// Submissions that were under way when the store went away would wait until their callers' deadlines.
+TEST(StoreOutage, submissionsThatWereSurelyNotStoredAreRefusedAtOnce)
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    scheduler->receive("entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})})), now, wall);
+    scheduler->receive("entry", callOf(wire::CallKind::Query, "j1"), now, wall);
+    scheduler->takeOutput();
+    scheduler->setStoreReachable(false);
+    LONGS_EQUAL(1, scheduler->openSubmissions().size());
+    scheduler->withdraw("j1");
+    const auto answers = messagesOf<wire::JobAnswer>(scheduler->takeOutput());
+    LONGS_EQUAL(2, answers.size());
+    LONGS_EQUAL(wire::CallOutcome::Refused, answers[0].second.outcome);
+    CHECK(answers[0].second.retryAfterMs > 0);
+    LONGS_EQUAL(wire::CallOutcome::Missing, answers[1].second.outcome);
+    CHECK_TRUE(scheduler->jobs().empty());
+}
+
+TEST(StoreOutage, acceptedAndCancelledJobsAreNotWithdrawn)
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})})));
+    scheduler->receive("entry", submitOf(plainJob("j2", "usual", {plainStep(1, {1000, 100, 1})})), now, wall);
+    scheduler->receive("entry", callOf(wire::CallKind::Cancel, "j2"), now, wall);
+    CHECK_TRUE(scheduler->openSubmissions().empty());
+}
