Notice a dead scheduler and the store's return sooner

Retries of an append end at 0.2 s, a membership lasts 1.2 s (the platform's least is 1 s) and is renewed each 0.3 s.

--- a/src/knapweedstaged/celltenure.cpp
+++ b/src/knapweedstaged/celltenure.cpp
@@ -13,10 +13,10 @@
 
 constexpr const char *group = "scheduler";
 constexpr const char *turnTopic = "turn"; ///< its partition 0 is the scheduler's place; it has no records
-constexpr Milliseconds membershipLifetime {1500}; ///< an entry that is silent for so long loses the place
-constexpr Milliseconds joinInterval {400}; ///< three joins, or looks at the place, within a lifetime
+constexpr Milliseconds membershipLifetime {1200}; ///< an entry that is silent for so long loses the place; the platform allows no less than 1 s
+constexpr Milliseconds joinInterval {300}; ///< three joins, or looks at the place, within a lifetime
 constexpr int handOverBackoff = 4; ///< a place that comes back after a hand-over was not wanted; the next try can wait
-constexpr Milliseconds joinTimeout {800};
+constexpr Milliseconds joinTimeout {600}; ///< half a lifetime; a slow store answers in 300 ms
 constexpr Milliseconds loadTimeout {2000}; ///< of one page of records
 constexpr Milliseconds adviceTimeout {3000}; ///< the adviser takes calls one after the other
 constexpr Milliseconds planDelay {8}; ///< what arrives together is planned together
--- a/src/knapweedstaged/journalwriter.cpp
+++ b/src/knapweedstaged/journalwriter.cpp
@@ -15,7 +15,7 @@
 constexpr const char *producerName = "scheduler";
 constexpr Milliseconds appendTimeout {900}; ///< over 100 times a usual answer, under half of a caller's patience
 constexpr Milliseconds firstRetry {60}; ///< doubled with each failure in a row
-constexpr Milliseconds longestRetry {500};
+constexpr Milliseconds longestRetry {200}; ///< how late the end of an outage is noticed; submissions are refused until then
 constexpr int failuresToUnreachable = 2; ///< one lost answer is no outage
 
 } // namespace
