--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -15,11 +15,8 @@
 
 constexpr Milliseconds busyReport {500}; ///< between reports while something runs; also how often a lease is renewed
 constexpr Milliseconds idleReport {1000};
-constexpr Milliseconds holdWait {500}; ///< for an end; progress is read as often
 constexpr Milliseconds holdRetry {200}; ///< after a hold failed, or while ends wait to become durable
 constexpr Milliseconds idleHold {2000}; ///< while nothing runs, the lists only change by late orders
-constexpr Seconds lateOrderSpan {15}; ///< an order without an answer may be carried out seconds later; the platform's bench plays up to 12
-constexpr int startAttempts = 3; ///< with the adapter's time-out they end before the scheduler takes the order for lost
 constexpr Milliseconds refusalInterval {400}; ///< between repeated stops of late starts
 constexpr double slowestClock = 0.98; ///< an endpoint's clock may run this much slower than ours
 
@@ -75,24 +72,6 @@
     refuseLateStarts();
 }
 
-/// A stop makes the endpoint refuse a start that arrives after it.
-void Agent::refuseLateStarts()
-{
-    boot_->refusedAt = hooks_.now();
-    for (const RunId &run : boot_->refusedFirst) {
-        hooks_.driver.stop({boot_->status.id, generation_, run}, [this, run, born = boot_->status.born](const Result<Milliseconds, EndpointError> &result) {
-            if (!isOk(result)) {
-                logEvent(LogLevel::Warning, "stop.failed", {{"job", run.task.job}, {"run", std::to_string(run.run)}, {"reason", error(result).detail}});
-                return; // repeated by tick()
-            }
-            if (boot_ && boot_->status.born == born && boot_->refusedFirst.erase(run) != 0 && boot_->refusedFirst.empty()) {
-                boot_->refusalHold = holdNumber_;
-                hold(Milliseconds(0));
-            }
-        });
-    }
-}
-
 void Agent::endpointLeft(const std::string &id)
 {
     if (boot_ && boot_->status.id == id) {
@@ -180,107 +159,6 @@
     return boot_->clock + Milliseconds(static_cast<std::int64_t>(rest));
 }
 
-/// An earlier start of the task that had no answer is refused before a new one is sent: the endpoint's next boot may already answer here.
-void Agent::handle(const std::string &peer, const wire::StartOrder &order)
-{
-    if (!isCurrent(peer, order.generation, order.born, order.endpoint)) {
-        answerStart(peer, order, wire::StartOutcome::Rejected, "agent not ready for this generation or endpoint");
-        return;
-    }
-    const RunId run = runIdOf(order.run);
-    const std::vector<RunId> late = lateStartsOf(run.task);
-    if (late.empty() || late.back().run >= run.run) {
-        tryStart(peer, order, 1);
-        return;
-    }
-    // A stop of the newest refuses all earlier runs of the task.
-    hooks_.driver.stop({order.endpoint, order.generation, late.back()}, [this, peer, order](const Result<Milliseconds, EndpointError> &result) {
-        if (isOk(result)) {
-            tryStart(peer, order, 1);
-        } else {
-            answerStart(peer, order, wire::StartOutcome::Rejected, "an earlier start of the task may still come: " + error(result).detail);
-        }
-    });
-}
-
-/// Starts of the task without an answer, by run.
-std::vector<RunId> Agent::lateStartsOf(const TaskId &task) const
-{
-    std::vector<RunId> late;
-    for (auto start = lateStarts_.lower_bound({task, 0}); start != lateStarts_.end() && start->first.task == task; ++start) {
-        if (start->second.until > hooks_.now()) {
-            late.push_back(start->first);
-        }
-    }
-    return late;
-}
-
-/// A start without an answer is sent again: under its run number it is carried out at most once.
-void Agent::tryStart(const std::string &peer, const wire::StartOrder &order, int attempt)
-{
-    const std::optional<Milliseconds> until = leaseUntil();
-    if (!isCurrent(peer, order.generation, order.born, order.endpoint) || boot_->status.isDraining || !until || boot_->listedGeneration != generation_) {
-        startFailed(peer, order, {EndpointError::Kind::Refused, "agent not ready for this generation or endpoint"}, attempt);
-        return;
-    }
-    StartRequest request;
-    request.endpoint = order.endpoint;
-    request.fence = order.generation;
-    request.run = runIdOf(order.run);
-    request.input = order.input;
-    request.checkpoint = order.checkpoint;
-    request.ticket = order.ticket;
-    request.leaseUntil = *until;
-    hooks_.driver.start(request, [this, peer, order, attempt](const Result<Milliseconds, EndpointError> &result) {
-        if (isOk(result)) {
-            started(peer, order);
-            return;
-        }
-        if (error(result).kind == EndpointError::Kind::Unanswered) {
-            lateStarts_[runIdOf(order.run)] = {order.endpoint, hooks_.now() + lateOrderSpan};
-            if (attempt < startAttempts) {
-                tryStart(peer, order, attempt + 1);
-                return;
-            }
-        }
-        startFailed(peer, order, error(result), attempt);
-    });
-}
-
-void Agent::started(const std::string &peer, const wire::StartOrder &order)
-{
-    const RunId run = runIdOf(order.run);
-    if (boot_ && boot_->status.born == order.born && boot_->listNumber <= holdNumber_) {
-        boot_->started[run] = holdNumber_;
-    }
-    logEvent(
-        LogLevel::Info, "run.started", {{"job", run.task.job}, {"task", nameOf(run.task)}, {"run", std::to_string(run.run)}, {"endpoint", order.endpoint}});
-    answerStart(peer, order, wire::StartOutcome::Started, {});
-    if (!isWaitingHold_) {
-        hold(holdWait);
-    }
-}
-
-void Agent::startFailed(const std::string &peer, const wire::StartOrder &order, EndpointError failure, int attempt)
-{
-    using Kind = EndpointError::Kind;
-    if (attempt > 1) {
-        failure.kind = Kind::Unanswered; // an earlier attempt may still be carried out, or has been
-    }
-    wire::StartOutcome::type outcome = wire::StartOutcome::Rejected;
-    if (failure.kind == Kind::Unanswered) {
-        outcome = wire::StartOutcome::Unanswered;
-    } else if (failure.kind == Kind::NoRoom) {
-        outcome = wire::StartOutcome::NoRoom;
-    } else if (failure.kind == Kind::BadTicket) {
-        outcome = wire::StartOutcome::BadTicket;
-    }
-    logEvent(LogLevel::Warning,
-        "start.failed",
-        {{"job", order.run.job}, {"run", std::to_string(order.run.run)}, {"attempt", std::to_string(attempt)}, {"reason", failure.detail}});
-    answerStart(peer, order, outcome, failure.detail);
-}
-
 void Agent::handle(const std::string &peer, const wire::StopOrder &order)
 {
     if (!isCurrent(peer, order.generation, order.born, order.endpoint)) {
@@ -400,7 +278,7 @@
     if (!isWaitingHold_ && now >= nextHold_) {
         const bool canWait = boot_->ended.empty() && isBusy && boot_->isClockKnown;
         nextHold_ = now + idleHold;
-        hold(canWait ? holdWait : Milliseconds(0));
+        hold(canWait ? endWait : Milliseconds(0));
     }
 }
 
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -28,6 +28,8 @@
     std::function<BootTime()> now;
 };
 
+constexpr Milliseconds endWait {500}; ///< how long a look at the endpoint waits for an end; progress is read as often
+
 class Agent
 {
 public:
--- a/tests/cell/writequeuetest.cpp
+++ b/tests/cell/writequeuetest.cpp
@@ -1,7 +1,7 @@
 // Records on their way to the store, and what may still be taken back.
 
-#include "cell/schedulerfixture.h"
 #include "cell/writequeue.h"
+#include "cell/schedulerfixture.h"
 
 #include <CppUTest/TestHarness.h>
 
