--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -147,7 +147,7 @@
     WaitingUnit describe(const Job &job, const UnitKey &key, const Unit &unit, bool isGuaranteed, BootTime now) const;
     std::vector<PlannedEndpoint> plannedEndpoints(BootTime now, std::vector<std::pair<std::string, UnitKey>> &names) const;
     void addAdvice(const Job &job, const UnitKey &key, WaitingUnit &waiting, BootTime now);
-    void startUnit(const std::string &jobId, const UnitKey &key, const std::vector<std::string> &agents, BootTime now);
+    void startUnit(const std::string &jobId, const UnitKey &key, Rank rank, const std::vector<std::string> &agents, BootTime now);
 
     SchedulerOptions options_;
     CellConfiguration configuration_;
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -244,7 +244,7 @@
     const Plan plan = planUnits(units, plannedEndpoints(now, names));
     hasBlocked_ = !plan.blocked.empty();
     for (const PlannedStart &start : plan.starts) {
-        startUnit(names[start.number].first, names[start.number].second, start.agents, now);
+        startUnit(names[start.number].first, names[start.number].second, units[start.number].rank, start.agents, now);
     }
     for (const std::size_t number : plan.stops) {
         const auto &[jobId, key] = names[number];
@@ -253,7 +253,7 @@
     }
 }
 
-void Scheduler::startUnit(const std::string &jobId, const UnitKey &key, const std::vector<std::string> &agents, BootTime now)
+void Scheduler::startUnit(const std::string &jobId, const UnitKey &key, Rank rank, const std::vector<std::string> &agents, BootTime now)
 {
     Job &job = jobs_.at(jobId);
     Unit &unit = job.units.at(key);
@@ -266,7 +266,6 @@
     unit.progress.agents = agents;
     const std::uint64_t write = writeProgress(job);
     const Step &step = job.spec.steps[key.step];
-    const Rank rank = rankOf(job, guaranteedJobs().count(jobId) != 0);
     for (std::size_t i = 0; i < agents.size(); ++i) {
         Endpoint &endpoint = endpoints_.at(agents[i]);
         const RunId run {{jobId, key.occurrence, key.step, unit.indices[i]}, unit.run};
