Endpoints that have left need no lease waited out

Cause: an agent whose endpoint had left, or had been taken away at short notice, could read no lists from it any more, so a new scheduler took its reports for not yet listed, and the old one took the last lists for what still runs. Change: when the notice is over, or the endpoint has said that it left, and nothing accepts connections at its address, it runs nothing, and its agent says so under any generation. Connections that are reset, time out or are refused before that time change nothing.

--- a/src/libknapweed/base/httpclient.cpp
+++ b/src/libknapweed/base/httpclient.cpp
@@ -360,7 +360,7 @@
 {
     const HttpError::Kind kind = exchange->isSent ? HttpError::Kind::TimedOut : HttpError::Kind::NotSent;
     lws *wsi = exchange->wsi;
-    finish(*exchange, HttpError {kind, "timed out"});
+    finish(*exchange, HttpError {kind, "timed out", true});
     if (wsi != nullptr) {
         lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
     }
--- a/src/libknapweed/base/httpclient.h
+++ b/src/libknapweed/base/httpclient.h
@@ -22,6 +22,7 @@
     };
     Kind kind = Kind::NotSent;
     std::string detail;
+    bool isTimeout = false; ///< the time allowed was over; else the connection itself failed or was refused
 };
 
 using HttpResult = Result<HttpResponse, HttpError>;
--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -42,6 +42,7 @@
         logEvent(LogLevel::Info, "endpoint.draining", {{"endpoint", status.id}, {"remaining_ms", std::to_string(status.remaining.count())}});
     }
     boot_->status = status;
+    boot_->leavesAt = hooks_.now() + status.remaining;
     if (isNews) {
         hold(Milliseconds(0));
         report();
@@ -200,18 +201,35 @@
             if (isOk(result)) {
                 held(number, fence, born, endsStored, value(result));
             } else {
-                logEvent(LogLevel::Warning, "hold.failed", {{"reason", error(result).detail}});
-                if (boot_ && boot_->hasLeft && boot_->status.born == born && error(result).kind == EndpointError::Kind::Refused) {
-                    // Nothing listens at its address any more.
-                    boot_->running.clear();
-                    boot_->started.clear();
-                    report();
-                }
                 nextHold_ = hooks_.now() + holdRetry;
+                if (boot_ && boot_->status.born == born) {
+                    holdFailed(error(result));
+                }
             }
         });
 }
 
+/// An endpoint that has left, or whose notice is over, and that refuses connections runs nothing: no scheduler need wait for its lease.
+void Agent::holdFailed(const EndpointError &failure)
+{
+    const bool isDue = boot_->hasLeft || (boot_->status.isDraining && hooks_.now() >= boot_->leavesAt);
+    if (!isDue || failure.kind != EndpointError::Kind::Absent) {
+        logEvent(LogLevel::Warning, "hold.failed", {{"reason", failure.detail}});
+        return;
+    }
+    nextHold_ = hooks_.now() + idleHold;
+    if (boot_->isGone) {
+        return;
+    }
+    logEvent(LogLevel::Info,
+        "endpoint.gone",
+        {{"endpoint", boot_->status.id}, {"running", std::to_string(boot_->running.size())}, {"said_so", boot_->hasLeft ? "yes" : "no"}});
+    boot_->isGone = true;
+    boot_->running.clear();
+    boot_->started.clear();
+    report();
+}
+
 void Agent::held(std::uint64_t number, std::int64_t fence, std::int64_t born, std::int64_t endsStored, const HoldAnswer &answer)
 {
     if (!boot_ || boot_->status.born != born) {
@@ -233,6 +251,7 @@
         nextHold_ = hooks_.now();
         return;
     }
+    boot_->isGone = false;
     boot_->listNumber = std::max(boot_->listNumber, number);
     boot_->endsForgotten = std::max(boot_->endsForgotten, endsStored);
     boot_->clock = answer.clock;
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -64,6 +64,8 @@
         std::int64_t endsForgotten = 0; ///< that this boot is known to have forgotten; said once only, because the next boot counts from 1 again
         std::map<RunId, std::uint64_t> started; ///< started and perhaps not listed yet, by the newest hold sent before the start was answered
         bool hasLeft = false; ///< it has said so; what it ran ends with it
+        BootTime leavesAt; ///< it may be gone from then on; meaningful while draining
+        bool isGone = false; ///< it was due to leave, and nothing accepts connections at its address: nothing runs there any more
         std::map<RunId, std::uint64_t> stopped; ///< stopped and perhaps still listed, likewise
         std::set<RunId> refusedFirst; ///< late starts of an earlier boot that this one must refuse before it gets work; its lists don't count until empty
         BootTime refusedAt; ///< when their stops were sent last
@@ -93,6 +95,7 @@
     void hold(Milliseconds wait);
     void held(std::uint64_t number, std::int64_t fence, std::int64_t born, std::int64_t endsStored, const HoldAnswer &answer);
     std::optional<Milliseconds> leaseUntil() const;
+    void holdFailed(const EndpointError &failure);
     void reportAbsent();
 
     AgentOptions options_;
--- a/src/libknapweed/cell/agentreports.cpp
+++ b/src/libknapweed/cell/agentreports.cpp
@@ -63,7 +63,7 @@
     report.draining = boot_->status.isDraining;
     report.leavesInMs = boot_->status.remaining.count();
     report.generation = generation_;
-    report.isListed = boot_->listedGeneration == generation_;
+    report.isListed = boot_->isGone || boot_->listedGeneration == generation_;
     for (const auto &[id, run] : boot_->running) {
         wire::RunRow row;
         row.run = wireRef(id);
--- a/src/libknapweed/cell/endpointstatus.h
+++ b/src/libknapweed/cell/endpointstatus.h
@@ -84,6 +84,7 @@
 {
     enum class Kind {
         Refused, ///< it was not done and won't be
+        Absent, ///< as Refused: nothing accepts connections at the endpoint's address
         OtherBoot, ///< another boot answers at that address
         Unanswered, ///< it may have been done or may be done later
         NoRoom,
--- a/tests/cell/agenttest.cpp
+++ b/tests/cell/agenttest.cpp
@@ -140,15 +140,50 @@
         }
     }
 
-    bool isListedInLastReport()
+    wire::EndpointReport lastReport()
     {
-        bool isListed = false;
+        wire::EndpointReport last;
         for (const PeerMessage &message : sent) {
             if (const wire::EndpointReport *report = std::get_if<wire::EndpointReport>(&message)) {
-                isListed = report->isListed;
+                last = *report;
             }
         }
-        return isListed;
+        return last;
+    }
+
+    bool isListedInLastReport()
+    {
+        return lastReport().isListed;
+    }
+
+    /// Starts one run and lets the endpoint give notice that it leaves in @p remaining.
+    void startAndDrain(Milliseconds remaining)
+    {
+        agent->receive(schedulerName, orderOf(41));
+        starts[0].callback(Milliseconds(5));
+        starts.clear();
+        EndpointStatus status = statusOf(100);
+        status.sequence = 2;
+        status.isDraining = true;
+        status.remaining = remaining;
+        agent->endpointReported(status);
+    }
+
+    void failHolds(EndpointError::Kind kind)
+    {
+        std::vector<HoldCall> failing = std::move(holds);
+        holds.clear();
+        for (const HoldCall &call : failing) {
+            call.callback(EndpointError {kind, "failed"});
+        }
+    }
+
+    void learnLaterScheduler()
+    {
+        wire::SchedulerNotice notice;
+        notice.generation = 8;
+        notice.address = "later";
+        agent->receive("later", notice);
     }
 };
 
@@ -233,3 +268,71 @@
     LONGS_EQUAL(1, starts.size());
     LONGS_EQUAL(42, starts[0].request.run.run);
 }
+
+TEST(Agent, laterSchedulerNeedNotWaitForAnEndpointThatHasLeft)
+{
+    startAndDrain(Milliseconds(4500));
+    now += Milliseconds(4600);
+    agent->endpointLeft("i-1");
+    failHolds(EndpointError::Kind::Absent);
+    CHECK_TRUE(lastReport().running.empty());
+
+    learnLaterScheduler();
+    LONGS_EQUAL(8, lastReport().generation);
+    CHECK_TRUE(lastReport().isListed);
+    CHECK_TRUE(lastReport().running.empty());
+}
+
+TEST(Agent, endpointTakenAwayAtShortNoticeIsGoneWhenItsTimeIsOverAndNothingAnswers)
+{
+    startAndDrain(Milliseconds(2000));
+    now += Milliseconds(2100);
+    failHolds(EndpointError::Kind::Absent);
+    CHECK_TRUE(lastReport().isListed);
+    CHECK_TRUE(lastReport().running.empty());
+}
+
+TEST(Agent, endpointIsNotGoneBeforeItsTimeNorWhileItIsOnlySilent)
+{
+    startAndDrain(Milliseconds(2000));
+    failHolds(EndpointError::Kind::Absent);
+    LONGS_EQUAL(1, lastReport().running.size());
+
+    now += Milliseconds(2100);
+    agent->tick();
+    failHolds(EndpointError::Kind::Refused);
+    now += Milliseconds(1000);
+    agent->tick();
+    failHolds(EndpointError::Kind::Unanswered);
+    now += Milliseconds(1000);
+    agent->tick();
+    LONGS_EQUAL(1, lastReport().running.size());
+}
+
+TEST(Agent, endpointThatNeverSaidThatItLeavesIsNotGoneWhenNothingAnswers)
+{
+    agent->receive(schedulerName, orderOf(41));
+    starts[0].callback(Milliseconds(5));
+    now += Seconds(1);
+    agent->tick();
+    failHolds(EndpointError::Kind::Absent);
+    now += Seconds(1);
+    agent->tick();
+    LONGS_EQUAL(1, lastReport().running.size());
+}
+
+TEST(Agent, goneEndpointThatAnswersAgainIsThere)
+{
+    startAndDrain(Milliseconds(2000));
+    now += Milliseconds(2100);
+    failHolds(EndpointError::Kind::Absent);
+    learnLaterScheduler();
+    CHECK_TRUE(lastReport().isListed);
+    answerHolds(100);
+    learnLaterScheduler();
+    wire::SchedulerNotice notice;
+    notice.generation = 9;
+    notice.address = "third";
+    agent->receive("third", notice);
+    CHECK_FALSE(lastReport().isListed);
+}
