--- a/src/libknapweed/cell/jobtable.cpp
+++ b/src/libknapweed/cell/jobtable.cpp
@@ -62,6 +62,9 @@
 bool areDependenciesDone(const Job &job, const UnitKey &key)
 {
     const std::vector<int> &after = job.spec.steps[key.step].after;
+    if (after.empty()) {
+        return true;
+    }
     for (auto unit = job.units.lower_bound({key.occurrence, 0, -1}); unit != job.units.end() && unit->first.occurrence == key.occurrence; ++unit) {
         const bool isNeeded = std::find(after.begin(), after.end(), unit->first.step) != after.end();
         if (isNeeded && !unit->second.progress.isDone) {
--- a/src/libknapweed/cell/planner.cpp
+++ b/src/libknapweed/cell/planner.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <limits>
 #include <optional>
+#include <tuple>
 
 namespace knapweed::cell
 {
@@ -13,15 +14,29 @@
 namespace
 {
 
+constexpr double displacedWeight = 10; ///< of a core-second of work thrown away, against a share of an endpoint left idle
+constexpr double avoidedPenalty = 100; ///< above what idle shares add up to: only where nothing else has room
 constexpr std::size_t heldGangs = 1; ///< later gangs without room for which endpoints are kept free; more would idle the fleet
 
 /// Tasks of each step that this round has placed, by agent.
 using PlacedTasks = std::map<std::string, std::map<std::string, std::size_t>>;
 
+/// Endpoints that offer one service and carry one label, as indexes into the table.
+struct Eligible
+{
+    std::vector<std::size_t> all;
+    std::map<std::string, std::vector<std::size_t>> byRack;
+};
+
+/// What decides whether a unit finds free room.
+using Shape = std::tuple<std::string, std::string, std::string, std::int64_t, std::int64_t, std::int64_t, bool, bool>;
+
 struct Table
 {
     std::vector<PlannedEndpoint> endpoints;
     PlacedTasks placed;
+    std::map<std::pair<std::string, std::string>, Eligible> eligible; ///< by service and label
+    std::map<Shape, std::size_t> blocked; ///< the smallest number of tasks of each shape that found no free room; room only shrinks within a round
 };
 
 /// Where a unit's tasks would go and what that costs.
@@ -49,11 +64,36 @@
     return sum;
 }
 
-bool mayUse(const WaitingUnit &unit, const PlannedEndpoint &endpoint)
+const Eligible &eligibleFor(const WaitingUnit &unit, Table &table)
 {
-    const bool hasLabel = unit.requiredLabel.empty() || endpoint.labels.count(unit.requiredLabel) != 0;
-    const bool isAdvised = !unit.needsAdvice || unit.advised.count(endpoint.agent) != 0;
-    return endpoint.service == unit.service && hasLabel && isAdvised && fits(unit.needs, endpoint.capacity);
+    const auto [found, isNew] = table.eligible.try_emplace({unit.service, unit.requiredLabel});
+    for (std::size_t place = 0; isNew && place < table.endpoints.size(); ++place) {
+        const PlannedEndpoint &endpoint = table.endpoints[place];
+        const bool hasLabel = unit.requiredLabel.empty() || endpoint.labels.count(unit.requiredLabel) != 0;
+        if (endpoint.service == unit.service && hasLabel) {
+            found->second.all.push_back(place);
+            found->second.byRack[endpoint.rack].push_back(place);
+        }
+    }
+    return found->second;
+}
+
+Shape shapeOf(const WaitingUnit &unit)
+{
+    return {unit.service,
+        unit.requiredLabel,
+        unit.dataRack,
+        unit.needs.milliCores,
+        unit.needs.memoryMib,
+        unit.needs.accelerators,
+        unit.prefersOneRack && unit.tasks > 1,
+        unit.mayLeaveRack};
+}
+
+/// Whether free room depends on more than the shape.
+bool isRestricted(const WaitingUnit &unit)
+{
+    return unit.needsAdvice || unit.tasksPerEndpoint > 0;
 }
 
 std::size_t countOn(const std::map<std::string, std::size_t> &counts, const std::string &agent)
@@ -81,13 +121,21 @@
     return accelerators * 2 + cores;
 }
 
-/// Frees room for one more task on the endpoint by stopping parts of later ranks, the cheapest first. Returns the cost, or nothing when it can't be done.
-std::optional<double> displace(const WaitingUnit &unit, PlannedEndpoint &endpoint, std::set<std::size_t> &victims)
+/// What one more task of a unit costs on an endpoint.
+struct Offer
 {
-    Resources room = endpoint.room;
-    std::vector<RunningPart *> candidates;
-    for (RunningPart &part : endpoint.parts) {
-        if (part.isStopping || victims.count(part.unit) != 0) {
+    bool isKnown = false; ///< else it has to be computed
+    bool isPossible = false;
+    double score = 0; ///< lower is better
+    std::vector<std::size_t> victims; ///< units to be stopped for it, beside those that are chosen already
+};
+
+/// Frees room for one more task by stopping parts of later ranks, the cheapest first. @p room is what the tasks placed so far leave.
+void displace(const WaitingUnit &unit, const PlannedEndpoint &endpoint, Resources room, const std::set<std::size_t> &chosen, Offer &offer)
+{
+    std::vector<const RunningPart *> candidates;
+    for (const RunningPart &part : endpoint.parts) {
+        if (part.isStopping || chosen.count(part.unit) != 0) {
             room += part.needs;
         } else if (part.rank > unit.rank) {
             candidates.push_back(&part);
@@ -98,94 +146,127 @@
     };
     std::sort(candidates.begin(), candidates.end(), isCheaper);
     double cost = 0;
-    std::vector<std::size_t> chosen;
     for (const RunningPart *part : candidates) {
         if (fits(unit.needs, room)) {
             break;
         }
         room += part->needs;
         cost += 1 + part->lostWork;
-        chosen.push_back(part->unit);
+        offer.victims.push_back(part->unit);
     }
-    if (!fits(unit.needs, room)) {
-        return std::nullopt;
+    offer.isPossible = fits(unit.needs, room);
+    offer.score += cost * displacedWeight;
+}
+
+Offer offerOf(const WaitingUnit &unit, const PlannedEndpoint &endpoint, const Resources &room, const std::set<std::size_t> &chosen, bool displaces)
+{
+    Offer offer;
+    offer.isKnown = true;
+    offer.score = leftover(room, endpoint.capacity) + (unit.avoided.count(endpoint.agent) != 0 ? avoidedPenalty : 0);
+    if (fits(unit.needs, room)) {
+        offer.isPossible = true;
+    } else if (displaces) {
+        displace(unit, endpoint, room, chosen, offer);
     }
-    victims.insert(chosen.begin(), chosen.end());
-    return cost;
+    return offer;
 }
 
 /// Places every task on the endpoints named by @p places, or returns nothing. With @p displaces it may stop later work.
 std::optional<Choice> choose(const WaitingUnit &unit, const Table &table, const std::vector<std::size_t> &places, bool displaces)
 {
+    struct Candidate
+    {
+        std::size_t place = 0;
+        Resources room;
+        std::size_t allowed = 0; ///< tasks that may still go there
+        Offer offer;
+    };
+    std::vector<Candidate> candidates;
+    for (const std::size_t place : places) {
+        const PlannedEndpoint &endpoint = table.endpoints[place];
+        const bool isAdvised = !unit.needsAdvice || unit.advised.count(endpoint.agent) != 0;
+        const bool isCandidate = isAdvised && fits(unit.needs, displaces ? endpoint.capacity : endpoint.room);
+        if (isCandidate) {
+            candidates.push_back({place, endpoint.room, allowedOn(unit, endpoint, table.placed), {}});
+        }
+    }
     Choice choice;
-    std::map<std::size_t, PlannedEndpoint> copies;
-    std::map<std::size_t, std::size_t> used;
     for (std::size_t task = 0; task < unit.tasks; ++task) {
-        std::optional<std::size_t> best;
-        double bestScore = std::numeric_limits<double>::max();
-        std::set<std::size_t> bestVictims;
-        for (const std::size_t place : places) {
-            if (used[place] >= allowedOn(unit, table.endpoints[place], table.placed)) {
+        Candidate *best = nullptr;
+        for (Candidate &candidate : candidates) {
+            if (candidate.allowed == 0) {
                 continue;
             }
-            PlannedEndpoint &endpoint = copies.try_emplace(place, table.endpoints[place]).first->second;
-            double score = leftover(endpoint.room, endpoint.capacity) + (unit.avoided.count(endpoint.agent) != 0 ? 100 : 0);
-            std::set<std::size_t> victims = choice.victims;
-            if (!fits(unit.needs, endpoint.room)) {
-                const std::optional<double> cost = displaces ? displace(unit, endpoint, victims) : std::nullopt;
-                if (!cost) {
-                    continue;
-                }
-                score += *cost * 10;
+            if (!candidate.offer.isKnown) {
+                candidate.offer = offerOf(unit, table.endpoints[candidate.place], candidate.room, choice.victims, displaces);
             }
-            if (score < bestScore) {
-                best = place;
-                bestScore = score;
-                bestVictims = victims;
+            if (candidate.offer.isPossible && (best == nullptr || candidate.offer.score < best->offer.score)) {
+                best = &candidate;
             }
         }
-        if (!best) {
+        if (best == nullptr) {
             return std::nullopt;
         }
-        copies.at(*best).room -= unit.needs;
-        ++used[*best];
-        choice.victims = bestVictims;
-        choice.places.push_back(*best);
-        choice.cost += bestScore;
+        choice.cost += best->offer.score;
+        choice.places.push_back(best->place);
+        best->room -= unit.needs;
+        --best->allowed;
+        const std::vector<std::size_t> victims = std::move(best->offer.victims);
+        best->offer = Offer();
+        if (!victims.empty()) {
+            choice.victims.insert(victims.begin(), victims.end());
+            // Their parts elsewhere come free as well.
+            for (Candidate &candidate : candidates) {
+                candidate.offer = Offer();
+            }
+        }
     }
     return choice;
 }
 
 /// The best choice within one rack when the unit wants that; else over all that it may use.
-std::optional<Choice> chooseAnywhere(const WaitingUnit &unit, const Table &table, bool displaces)
+std::optional<Choice> chooseAnywhere(const WaitingUnit &unit, Table &table, bool displaces)
 {
-    std::map<std::string, std::vector<std::size_t>> byRack;
-    std::vector<std::size_t> all;
-    for (std::size_t place = 0; place < table.endpoints.size(); ++place) {
-        if (mayUse(unit, table.endpoints[place])) {
-            byRack[table.endpoints[place].rack].push_back(place);
-            all.push_back(place);
-        }
-    }
+    const Eligible &eligible = eligibleFor(unit, table);
+    const bool wantsOneRack = unit.prefersOneRack && unit.tasks > 1;
+    const auto dataRack = eligible.byRack.find(unit.dataRack);
     std::optional<Choice> best;
-    if (!unit.dataRack.empty() && byRack.count(unit.dataRack) != 0) {
-        best = choose(unit, table, byRack.at(unit.dataRack), displaces);
+    if (!unit.dataRack.empty() && dataRack != eligible.byRack.end()) {
+        best = choose(unit, table, dataRack->second, displaces);
     }
-    if (!best && unit.prefersOneRack && unit.tasks > 1) {
-        for (const auto &[rack, places] : byRack) {
+    if (!best && wantsOneRack) {
+        for (const auto &[rack, places] : eligible.byRack) {
             std::optional<Choice> choice = choose(unit, table, places, displaces);
             if (choice && (!best || choice->cost < best->cost)) {
                 best = std::move(choice);
             }
         }
     }
-    const bool isBound = (!unit.dataRack.empty() || (unit.prefersOneRack && unit.tasks > 1)) && !unit.mayLeaveRack;
+    const bool isBound = (!unit.dataRack.empty() || wantsOneRack) && !unit.mayLeaveRack;
     if (!best && !isBound) {
-        best = choose(unit, table, all, displaces);
+        best = choose(unit, table, eligible.all, displaces);
     }
     return best;
 }
 
+/// Where the unit goes without stopping anything.
+std::optional<Choice> chooseFree(const WaitingUnit &unit, Table &table)
+{
+    if (isRestricted(unit)) {
+        return chooseAnywhere(unit, table, false);
+    }
+    const Shape shape = shapeOf(unit);
+    const auto blocked = table.blocked.find(shape);
+    if (blocked != table.blocked.end() && unit.tasks >= blocked->second) {
+        return std::nullopt;
+    }
+    std::optional<Choice> choice = chooseAnywhere(unit, table, false);
+    if (!choice) {
+        table.blocked[shape] = unit.tasks;
+    }
+    return choice;
+}
+
 void take(const WaitingUnit &unit, const Choice &choice, Table &table)
 {
     for (const std::size_t place : choice.places) {
@@ -211,7 +292,7 @@
 }
 
 /// Where the unit goes when later work makes room, unless that throws away more than the unit is worth.
-std::optional<Choice> chooseDisplacing(const WaitingUnit &unit, const Table &table)
+std::optional<Choice> chooseDisplacing(const WaitingUnit &unit, Table &table)
 {
     if (unit.rank > Rank::First) {
         return std::nullopt;
@@ -236,11 +317,12 @@
 
 Plan planUnits(const std::vector<WaitingUnit> &units, std::vector<PlannedEndpoint> endpoints)
 {
-    Table table {std::move(endpoints), {}};
+    Table table;
+    table.endpoints = std::move(endpoints);
     Plan plan;
     std::size_t held = 0;
     for (const WaitingUnit &unit : units) {
-        const std::optional<Choice> direct = chooseAnywhere(unit, table, false);
+        const std::optional<Choice> direct = chooseFree(unit, table);
         if (direct) {
             take(unit, *direct, table);
             PlannedStart start {unit.number, {}};
--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr Milliseconds replanInterval {100}; ///< while units are blocked
+constexpr Milliseconds checkInterval {100}; ///< between looks at all runs for time-outs; planning may tick more often
 constexpr Seconds statusRetention {150}; ///< how long a job that is over can be asked for; the platform asks for 120 s
 
 constexpr Seconds lostAgentRetention {30}; ///< after an agent's lease; then nothing is known of it any more
@@ -153,7 +154,10 @@
 
 void Scheduler::tick(BootTime now, WallTime wall)
 {
-    checkEndpoints(now);
+    if (now - checkedAt_ >= checkInterval) {
+        checkedAt_ = now;
+        checkEndpoints(now);
+    }
     addDueOccurrences(now, wall);
     if (isRecovering_ && (awaitedAgents_.empty() || now >= recoveryEnds_)) {
         finishRecovery(now);
@@ -193,14 +197,16 @@
 {
     for (auto &[id, job] : jobs_) {
         for (auto &[key, unit] : job.units) {
+            if (unit.phase != Unit::Phase::Active || unit.indices.size() == 1) {
+                continue;
+            }
             std::set<int> present;
             for (const MemberPlace &member : unit.members) {
                 if (member.second.run == unit.run) {
                     present.insert(member.second.task.index);
                 }
             }
-            const bool isPartial = unit.phase == Unit::Phase::Active && present.size() < unit.indices.size();
-            if (isPartial && !unit.isStopping && !unit.progress.isDone && !mayRunElsewhere(unit)) {
+            if (present.size() < unit.indices.size() && !unit.isStopping && !unit.progress.isDone && !mayRunElsewhere(unit)) {
                 stopUnit(unit, now);
             }
         }
@@ -231,10 +237,11 @@
 void Scheduler::forgetOldJobs(BootTime now)
 {
     for (auto job = jobs_.begin(); job != jobs_.end();) {
-        const bool isHeld = std::any_of(job->second.units.begin(), job->second.units.end(), [](const auto &unit) {
+        const bool isOld = job->second.isOver && now - job->second.overAt > statusRetention;
+        const bool isHeld = isOld && std::any_of(job->second.units.begin(), job->second.units.end(), [](const auto &unit) {
             return !unit.second.members.empty();
         });
-        if (job->second.isOver && !isHeld && now - job->second.overAt > statusRetention) {
+        if (isOld && !isHeld) {
             write({jobRecordKey(job->first), ""});
             write({progressRecordKey(job->first), ""});
             advice_.erase(advice_.lower_bound({job->first, 0, 0}), advice_.lower_bound({job->first + '\0', 0, 0}));
@@ -251,14 +258,29 @@
     return ++output_.lastWrite;
 }
 
+/// Changes that leave together are one record: a wide step starts and ends by the dozen, and each record holds all of the job.
 std::uint64_t Scheduler::writeProgress(Job &job)
 {
-    job.lastWrite = write({progressRecordKey(job.spec.id), encodeProgress(progressOf(job))});
+    if (openProgress_.try_emplace(job.spec.id, output_.writes.size()).second) {
+        job.lastWrite = write({progressRecordKey(job.spec.id), ""});
+    }
     return job.lastWrite;
 }
 
+void Scheduler::encodeOpenProgress()
+{
+    for (const auto &[id, place] : openProgress_) {
+        const auto job = jobs_.find(id);
+        if (job != jobs_.end()) {
+            output_.writes[place].value = encodeProgress(progressOf(job->second));
+        }
+    }
+    openProgress_.clear();
+}
+
 SchedulerOutput Scheduler::takeOutput()
 {
+    encodeOpenProgress();
     SchedulerOutput taken = std::move(output_);
     output_ = SchedulerOutput();
     output_.lastWrite = taken.lastWrite;
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -129,6 +129,7 @@
     void stopJob(Job &job, BootTime now);
     void sendStop(Endpoint &endpoint, const RunId &run, BootTime now);
     std::uint64_t writeProgress(Job &job);
+    void encodeOpenProgress();
     std::uint64_t write(StoreWrite record);
 
     void forgetLostAgents(BootTime now);
@@ -143,9 +144,10 @@
 
     void plan(BootTime now);
     std::set<std::string> guaranteedJobs() const;
-    std::vector<WaitingUnit> waitingUnits(BootTime now, std::vector<std::pair<std::string, UnitKey>> &names);
-    WaitingUnit describe(const Job &job, const UnitKey &key, const Unit &unit, bool isGuaranteed, BootTime now) const;
-    std::vector<PlannedEndpoint> plannedEndpoints(BootTime now, std::vector<std::pair<std::string, UnitKey>> &names) const;
+    std::vector<WaitingUnit> waitingUnits(const std::set<std::string> &guaranteed, BootTime now, std::vector<std::pair<std::string, UnitKey>> &names);
+    WaitingUnit describe(const Job &job, const UnitKey &key, const Unit &unit, Rank rank, BootTime now) const;
+    std::vector<PlannedEndpoint> plannedEndpoints(
+        const std::set<std::string> &guaranteed, BootTime now, std::vector<std::pair<std::string, UnitKey>> &names) const;
     void addAdvice(const Job &job, const UnitKey &key, WaitingUnit &waiting, BootTime now);
     void startUnit(const std::string &jobId, const UnitKey &key, Rank rank, const std::vector<std::string> &agents, BootTime now);
 
@@ -156,6 +158,7 @@
     std::map<StepName, StepAdvice> advice_; ///< of steps that have waited in queues that need advice
     std::vector<PendingAnswer> pendingAnswers_; ///< with a write above storedWrite_
     SchedulerOutput output_;
+    std::map<std::string, std::size_t> openProgress_; ///< jobs whose progress is written with the next output, by the place of its record there
     std::uint64_t storedWrite_ = 0; ///< never above output_.lastWrite
     std::uint64_t acceptedJobs_ = 0;
     std::int64_t startedRuns_ = 0;
@@ -164,6 +167,7 @@
     bool isPlanDue_ = true; ///< something has changed since the last round
     bool hasBlocked_ = false; ///< units had no room in the last round; patience and health change with time alone
     BootTime plannedAt_;
+    BootTime checkedAt_; ///< when all runs were last looked at
     std::set<std::string> awaitedAgents_; ///< recorded with a run by an earlier scheduler and not heard of yet
     std::vector<PendingStart> pendingStarts_; ///< whose record isn't durable yet
     BootTime recoveryEnds_;
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -22,7 +22,7 @@
 constexpr double firstLossShare = 2; ///< of a unit's own work: urgent work beyond a guarantee is worth several times as much as later work of its size
 constexpr double checkpointSeconds = 0.5; ///< work between two checkpoints
 constexpr std::int64_t runsPerGeneration = 1000000; ///< run numbers of one tenure, so that a later tenure's are higher
-constexpr std::size_t plannedUnits = 400; ///< units looked at in one round; bounds its time on a small machine
+constexpr std::size_t plannedUnits = 2000; ///< units looked at in one round; bounds its time on a small machine
 
 std::string joined(const std::vector<std::string> &words)
 {
@@ -89,11 +89,11 @@
     return guaranteed;
 }
 
-WaitingUnit Scheduler::describe(const Job &job, const UnitKey &key, const Unit &unit, bool isGuaranteed, BootTime now) const
+WaitingUnit Scheduler::describe(const Job &job, const UnitKey &key, const Unit &unit, Rank rank, BootTime now) const
 {
     const Step &step = job.spec.steps[key.step];
     WaitingUnit waiting;
-    waiting.rank = rankOf(job, isGuaranteed);
+    waiting.rank = rank;
     waiting.tasks = unit.indices.size();
     waiting.needs = countedNeeds(step);
     waiting.service = job.queue.service;
@@ -143,52 +143,58 @@
     }
 }
 
-std::vector<WaitingUnit> Scheduler::waitingUnits(BootTime now, std::vector<std::pair<std::string, UnitKey>> &names)
+std::vector<WaitingUnit> Scheduler::waitingUnits(const std::set<std::string> &guaranteed, BootTime now, std::vector<std::pair<std::string, UnitKey>> &names)
 {
-    const std::set<std::string> guaranteed = guaranteedJobs();
     struct Item
     {
         std::tuple<Rank, int, std::uint64_t> order;
-        WaitingUnit unit;
-        std::pair<std::string, UnitKey> name;
+        const Job *job;
+        const UnitKey *key;
+        const Unit *unit;
     };
     std::vector<Item> items;
     for (auto &[id, job] : jobs_) {
         if (job.isOver || job.acceptedWrite > storedWrite_) {
             continue;
         }
-        const bool isGuaranteed = guaranteed.count(id) != 0;
+        const Rank rank = rankOf(job, guaranteed.count(id) != 0);
+        std::pair<int, int> step {-1, -1};
+        bool isStepReady = false;
         for (auto &[key, unit] : job.units) {
-            if (unit.phase != Unit::Phase::Waiting || !areDependenciesDone(job, key) || mayRunElsewhere(unit)) {
+            if (unit.phase != Unit::Phase::Waiting) {
+                continue;
+            }
+            if (step != std::make_pair(key.occurrence, key.step)) {
+                step = {key.occurrence, key.step};
+                isStepReady = areDependenciesDone(job, key);
+            }
+            if (!isStepReady || mayRunElsewhere(unit)) {
                 continue;
             }
             if (unit.readySince == BootTime()) {
                 unit.readySince = now;
             }
-            WaitingUnit waiting = describe(job, key, unit, isGuaranteed, now);
-            addAdvice(job, key, waiting, now);
-            items.push_back({{waiting.rank, job.queue.priority, job.order}, std::move(waiting), {id, key}});
+            items.push_back({{rank, job.queue.priority, job.order}, &job, &key, &unit});
         }
     }
     std::stable_sort(items.begin(), items.end(), [](const Item &left, const Item &right) {
         return left.order < right.order;
     });
-    if (items.size() > plannedUnits) {
-        items.resize(plannedUnits);
-    }
+    items.resize(std::min(items.size(), plannedUnits));
     std::vector<WaitingUnit> units;
-    for (Item &item : items) {
-        item.unit.number = names.size();
-        names.push_back(item.name);
-        units.push_back(std::move(item.unit));
+    for (const Item &item : items) {
+        units.push_back(describe(*item.job, *item.key, *item.unit, std::get<Rank>(item.order), now));
+        addAdvice(*item.job, *item.key, units.back(), now);
+        units.back().number = names.size();
+        names.emplace_back(item.job->spec.id, *item.key);
     }
     return units;
 }
 
-std::vector<PlannedEndpoint> Scheduler::plannedEndpoints(BootTime now, std::vector<std::pair<std::string, UnitKey>> &names) const
+std::vector<PlannedEndpoint> Scheduler::plannedEndpoints(
+    const std::set<std::string> &guaranteed, BootTime now, std::vector<std::pair<std::string, UnitKey>> &names) const
 {
-    const std::set<std::string> guaranteed = guaranteedJobs();
-    std::map<std::pair<std::string, UnitKey>, std::size_t> numbers;
+    std::map<std::pair<const Job *, UnitKey>, std::size_t> numbers;
     std::map<std::size_t, double> lost;
     std::vector<PlannedEndpoint> planned;
     for (const auto &[agent, endpoint] : endpoints_) {
@@ -209,7 +215,7 @@
                 continue;
             }
             const UnitKey key = unitKeyOf(job->second.spec, run.task);
-            const auto [number, isNew] = numbers.try_emplace({run.task.job, key}, names.size());
+            const auto [number, isNew] = numbers.try_emplace({&job->second, key}, names.size());
             if (isNew) {
                 names.emplace_back(run.task.job, key);
             }
@@ -235,13 +241,14 @@
 void Scheduler::plan(BootTime now)
 {
     std::vector<std::pair<std::string, UnitKey>> names;
-    const std::vector<WaitingUnit> units = waitingUnits(now, names);
+    const std::set<std::string> guaranteed = guaranteedJobs();
+    const std::vector<WaitingUnit> units = waitingUnits(guaranteed, now, names);
     hasBlocked_ = false;
     plannedAt_ = now;
     if (units.empty()) {
         return;
     }
-    const Plan plan = planUnits(units, plannedEndpoints(now, names));
+    const Plan plan = planUnits(units, plannedEndpoints(guaranteed, now, names));
     hasBlocked_ = !plan.blocked.empty();
     for (const PlannedStart &start : plan.starts) {
         startUnit(names[start.number].first, names[start.number].second, units[start.number].rank, start.agents, now);
--- /dev/null
+++ b/tests/cell/scaletest.cpp
@@ -0,0 +1,113 @@
+// What a round of decisions costs when the fleet is full and much waits, by the number of endpoints. The bounds are the project's targets.
+
+#include "cell/schedulerfixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+
+using namespace knapweed;
+using namespace knapweed::cell;
+
+namespace
+{
+
+double processorMs()
+{
+    timespec time {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return double(time.tv_sec) * 1000 + double(time.tv_nsec) / 1e6;
+}
+
+} // namespace
+
+TEST_GROUP_BASE(SchedulerScale, SchedulerFixture)
+{
+    std::map<std::string, std::int64_t> ends;
+
+    std::string agentOf(int number)
+    {
+        return "10.0.0." + std::to_string(number) + ":7000";
+    }
+
+    wire::EndpointReport fleetReport(int number)
+    {
+        wire::EndpointReport report = reportOf("i-" + std::to_string(number), 1, "r" + std::to_string(number / 13));
+        report.milliCores = 128000;
+        report.memoryMib = 524288;
+        return report;
+    }
+
+    /// Three times as much work as the fleet holds, in the sites' mix: wide steps of single tasks, large gangs, and small urgent gangs.
+    void submitLoad(Scheduler & scheduler, int endpoints)
+    {
+        Step wide = plainStep(38, {11000, 33000, 1});
+        Step gang = plainStep(13, {52000, 210000, 4});
+        gang.isGang = true;
+        gang.prefersOneRack = true;
+        Step urgent = plainStep(5, {15000, 44000, 4});
+        urgent.isGang = true;
+        for (int number = 0; number < endpoints / 3 + 1; ++number) {
+            const std::string name = std::to_string(number);
+            scheduler.receive("entry", submitOf(plainJob("later" + name, "later", {wide, wide})), now, wall);
+            scheduler.receive("entry", submitOf(plainJob("usual" + name, "usual", {gang})), now, wall);
+            scheduler.receive("entry", submitOf(plainJob("urgent" + name, "urgent", {urgent})), now, wall);
+        }
+    }
+
+    /// The median time of a round, each after the end of one run.
+    double medianRound(int endpoints)
+    {
+        const std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+        for (int number = 0; number < endpoints; ++number) {
+            scheduler->receive(agentOf(number), fleetReport(number), now, wall);
+        }
+        submitLoad(*scheduler, endpoints);
+        SchedulerOutput output = settle(*scheduler);
+        std::vector<std::pair<std::string, wire::StartOrder>> running = messagesOf<wire::StartOrder>(output);
+        std::map<std::string, std::vector<wire::RunRef>> listed;
+        for (const auto &[agent, order] : running) {
+            listed[agent].push_back(order.run);
+        }
+        std::vector<double> rounds;
+        for (int round = 0; round < 21; ++round) {
+            const int number = round * 7 % endpoints;
+            std::vector<wire::RunRef> &runs = listed[agentOf(number)];
+            wire::EndpointReport report = fleetReport(number);
+            if (!runs.empty()) {
+                report.ended = {endOf(++ends[agentOf(number)], runs.back(), wire::RunEnding::Done)};
+                runs.pop_back();
+            }
+            for (const wire::RunRef &run : runs) {
+                report.running.push_back(rowOf(run, 10 + round));
+            }
+            const double began = processorMs();
+            scheduler->receive(agentOf(number), report, now, wall);
+            scheduler->tick(now, wall);
+            const SchedulerOutput taken = scheduler->takeOutput();
+            rounds.push_back(processorMs() - began);
+            if (!taken.writes.empty()) {
+                scheduler->stored(taken.lastWrite, now);
+            }
+            for (const auto &[agent, order] : messagesOf<wire::StartOrder>(scheduler->takeOutput())) {
+                listed[agent].push_back(order.run);
+            }
+            advance(Milliseconds(20));
+        }
+        std::sort(rounds.begin(), rounds.end());
+        std::printf("endpoints %d: round of decisions %.2f ms median, %.2f ms longest\n", endpoints, rounds[rounds.size() / 2], rounds.back());
+        return rounds[rounds.size() / 2];
+    }
+};
+
+TEST(SchedulerScale, roundStaysShortWhenMuchWaitsForElevenEndpoints)
+{
+    CHECK(medianRound(11) < 5);
+}
+
+TEST(SchedulerScale, roundStaysShortWhenMuchWaitsForTwoHundredEndpoints)
+{
+    CHECK(medianRound(200) < 20);
+}
