Endpoints whose last run failed are used last, and hopeless jobs make no endpoint suspect

A job that can't be done, on the other hand, made every endpoint that it touched look bad. Change: one failure makes an endpoint suspect for 10 s; it is used when nothing else has room, by urgent work only after 0.8 s. Failures of a job that succeeds nowhere and has failed on two other endpoints don't count.

--- a/src/libknapweed/cell/fleet.h
+++ b/src/libknapweed/cell/fleet.h
@@ -56,7 +56,8 @@
     std::int64_t endsApplied = 0; ///< ends up to this number have been taken into the jobs
     std::int64_t endsStored = 0; ///< and these are durable; never above endsApplied
     std::deque<std::pair<std::int64_t, std::uint64_t>> endsPending; ///< number of an end and the write that makes it durable, both rising
-    int failuresInRow = 0; ///< runs that failed since one succeeded
+    int failuresInRow = 0; ///< runs that failed since one succeeded, but for those of jobs that fail everywhere
+    BootTime lastFailure; ///< meaningful while failuresInRow isn't 0
     BootTime avoidUntil; ///< no starts before then, because it fails or stalls what it runs
 };
 
--- a/src/libknapweed/cell/jobtable.h
+++ b/src/libknapweed/cell/jobtable.h
@@ -42,6 +42,8 @@
     std::map<UnitKey, Unit> units; ///< of the occurrences that are due
     int dueOccurrences = 0;
     bool hasBegun = false;
+    bool hasSucceededOnce = false; ///< one of its tasks has
+    std::set<std::string> failedOn; ///< agents of the endpoints where its tasks failed
     bool isOver = false; ///< no unit will start any more
     std::uint64_t acceptedWrite = 0; ///< the write that makes its submission durable
     std::uint64_t lastWrite = 0; ///< of its progress
--- a/src/libknapweed/cell/planner.cpp
+++ b/src/libknapweed/cell/planner.cpp
@@ -16,6 +16,7 @@
 
 constexpr double displacedWeight = 10; ///< of a core-second of work thrown away, against a share of an endpoint left idle
 constexpr double avoidedPenalty = 100; ///< above what idle shares add up to: only where nothing else has room
+constexpr double suspectPenalty = 50; ///< as avoidedPenalty, but better than an endpoint where this very unit failed
 constexpr std::size_t heldGangs = 1; ///< later gangs without room for which endpoints are kept free; more would idle the fleet
 
 /// Tasks of each step that this round has placed, by agent.
@@ -29,7 +30,7 @@
 };
 
 /// What decides whether a unit finds free room.
-using Shape = std::tuple<std::string, std::string, std::string, std::int64_t, std::int64_t, std::int64_t, bool, bool>;
+using Shape = std::tuple<std::string, std::string, std::string, std::int64_t, std::int64_t, std::int64_t, bool, bool, bool>;
 
 struct Table
 {
@@ -87,7 +88,8 @@
         unit.needs.memoryMib,
         unit.needs.accelerators,
         unit.prefersOneRack && unit.tasks > 1,
-        unit.mayLeaveRack};
+        unit.mayLeaveRack,
+        unit.mayUseSuspects};
 }
 
 /// Whether free room depends on more than the shape.
@@ -162,7 +164,8 @@
 {
     Offer offer;
     offer.isKnown = true;
-    offer.score = leftover(room, endpoint.capacity) + (unit.avoided.count(endpoint.agent) != 0 ? avoidedPenalty : 0);
+    offer.score =
+        leftover(room, endpoint.capacity) + (unit.avoided.count(endpoint.agent) != 0 ? avoidedPenalty : 0) + (endpoint.isSuspect ? suspectPenalty : 0);
     if (fits(unit.needs, room)) {
         offer.isPossible = true;
     } else if (displaces) {
@@ -185,7 +188,8 @@
     for (const std::size_t place : places) {
         const PlannedEndpoint &endpoint = table.endpoints[place];
         const bool isAdvised = !unit.needsAdvice || unit.advised.count(endpoint.agent) != 0;
-        const bool isCandidate = isAdvised && fits(unit.needs, displaces ? endpoint.capacity : endpoint.room);
+        const bool isTrusted = unit.mayUseSuspects || !endpoint.isSuspect;
+        const bool isCandidate = isAdvised && isTrusted && fits(unit.needs, displaces ? endpoint.capacity : endpoint.room);
         if (isCandidate) {
             candidates.push_back({place, endpoint.room, allowedOn(unit, endpoint, table.placed), {}});
         }
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -114,7 +114,7 @@
     std::uint64_t applyEnd(Endpoint &endpoint, const wire::EndRow &end, BootTime now);
     void applyRunning(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now);
     void adopt(Endpoint &endpoint, const RunId &run, BootTime now);
-    void noteHealth(Endpoint &endpoint, RunEnd how, BootTime now);
+    void noteHealth(Endpoint &endpoint, Job *job, RunEnd how, BootTime now);
     void grant(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now);
     void advanceStoredEnds(Endpoint &endpoint);
     void vacate(Endpoint &endpoint, const RunId &run, BootTime now);
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -18,6 +18,7 @@
 constexpr Milliseconds stopInterval {1000}; ///< between repeated stops of one run
 constexpr Milliseconds stallTimeout {2500}; ///< no progress for this long, where healthy tasks show some in each report
 constexpr Seconds avoidSpan {6}; ///< for which an endpoint that fails or stalls its runs gets no work
+constexpr std::size_t endpointsToBlameJob = 2; ///< a job that fails on more and succeeds nowhere is to blame itself
 constexpr int failuresToAvoid = 3; ///< runs that fail in a row: fewer are usual with jobs that can't be done
 
 bool isStep(const JobSpec &spec, int step)
@@ -159,9 +160,9 @@
 {
     const RunId run = runIdOf(end.run);
     const RunEnd how = runEndOf(end.how);
-    noteHealth(endpoint, how, now);
     const auto found = jobs_.find(run.task.job);
     Job *job = found == jobs_.end() ? nullptr : &found->second;
+    noteHealth(endpoint, job, how, now);
     Unit *unit = job == nullptr ? nullptr : unitOf(*job, run.task);
     logEvent(LogLevel::Info,
         "run.ended",
@@ -199,11 +200,27 @@
     return unit->progress != before || job->lastWrite > storedWrite_ ? job->lastWrite : 0;
 }
 
-void Scheduler::noteHealth(Endpoint &endpoint, RunEnd how, BootTime now)
+/// A failure of a job that succeeds nowhere and has failed on other endpoints says nothing of this one.
+void Scheduler::noteHealth(Endpoint &endpoint, Job *job, RunEnd how, BootTime now)
 {
     if (how == RunEnd::Done) {
         endpoint.failuresInRow = 0;
-    } else if (how == RunEnd::Failed && ++endpoint.failuresInRow >= failuresToAvoid) {
+        if (job != nullptr) {
+            job->hasSucceededOnce = true;
+        }
+        return;
+    }
+    if (how != RunEnd::Failed) {
+        return;
+    }
+    if (job != nullptr) {
+        job->failedOn.insert(endpoint.agent);
+        if (!job->hasSucceededOnce && job->failedOn.size() > endpointsToBlameJob) {
+            return;
+        }
+    }
+    endpoint.lastFailure = now;
+    if (++endpoint.failuresInRow >= failuresToAvoid) {
         endpoint.avoidUntil = now + avoidSpan;
         logEvent(
             LogLevel::Warning, "endpoint.avoided", {{"endpoint", endpoint.id}, {"reason", "failures"}, {"in_row", std::to_string(endpoint.failuresInRow)}});
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -17,6 +17,8 @@
 
 constexpr Milliseconds reportTimeout {1200}; ///< two report intervals and a delay: an endpoint that is silent for longer gets no work
 constexpr Milliseconds urgentRackPatience {800}; ///< how long a unit of the first priority waits for its rack: a third of the reclaim bound
+constexpr Milliseconds suspectPatience {800}; ///< how long a unit of the first priority keeps off suspects: as for its rack
+constexpr Seconds suspectSpan {10}; ///< for which one failure makes an endpoint suspect; bad spells of endpoints last some seconds
 constexpr Milliseconds rackPatience {2000}; ///< for the others: under the three seconds for which nothing may idle beside waiting work
 constexpr double acceleratorCores = 8; ///< cores that one accelerator counts for in the price of lost work
 constexpr double firstLossShare = 2; ///< of a unit's own work: urgent work beyond a guarantee is worth several times as much as later work of its size
@@ -103,6 +105,7 @@
     waiting.mayLeaveRack = now - unit.readySince > (waiting.rank <= Rank::First ? urgentRackPatience : rackPatience);
     waiting.tasksPerEndpoint = static_cast<std::size_t>(step.tasksPerEndpoint);
     waiting.avoided = unit.failedOn;
+    waiting.mayUseSuspects = waiting.rank > Rank::First || now - unit.readySince > suspectPatience;
     waiting.affordableLoss = affordableLoss(waiting.rank, step, waiting.tasks);
     if (step.tasksPerEndpoint > 0) {
         waiting.stepName = job.spec.id + '.' + std::to_string(key.occurrence) + '.' + std::to_string(key.step);
@@ -209,6 +212,7 @@
         row.labels = {endpoint.labels.begin(), endpoint.labels.end()};
         row.capacity = endpoint.capacity;
         row.room = freeRoom(endpoint);
+        row.isSuspect = endpoint.failuresInRow > 0 && now - endpoint.lastFailure < suspectSpan;
         for (const auto &[run, occupation] : endpoint.runs) {
             const auto job = jobs_.find(run.task.job);
             if (job == jobs_.end()) {
--- a/tests/cell/loadtest.cpp
+++ b/tests/cell/loadtest.cpp
@@ -53,3 +53,43 @@
     }
     CHECK(stops >= 2);
 }
+
+/// A job that can't be done fails wherever it starts, by the dozen at once.
+TEST(SchedulerLoad, hopelessJobDoesNotTurnTheFleetSuspect)
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    for (int number = 1; number <= 6; ++number) {
+        send(*scheduler, "a" + std::to_string(number), reportOf("i-" + std::to_string(number), 1));
+    }
+    Step step = plainStep(6, {1000, 1000, 8});
+    const std::vector<wire::StartOrder> orders = startsOf(send(*scheduler, "entry", submitOf(plainJob("hopeless", "usual", {step}))));
+    LONGS_EQUAL(6, orders.size());
+    for (const wire::StartOrder &order : orders) {
+        wire::EndpointReport report = reportOf(order.endpoint, 1);
+        report.ended = {endOf(1, order.run, wire::RunEnding::Failed)};
+        scheduler->receive("a" + order.endpoint.substr(2), report, now, wall);
+    }
+    int suspects = 0;
+    for (const auto &[agent, endpoint] : scheduler->endpoints()) {
+        suspects += endpoint.failuresInRow > 0 ? 1 : 0;
+    }
+    LONGS_EQUAL(2, suspects);
+}
+
+/// An urgent gang has few attempts: one member on an endpoint that fails everything costs one of them.
+TEST(SchedulerLoad, urgentWorkKeepsOffAnEndpointThatHasJustFailedAnother)
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a1", reportOf("i-1", 1));
+    const std::vector<wire::StartOrder> first = startsOf(send(*scheduler, "entry", submitOf(plainJob("first", "urgent", {plainStep(1, {1000, 1000, 1})}))));
+    LONGS_EQUAL(1, first.size());
+    send(*scheduler, "a2", reportOf("i-2", 1));
+    wire::EndpointReport failed = reportOf("i-1", 1);
+    failed.ended = {endOf(1, first[0].run, wire::RunEnding::Failed)};
+    const std::vector<wire::StartOrder> again = startsOf(send(*scheduler, "a1", failed));
+    LONGS_EQUAL(1, again.size());
+    STRCMP_EQUAL("i-2", again[0].endpoint.c_str());
+    const std::vector<wire::StartOrder> second = startsOf(send(*scheduler, "entry", submitOf(plainJob("second", "urgent", {plainStep(1, {1000, 1000, 1})}))));
+    LONGS_EQUAL(1, second.size());
+    STRCMP_EQUAL("i-2", second[0].endpoint.c_str());
+}
--- a/tests/cell/plannertest.cpp
+++ b/tests/cell/plannertest.cpp
@@ -195,3 +195,26 @@
     STRCMP_EQUAL("b", startOf(planUnits({waiting}, {endpoint("a", "r1", {1000, 1000, 1}), endpoint("b")}), 1)->agents.front().c_str());
     STRCMP_EQUAL("a", startOf(planUnits({waiting}, {endpoint("a")}), 1)->agents.front().c_str());
 }
+
+/// Endpoints that fail what they start come free at once and would draw all that waits.
+TEST(Planner, endpointWhoseLastRunFailedIsUsedLast)
+{
+    PlannedEndpoint bad = endpoint("a1", "r1", {8000, 32000, 4});
+    bad.isSuspect = true;
+    const Plan plan = planUnits({unit(0, 1, {1000, 1000, 1})}, {bad, endpoint("a2")});
+    STRCMP_EQUAL("a2", startOf(plan, 0)->agents[0].c_str());
+    CHECK(startOf(planUnits({unit(0, 1, {1000, 1000, 1})}, {bad}), 0) != nullptr);
+}
+
+TEST(Planner, urgentUnitDisplacesLaterWorkRatherThanUseASuspect)
+{
+    PlannedEndpoint bad = endpoint("a1");
+    bad.isSuspect = true;
+    PlannedEndpoint busy = endpoint("a2", "r1", {0, 0, 0});
+    busy.parts = {part(7, Rank::Later, {16000, 64000, 8}, 5)};
+    WaitingUnit urgent = unit(0, 1, {1000, 1000, 8}, Rank::Guaranteed);
+    urgent.mayUseSuspects = false;
+    const Plan plan = planUnits({urgent}, {bad, busy});
+    CHECK(startOf(plan, 0) == nullptr);
+    LONGS_EQUAL(1, plan.stops.size());
+}
