Units wait for their rack as long as that is shorter than running off it

Gangs that no rack can hold waited for nothing. Change: beside a busy fleet a unit waits for up to the time that it would lose off its rack; where the service has room for it twice over and half of it is idle, or no rack could hold it, as long as before; guaranteed work as before.

--- a/src/libknapweed/cell/planner.cpp
+++ b/src/libknapweed/cell/planner.cpp
@@ -30,7 +30,7 @@
 };
 
 /// What decides whether a unit finds free room.
-using Shape = std::tuple<std::string, std::string, std::string, std::int64_t, std::int64_t, std::int64_t, bool, bool, bool>;
+using Shape = std::tuple<std::string, std::string, std::string, std::int64_t, std::int64_t, std::int64_t, bool, bool, bool, bool>;
 
 struct Table
 {
@@ -88,6 +88,7 @@
         unit.needs.memoryMib,
         unit.needs.accelerators,
         unit.prefersOneRack && unit.tasks > 1,
+        unit.mayLeaveRack || unit.mayLeaveSmallRacks,
         unit.mayLeaveRack,
         unit.mayUseSuspects};
 }
@@ -228,6 +229,21 @@
     return choice;
 }
 
+/// Whether the endpoints of one place in a rack could hold the whole unit if they were empty; else there is nothing to wait for.
+bool couldHold(const WaitingUnit &unit, const Table &table, const std::vector<std::size_t> &places)
+{
+    std::size_t held = 0;
+    for (const std::size_t place : places) {
+        Resources rest = table.endpoints[place].capacity;
+        std::size_t allowed = allowedOn(unit, table.endpoints[place], {});
+        for (; allowed > 0 && held < unit.tasks && fits(unit.needs, rest); --allowed) {
+            rest -= unit.needs;
+            ++held;
+        }
+    }
+    return held >= unit.tasks;
+}
+
 /// The best choice within one rack when the unit wants that; else over all that it may use.
 std::optional<Choice> chooseAnywhere(const WaitingUnit &unit, Table &table, bool displaces)
 {
@@ -247,7 +263,15 @@
         }
     }
     const bool isBound = (!unit.dataRack.empty() || wantsOneRack) && !unit.mayLeaveRack;
-    if (!best && !isBound) {
+    if (best || (isBound && !unit.mayLeaveSmallRacks)) {
+        return best;
+    }
+    const auto isWorthWaiting = [&unit, &table](const auto &rack) {
+        return couldHold(unit, table, rack.second);
+    };
+    const bool hasRack = (dataRack != eligible.byRack.end() && isWorthWaiting(*dataRack))
+        || (wantsOneRack && std::any_of(eligible.byRack.begin(), eligible.byRack.end(), isWorthWaiting));
+    if (!isBound || !hasRack) {
         best = choose(unit, table, eligible.all, displaces);
     }
     return best;
@@ -292,6 +316,7 @@
     WaitingUnit asFirst = unit;
     asFirst.rank = Rank::Guaranteed;
     asFirst.mayLeaveRack = false;
+    asFirst.mayLeaveSmallRacks = true;
     return chooseAnywhere(asFirst, table, true);
 }
 
--- a/src/libknapweed/cell/planner.h
+++ b/src/libknapweed/cell/planner.h
@@ -31,6 +31,7 @@
     std::string dataRack;
     bool prefersOneRack = false;
     bool mayLeaveRack = true; ///< it has waited long enough to run where it is slower
+    bool mayLeaveSmallRacks = false; ///< as mayLeaveRack, if no rack could hold all of it even empty
     std::size_t tasksPerEndpoint = 0; ///< 0: no limit
     std::string stepName; ///< the same for all units of one step, where tasksPerEndpoint limits them
     std::map<std::string, std::size_t> stepTasks; ///< tasks of the step that take room already, by agent
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -98,6 +98,13 @@
         wire::StartOrder order;
     };
 
+    /// Of the endpoints of one service that may be given work.
+    struct ServiceRoom
+    {
+        Resources capacity;
+        Resources free;
+    };
+
     void handle(const std::string &peer, const wire::EndpointReport &report, BootTime now);
     void handle(const std::string &peer, const wire::StartResult &result, BootTime now);
     void handle(const std::string &peer, const wire::RunAbsent &absent, BootTime now);
@@ -144,6 +151,8 @@
 
     void plan(BootTime now);
     std::set<std::string> guaranteedJobs() const;
+    void noteRoom(BootTime now);
+    bool isMuchIdle(const std::string &service, const Step &step) const;
     std::vector<WaitingUnit> waitingUnits(const std::set<std::string> &guaranteed, BootTime now, std::vector<std::pair<std::string, UnitKey>> &names);
     WaitingUnit describe(const Job &job, const UnitKey &key, const Unit &unit, Rank rank, BootTime now) const;
     std::vector<PlannedEndpoint> plannedEndpoints(
@@ -155,6 +164,7 @@
     CellConfiguration configuration_;
     std::map<std::string, Job> jobs_;
     std::map<std::string, Endpoint> endpoints_; ///< by agent
+    std::map<std::string, ServiceRoom> roomByService_; ///< at the last round
     std::map<StepName, StepAdvice> advice_; ///< of steps that have waited in queues that need advice
     std::vector<PendingAnswer> pendingAnswers_; ///< with a write above storedWrite_
     SchedulerOutput output_;
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -16,10 +16,12 @@
 {
 
 constexpr Milliseconds reportTimeout {1200}; ///< two report intervals and a delay: an endpoint that is silent for longer gets no work
-constexpr Milliseconds urgentRackPatience {800}; ///< how long a unit of the first priority waits for its rack: a third of the reclaim bound
+constexpr Milliseconds urgentRackPatience {800}; ///< how long a guaranteed unit waits for its rack: a third of the reclaim bound
 constexpr Milliseconds suspectPatience {800}; ///< how long a unit of the first priority keeps off suspects: as for its rack
 constexpr Seconds suspectSpan {10}; ///< for which one failure makes an endpoint suspect; bad spells of endpoints last some seconds
-constexpr Milliseconds rackPatience {2000}; ///< for the others: under the three seconds for which nothing may idle beside waiting work
+constexpr Milliseconds rackPatience {2000}; ///< for the others where much is idle: under the three seconds for which nothing may idle beside waiting work
+constexpr int offRackFactor = 3; ///< how much longer a task takes away from its rack, by the platform's figures
+constexpr double idleShare = 0.5; ///< of a service: less in use counts as much idle
 constexpr double acceleratorCores = 8; ///< cores that one accelerator counts for in the price of lost work
 constexpr double firstLossShare = 2; ///< of a unit's own work: urgent work beyond a guarantee is worth several times as much as later work of its size
 constexpr double checkpointSeconds = 0.5; ///< work between two checkpoints
@@ -55,6 +57,16 @@
     return (rank == Rank::First ? firstLossShare : 0) * double(tasks) * coreEquivalents(step.needs) * std::chrono::duration<double>(step.estimate).count();
 }
 
+/// How long a unit waits for its rack. Where the fleet is busy, waiting is better for it than to run off its rack as long as it is shorter than what that
+/// costs.
+Milliseconds patienceForRack(Rank rank, const Step &step, bool isFleetIdle)
+{
+    if (rank == Rank::Guaranteed) {
+        return urgentRackPatience;
+    }
+    return isFleetIdle || step.isLasting ? rackPatience : std::max(rackPatience, step.estimate * (offRackFactor - 1));
+}
+
 double lostWork(const Step &step, const Occupation &occupation, BootTime now)
 {
     double seconds = std::chrono::duration<double>(now - occupation.firstOrderedAt).count();
@@ -91,6 +103,35 @@
     return guaranteed;
 }
 
+void Scheduler::noteRoom(BootTime now)
+{
+    roomByService_.clear();
+    for (const auto &[agent, endpoint] : endpoints_) {
+        if (endpoint.isListed && !endpoint.isDraining && now - endpoint.lastReport < reportTimeout) {
+            ServiceRoom &sum = roomByService_[endpoint.service];
+            sum.capacity += endpoint.capacity;
+            sum.free += freeRoom(endpoint);
+        }
+    }
+}
+
+/// Whether the service has room for all tasks of the step twice over, and much of it is not in use.
+bool Scheduler::isMuchIdle(const std::string &service, const Step &step) const
+{
+    const auto room = roomByService_.find(service);
+    if (room == roomByService_.end()) {
+        return false;
+    }
+    const Resources &free = room->second.free;
+    const Resources &capacity = room->second.capacity;
+    const Resources needs = countedNeeds(step);
+    const std::int64_t copies = 2 * std::int64_t(step.tasks);
+    const bool fitsTwice = fits({needs.milliCores * copies, needs.memoryMib * copies, needs.accelerators * copies}, free);
+    const double freeCores = capacity.milliCores > 0 ? double(free.milliCores) / double(capacity.milliCores) : 0;
+    const double freeAccelerators = capacity.accelerators > 0 ? double(free.accelerators) / double(capacity.accelerators) : 0;
+    return fitsTwice && std::max(freeCores, freeAccelerators) > 1 - idleShare;
+}
+
 WaitingUnit Scheduler::describe(const Job &job, const UnitKey &key, const Unit &unit, Rank rank, BootTime now) const
 {
     const Step &step = job.spec.steps[key.step];
@@ -102,7 +143,8 @@
     waiting.requiredLabel = step.requiredLabel;
     waiting.dataRack = step.dataRack;
     waiting.prefersOneRack = step.prefersOneRack;
-    waiting.mayLeaveRack = now - unit.readySince > (waiting.rank <= Rank::First ? urgentRackPatience : rackPatience);
+    waiting.mayLeaveSmallRacks = now - unit.readySince > patienceForRack(waiting.rank, step, true);
+    waiting.mayLeaveRack = now - unit.readySince > patienceForRack(waiting.rank, step, isMuchIdle(job.queue.service, step));
     waiting.tasksPerEndpoint = static_cast<std::size_t>(step.tasksPerEndpoint);
     waiting.avoided = unit.failedOn;
     waiting.mayUseSuspects = waiting.rank > Rank::First || now - unit.readySince > suspectPatience;
@@ -246,6 +288,7 @@
 {
     std::vector<std::pair<std::string, UnitKey>> names;
     const std::set<std::string> guaranteed = guaranteedJobs();
+    noteRoom(now);
     const std::vector<WaitingUnit> units = waitingUnits(guaranteed, now, names);
     hasBlocked_ = false;
     plannedAt_ = now;
--- a/tests/cell/loadtest.cpp
+++ b/tests/cell/loadtest.cpp
@@ -93,3 +93,39 @@
     LONGS_EQUAL(1, second.size());
     STRCMP_EQUAL("i-2", second[0].endpoint.c_str());
 }
+
+/// A busy fleet: off its rack a gang would run three times as long and take room from others for all of that time.
+TEST(SchedulerLoad, gangWaitsForItsRackWhileThatIsShorterThanToRunOffIt)
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    for (int number = 1; number <= 4; ++number) {
+        send(*scheduler, "a" + std::to_string(number), reportOf("i-" + std::to_string(number), 1, number <= 2 ? "r1" : "r2"));
+    }
+    std::vector<wire::StartOrder> fillers;
+    for (const char *rack : {"r1", "r2"}) {
+        Step filler = plainStep(1, {1000, 1000, 8});
+        filler.requiredLabel = rack;
+        const std::vector<wire::StartOrder> started = startsOf(send(*scheduler, "entry", submitOf(plainJob(std::string("filler") + rack, "usual", {filler}))));
+        fillers.insert(fillers.end(), started.begin(), started.end());
+    }
+    LONGS_EQUAL(2, fillers.size());
+    Step step = plainStep(2, {1000, 1000, 5});
+    step.isGang = true;
+    step.prefersOneRack = true;
+    step.estimate = Milliseconds(5000);
+    std::vector<wire::StartOrder> started = startsOf(send(*scheduler, "entry", submitOf(plainJob("gang", "usual", {step}))));
+    for (Milliseconds waited {0}; waited < Milliseconds(9000); waited += Milliseconds(500)) {
+        CHECK_TRUE(started.empty());
+        advance(Milliseconds(500));
+        for (int number = 1; number <= 4; ++number) {
+            wire::EndpointReport report = reportOf("i-" + std::to_string(number), 1, number <= 2 ? "r1" : "r2");
+            for (const wire::StartOrder &filler : fillers) {
+                if (filler.endpoint == report.endpoint) {
+                    report.running = {rowOf(filler.run, static_cast<int>(waited.count() / 100))};
+                }
+            }
+            send(*scheduler, "a" + std::to_string(number), report);
+        }
+        started = startsOf(settle(*scheduler));
+    }
+}
--- a/tests/cell/plannertest.cpp
+++ b/tests/cell/plannertest.cpp
@@ -218,3 +218,27 @@
     CHECK(startOf(plan, 0) == nullptr);
     LONGS_EQUAL(1, plan.stops.size());
 }
+
+/// Wide gangs that prefer one rack, on a fleet whose racks are smaller.
+TEST(Planner, gangThatNoRackCouldHoldDoesNotWaitForOneForLong)
+{
+    WaitingUnit gang = unit(0, 3, {1000, 1000, 8});
+    gang.prefersOneRack = true;
+    gang.mayLeaveRack = false;
+    const std::vector<PlannedEndpoint> endpoints {endpoint("a1", "r1"), endpoint("a2", "r1"), endpoint("a3", "r2"), endpoint("a4", "r2")};
+    CHECK(startOf(planUnits({gang}, endpoints), 0) == nullptr); // more of a rack may yet be heard of
+    gang.mayLeaveSmallRacks = true;
+    CHECK(startOf(planUnits({gang}, endpoints), 0) != nullptr);
+}
+
+TEST(Planner, gangWaitsForARackThatCouldHoldIt)
+{
+    WaitingUnit gang = unit(0, 2, {1000, 1000, 8});
+    gang.prefersOneRack = true;
+    gang.mayLeaveRack = false;
+    const std::vector<PlannedEndpoint> endpoints {endpoint("a1", "r1"), endpoint("a2", "r1", {0, 0, 0}), endpoint("a3", "r2"), endpoint("a4", "r2", {0, 0, 0})};
+    gang.mayLeaveSmallRacks = true;
+    CHECK(startOf(planUnits({gang}, endpoints), 0) == nullptr);
+    gang.mayLeaveRack = true;
+    CHECK(startOf(planUnits({gang}, endpoints), 0) != nullptr);
+}
