--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -99,6 +99,7 @@
     bool isPlaceFree_ = false; ///< at the last look
     cell::OwnerDoubt ownerDoubt_;
 
+    const MonotonicTime startedAt_ = std::chrono::steady_clock::now();
     MonotonicTime tenureBegan_;
     Milliseconds handOverAfter_ {3000}; ///< of a tenure; by then the peers are connected
     std::int64_t tenure_ = 0; ///< the generation of the own tenure; 0 without one
--- a/src/knapweedstaged/celltenure.cpp
+++ b/src/knapweedstaged/celltenure.cpp
@@ -68,6 +68,12 @@
     const bool isOwn = isOk(result) && value(result).member == member_;
     const bool isDoubted = isOk(result) && ownerDoubt_.isDue(now);
     isPlaceFree_ = isOk(result) && (value(result).member.empty() || isDoubted);
+    const Milliseconds learning = cell::learningDelay(std::chrono::duration_cast<Milliseconds>(now - startedAt_));
+    if (isPlaceFree_ && learning.count() > 0) {
+        isPlaceFree_ = false; // this look doesn't count: the order among the entries isn't known yet
+        scheduleJoin(std::min(learning, joinInterval));
+        return;
+    }
     const Milliseconds delay = cell::turnDelay({self_, processorPermille()}, otherCandidates(), lookTime);
     if (isOwn || (isPlaceFree_ && (wasFree || delay.count() == 0))) {
         if (isDoubted) {
--- a/src/libknapweed/cell/turn.cpp
+++ b/src/libknapweed/cell/turn.cpp
@@ -15,6 +15,7 @@
 constexpr Milliseconds longestDelay {3000}; ///< twice the lifetime of a membership
 constexpr int looksInATurn = 3; ///< where the store is slow: the first one's join, and a look that may have begun just before it was done
 constexpr std::ptrdiff_t longestQueue = 6; ///< later ones wait no longer: when all before them are gone the place must not stay empty for seconds
+constexpr Milliseconds learningSpan {700}; ///< for the connections to the seeds, their rosters, and the connections to those named there
 constexpr std::int32_t handOverFactor = 2; ///< less of a difference isn't worth the pause of a hand-over
 
 constexpr Seconds staleOwnerLimit {3}; ///< twice the lifetime of a membership: an owner that is gone has lapsed by then
@@ -34,6 +35,11 @@
     return std::min(longestDelay, std::max(shortestTurn, looksInATurn * lookTime) * std::min(before, longestQueue));
 }
 
+Milliseconds learningDelay(Milliseconds age)
+{
+    return std::max(Milliseconds(0), learningSpan - age);
+}
+
 bool hasBetterCandidate(const TurnCandidate &self, const std::vector<TurnCandidate> &others)
 {
     return std::any_of(others.begin(), others.end(), [&self](const TurnCandidate &other) {
--- a/src/libknapweed/cell/turn.h
+++ b/src/libknapweed/cell/turn.h
@@ -22,6 +22,9 @@
 /// in order waits not at all; each later one leaves those before it the time to have taken it.
 Milliseconds turnDelay(const TurnCandidate &self, const std::vector<TurnCandidate> &others, Milliseconds lookTime);
 
+/// How long a process of @p age holds back from a free place: after a loss of all entries none of them knows yet who comes before it.
+Milliseconds learningDelay(Milliseconds age);
+
 /// Whether one of @p others has so much more of a core than @p self that a hand-over pays.
 bool hasBetterCandidate(const TurnCandidate &self, const std::vector<TurnCandidate> &others);
 
--- a/tests/cell/turntest.cpp
+++ b/tests/cell/turntest.cpp
@@ -92,3 +92,10 @@
     CHECK(turnDelay({"10.2.0.1", 250}, before, slowLook) > 2 * slowLook);
     CHECK(turnDelay({"10.2.0.1", 250}, before, Seconds(5)) <= Seconds(3));
 }
+
+/// All entries start at the same moment and see the place free: five schedulers followed each other within 1.2 s.
+TEST(Turn, entriesThatHaveJustStartedHearOfEachOtherFirst)
+{
+    CHECK(learningDelay(Milliseconds(10)) > Milliseconds(500));
+    LONGS_EQUAL(0, learningDelay(Seconds(1)).count());
+}
