Work goes on from the newest checkpoint that its endpoint listed

Cause: only the checkpoint of a listed end was used. Change: a listed checkpoint is the unit's; those that no record holds yet are written at most every 2 s a job. Tests: SchedulerLoad, workOfALostEndpointGoesOnFromItsNewestCheckpoint and checkpointsOutliveTheLossOfAllProcesses, both seen to fail before.

--- a/src/libknapweed/cell/jobtable.h
+++ b/src/libknapweed/cell/jobtable.h
@@ -48,6 +48,8 @@
     std::uint64_t acceptedWrite = 0; ///< the write that makes its submission durable
     std::uint64_t lastWrite = 0; ///< of its progress
     std::uint64_t finalWrite = 0; ///< the write that makes its end durable, once it is over; later ones change nothing that callers see
+    bool hasOpenCheckpoints = false; ///< its tasks have checkpoints that its last record lacks
+    BootTime progressWrittenAt; ///< for its checkpoints alone
     BootTime acceptedAt;
     std::uint64_t order = 0; ///< of acceptance
     BootTime overAt;
--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -157,6 +157,7 @@
     if (now - checkedAt_ >= checkInterval) {
         checkedAt_ = now;
         checkEndpoints(now);
+        writeOpenCheckpoints(now);
     }
     addDueOccurrences(now, wall);
     if (isRecovering_ && (awaitedAgents_.empty() || now >= recoveryEnds_)) {
@@ -263,6 +264,7 @@
 {
     if (openProgress_.try_emplace(job.spec.id, output_.writes.size()).second) {
         job.lastWrite = write({progressRecordKey(job.spec.id), ""});
+        job.hasOpenCheckpoints = false;
     }
     return job.lastWrite;
 }
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -145,6 +145,8 @@
     void stopPartialGangs(BootTime now);
     void sendStart(const PendingStart &start, BootTime now);
     void checkEndpoints(BootTime now);
+    void noteCheckpoint(const RunId &run, const std::string &checkpoint);
+    void writeOpenCheckpoints(BootTime now);
     void checkRuns(Endpoint &endpoint, BootTime now);
     void addDueOccurrences(BootTime now, WallTime wall);
     void forgetOldJobs(BootTime now);
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -17,6 +17,7 @@
 constexpr Milliseconds orderTimeout {1500}; ///< after the agent's own time-out of a call: its answer was lost with its connection
 constexpr Milliseconds stopInterval {1000}; ///< between repeated stops of one run
 constexpr Milliseconds stallTimeout {2500}; ///< no progress for this long, where healthy tasks show some in each report
+constexpr Seconds checkpointInterval {2}; ///< between records of one job for its checkpoints alone: what its tasks lose more when all processes are lost
 constexpr Seconds avoidSpan {6}; ///< for which an endpoint that fails or stalls its runs gets no work
 constexpr std::size_t endpointsToBlameJob = 2; ///< a job that fails on more and succeeds nowhere is to blame itself
 constexpr int failuresToAvoid = 3; ///< runs that fail in a row: fewer are usual with jobs that can't be done
@@ -246,7 +247,10 @@
             occupation.percent = row.percent;
             occupation.progressAt = now;
         }
-        occupation.checkpoint = row.checkpoint;
+        if (!row.checkpoint.empty() && row.checkpoint != occupation.checkpoint) {
+            occupation.checkpoint = row.checkpoint;
+            noteCheckpoint(run, row.checkpoint);
+        }
     }
     std::vector<RunId> gone;
     for (const auto &[run, occupation] : endpoint.runs) {
@@ -260,6 +264,28 @@
     }
 }
 
+/// What the task goes on from if its endpoint is lost.
+void Scheduler::noteCheckpoint(const RunId &run, const std::string &checkpoint)
+{
+    const auto job = jobs_.find(run.task.job);
+    Unit *unit = job == jobs_.end() ? nullptr : unitOf(job->second, run.task);
+    if (unit != nullptr && !unit->progress.isDone && unit->run == run.run) {
+        unit->progress.checkpoint = checkpoint;
+        job->second.hasOpenCheckpoints = true;
+    }
+}
+
+/// Checkpoints that only this process knows are written some time, for its successor.
+void Scheduler::writeOpenCheckpoints(BootTime now)
+{
+    for (auto &[id, job] : jobs_) {
+        if (job.hasOpenCheckpoints && !job.isOver && now - job.progressWrittenAt >= checkpointInterval) {
+            job.progressWrittenAt = now;
+            writeProgress(job);
+        }
+    }
+}
+
 /// A run that another generation started, or one given up that came late.
 void Scheduler::adopt(Endpoint &endpoint, const RunId &run, BootTime now)
 {
--- a/tests/cell/loadtest.cpp
+++ b/tests/cell/loadtest.cpp
@@ -129,3 +129,46 @@
         started = startsOf(settle(*scheduler));
     }
 }
+
+/// Endpoints are taken away, or lose power, beneath long work that writes checkpoints.
+TEST(SchedulerLoad, workOfALostEndpointGoesOnFromItsNewestCheckpoint)
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a1", reportOf("i-1", 1));
+    Step step = plainStep(1, {1000, 1000, 1});
+    step.hasCheckpoints = true;
+    const std::vector<wire::StartOrder> first = startsOf(send(*scheduler, "entry", submitOf(plainJob("long", "usual", {step}))));
+    LONGS_EQUAL(1, first.size());
+    wire::EndpointReport running = reportOf("i-1", 1);
+    running.running = {rowOf(first[0].run, 40)};
+    running.running[0].checkpoint = "half";
+    send(*scheduler, "a1", running);
+    send(*scheduler, "a2", reportOf("i-2", 1));
+    wire::EndpointReport gone = reportOf("i-1", 1);
+    gone.draining = true;
+    const std::vector<wire::StartOrder> again = startsOf(send(*scheduler, "a1", gone));
+    LONGS_EQUAL(1, again.size());
+    STRCMP_EQUAL("half", again[0].checkpoint.c_str());
+}
+
+TEST(SchedulerLoad, checkpointsOutliveTheLossOfAllProcesses)
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a1", reportOf("i-1", 1));
+    Step step = plainStep(1, {1000, 1000, 1});
+    step.hasCheckpoints = true;
+    const std::vector<wire::StartOrder> first = startsOf(send(*scheduler, "entry", submitOf(plainJob("long", "usual", {step}))));
+    for (int round = 0; round < 6; ++round) {
+        wire::EndpointReport running = reportOf("i-1", 1);
+        running.running = {rowOf(first[0].run, 10 + round)};
+        running.running[0].checkpoint = "point" + std::to_string(round);
+        advance(Milliseconds(500));
+        send(*scheduler, "a1", running);
+    }
+    const std::unique_ptr<Scheduler> second = makeScheduler(2);
+    wire::EndpointReport anew = reportOf("i-1", 2);
+    anew.born = 200;
+    const std::vector<wire::StartOrder> again = startsOf(send(*second, "a1", anew));
+    LONGS_EQUAL(1, again.size());
+    CHECK(again[0].checkpoint.compare(0, 5, "point") == 0);
+}
