Refuse submissions that no job's record or no scheduler's memory could hold

A step of 10^9 tasks was cut to 100,000 without a word, which took the scheduler's memory and made a record larger than the store takes; 2*10^9 past occurrences were added one by one. Each entry would have met the repeated call in turn. Found by reading, shown by PlatformDocuments submissionsBeyondWhatAJobMayHoldAreRefused.

--- a/tests/adapter/documentstest.cpp
+++ b/tests/adapter/documentstest.cpp
@@ -78,6 +78,18 @@
     CHECK(!isOk(decodeSubmission(R"({"spec":"x","steps":[{},{"dependsOn":[-1]}]})")));
 }
 
+/// Each of these would take the scheduler's memory, or make a record that the store can never take.
+TEST(PlatformDocuments, submissionsBeyondWhatAJobMayHoldAreRefused)
+{
+    CHECK(!isOk(decodeSubmission(R"({"spec":"x","steps":[{"count":1000000000}]})")));
+    CHECK(!isOk(decodeSubmission(R"({"spec":"x","steps":[{"count":3000},{"count":3000}]})")));
+    CHECK(!isOk(decodeSubmission(R"({"spec":"x","steps":[{}],"times":2000000000,"firstMs":0,"intervalMs":0})")));
+    CHECK(!isOk(decodeSubmission(R"({"spec":"x","steps":[{}],"times":9000000000000000000})")));
+    CHECK(!isOk(decodeSubmission(R"({"spec":"x","steps":[{}],"times":2,"firstMs":9000000000000000000,"intervalMs":1})")));
+    CHECK(!isOk(decodeSubmission(R"({"spec":"x","steps":[{}],"times":2,"firstMs":1,"intervalMs":-5})")));
+    CHECK(isOk(decodeSubmission(R"({"spec":"x","steps":[{"count":230},{"count":230}],"times":6,"firstMs":1767225600000,"intervalMs":4500})")));
+}
+
 TEST(PlatformDocuments, endpointReportsOfAnotherWriterNameNoEndpoint)
 {
     const char *good = R"({"service":"s1","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"draining","remainingMs":1500,"coldLeftMs":0,
