--- a/src/libknapweed/cell/fleet.h
+++ b/src/libknapweed/cell/fleet.h
@@ -29,6 +29,7 @@
     BootTime orderedAt; ///< of the last order about it
     BootTime firstOrderedAt;
     std::int64_t startedSequence = 0; ///< reports up to this one may not hold it yet, though it has started
+    bool isAdopted = false; ///< not started by this scheduler: its start isn't known
     int percent = 0;
     BootTime progressAt; ///< when percent last changed
     std::string checkpoint; ///< the newest that the endpoint named
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -8,6 +8,7 @@
 #include "cell/jobtable.h"
 #include "cell/planner.h"
 #include "peers/codec.h"
+#include "planning/estimates.h"
 
 #include <map>
 #include <optional>
@@ -121,6 +122,8 @@
     std::uint64_t applyEnd(Endpoint &endpoint, const wire::EndRow &end, BootTime now);
     void applyRunning(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now);
     void adopt(Endpoint &endpoint, const RunId &run, BootTime now);
+    void learnRunTime(const Job &job, const Endpoint &endpoint, const RunId &run, BootTime now);
+    Milliseconds runTimeOf(const Job &job, const Step &step) const;
     void noteHealth(Endpoint &endpoint, Job *job, RunEnd how, BootTime now);
     void grant(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now);
     void advanceStoredEnds(Endpoint &endpoint);
@@ -166,6 +169,7 @@
     CellConfiguration configuration_;
     std::map<std::string, Job> jobs_;
     std::map<std::string, Endpoint> endpoints_; ///< by agent
+    planning::RunEstimates runTimes_; ///< by client account and queue
     std::map<std::string, ServiceRoom> roomByService_; ///< at the last round
     std::map<StepName, StepAdvice> advice_; ///< of steps that have waited in queues that need advice
     std::vector<PendingAnswer> pendingAnswers_; ///< with a write above storedWrite_
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -177,6 +177,7 @@
     const UnitKey key = unitKeyOf(job->spec, run.task);
     const bool isLasting = job->spec.steps[key.step].isLasting;
     if (how == RunEnd::Done && !isLasting) {
+        learnRunTime(*job, endpoint, run, now);
         unit->progress.isDone = true;
         unit->progress.checkpoint.clear();
     } else if (how == RunEnd::Failed && !isLasting) {
@@ -201,6 +202,17 @@
     return unit->progress != before || job->lastWrite > storedWrite_ ? job->lastWrite : 0;
 }
 
+/// Only runs that did all of their work, one for each gang.
+void Scheduler::learnRunTime(const Job &job, const Endpoint &endpoint, const RunId &run, BootTime now)
+{
+    const auto occupation = endpoint.runs.find(run);
+    const Step &step = job.spec.steps[run.task.step];
+    const bool isWhole = occupation != endpoint.runs.end() && !occupation->second.isAdopted && !step.hasCheckpoints;
+    if (isWhole && (!step.isGang || run.task.index == 0)) {
+        runTimes_.record(job.spec.account, job.spec.queue, now - occupation->second.firstOrderedAt);
+    }
+}
+
 /// A failure of a job that succeeds nowhere and has failed on other endpoints says nothing of this one.
 void Scheduler::noteHealth(Endpoint &endpoint, Job *job, RunEnd how, BootTime now)
 {
@@ -291,6 +303,7 @@
 {
     Occupation &occupation = endpoint.runs[run];
     occupation.state = Occupation::State::Listed;
+    occupation.isAdopted = true;
     occupation.firstOrderedAt = now;
     occupation.orderedAt = now;
     occupation.progressAt = now;
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -52,19 +52,19 @@
 }
 
 /// Work of others that may be thrown away for the unit.
-double affordableLoss(Rank rank, const Step &step, std::size_t tasks)
+double affordableLoss(Rank rank, const Step &step, std::size_t tasks, Milliseconds runTime)
 {
-    return (rank == Rank::First ? firstLossShare : 0) * double(tasks) * coreEquivalents(step.needs) * std::chrono::duration<double>(step.estimate).count();
+    return (rank == Rank::First ? firstLossShare : 0) * double(tasks) * coreEquivalents(step.needs) * std::chrono::duration<double>(runTime).count();
 }
 
 /// How long a unit waits for its rack. Where the fleet is busy, waiting is better for it than to run off its rack as long as it is shorter than what that
 /// costs.
-Milliseconds patienceForRack(Rank rank, const Step &step, bool isFleetIdle)
+Milliseconds patienceForRack(Rank rank, const Step &step, Milliseconds runTime, bool isFleetIdle)
 {
     if (rank == Rank::Guaranteed) {
         return urgentRackPatience;
     }
-    return isFleetIdle || step.isLasting ? rackPatience : std::max(rackPatience, step.estimate * (offRackFactor - 1));
+    return isFleetIdle || step.isLasting ? rackPatience : std::max(rackPatience, runTime * (offRackFactor - 1));
 }
 
 double lostWork(const Step &step, const Occupation &occupation, BootTime now)
@@ -132,9 +132,16 @@
     return fitsTwice && std::max(freeCores, freeAccelerators) > 1 - idleShare;
 }
 
+/// How long one run of the step takes: as half of its queue's runs did lately; the submitter's word only while too few are known.
+Milliseconds Scheduler::runTimeOf(const Job &job, const Step &step) const
+{
+    return runTimes_.quantile(job.spec.account, job.spec.queue, step.estimate, 0.5);
+}
+
 WaitingUnit Scheduler::describe(const Job &job, const UnitKey &key, const Unit &unit, Rank rank, BootTime now) const
 {
     const Step &step = job.spec.steps[key.step];
+    const Milliseconds runTime = runTimeOf(job, step);
     WaitingUnit waiting;
     waiting.rank = rank;
     waiting.tasks = unit.indices.size();
@@ -143,12 +150,12 @@
     waiting.requiredLabel = step.requiredLabel;
     waiting.dataRack = step.dataRack;
     waiting.prefersOneRack = step.prefersOneRack;
-    waiting.mayLeaveSmallRacks = now - unit.readySince > patienceForRack(waiting.rank, step, true);
-    waiting.mayLeaveRack = now - unit.readySince > patienceForRack(waiting.rank, step, isMuchIdle(job.queue.service, step));
+    waiting.mayLeaveSmallRacks = now - unit.readySince > patienceForRack(waiting.rank, step, runTime, true);
+    waiting.mayLeaveRack = now - unit.readySince > patienceForRack(waiting.rank, step, runTime, isMuchIdle(job.queue.service, step));
     waiting.tasksPerEndpoint = static_cast<std::size_t>(step.tasksPerEndpoint);
     waiting.avoided = unit.failedOn;
     waiting.mayUseSuspects = waiting.rank > Rank::First || now - unit.readySince > suspectPatience;
-    waiting.affordableLoss = affordableLoss(waiting.rank, step, waiting.tasks);
+    waiting.affordableLoss = affordableLoss(waiting.rank, step, waiting.tasks, runTime);
     if (step.tasksPerEndpoint > 0) {
         waiting.stepName = job.spec.id + '.' + std::to_string(key.occurrence) + '.' + std::to_string(key.step);
         for (const auto &[otherKey, other] : job.units) {
--- a/tests/cell/loadtest.cpp
+++ b/tests/cell/loadtest.cpp
@@ -172,3 +172,34 @@
     LONGS_EQUAL(1, again.size());
     CHECK(again[0].checkpoint.compare(0, 5, "point") == 0);
 }
+
+/// Submitters' estimates that are wrong by a factor of ten: urgent work would displace nothing, or everything.
+TEST(SchedulerLoad, urgentWorkIsWeighedByHowLongItsQueueRunsNotByItsEstimate)
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    const auto report = [this, &scheduler](const std::vector<wire::RunRow> &running, const std::vector<wire::EndRow> &ended) {
+        wire::EndpointReport full = reportOf("i-1", 1);
+        full.running = running;
+        full.ended = ended;
+        return startsOf(send(*scheduler, "a1", full));
+    };
+    report({}, {});
+    Step urgent = plainStep(1, {1000, 1000, 8});
+    urgent.estimate = Milliseconds(100);
+    for (int number = 1; number <= 6; ++number) {
+        const std::vector<wire::StartOrder> orders =
+            startsOf(send(*scheduler, "entry", submitOf(plainJob("known" + std::to_string(number), "urgent", {urgent}))));
+        LONGS_EQUAL(1, orders.size());
+        advance(Milliseconds(1000));
+        report({rowOf(orders[0].run, 50)}, {});
+        advance(Milliseconds(1000));
+        report({}, {endOf(number, orders[0].run, wire::RunEnding::Done)});
+    }
+    const std::vector<wire::StartOrder> later = startsOf(send(*scheduler, "entry", submitOf(plainJob("later", "later", {plainStep(1, {1000, 1000, 8})}))));
+    LONGS_EQUAL(1, later.size());
+    advance(Milliseconds(1000));
+    report({rowOf(later[0].run, 50)}, {});
+    JobSpec beyond = plainJob("beyond", "urgent", {urgent});
+    beyond.account = "other"; // nothing is guaranteed to it
+    LONGS_EQUAL(1, messagesOf<wire::StopOrder>(send(*scheduler, "entry", submitOf(beyond))).size());
+}
