Agents connect to three entries, their seeds and the scheduler instead of to every entry

Change: an agent chooses three entries, of its failure domain first, and another when one can't be reached; entries pass on to their agents who schedules; the connection to the scheduler is made by the first report to it.

--- a/src/knapweedstaged/cellagenttask.cpp
+++ b/src/knapweedstaged/cellagenttask.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr Milliseconds tickInterval {100};
+constexpr std::size_t entryLinks = 3; ///< who tells of a new scheduler; with the seeds, enough to outlive the loss of some entries at once
 constexpr const char *reportPath = "/-/instances/";
 
 } // namespace
@@ -21,7 +22,9 @@
     : settings_(settings)
     , http_(loop_)
 {
-    peers_ = std::make_unique<PeerNetwork>(loop_, PeerNetworkOptions {}, networkEvents());
+    PeerNetworkOptions options;
+    options.entryLinks = entryLinks;
+    peers_ = std::make_unique<PeerNetwork>(loop_, options, networkEvents());
     const HttpHandler none = [](const HttpRequest &, const HttpResponder &respond) {
         respond(jsonResponse(404, "{}"));
     };
--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -159,6 +159,12 @@
     metrics_.set("scheduler_generation", double(generation));
     logEvent(LogLevel::Info, "scheduler.known", {{"generation", std::to_string(generation)}, {"address", address}, {"source", source}});
     relay_.schedulerChanged(monotonicNow());
+    // Agents are connected to some entries only, so each entry tells those that it has.
+    for (const wire::RosterEntry &peer : peers_->roster()) {
+        if (peer.role == wire::Role::Agent && peers_->isConnected(peer.address)) {
+            announce(peer.address);
+        }
+    }
 }
 
 void CellEntryTask::receiveNotice(const std::string &peer, const wire::SchedulerNotice &notice)
--- a/src/libknapweed/peers/peernetwork.cpp
+++ b/src/libknapweed/peers/peernetwork.cpp
@@ -184,10 +184,9 @@
 
 void PeerNetwork::Private::tickDials(MonotonicTime now)
 {
-    for (const auto &[address, item] : roster.items) {
-        if (item.entry.role == wire::Role::Entry) {
-            dials[address];
-        }
+    const std::vector<std::string> entries = wantedEntries();
+    for (const std::string &address : entries) {
+        dials[address];
     }
     for (const auto &[name, peer] : peers) {
         if (!peer.waiting.empty()) {
@@ -196,7 +195,8 @@
     }
     std::vector<std::string> due;
     std::erase_if(dials, [&](const std::pair<const std::string, Dial> &target) {
-        const bool wanted = isWanted(target.first, target.second);
+        const bool isEntry = std::find(entries.begin(), entries.end(), target.first) != entries.end();
+        const bool wanted = isWanted(target.first, target.second, isEntry);
         if (wanted && target.second.link == 0 && target.second.next <= now) {
             due.push_back(target.first);
         }
@@ -207,13 +207,32 @@
     }
 }
 
-bool PeerNetwork::Private::isWanted(const std::string &address, const Dial &dial) const
+/// The entries to be connected to. One that can't be reached makes way for the next until it is tried again.
+std::vector<std::string> PeerNetwork::Private::wantedEntries() const
+{
+    const std::vector<std::string> entries = entriesByPreference(roster);
+    if (options.entryLinks == 0) {
+        return entries;
+    }
+    std::vector<std::string> wanted;
+    std::size_t usable = 0;
+    for (const std::string &address : entries) {
+        if (usable == options.entryLinks) {
+            break;
+        }
+        const auto dial = dials.find(address);
+        const bool isFailing = !isConnected(address) && dial != dials.end() && dial->second.backoff.failures > 0;
+        wanted.push_back(address);
+        usable += isFailing ? 0 : 1;
+    }
+    return wanted;
+}
+
+bool PeerNetwork::Private::isWanted(const std::string &address, const Dial &dial, bool isEntry) const
 {
     if (address == roster.self.address || isConnected(address)) {
         return false;
     }
-    const auto known = roster.items.find(address);
-    const bool isEntry = known != roster.items.end() && known->second.entry.role == wire::Role::Entry;
     const auto peer = peers.find(address);
     const bool isAwaited = peer != peers.end() && !peer->second.waiting.empty();
     return dial.isSeed || isEntry || isAwaited;
--- a/src/libknapweed/peers/peernetwork.h
+++ b/src/libknapweed/peers/peernetwork.h
@@ -22,6 +22,7 @@
     Milliseconds silenceTimeout {2000}; ///< a connection with no heartbeat reply for this long is dropped and replaced
     Milliseconds reconnectDelay {50}; ///< first delay; doubles with jitter up to reconnectLimit
     Milliseconds reconnectLimit {2000};
+    std::size_t entryLinks = 0; ///< entries that this process connects to by itself, beside its seeds and those that it sends to; 0: all
     Seconds rosterExpiry {10}; ///< a process that nobody has heard from for this long leaves the roster
 };
 
@@ -56,7 +57,8 @@
 
     bool isConnected(const std::string &peer) const;
 
-    /// The processes known by gossip, this one included. An agent connects to every entry of the roster by itself.
+    /// The processes known by gossip, this one included. Connects to every entry of the roster by itself, or to
+    /// entryLinks of them.
     std::vector<wire::RosterEntry> roster() const;
 
     /// What this process's heartbeats say of it.
--- a/src/libknapweed/peers/peernetworkprivate.h
+++ b/src/libknapweed/peers/peernetworkprivate.h
@@ -105,7 +105,8 @@
     void tickLink(PeerLink &link, MonotonicTime now);
     void tickWaiting(MonotonicTime now);
     void tickDials(MonotonicTime now);
-    bool isWanted(const std::string &address, const Dial &dial) const;
+    std::vector<std::string> wantedEntries() const;
+    bool isWanted(const std::string &address, const Dial &dial, bool isEntry) const;
     void dial(const std::string &address, MonotonicTime now);
     void dialFailed(const std::string &address);
     void rosterChanged();
--- a/src/libknapweed/peers/roster.cpp
+++ b/src/libknapweed/peers/roster.cpp
@@ -2,6 +2,10 @@
 
 #include "peers/roster.h"
 
+#include <algorithm>
+#include <functional>
+#include <tuple>
+
 namespace knapweed
 {
 
@@ -33,6 +37,23 @@
     return erased != 0;
 }
 
+std::vector<std::string> entriesByPreference(const Roster &roster)
+{
+    std::vector<std::tuple<bool, std::size_t, std::string>> ranked;
+    for (const auto &[address, item] : roster.items) {
+        if (item.entry.role == wire::Role::Entry) {
+            const bool isElsewhere = item.entry.failureDomain != roster.self.failureDomain;
+            ranked.emplace_back(isElsewhere, std::hash<std::string>()(roster.self.address + ' ' + address), address);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<std::string> addresses;
+    for (const auto &[isElsewhere, hash, address] : ranked) {
+        addresses.push_back(address);
+    }
+    return addresses;
+}
+
 std::vector<wire::RosterEntry> listEntries(const Roster &roster)
 {
     std::vector<wire::RosterEntry> entries {roster.self};
--- a/src/libknapweed/peers/roster.h
+++ b/src/libknapweed/peers/roster.h
@@ -30,6 +30,9 @@
 /// Drops what nobody has heard from since @p oldest. Returns true when anything left.
 bool expireEntries(Roster &roster, MonotonicTime oldest);
 
+/// The entries in the order in which a process that needs only some of them connects to them: those of its failure domain first, each process in another order.
+std::vector<std::string> entriesByPreference(const Roster &roster);
+
 /// Self first, then the others by address.
 std::vector<wire::RosterEntry> listEntries(const Roster &roster);
 
--- a/tests/peers/networktest.cpp
+++ b/tests/peers/networktest.cpp
@@ -32,6 +32,48 @@
     CHECK(isKnown);
 }
 
+/// Every agent linked to every entry: connections, and the storm after a loss of all, grow with the square of the fleet.
+TEST(PeerNetwork, agentLinksToSomeEntriesAndToAnotherWhenOneIsLost)
+{
+    std::vector<std::unique_ptr<TestNode>> entries;
+    for (int number = 1; number <= 6; ++number) {
+        entries.push_back(std::make_unique<TestNode>(wire::Role::Entry, number));
+        entries.back()->start(number == 1 ? std::vector<Address>() : std::vector<Address> {entries.front()->listening()});
+    }
+    for (const std::unique_ptr<TestNode> &entry : entries) {
+        CHECK(entries.back()->name() == entry->name() || entries.back()->waitConnected(entry->name()));
+    }
+    PeerNetworkOptions options = testOptions();
+    options.entryLinks = 2;
+    TestNode agent(wire::Role::Agent, 9, {"127.0.0.1", 0}, options);
+    agent.start({entries.front()->listening()});
+    const auto linked = [&entries, &agent]() {
+        std::vector<std::size_t> places;
+        for (std::size_t place = 0; place < entries.size(); ++place) {
+            if (entries[place] != nullptr && agent.network().isConnected(entries[place]->name())) {
+                places.push_back(place);
+            }
+        }
+        return places;
+    };
+    const auto isLinked = [&agent, &linked](std::size_t least, std::size_t most) {
+        return agent.task().waitFor([&]() {
+            return agent.network().roster().size() == 7 && linked().size() >= least && linked().size() <= most;
+        });
+    };
+    CHECK(isLinked(2, 3)); // the seed may be one of the two
+    std::size_t lost = 0;
+    agent.task().call([&]() {
+        lost = linked().back();
+    });
+    CHECK(lost != 0);
+    entries[lost].reset();
+    const bool isReplaced = agent.task().waitFor([&]() {
+        return linked().size() >= 2 && linked().size() <= 3;
+    });
+    CHECK(isReplaced);
+}
+
 TEST(PeerNetwork, agentsConnectToEachOtherToSend)
 {
     TestNode first(wire::Role::Agent, 1);
