A scheduler keeps its tenure while other entries join its group and leave it

Change: it goes on until it is told so three times in a row, 60 ms apart. A real successor ends it by its fence or its notice, as before.

--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -98,6 +98,7 @@
     bool isJoining_ = false; ///< a join, or a look at the place, is under way
     bool isPlaceFree_ = false; ///< at the last look
     cell::OwnerDoubt ownerDoubt_;
+    cell::PlaceDoubt placeDoubt_; ///< of the own tenure
 
     const MonotonicTime startedAt_ = std::chrono::steady_clock::now();
     MonotonicTime tenureBegan_;
--- a/src/knapweedstaged/celltenure.cpp
+++ b/src/knapweedstaged/celltenure.cpp
@@ -15,6 +15,7 @@
 constexpr const char *turnTopic = "turn"; ///< its partition 0 is the scheduler's place; it has no records
 constexpr Milliseconds membershipLifetime {1200}; ///< an entry that is silent for so long loses the place; the platform allows no less than 1 s
 constexpr Milliseconds joinInterval {300}; ///< three joins, or looks at the place, within a lifetime
+constexpr Milliseconds doubtInterval {60}; ///< until the next join of a scheduler that was told that it doesn't hold the place
 constexpr int handOverBackoff = 4; ///< a place that comes back after a hand-over was not wanted; the next try can wait
 constexpr Milliseconds joinTimeout {600}; ///< half a lifetime; a slow store answers in 300 ms
 constexpr Milliseconds loadTimeout {2000}; ///< of one page of records
@@ -125,7 +126,8 @@
             isJoining_ = false;
             if (!isDraining_) {
                 joined(result);
-                scheduleJoin(joinInterval);
+                const bool isDoubtful = isOk(result) && !value(result).holdsPartition && tenure_ != 0;
+                scheduleJoin(isDoubtful ? doubtInterval : joinInterval);
             }
         });
 }
@@ -140,10 +142,10 @@
     groupGeneration_ = membership.generation;
     if (membership.holdsPartition && tenure_ == 0) {
         beginTenure(membership.generation);
-    } else if (!membership.holdsPartition && tenure_ != 0) {
+    } else if (tenure_ != 0 && placeDoubt_.isLost(membership.holdsPartition)) {
         endTenure("the place was given to another entry");
     }
-    if (!membership.holdsPartition) {
+    if (!membership.holdsPartition && tenure_ == 0) {
         store_.leave(group, member_, joinTimeout, [](const Result<Done, platform::StoreError> &) {}); // else its membership lapses by itself
     }
 }
@@ -154,6 +156,7 @@
         return; // an answer from before a tenure that is known; the next join tells
     }
     tenure_ = generation;
+    placeDoubt_ = cell::PlaceDoubt();
     tenureBegan_ = std::chrono::steady_clock::now();
     logEvent(LogLevel::Info, "tenure.begun", {{"generation", std::to_string(generation)}});
     JournalEvents events;
--- a/src/libknapweed/cell/turn.cpp
+++ b/src/libknapweed/cell/turn.cpp
@@ -16,6 +16,7 @@
 constexpr int looksInATurn = 3; ///< where the store is slow: the first one's join, and a look that may have begun just before it was done
 constexpr std::ptrdiff_t longestQueue = 6; ///< later ones wait no longer: when all before them are gone the place must not stay empty for seconds
 constexpr Milliseconds learningSpan {700}; ///< for the connections to the seeds, their rosters, and the connections to those named there
+constexpr int refusalsToLose = 3; ///< a join and a leave of another entry fall between two joins of the owner, seldom between three
 constexpr std::int32_t handOverFactor = 2; ///< less of a difference isn't worth the pause of a hand-over
 
 constexpr Seconds staleOwnerLimit {3}; ///< twice the lifetime of a membership: an owner that is gone has lapsed by then
@@ -47,6 +48,12 @@
     });
 }
 
+bool PlaceDoubt::isLost(bool holdsPlace)
+{
+    refusals_ = holdsPlace ? 0 : refusals_ + 1;
+    return refusals_ >= refusalsToLose;
+}
+
 void OwnerDoubt::seen(const std::string &owner, bool isSchedulerConnected, MonotonicTime now)
 {
     if (owner != owner_ || isSchedulerConnected) {
--- a/src/libknapweed/cell/turn.h
+++ b/src/libknapweed/cell/turn.h
@@ -28,6 +28,18 @@
 /// Whether one of @p others has so much more of a core than @p self that a hand-over pays.
 bool hasBetterCandidate(const TurnCandidate &self, const std::vector<TurnCandidate> &others);
 
+/// Whether a scheduler that is told that it doesn't hold the place gives it up. An entry that joins the group and leaves it at once has the place dealt anew
+/// twice; a real successor makes itself known by its fence, whatever this says.
+class PlaceDoubt
+{
+public:
+    /// The store's answer to a join. True when the place is surely lost.
+    bool isLost(bool holdsPlace);
+
+private:
+    int refusals_ = 0; ///< in a row
+};
+
 /// Whether the place's owner is to be challenged: an entry that could not be reached for long, while the store could. Each owner is judged from when it was
 /// first seen, so that the successor of one that was challenged has time to make itself known.
 class OwnerDoubt
--- a/tests/cell/turntest.cpp
+++ b/tests/cell/turntest.cpp
@@ -99,3 +99,15 @@
     CHECK(learningDelay(Milliseconds(10)) > Milliseconds(500));
     LONGS_EQUAL(0, learningDelay(Seconds(1)).count());
 }
+
+/// Entries that see the place free at the same moment all join; all but one leave at once, and each of these has the place dealt anew.
+TEST(Turn, schedulerKeepsItsTenureWhileOthersJoinAndLeave)
+{
+    PlaceDoubt doubt;
+    CHECK_FALSE(doubt.isLost(true));
+    CHECK_FALSE(doubt.isLost(false));
+    CHECK_FALSE(doubt.isLost(true));
+    CHECK_FALSE(doubt.isLost(false));
+    CHECK_FALSE(doubt.isLost(false));
+    CHECK_TRUE(doubt.isLost(false));
+}
