--- a/src/knapweedstaged/celltenure.cpp
+++ b/src/knapweedstaged/celltenure.cpp
@@ -5,6 +5,8 @@
 #include "cell/turn.h"
 #include "cellentrytask.h"
 
+#include <algorithm>
+
 namespace knapweed
 {
 
@@ -15,6 +17,7 @@
 constexpr const char *turnTopic = "turn"; ///< its partition 0 is the scheduler's place; it has no records
 constexpr Milliseconds membershipLifetime {1200}; ///< an entry that is silent for so long loses the place; the platform allows no less than 1 s
 constexpr Milliseconds joinInterval {300}; ///< three joins, or looks at the place, within a lifetime
+constexpr Milliseconds learningLook {100}; ///< between looks at a free place while the entries hear of each other
 constexpr Milliseconds doubtInterval {60}; ///< until the next join of a scheduler that was told that it doesn't hold the place
 constexpr int handOverBackoff = 4; ///< a place that comes back after a hand-over was not wanted; the next try can wait
 constexpr Milliseconds joinTimeout {600}; ///< half a lifetime; a slow store answers in 300 ms
@@ -69,13 +72,14 @@
     const bool isOwn = isOk(result) && value(result).member == member_;
     const bool isDoubted = isOk(result) && ownerDoubt_.isDue(now);
     isPlaceFree_ = isOk(result) && (value(result).member.empty() || isDoubted);
-    const Milliseconds learning = cell::learningDelay(std::chrono::duration_cast<Milliseconds>(now - startedAt_));
+    const std::vector<cell::TurnCandidate> others = otherCandidates();
+    const Milliseconds learning = cell::learningDelay(std::chrono::duration_cast<Milliseconds>(now - startedAt_), knownEntries(), others.size());
     if (isPlaceFree_ && learning.count() > 0) {
         isPlaceFree_ = false; // this look doesn't count: the order among the entries isn't known yet
-        scheduleJoin(std::min(learning, joinInterval));
+        scheduleJoin(std::min(learning, learningLook));
         return;
     }
-    const Milliseconds delay = cell::turnDelay({self_, processorPermille()}, otherCandidates(), lookTime);
+    const Milliseconds delay = cell::turnDelay({self_, processorPermille()}, others, lookTime);
     if (isOwn || (isPlaceFree_ && (wasFree || delay.count() == 0))) {
         if (isDoubted) {
             logEvent(LogLevel::Warning, "tenure.challenged", {{"owner", value(result).member}, {"scheduler", scheduler_}});
@@ -98,6 +102,14 @@
     return others;
 }
 
+std::size_t CellEntryTask::knownEntries() const
+{
+    const std::vector<wire::RosterEntry> roster = peers_->roster();
+    return static_cast<std::size_t>(std::count_if(roster.begin(), roster.end(), [this](const wire::RosterEntry &peer) {
+        return peer.role == wire::Role::Entry && peer.address != self_;
+    }));
+}
+
 bool CellEntryTask::isHandOverDue() const
 {
     const bool isSettled = schedulerCore_ != nullptr && !schedulerCore_->isRecovering() && std::chrono::steady_clock::now() - tenureBegan_ > handOverAfter_;
--- a/src/libknapweed/cell/turn.cpp
+++ b/src/libknapweed/cell/turn.cpp
@@ -15,6 +15,7 @@
 constexpr Milliseconds longestDelay {3000}; ///< twice the lifetime of a membership
 constexpr int looksInATurn = 3; ///< where the store is slow: the first one's join, and a look that may have begun just before it was done
 constexpr std::ptrdiff_t longestQueue = 6; ///< later ones wait no longer: when all before them are gone the place must not stay empty for seconds
+constexpr Milliseconds shortestLearning {100}; ///< the first seed's roster may be as new as this process
 constexpr Milliseconds learningSpan {700}; ///< for the connections to the seeds, their rosters, and the connections to those named there
 constexpr int refusalsToLose = 3; ///< a join and a leave of another entry fall between two joins of the owner, seldom between three
 constexpr std::int32_t handOverFactor = 2; ///< less of a difference isn't worth the pause of a hand-over
@@ -36,9 +37,10 @@
     return std::min(longestDelay, std::max(shortestTurn, looksInATurn * lookTime) * std::min(before, longestQueue));
 }
 
-Milliseconds learningDelay(Milliseconds age)
+Milliseconds learningDelay(Milliseconds age, std::size_t known, std::size_t connected)
 {
-    return std::max(Milliseconds(0), learningSpan - age);
+    const bool knowsAll = known > 0 && connected == known && age >= shortestLearning;
+    return knowsAll ? Milliseconds(0) : std::max(Milliseconds(0), learningSpan - age);
 }
 
 bool hasBetterCandidate(const TurnCandidate &self, const std::vector<TurnCandidate> &others)
--- a/src/libknapweed/cell/turn.h
+++ b/src/libknapweed/cell/turn.h
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -22,8 +23,9 @@
 /// in order waits not at all; each later one leaves those before it the time to have taken it.
 Milliseconds turnDelay(const TurnCandidate &self, const std::vector<TurnCandidate> &others, Milliseconds lookTime);
 
-/// How long a process of @p age holds back from a free place: after a loss of all entries none of them knows yet who comes before it.
-Milliseconds learningDelay(Milliseconds age);
+/// How long a process of @p age that knows of @p known other entries, and is connected to @p connected of them, holds back from a free place: after a loss of
+/// all entries none of them knows yet who comes before it.
+Milliseconds learningDelay(Milliseconds age, std::size_t known, std::size_t connected);
 
 /// Whether one of @p others has so much more of a core than @p self that a hand-over pays.
 bool hasBetterCandidate(const TurnCandidate &self, const std::vector<TurnCandidate> &others);
--- a/tests/cell/turntest.cpp
+++ b/tests/cell/turntest.cpp
@@ -96,8 +96,10 @@
 /// All entries start at the same moment and see the place free: five schedulers followed each other within 1.2 s.
 TEST(Turn, entriesThatHaveJustStartedHearOfEachOtherFirst)
 {
-    CHECK(learningDelay(Milliseconds(10)) > Milliseconds(500));
-    LONGS_EQUAL(0, learningDelay(Seconds(1)).count());
+    CHECK(learningDelay(Milliseconds(10), 0, 0) > Milliseconds(500));
+    CHECK(learningDelay(Milliseconds(150), 30, 4) > Milliseconds(500));
+    LONGS_EQUAL(0, learningDelay(Seconds(1), 30, 4).count());
+    LONGS_EQUAL(0, learningDelay(Milliseconds(150), 3, 3).count()); // a small fleet, after the loss of all of it
 }
 
 /// Entries that see the place free at the same moment all join; all but one leave at once, and each of these has the place dealt anew.
