A gang isn't started again while an agent that may run one of its members is awaited

Change: agents that are still awaited stay with the unit. Test, seen to fail before: Scheduler gangIsNotStartedAgainWhileAnAgentThatMayRunAMemberIsAwaited.

--- a/src/libknapweed/cell/schedulerunits.cpp
+++ b/src/libknapweed/cell/schedulerunits.cpp
@@ -67,7 +67,10 @@
     Unit &unit = job.units.at(key);
     unit.isStopping = false;
     if (!unit.progress.isDone) {
-        unit.progress.agents.clear(); // else the next scheduler would wait for agents that may be gone
+        // Else the next scheduler would wait for agents that may be gone. One that hasn't reported yet may run another member.
+        std::erase_if(unit.progress.agents, [this](const std::string &agent) {
+            return awaitedAgents_.count(agent) == 0;
+        });
     }
     unit.phase = unit.progress.isDone || job.isOver ? Unit::Phase::Ended : Unit::Phase::Waiting;
     unit.readySince = now;
--- a/tests/cell/schedulertest.cpp
+++ b/tests/cell/schedulertest.cpp
@@ -389,3 +389,34 @@
     LONGS_EQUAL(1, again.size());
     STRCMP_EQUAL("a", again.front().c_str());
 }
+
+/// Agents report one after the other to a new scheduler: what the first ones list may end before the last one is heard.
+TEST(Scheduler, gangIsNotStartedAgainWhileAnAgentThatMayRunAMemberIsAwaited)
+{
+    const std::unique_ptr<Scheduler> first = makeScheduler(1);
+    send(*first, "a1", reportOf("i-1", 1));
+    send(*first, "a2", reportOf("i-2", 1));
+    Step gang = plainStep(2, {1000, 1000, 8});
+    gang.isGang = true;
+    const std::vector<wire::StartOrder> orders = startsOf(send(*first, "entry", submitOf(plainJob("gang", "usual", {gang}))));
+    LONGS_EQUAL(2, orders.size());
+    const wire::StartOrder &early = orders[0].endpoint == "i-1" ? orders[0] : orders[1];
+    const wire::StartOrder &late = orders[0].endpoint == "i-1" ? orders[1] : orders[0];
+
+    const std::unique_ptr<Scheduler> second = makeScheduler(2);
+    send(*second, "a3", reportOf("i-3", 2));
+    send(*second, "a4", reportOf("i-4", 2));
+    wire::EndpointReport running = reportOf("i-1", 2);
+    running.running = {rowOf(early.run)};
+    CHECK_TRUE(startsOf(send(*second, "a1", running)).empty());
+    wire::EndpointReport ended = reportOf("i-1", 2);
+    ended.ended = {endOf(1, early.run, wire::RunEnding::Broken)};
+    CHECK_TRUE(startsOf(send(*second, "a1", ended)).empty());
+
+    wire::EndpointReport last = reportOf("i-2", 2);
+    last.running = {rowOf(late.run)};
+    CHECK_TRUE(startsOf(send(*second, "a2", last)).empty());
+    wire::EndpointReport gone = reportOf("i-2", 2);
+    gone.ended = {endOf(1, late.run, wire::RunEnding::Broken)};
+    LONGS_EQUAL(2, startsOf(send(*second, "a2", gone)).size());
+}
