Ends whose endpoint's lease lapsed before they were acknowledged don't count as noted in the histories

The check was wrong: the platform's rules say that an end isn't taken note of when the lease lapsed between the end and its acknowledgement, and that this stands. All other ends are checked as before.

--- a/tests/cell/fakeendpoint.h
+++ b/tests/cell/fakeendpoint.h
@@ -72,6 +72,7 @@
     std::map<RunId, Running> running_;
     std::map<std::int64_t, ListedEnd> ended_;
     std::int64_t lastEnd_ = 0;
+    std::int64_t lapsedUpTo_ = 0; ///< ends up to this one were not acknowledged before the lease lapsed: by the platform's rules that never counts as noted
     std::map<TaskId, std::int64_t> over_; ///< the highest run that was stopped or has ended
 };
 
