--- a/src/libknapweed/peers/peernetwork.cpp
+++ b/src/libknapweed/peers/peernetwork.cpp
@@ -210,7 +210,7 @@
 /// The entries to be connected to. One that can't be reached makes way for the next until it is tried again.
 std::vector<std::string> PeerNetwork::Private::wantedEntries() const
 {
-    const std::vector<std::string> entries = entriesByPreference(roster);
+    std::vector<std::string> entries = entriesByPreference(roster);
     if (options.entryLinks == 0) {
         return entries;
     }
--- a/src/libknapweed/peers/roster.cpp
+++ b/src/libknapweed/peers/roster.cpp
@@ -48,6 +48,7 @@
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<std::string> addresses;
+    addresses.reserve(ranked.size());
     for (const auto &[isElsewhere, hash, address] : ranked) {
         addresses.push_back(address);
     }
