Name the other entries in one place, and look only for the newest late start

The entry picked the other entries out of the roster in four loops of its own; the agent listed all starts of a task without an answer to use the last one. No change of behaviour.

--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -123,8 +123,8 @@
     wire::CellConfigurationOffer offer;
     offer.version = configuration.version;
     offer.document = feed_.document();
-    for (const wire::RosterEntry &peer : peers_->roster()) {
-        if (peer.role == wire::Role::Entry && peer.address != self_ && peers_->isConnected(peer.address)) {
+    for (const wire::RosterEntry &peer : otherEntries()) {
+        if (peers_->isConnected(peer.address)) {
             peers_->send(peer.address, offer);
         }
     }
--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -58,7 +58,7 @@
     void ownerSeen(const Result<platform::GroupOwner, platform::StoreError> &result, Milliseconds lookTime);
     std::int32_t processorPermille() const;
     std::vector<cell::TurnCandidate> otherCandidates() const;
-    std::size_t knownEntries() const;
+    std::vector<wire::RosterEntry> otherEntries() const;
     bool isHandOverDue() const;
     void handOver();
     void join();
--- a/src/knapweedstaged/celltenure.cpp
+++ b/src/knapweedstaged/celltenure.cpp
@@ -73,7 +73,7 @@
     const bool isDoubted = isOk(result) && ownerDoubt_.isDue(now);
     isPlaceFree_ = isOk(result) && (value(result).member.empty() || isDoubted);
     const std::vector<cell::TurnCandidate> others = otherCandidates();
-    const Milliseconds learning = cell::learningDelay(std::chrono::duration_cast<Milliseconds>(now - startedAt_), knownEntries(), others.size());
+    const Milliseconds learning = cell::learningDelay(std::chrono::duration_cast<Milliseconds>(now - startedAt_), otherEntries().size(), others.size());
     if (isPlaceFree_ && learning.count() > 0) {
         isPlaceFree_ = false; // this look doesn't count: the order among the entries isn't known yet
         scheduleJoin(std::min(learning, learningLook));
@@ -94,20 +94,22 @@
 std::vector<cell::TurnCandidate> CellEntryTask::otherCandidates() const
 {
     std::vector<cell::TurnCandidate> others;
-    for (const wire::RosterEntry &peer : peers_->roster()) {
-        if (peer.role == wire::Role::Entry && peer.address != self_ && peers_->isConnected(peer.address)) {
+    for (const wire::RosterEntry &peer : otherEntries()) {
+        if (peers_->isConnected(peer.address)) {
             others.push_back({peer.address, peer.processorPermille});
         }
     }
     return others;
 }
 
-std::size_t CellEntryTask::knownEntries() const
+/// The entries that this process knows of, connected or not, but itself.
+std::vector<wire::RosterEntry> CellEntryTask::otherEntries() const
 {
-    const std::vector<wire::RosterEntry> roster = peers_->roster();
-    return static_cast<std::size_t>(std::count_if(roster.begin(), roster.end(), [this](const wire::RosterEntry &peer) {
-        return peer.role == wire::Role::Entry && peer.address != self_;
-    }));
+    std::vector<wire::RosterEntry> entries = peers_->roster();
+    std::erase_if(entries, [this](const wire::RosterEntry &peer) {
+        return peer.role != wire::Role::Entry || peer.address == self_;
+    });
+    return entries;
 }
 
 bool CellEntryTask::isHandOverDue() const
@@ -282,10 +284,8 @@
         notice.generation = generation_;
         notice.address = self_;
         notice.isLeaving = true;
-        for (const wire::RosterEntry &peer : peers_->roster()) {
-            if (peer.role == wire::Role::Entry && peer.address != self_) {
-                peers_->send(peer.address, notice);
-            }
+        for (const wire::RosterEntry &peer : otherEntries()) {
+            peers_->send(peer.address, notice);
         }
     });
 }
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -10,7 +10,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace knapweed::cell
 {
@@ -86,7 +85,7 @@
     bool isCurrent(const std::string &peer, std::int64_t generation, std::int64_t born, const std::string &endpoint) const;
     void tryStart(const std::string &peer, const wire::StartOrder &order, int attempt);
     void started(const std::string &peer, const wire::StartOrder &order);
-    std::vector<RunId> lateStartsOf(const TaskId &task) const;
+    std::optional<RunId> newestLateStartOf(const TaskId &task) const;
     void answerStart(const std::string &peer, const wire::StartOrder &order, wire::StartOutcome::type outcome, const std::string &detail);
     void startFailed(const std::string &peer, const wire::StartOrder &order, EndpointError failure, int attempt);
     void beginBoot(const EndpointStatus &status);
--- a/src/libknapweed/cell/agentstarts.cpp
+++ b/src/libknapweed/cell/agentstarts.cpp
@@ -42,13 +42,13 @@
         return;
     }
     const RunId run = runIdOf(order.run);
-    const std::vector<RunId> late = lateStartsOf(run.task);
-    if (late.empty() || late.back().run >= run.run) {
+    const std::optional<RunId> late = newestLateStartOf(run.task);
+    if (!late || late->run >= run.run) {
         tryStart(peer, order, 1);
         return;
     }
     // A stop of the newest refuses all earlier runs of the task.
-    hooks_.driver.stop({order.endpoint, order.generation, late.back()}, [this, peer, order](const Result<Milliseconds, EndpointError> &result) {
+    hooks_.driver.stop({order.endpoint, order.generation, *late}, [this, peer, order](const Result<Milliseconds, EndpointError> &result) {
         if (isOk(result)) {
             tryStart(peer, order, 1);
         } else {
@@ -57,13 +57,13 @@
     });
 }
 
-/// Starts of the task without an answer, by run.
-std::vector<RunId> Agent::lateStartsOf(const TaskId &task) const
+/// The newest start of the task without an answer that may still be carried out.
+std::optional<RunId> Agent::newestLateStartOf(const TaskId &task) const
 {
-    std::vector<RunId> late;
+    std::optional<RunId> late;
     for (auto start = lateStarts_.lower_bound({task, 0}); start != lateStarts_.end() && start->first.task == task; ++start) {
         if (start->second.until > hooks_.now()) {
-            late.push_back(start->first);
+            late = start->first;
         }
     }
     return late;
