Place urgent work on endpoints whose tasks run faster than their siblings

Placement did not know speeds. Ruled out: waiting for capacity, which explains 32 of 98 late jobs by the logs, restarts 44, slow endpoints alone 17.

--- a/src/libknapweed/cell/fleet.h
+++ b/src/libknapweed/cell/fleet.h
@@ -32,6 +32,7 @@
     BootTime firstOrderedAt;
     std::int64_t startedSequence = 0; ///< reports up to this sequence number may lack the run although it has started
     bool isAdopted = false; ///< not started by this scheduler, so that its start time is unknown
+    bool isWhole = false; ///< started without a checkpoint, so that its run time is that of the whole task
     int percent = 0;
     BootTime progressAt; ///< when percent last changed
     std::string checkpoint; ///< the newest one reported by the endpoint
--- a/src/libknapweed/cell/planner.cpp
+++ b/src/libknapweed/cell/planner.cpp
@@ -4,6 +4,7 @@
 #include "cell/planner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <optional>
 #include <tuple>
@@ -16,6 +17,8 @@
 
 constexpr double preemptionWeight = 10; ///< cost of a lost core-second relative to the idle share of an endpoint
 constexpr double avoidedPenalty = 100; ///< exceeds the sum of idle shares, so that the endpoint is used only if no other has capacity
+constexpr double urgentSpeedWeight = 4; ///< cost of the logarithm of a speed relative to the idle share: urgent work goes to fast endpoints
+constexpr double otherSpeedWeight = 1; ///< other work leaves the fast endpoints to urgent work
 constexpr double suspectPenalty = 50; ///< like avoidedPenalty, but preferred to an endpoint where the unit itself has failed
 constexpr std::size_t maxReservedGangs = 1; ///< blocked gangs without a guarantee for which endpoints are reserved; more would leave the fleet idle
 
@@ -165,8 +168,8 @@
 {
     Offer offer;
     offer.isKnown = true;
-    offer.score =
-        leftover(free, endpoint.capacity) + (unit.avoided.count(endpoint.agent) != 0 ? avoidedPenalty : 0) + (endpoint.isSuspect ? suspectPenalty : 0);
+    const double speedWeight = unit.rank <= Rank::First ? -urgentSpeedWeight : otherSpeedWeight;
+    offer.score = leftover(free, endpoint.capacity) + speedWeight * std::log(endpoint.speed) + (unit.avoided.count(endpoint.agent) != 0 ? avoidedPenalty : 0) + (endpoint.isSuspect ? suspectPenalty : 0);
     if (fits(unit.needs, free)) {
         offer.isPossible = true;
     } else if (mayPreempt) {
--- a/src/libknapweed/cell/planner.h
+++ b/src/libknapweed/cell/planner.h
@@ -59,6 +59,7 @@
     std::string rack;
     std::set<std::string> labels;
     Resources capacity;
+    double speed = 1; ///< of its runs, relative to the usual speed; higher is faster
     bool isSuspect = false; ///< its last run failed recently, so it is used only if no other endpoint has enough free capacity
     Resources freeCapacity; ///< negative where capacity that is still in use is reserved for a unit
     std::vector<RunningPart> parts;
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -4,6 +4,7 @@
 
 #include "cell/advice.h"
 #include "cell/configuration.h"
+#include "cell/endpointspeeds.h"
 #include "cell/fleet.h"
 #include "cell/jobtable.h"
 #include "cell/planner.h"
@@ -123,7 +124,10 @@
     void applyRunning(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now);
     void adopt(Endpoint &endpoint, const RunId &run, BootTime now);
     void recordRunTime(const Job &job, const Endpoint &endpoint, const RunId &run, BootTime now);
+    void observeProgress(const Endpoint &endpoint, const RunId &run, const Allocation &allocation, BootTime now);
+    void declareRunTimes(const JobSpec &spec);
     Milliseconds runTimeOf(const Job &job, const Step &step) const;
+    std::vector<BootTime> latestStartsOf(const Job &job, int occurrence) const;
     void updateHealth(Endpoint &endpoint, Job *job, RunOutcome outcome, BootTime now);
     void grant(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now);
     void advanceStoredEnds(Endpoint &endpoint);
@@ -170,6 +174,7 @@
     std::map<std::string, Job> jobs_;
     std::map<std::string, Endpoint> endpoints_; ///< by agent
     planning::RunEstimates runTimes_; ///< by client account and queue
+    EndpointSpeeds speeds_;
     std::map<std::string, ServiceCapacity> capacityByService_; ///< as of the last planning round
     std::map<StepName, StepAdvice> advice_; ///< for steps that have waited in queues that require advice
     std::vector<PendingAnswer> pendingAnswers_; ///< wait until their write, above storedWrite_, is durable
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -75,6 +75,7 @@
             endpoint.runs.erase(run);
         }
         releaseAll(endpoint, now);
+        forgetPaces(speeds_, agent);
         endpoint = Endpoint();
         endpoint.runs = std::move(kept);
         endpoint.agent = agent;
@@ -211,6 +212,7 @@
         if (row.percent != allocation.percent) {
             allocation.percent = row.percent;
             allocation.progressAt = now;
+            observeProgress(endpoint, run, allocation, now);
         }
         if (!row.checkpoint.empty() && row.checkpoint != allocation.checkpoint) {
             allocation.checkpoint = row.checkpoint;
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -261,6 +261,7 @@
         row.labels = {endpoint.labels.begin(), endpoint.labels.end()};
         row.capacity = endpoint.capacity;
         row.freeCapacity = freeCapacity(endpoint);
+        row.speed = relativeSpeed(speeds_, agent);
         row.isSuspect = endpoint.failuresInRow > 0 && now - endpoint.lastFailure < suspectDuration;
         for (const auto &[run, allocation] : endpoint.runs) {
             const auto job = jobs_.find(run.task.job);
@@ -296,6 +297,7 @@
     std::vector<std::pair<std::string, UnitKey>> unitIds;
     const std::set<std::string> guaranteed = guaranteedJobs();
     updateServiceCapacity(now);
+    deriveSpeeds(speeds_, now);
     const std::vector<WaitingUnit> units = waitingUnits(guaranteed, now, unitIds);
     hasBlockedUnits_ = false;
     plannedAt_ = now;
@@ -336,6 +338,7 @@
         allocation.orderedAt = now;
         allocation.firstOrderedAt = now;
         allocation.progressAt = now;
+        allocation.isWhole = unit.progress.checkpoint.empty();
         unit.members.insert({endpoint.agent, run});
         const Resources free = freeCapacity(endpoint);
         assertInvariant(free.milliCores >= 0 && free.memoryMib >= 0 && free.accelerators >= 0, "the allocations of an endpoint never exceed its capacity");
--- a/tests/cell/plannertest.cpp
+++ b/tests/cell/plannertest.cpp
@@ -242,3 +242,14 @@
     gang.mayLeaveRack = true;
     CHECK(startOf(planUnits({gang}, endpoints), 0) != nullptr);
 }
+
+/// Endpoints differ in speed by a factor of two, and a job with little time to spare is late on a slow one although it was started at once.
+TEST(Planner, urgentWorkGoesToTheFastEndpointAndOtherWorkToTheSlowOne)
+{
+    std::vector<PlannedEndpoint> endpoints = {endpoint("slow"), endpoint("usual"), endpoint("fast")};
+    endpoints[0].speed = 0.7;
+    endpoints[2].speed = 1.4;
+    const Plan plan = planUnits({unit(1, 1, {1000, 1000, 8}, Rank::Guaranteed), unit(2, 1, {1000, 1000, 8}, Rank::Later)}, endpoints);
+    STRCMP_EQUAL("fast", startOf(plan, 1)->agents[0].c_str());
+    STRCMP_EQUAL("slow", startOf(plan, 2)->agents[0].c_str());
+}
