--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -57,8 +57,10 @@
         }
         job.isFinished = isFinal(job);
         job.finishedAt = now;
+        declareRunTimes(job.spec);
         jobs_[job.spec.id] = std::move(job);
     }
+    restoreOrder();
     logEvent(LogLevel::Info, "scheduler.loaded", {{"records", std::to_string(records.size())}, {"jobs", std::to_string(jobs_.size())}});
 }
 
--- a/src/libknapweed/cell/schedulercalls.cpp
+++ b/src/libknapweed/cell/schedulercalls.cpp
@@ -78,9 +78,11 @@
         job.spec.priority = queue->priority;
         job.spec.attempts = queue->attempts;
     }
-    addDueUnits(job, wall);
+    job.spec.acceptedAt = wall;
+    addDueUnits(job, now, wall);
     job.acceptedWrite = this->write({jobRecordKey(job.spec.id), encodeSpec(job.spec)});
     write = job.acceptedWrite;
+    declareRunTimes(job.spec);
     jobs_[call.job] = std::move(job);
     isPlanDue_ = true;
     reply.outcome = wire::CallOutcome::Ok;
--- a/src/libknapweed/cell/schedulerhealth.cpp
+++ b/src/libknapweed/cell/schedulerhealth.cpp
@@ -23,6 +23,15 @@
 
 } // namespace
 
+void Scheduler::declareRunTimes(const JobSpec &spec)
+{
+    for (const Step &step : spec.steps) {
+        if (!step.isLongRunning) {
+            runTimes_.declare(spec.account, spec.queue, step.estimate);
+        }
+    }
+}
+
 /// Records only runs that did all of their work, and one per gang.
 void Scheduler::recordRunTime(const Job &job, const Endpoint &endpoint, const RunId &run, BootTime now)
 {
--- a/src/libknapweed/planning/estimates.cpp
+++ b/src/libknapweed/planning/estimates.cpp
@@ -46,34 +46,52 @@
     add(samples_[sampleKey({}, kind)], recorded);
 }
 
-const RunEstimates::Sample *RunEstimates::find(const std::string &account, const std::string &kind) const
+void RunEstimates::declare(const std::string &account, const std::string &kind, Milliseconds declared)
+{
+    if (declared > Milliseconds::zero()) {
+        add(declared_[sampleKey(account, kind)], std::max(declared, minimumRunTime));
+        add(declared_[sampleKey({}, kind)], std::max(declared, minimumRunTime));
+    }
+}
+
+const RunEstimates::Sample *RunEstimates::find(const Samples &samples, const std::string &account, const std::string &kind)
 {
     for (const std::string &key : {sampleKey(account, kind), sampleKey({}, kind)}) {
-        const auto found = samples_.find(key);
-        if (found != samples_.end() && found->second.sorted.size() >= minimumSamples) {
+        const auto found = samples.find(key);
+        if (found != samples.end() && found->second.sorted.size() >= minimumSamples) {
             return &found->second;
         }
     }
     return nullptr;
 }
 
+/// The run time expected without recorded runs.
+Milliseconds RunEstimates::prior(const std::string &account, const std::string &kind, Milliseconds declared) const
+{
+    const Sample *sample = find(declared_, account, kind);
+    if (sample != nullptr) {
+        return sample->sorted[sample->sorted.size() / 2];
+    }
+    return declared > Milliseconds::zero() ? std::max(declared, minimumRunTime) : defaultRunTime;
+}
+
 Milliseconds RunEstimates::quantile(const std::string &account, const std::string &kind, Milliseconds declared, double share) const
 {
-    const Sample *sample = find(account, kind);
+    const Sample *sample = find(samples_, account, kind);
     if (sample != nullptr) {
         const std::size_t rank = static_cast<std::size_t>(std::ceil(share * static_cast<double>(sample->sorted.size())));
         return sample->sorted[std::clamp<std::size_t>(rank, 1, sample->sorted.size()) - 1];
     }
-    const Milliseconds prior = declared > Milliseconds::zero() ? std::max(declared, minimumRunTime) : defaultRunTime;
-    return share > 0.5 ? scaled(prior, highQuantileFactor) : prior;
+    const Milliseconds expected = prior(account, kind, declared);
+    return share > 0.5 ? scaled(expected, highQuantileFactor) : expected;
 }
 
 Milliseconds RunEstimates::remaining(const std::string &account, const std::string &kind, Milliseconds declared, Milliseconds elapsed) const
 {
-    const Sample *sample = find(account, kind);
+    const Sample *sample = find(samples_, account, kind);
     if (sample == nullptr) {
-        const Milliseconds prior = declared > Milliseconds::zero() ? declared : defaultRunTime;
-        return elapsed < prior ? prior - elapsed : std::max(elapsed / 2, minimumRunTime);
+        const Milliseconds expected = prior(account, kind, declared);
+        return elapsed < expected ? expected - elapsed : std::max(elapsed / 2, minimumRunTime);
     }
     const auto longer = std::upper_bound(sample->sorted.begin(), sample->sorted.end(), elapsed);
     if (longer == sample->sorted.end()) {
--- a/src/libknapweed/planning/estimates.h
+++ b/src/libknapweed/planning/estimates.h
@@ -1,4 +1,5 @@
-// Run time estimates learned from finished runs, by account and kind. A declared run time is used only until enough runs are recorded.
+// Run time estimates learned from finished runs, by account and kind. Declared run times are used only until enough runs are recorded. Submitters err in both
+// directions, so the median of what they declared for a kind is preferred to what one of them declared.
 #pragma once
 
 #include "base/clock.h"
@@ -17,6 +18,9 @@
 public:
     void record(const std::string &account, const std::string &kind, Milliseconds run);
 
+    /// Adds the run time that a submitter declared. Ignores values of zero or less.
+    void declare(const std::string &account, const std::string &kind, Milliseconds declared);
+
     /// The @p share quantile of the kind's run times.
     Milliseconds quantile(const std::string &account, const std::string &kind, Milliseconds declared, double share) const;
 
@@ -30,10 +34,14 @@
         std::vector<Milliseconds> sorted; ///< invariant: the same values, sorted
     };
 
-    const Sample *find(const std::string &account, const std::string &kind) const;
+    using Samples = std::unordered_map<std::string, Sample>; ///< keyed by account and kind, and also by kind alone
+
+    static const Sample *find(const Samples &samples, const std::string &account, const std::string &kind);
+    Milliseconds prior(const std::string &account, const std::string &kind, Milliseconds declared) const;
     static void add(Sample &sample, Milliseconds run);
 
-    std::unordered_map<std::string, Sample> samples_; ///< keyed by account and kind, and also by kind alone
+    Samples samples_;
+    Samples declared_;
 };
 
 } // namespace knapweed::planning
