Start the units with the least time to spare first within a rank

Cause: within a rank units were started in the order of acceptance. After a change of scheduler that order was by id.

--- a/src/libknapweed/cell/jobtable.cpp
+++ b/src/libknapweed/cell/jobtable.cpp
@@ -20,10 +20,26 @@
     return job.spec.occurrences == 0 ? WallTime::min() : job.spec.firstDue + job.spec.interval * job.dueOccurrences;
 }
 
-bool addDueUnits(Job &job, WallTime now)
+namespace
+{
+
+constexpr Seconds maxOverdue {60}; ///< limits the effect of a clock that differs from that of an earlier scheduler
+
+/// When the next occurrence became due, derived from its wall-clock time.
+BootTime nextDueSince(const Job &job, BootTime now, WallTime wall)
+{
+    const WallTime due = job.spec.occurrences == 0 ? job.spec.acceptedAt : nextDue(job);
+    const Milliseconds overdue = std::chrono::duration_cast<Milliseconds>(wall - due);
+    return due == WallTime() ? now : now - std::clamp<Milliseconds>(overdue, Milliseconds(0), maxOverdue);
+}
+
+} // namespace
+
+bool addDueUnits(Job &job, BootTime now, WallTime wall)
 {
     bool hasNew = false;
-    while (nextDue(job) <= now) {
+    while (nextDue(job) <= wall) {
+        job.dueSince.push_back(nextDueSince(job, now, wall));
         const int occurrence = job.dueOccurrences++;
         hasNew = true;
         for (int step = 0; step < static_cast<int>(job.spec.steps.size()); ++step) {
@@ -111,13 +127,13 @@
     return progress;
 }
 
-void applyProgress(Job &job, const JobProgress &progress)
+void applyProgress(Job &job, const JobProgress &progress, BootTime now)
 {
     job.isCancelled = progress.isCancelled;
     job.hasFailed = progress.hasFailed;
     if (!progress.units.empty() && job.spec.occurrences > 0) {
         // Occurrences with progress have been due, even if this machine's clock is behind.
-        addDueUnits(job, job.spec.firstDue + job.spec.interval * progress.units.rbegin()->first.occurrence);
+        addDueUnits(job, now, job.spec.firstDue + job.spec.interval * progress.units.rbegin()->first.occurrence);
     }
     for (const auto &[key, stored] : progress.units) {
         const auto unit = job.units.find(key);
--- a/src/libknapweed/cell/jobtable.h
+++ b/src/libknapweed/cell/jobtable.h
@@ -41,6 +41,7 @@
     bool hasFailed = false;
     std::map<UnitKey, Unit> units; ///< of the occurrences that are due
     int dueOccurrences = 0;
+    std::vector<BootTime> dueSince; ///< for each occurrence that is due
     bool hasBegun = false;
     bool hasSucceededOnce = false; ///< at least one of its tasks has succeeded
     std::set<std::string> failedOn; ///< agents of the endpoints where its tasks failed
@@ -50,7 +51,6 @@
     std::uint64_t finalWrite = 0; ///< the write that makes its outcome durable, set once it is finished; later writes change nothing that callers see
     bool hasPendingCheckpoints = false; ///< its tasks have checkpoints that are missing from its last progress record
     BootTime progressWrittenAt; ///< when its progress was last written only because of new checkpoints
-    BootTime acceptedAt;
     std::uint64_t order = 0; ///< position in the order of acceptance
     BootTime finishedAt;
 };
@@ -58,8 +58,8 @@
 /// Total number of occurrences of the job; at least 1.
 int occurrenceCount(const Job &job);
 
-/// Adds the units of the occurrences that are due at @p now. Returns whether any were added.
-bool addDueUnits(Job &job, WallTime now);
+/// Adds the units of the occurrences that are due at @p wall. Returns whether any were added.
+bool addDueUnits(Job &job, BootTime now, WallTime wall);
 
 /// When the next occurrence is due; WallTime::max() if none is left.
 WallTime nextDue(const Job &job);
@@ -81,7 +81,7 @@
 
 JobProgress progressOf(const Job &job);
 /// Applies stored progress to a job whose due units have been added.
-void applyProgress(Job &job, const JobProgress &progress);
+void applyProgress(Job &job, const JobProgress &progress, BootTime now);
 
 std::string jobRecordKey(const std::string &job);
 std::string progressRecordKey(const std::string &job);
--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -39,18 +39,16 @@
         }
         Job job;
         job.spec = value(spec);
-        job.acceptedAt = now;
-        job.order = ++acceptedJobs_;
         job.queue.name = job.spec.queue;
         job.queue.service = job.spec.service;
         job.queue.priority = job.spec.priority;
         job.queue.attempts = job.spec.attempts;
-        addDueUnits(job, wall);
+        addDueUnits(job, now, wall);
         const auto stored = records.find(progressRecordKey(job.spec.id));
         if (stored != records.end()) {
             const Result<JobProgress, JobRecordError> progress = decodeProgress(stored->second);
             if (isOk(progress)) {
-                applyProgress(job, value(progress));
+                applyProgress(job, value(progress), now);
             } else {
                 logEvent(LogLevel::Error, "job.unreadable", {{"key", stored->first}, {"detail", error(progress).detail}});
             }
@@ -64,6 +62,21 @@
     logEvent(LogLevel::Info, "scheduler.loaded", {{"records", std::to_string(records.size())}, {"jobs", std::to_string(jobs_.size())}});
 }
 
+/// Numbers the loaded jobs in the order of acceptance.
+void Scheduler::restoreOrder()
+{
+    std::vector<Job *> loaded;
+    for (auto &[id, job] : jobs_) {
+        loaded.push_back(&job);
+    }
+    std::stable_sort(loaded.begin(), loaded.end(), [](const Job *left, const Job *right) {
+        return left->spec.acceptedAt < right->spec.acceptedAt;
+    });
+    for (Job *job : loaded) {
+        job->order = ++acceptedJobs_;
+    }
+}
+
 void Scheduler::beginRecovery(BootTime now)
 {
     isRecovering_ = true;
@@ -231,7 +244,7 @@
 void Scheduler::addDueOccurrences(BootTime now, WallTime wall)
 {
     for (auto &[id, job] : jobs_) {
-        if (!job.isFinished && addDueUnits(job, wall)) {
+        if (!job.isFinished && addDueUnits(job, now, wall)) {
             isPlanDue_ = true;
         }
     }
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -146,6 +146,7 @@
     void encodePendingProgress();
     std::uint64_t write(StoreWrite record);
 
+    void restoreOrder();
     void removeLostEndpoints(BootTime now);
     void finishRecovery(BootTime now);
     bool mayRunOnAwaitedAgent(const Unit &unit) const;
--- a/src/libknapweed/cell/schedulercalls.cpp
+++ b/src/libknapweed/cell/schedulercalls.cpp
@@ -69,7 +69,6 @@
     }
     Job job;
     job.spec = value(spec);
-    job.acceptedAt = now;
     job.order = ++acceptedJobs_;
     const Queue *queue = queueNamed(configuration_, job.spec.queue);
     if (queue != nullptr) {
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -4,6 +4,7 @@
 
 #include "base/invariant.h"
 #include "base/logging.h"
+#include "cell/objective.h"
 #include "cell/runwire.h"
 
 #include <algorithm>
@@ -138,6 +139,18 @@
     return runTimes_.quantile(job.spec.account, job.spec.queue, step.estimate, 0.5);
 }
 
+/// For each step of the job, the time by which it must be started to meet the objective of its queue.
+std::vector<BootTime> Scheduler::latestStartsOf(const Job &job, int occurrence) const
+{
+    const auto capacity = capacityByService_.find(job.queue.service);
+    std::vector<Milliseconds> durations;
+    for (const Step &step : job.spec.steps) {
+        durations.push_back(stepDuration(
+            step, countedNeeds(step), runTimeOf(job, step), capacity == capacityByService_.end() ? Resources() : capacity->second.capacity));
+    }
+    return latestStarts(chainDurations(job.spec.steps, durations), job.queue.stretch, job.queue.slack, job.dueSince[occurrence]);
+}
+
 WaitingUnit Scheduler::makeWaitingUnit(const Job &job, const UnitKey &key, const Unit &unit, Rank rank, BootTime now) const
 {
     const Step &step = job.spec.steps[key.step];
@@ -199,7 +212,7 @@
 {
     struct Item
     {
-        std::tuple<Rank, int, std::uint64_t> order;
+        std::tuple<Rank, int, BootTime, std::uint64_t> order; ///< the last member keeps the units of a job together
         const Job *job;
         const UnitKey *key;
         const Unit *unit;
@@ -212,6 +225,7 @@
         const Rank rank = rankOf(job, guaranteed.count(id) != 0);
         std::pair<int, int> step {-1, -1};
         bool isStepReady = false;
+        BootTime latestStart;
         for (auto &[key, unit] : job.units) {
             if (unit.phase != Unit::Phase::Waiting) {
                 continue;
@@ -219,6 +233,7 @@
             if (step != std::make_pair(key.occurrence, key.step)) {
                 step = {key.occurrence, key.step};
                 isStepReady = areDependenciesDone(job, key);
+                latestStart = latestStartsOf(job, key.occurrence)[key.step];
             }
             if (!isStepReady || mayRunOnAwaitedAgent(unit)) {
                 continue;
@@ -226,7 +241,7 @@
             if (unit.readySince == BootTime()) {
                 unit.readySince = now;
             }
-            items.push_back({{rank, job.queue.priority, job.order}, &job, &key, &unit});
+            items.push_back({{rank, job.queue.priority, latestStart, job.order}, &job, &key, &unit});
         }
     }
     std::stable_sort(items.begin(), items.end(), [](const Item &left, const Item &right) {
@@ -329,8 +344,10 @@
     unit.progress.agents = agents;
     const std::uint64_t write = writeProgress(job);
     const Step &step = job.spec.steps[key.step];
+    std::vector<std::string> racks;
     for (std::size_t i = 0; i < agents.size(); ++i) {
         Endpoint &endpoint = endpoints_.at(agents[i]);
+        racks.push_back(endpoint.rack);
         const RunId run {{jobId, key.occurrence, key.step, unit.indices[i]}, unit.run};
         Allocation &allocation = endpoint.runs[run];
         allocation.state = Allocation::State::Planned;
@@ -368,6 +385,9 @@
             {"accelerators", std::to_string(step.needs.accelerators)},
             {"estimate_ms", std::to_string(step.estimate.count())},
             {"checkpoints", step.hasCheckpoints ? "yes" : "no"},
+            {"racks", joined(racks)},
+            {"data_rack", step.dataRack},
+            {"one_rack", step.prefersOneRack ? "yes" : "no"},
             {"rank", std::to_string(static_cast<int>(rank))},
             {"waited_ms", std::to_string((now - unit.readySince).count())}});
 }
--- a/src/libknapweed/jobs/job.h
+++ b/src/libknapweed/jobs/job.h
@@ -105,6 +105,7 @@
     int occurrences = 0; ///< 0: runs once, immediately
     WallTime firstDue {};
     Milliseconds interval {0};
+    WallTime acceptedAt {}; ///< by the clock of the entry that scheduled then; the epoch if unknown
 };
 
 enum class JobState { Pending, Running, Succeeded, Failed, Cancelled };
--- a/src/libknapweed/jobs/jobrecord.cpp
+++ b/src/libknapweed/jobs/jobrecord.cpp
@@ -87,6 +87,9 @@
         out["first"] = std::chrono::duration_cast<Milliseconds>(spec.firstDue.time_since_epoch()).count();
         out["every"] = spec.interval.count();
     }
+    if (spec.acceptedAt != WallTime()) {
+        out["at"] = std::chrono::duration_cast<Milliseconds>(spec.acceptedAt.time_since_epoch()).count();
+    }
     return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -108,6 +111,7 @@
         spec.occurrences = in.value("times", 0);
         spec.firstDue = WallTime(Milliseconds(in.value("first", std::int64_t(0))));
         spec.interval = Milliseconds(in.value("every", std::int64_t(0)));
+        spec.acceptedAt = WallTime(Milliseconds(in.value("at", std::int64_t(0))));
         return spec;
     } catch (const json::exception &failure) {
         return JobRecordError {failure.what()};
--- a/tests/cell/loadtest.cpp
+++ b/tests/cell/loadtest.cpp
@@ -203,3 +203,40 @@
     beyond.account = "other"; // without a guarantee
     LONGS_EQUAL(1, messagesOf<wire::StopOrder>(send(*scheduler, "entry", submitOf(beyond))).size());
 }
+
+/// During a burst of urgent jobs, one that is wider than the fleet took all endpoints in turn while a narrow one with less time to spare waited behind it.
+TEST(SchedulerLoad, narrowJobWithLittleTimeIsStartedBeforeTheRestOfAWideOneThatArrivedEarlier)
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a1", reportOf("i-1", 1));
+    send(*scheduler, "a2", reportOf("i-2", 1));
+    CellConfiguration configuration = plainConfiguration();
+    configuration.version = 2;
+    configuration.queues.front().stretch = 1.5;
+    scheduler->setConfiguration(configuration);
+    JobSpec wide = plainJob("wide", "urgent", {plainStep(8, {1000, 1000, 8})});
+    wide.account = "other"; // without a guarantee, like the narrow one
+    JobSpec narrow = plainJob("narrow", "urgent", {plainStep(1, {1000, 1000, 8})});
+    narrow.account = "third";
+    const std::vector<wire::StartOrder> started = startsOf(send(*scheduler, "entry", submitOf(wide)));
+    LONGS_EQUAL(2, started.size());
+    CHECK_TRUE(startsOf(send(*scheduler, "entry", submitOf(narrow))).empty());
+    wire::EndpointReport ended = reportOf(started[0].endpoint, 1);
+    ended.ended = {endOf(1, started[0].run, wire::RunEnding::Done)};
+    const std::vector<wire::StartOrder> next = startsOf(send(*scheduler, "a" + started[0].endpoint.substr(2), ended));
+    LONGS_EQUAL(1, next.size());
+    STRCMP_EQUAL("narrow", next[0].run.job.c_str());
+}
+
+/// A new scheduler took all stored jobs as accepted at its start, so that those that had waited longest lost their place.
+TEST(SchedulerLoad, waitingTimeOfAJobSurvivesAChangeOfScheduler)
+{
+    const std::unique_ptr<Scheduler> first = makeScheduler(1);
+    send(*first, "entry", submitOf(plainJob("z-early", "usual", {plainStep(1, {1000, 1000, 8})})));
+    advance(Milliseconds(5000));
+    send(*first, "entry", submitOf(plainJob("a-late", "usual", {plainStep(1, {1000, 1000, 8})})));
+    const std::unique_ptr<Scheduler> second = makeScheduler(2);
+    const std::vector<wire::StartOrder> started = startsOf(send(*second, "a1", reportOf("i-1", 2)));
+    LONGS_EQUAL(1, started.size());
+    STRCMP_EQUAL("z-early", started[0].run.job.c_str());
+}
