Count a lack of progress only while an endpoint reports

Cause: an endpoint whose agent was cut off or frozen for more than 2.5 s had its running work stopped on its return, because the lists of its first report are from before the silence and show no progress since then (test runOfAnEndpointThatWasSilentForAWhileIsNotStalled, which failed before). Run times and objectives that a submitter declares beyond any measure no longer overflow, and speeds are derived once a second on at most 128 steps, since a derivation takes milliseconds on a large fleet.

--- a/src/libknapweed/cell/endpointspeeds.cpp
+++ b/src/libknapweed/cell/endpointspeeds.cpp
@@ -13,11 +13,11 @@
 namespace
 {
 
-constexpr std::size_t maxPacedSteps = 256; ///< bounds memory and the time of a derivation
+constexpr std::size_t maxPacedSteps = 128; ///< bounds memory and the time of a derivation
 constexpr int derivationRounds = 4; ///< alternations; the factors change little after that
 constexpr double priorWeight = 1.5; ///< observations of usual speed that each endpoint starts with, against chance differences between tasks
 constexpr Seconds paceHalfLife {20}; ///< after which an observation counts half: longer than most slow phases, so that they fade
-constexpr Milliseconds derivationInterval {200}; ///< between derivations; progress is reported more rarely
+constexpr Milliseconds derivationInterval {1000}; ///< between derivations, which take milliseconds on a large fleet
 
 double weightOf(const TaskPace &pace, BootTime now)
 {
--- a/src/libknapweed/cell/fleet.h
+++ b/src/libknapweed/cell/fleet.h
@@ -12,6 +12,7 @@
 namespace knapweed::cell
 {
 
+constexpr Milliseconds reportTimeout {1500}; ///< three report intervals; the runs of an endpoint without a report for longer are not checked
 constexpr Milliseconds leaseMargin {300}; ///< allowance for messages in transit when the expiry of a lease is computed
 
 /// A run that uses capacity of an endpoint, from planning until its end is listed.
--- a/src/libknapweed/cell/objective.cpp
+++ b/src/libknapweed/cell/objective.cpp
@@ -11,6 +11,7 @@
 namespace
 {
 
+constexpr std::chrono::duration<double, std::milli> maxDuration = std::chrono::hours(24); ///< keeps sums in range whatever a submitter declares
 constexpr double fairShare = 0.25; ///< part of the capacity that one step may use at the same time, according to the platform's objective
 
 double shareOf(std::int64_t needed, std::int64_t available)
@@ -22,11 +23,10 @@
 
 Milliseconds stepDuration(const Step &step, const Resources &needs, Milliseconds runTime, const Resources &capacity)
 {
-    const double share = std::max({shareOf(needs.milliCores, capacity.milliCores),
-        shareOf(needs.memoryMib, capacity.memoryMib),
-        shareOf(needs.accelerators, capacity.accelerators)});
+    const double share = std::max(
+        {shareOf(needs.milliCores, capacity.milliCores), shareOf(needs.memoryMib, capacity.memoryMib), shareOf(needs.accelerators, capacity.accelerators)});
     const double waves = std::max(1.0, double(step.tasks) * share / fairShare);
-    return std::chrono::duration_cast<Milliseconds>(runTime * waves);
+    return std::chrono::duration_cast<Milliseconds>(std::min(std::chrono::duration<double, std::milli>(runTime) * waves, maxDuration));
 }
 
 std::vector<Milliseconds> chainDurations(const std::vector<Step> &steps, const std::vector<Milliseconds> &durations)
@@ -48,7 +48,8 @@
     for (const Milliseconds chain : chains) {
         longest = std::max(longest, chain);
     }
-    const BootTime due = since + slack + std::chrono::duration_cast<Milliseconds>(longest * stretch);
+    const std::chrono::duration<double, std::milli> allowed = std::min(std::chrono::duration<double, std::milli>(longest) * stretch, maxDuration);
+    const BootTime due = since + slack + std::chrono::duration_cast<Milliseconds>(allowed);
     std::vector<BootTime> starts;
     for (const Milliseconds chain : chains) {
         starts.push_back(due - chain);
--- a/src/libknapweed/cell/planner.cpp
+++ b/src/libknapweed/cell/planner.cpp
@@ -169,7 +169,8 @@
     Offer offer;
     offer.isKnown = true;
     const double speedWeight = unit.rank <= Rank::First ? -urgentSpeedWeight : otherSpeedWeight;
-    offer.score = leftover(free, endpoint.capacity) + speedWeight * std::log(endpoint.speed) + (unit.avoided.count(endpoint.agent) != 0 ? avoidedPenalty : 0) + (endpoint.isSuspect ? suspectPenalty : 0);
+    offer.score = leftover(free, endpoint.capacity) + speedWeight * std::log(endpoint.speed) + (unit.avoided.count(endpoint.agent) != 0 ? avoidedPenalty : 0)
+        + (endpoint.isSuspect ? suspectPenalty : 0);
     if (fits(unit.needs, free)) {
         offer.isPossible = true;
     } else if (mayPreempt) {
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -103,6 +103,12 @@
     endpoint.leavesAt = now + Milliseconds(report.leavesInMs);
     endpoint.sequence = report.sequence;
     endpoint.agentIncarnation = report.life;
+    if (now - endpoint.lastReport >= reportTimeout) {
+        // The lists of the first reports after a silence may be from before it, so that a lack of progress is counted from now.
+        for (auto &[run, allocation] : endpoint.runs) {
+            allocation.progressAt = now;
+        }
+    }
     endpoint.lastReport = now;
 }
 
--- a/src/libknapweed/cell/schedulerhealth.cpp
+++ b/src/libknapweed/cell/schedulerhealth.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 
-constexpr Milliseconds reportTimeout {1500}; ///< three report intervals; the runs of an endpoint without a report for longer are not checked
 constexpr Milliseconds orderTimeout {1500}; ///< longer than the agent's time-out for a call, so that the answer was lost with its connection
 constexpr Milliseconds stopInterval {1000}; ///< between repeated stop orders for one run
 constexpr Milliseconds stallTimeout {2500}; ///< longest time without progress; healthy tasks show progress in each report
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -16,7 +16,7 @@
 namespace
 {
 
-constexpr Milliseconds reportTimeout {1200}; ///< two report intervals and a delay; an endpoint without a report for longer is given no work
+constexpr Milliseconds workTimeout {1200}; ///< two report intervals and a delay; an endpoint without a report for longer is given no work
 constexpr Milliseconds urgentRackWait {800}; ///< how long a guaranteed unit waits for its rack: a third of the time limit for a reclaim
 constexpr Milliseconds suspectWait {800}; ///< how long a unit of the first priority avoids suspect endpoints: as long as it waits for its rack
 constexpr Seconds suspectDuration {10}; ///< how long an endpoint is suspect after a failure; faulty periods of endpoints last several seconds
@@ -108,7 +108,7 @@
 {
     capacityByService_.clear();
     for (const auto &[agent, endpoint] : endpoints_) {
-        if (endpoint.isListed && !endpoint.isDraining && now - endpoint.lastReport < reportTimeout) {
+        if (endpoint.isListed && !endpoint.isDraining && now - endpoint.lastReport < workTimeout) {
             ServiceCapacity &sum = capacityByService_[endpoint.service];
             sum.capacity += endpoint.capacity;
             sum.free += freeCapacity(endpoint);
@@ -145,8 +145,8 @@
     const auto capacity = capacityByService_.find(job.queue.service);
     std::vector<Milliseconds> durations;
     for (const Step &step : job.spec.steps) {
-        durations.push_back(stepDuration(
-            step, countedNeeds(step), runTimeOf(job, step), capacity == capacityByService_.end() ? Resources() : capacity->second.capacity));
+        durations.push_back(
+            stepDuration(step, countedNeeds(step), runTimeOf(job, step), capacity == capacityByService_.end() ? Resources() : capacity->second.capacity));
     }
     return latestStarts(chainDurations(job.spec.steps, durations), job.queue.stretch, job.queue.slack, job.dueSince[occurrence]);
 }
@@ -194,7 +194,7 @@
     std::set<std::string> usable;
     waiting.needsAdvice = true;
     for (const auto &[agent, endpoint] : endpoints_) {
-        if (endpoint.service != job.queue.service || endpoint.isDraining || now - endpoint.lastReport >= reportTimeout) {
+        if (endpoint.service != job.queue.service || endpoint.isDraining || now - endpoint.lastReport >= workTimeout) {
             continue;
         }
         usable.insert(endpoint.id);
@@ -265,7 +265,7 @@
     std::map<std::size_t, double> lost;
     std::vector<PlannedEndpoint> planned;
     for (const auto &[agent, endpoint] : endpoints_) {
-        const bool isUsable = endpoint.isListed && !endpoint.isDraining && now - endpoint.lastReport < reportTimeout && now >= endpoint.avoidUntil;
+        const bool isUsable = endpoint.isListed && !endpoint.isDraining && now - endpoint.lastReport < workTimeout && now >= endpoint.avoidUntil;
         if (!isUsable) {
             continue;
         }
--- a/tests/cell/endpointspeedstest.cpp
+++ b/tests/cell/endpointspeedstest.cpp
@@ -85,6 +85,6 @@
         now += Milliseconds(1);
         observe("job" + std::to_string(job), 0, "a", Milliseconds(1000));
     }
-    CHECK(speeds.steps.size() <= 256);
+    CHECK(speeds.steps.size() <= 128);
     CHECK(speeds.steps.count({"job1999", 0, 0}) == 1);
 }
--- a/tests/cell/loadtest.cpp
+++ b/tests/cell/loadtest.cpp
@@ -42,6 +42,20 @@
     }
 }
 
+/// A machine that is cut off or frozen for some seconds has gone on working. The first lists that its agent sends afterwards are those from before.
+TEST(SchedulerLoad, runOfAnEndpointThatWasSilentForAWhileIsNotStalled)
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    const std::vector<wire::StartOrder> orders = startGang(*scheduler);
+    CHECK_TRUE(messagesOf<wire::StopOrder>(reportProgress(*scheduler, orders, 30, 30)).empty());
+    advance(Milliseconds(4000));
+    CHECK_TRUE(messagesOf<wire::StopOrder>(settle(*scheduler)).empty());
+    CHECK_TRUE(messagesOf<wire::StopOrder>(reportProgress(*scheduler, orders, 30, 30)).empty());
+    advance(Milliseconds(300));
+    CHECK_TRUE(messagesOf<wire::StopOrder>(settle(*scheduler)).empty());
+    CHECK_TRUE(messagesOf<wire::StopOrder>(reportProgress(*scheduler, orders, 70, 70)).empty());
+}
+
 TEST(SchedulerLoad, gangMemberWithoutProgressIsStalled)
 {
     const std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
--- a/tests/cell/objectivetest.cpp
+++ b/tests/cell/objectivetest.cpp
@@ -45,8 +45,7 @@
 TEST(Objective, chainsFollowTheDependenciesOfTheSteps)
 {
     const std::vector<Step> steps = {stepAfter(1, {}), stepAfter(1, {}), stepAfter(1, {0}), stepAfter(1, {1, 2})};
-    const std::vector<Milliseconds> chains =
-        chainDurations(steps, {Milliseconds(100), Milliseconds(700), Milliseconds(200), Milliseconds(50)});
+    const std::vector<Milliseconds> chains = chainDurations(steps, {Milliseconds(100), Milliseconds(700), Milliseconds(200), Milliseconds(50)});
     LONGS_EQUAL(350, chains[0].count());
     LONGS_EQUAL(750, chains[1].count());
     LONGS_EQUAL(250, chains[2].count());
@@ -60,3 +59,13 @@
     LONGS_EQUAL(750, (starts[0] - since).count());
     LONGS_EQUAL(1350, (starts[1] - since).count());
 }
+
+/// Declared run times are not limited by the platform.
+TEST(Objective, absurdRunTimeDoesNotOverflow)
+{
+    const Step step = stepAfter(1000000, {});
+    const Milliseconds duration = stepDuration(step, step.needs, Milliseconds::max(), {1000, 1000, 1});
+    CHECK(duration > Milliseconds(0));
+    const BootTime since = BootTime(Seconds(10));
+    CHECK(latestStarts({duration}, 1e9, Milliseconds(250), since)[0] >= since);
+}
