Explain from log files what happened to a job

knapweedctl explain reads the lines of all processes and prints a job's history and how its time was spent, or totals by queue and final state.

--- a/src/libknapweed/tool/command.h
+++ b/src/libknapweed/tool/command.h
@@ -52,6 +52,7 @@
 const std::vector<Command> &configurationCommands();
 const std::vector<Command> &exceptionCommands();
 const std::vector<Command> &statusCommands();
+const std::vector<Command> &explainCommands();
 
 /// Returns the value of an integer option, or @p fallback if the option is not given.
 Result<std::int64_t, UsageError> integerOption(const Invocation &invocation, const std::string &name, std::int64_t fallback);
--- a/src/libknapweed/tool/tool.cpp
+++ b/src/libknapweed/tool/tool.cpp
@@ -17,7 +17,7 @@
 {
     static const std::vector<Command> commands = [] {
         std::vector<Command> all;
-        for (const std::vector<Command> *group : {&jobCommands(), &configurationCommands(), &exceptionCommands(), &statusCommands()}) {
+        for (const std::vector<Command> *group : {&jobCommands(), &configurationCommands(), &exceptionCommands(), &statusCommands(), &explainCommands()}) {
             all.insert(all.end(), group->begin(), group->end());
         }
         return all;
--- a/tests/ctl/tooltest.cpp
+++ b/tests/ctl/tooltest.cpp
@@ -70,6 +70,7 @@
     {{"exception", "add", "--subject", "worker:w3", "--setting", "excluded", "--value", "true"}, "--reason: found nothing"},
     {{"exception", "add", "--subject", "worker:w3", "--setting", "excluded", "--value", "yes", "--reason", "r"}, "--value: found yes"},
     {{"exception", "add", "--subject", "worker:w3", "--setting", "excluded", "--value", "true", "--reason", "r", "--expires", "soon"}, "--expires: found soon"},
+    {{"explain", "no-such-file"}, "no-such-file: found no readable file"},
     {{"status", "--token", "a", "--token-file", "b"}, "--token: found with --token-file"},
     {{"status", "--entry", "here"}, "--entry: found here, allowed is IP:PORT"},
     {{"status", "--timeout-ms", "0"}, "--timeout-ms: found less than 1"},
