Start nothing on an endpoint that has refused a start before its next lists

An endpoint that lists itself again triggers a planning round. Test refusedStartIsNotRepeatedBeforeTheNextLists failed before.

--- a/src/libknapweed/cell/fleet.h
+++ b/src/libknapweed/cell/fleet.h
@@ -52,7 +52,7 @@
     Resources capacity;
     bool isDraining = false;
     BootTime leavesAt; ///< meaningful while draining
-    bool isListed = false; ///< its lists have been read under this scheduler's generation
+    bool isListed = false; ///< its lists have been read under this scheduler's generation, and it has refused no start since then
     std::int64_t agentIncarnation = 0; ///< incarnation of the agent process that reports
     std::int64_t sequence = 0; ///< sequence number of its newest report; older reports that arrive late are ignored
     BootTime lastReport;
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -45,6 +45,7 @@
     if (!report.isListed) {
         return;
     }
+    isPlanDue_ = isPlanDue_ || !endpoint.isListed;
     endpoint.isListed = true;
     releaseOrphaned(endpoint, now);
     applyEnds(endpoint, report, now);
@@ -296,6 +297,10 @@
     if (unit != nullptr && unit->run == run.run) {
         stopUnit(*unit, now);
     }
+    const bool isRefused = result.outcome == wire::StartOutcome::Rejected || result.outcome == wire::StartOutcome::NoRoom;
+    if (isRefused) {
+        endpoint->isListed = false; // the view of the endpoint is wrong, and the next start there would be refused as well
+    }
     if (result.outcome != wire::StartOutcome::Unanswered) {
         release(*endpoint, run, now);
     }
--- a/tests/cell/loadtest.cpp
+++ b/tests/cell/loadtest.cpp
@@ -254,3 +254,23 @@
     LONGS_EQUAL(1, started.size());
     STRCMP_EQUAL("z-early", started[0].run.job.c_str());
 }
+
+/// An agent that has just restarted refuses starts until it knows the endpoint again. A job was planned there 18 times within 0.2 s, each time with a record.
+TEST(SchedulerLoad, refusedStartIsNotRepeatedBeforeTheNextLists)
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a1", reportOf("i-1", 1));
+    const std::vector<wire::StartOrder> first = startsOf(send(*scheduler, "entry", submitOf(plainJob("job", "urgent", {plainStep(1, {1000, 1000, 8})}))));
+    LONGS_EQUAL(1, first.size());
+    wire::StartResult refused;
+    refused.generation = 1;
+    refused.endpoint = first[0].endpoint;
+    refused.born = first[0].born;
+    refused.run = first[0].run;
+    refused.outcome = wire::StartOutcome::Rejected;
+    CHECK_TRUE(startsOf(send(*scheduler, "a1", refused)).empty());
+    wire::EndpointReport unlisted = reportOf("i-1", 1);
+    unlisted.isListed = false;
+    CHECK_TRUE(startsOf(send(*scheduler, "a1", unlisted)).empty());
+    LONGS_EQUAL(1, startsOf(send(*scheduler, "a1", reportOf("i-1", 1))).size());
+}
