--- a/src/libknapweed/cell/objective.cpp
+++ b/src/libknapweed/cell/objective.cpp
@@ -51,6 +51,7 @@
     const std::chrono::duration<double, std::milli> allowed = std::min(std::chrono::duration<double, std::milli>(longest) * stretch, maxDuration);
     const BootTime due = since + slack + std::chrono::duration_cast<Milliseconds>(allowed);
     std::vector<BootTime> starts;
+    starts.reserve(chains.size());
     for (const Milliseconds chain : chains) {
         starts.push_back(due - chain);
     }
--- a/src/libknapweed/tool/joblog.cpp
+++ b/src/libknapweed/tool/joblog.cpp
@@ -141,7 +141,9 @@
     for (const LogLine &line : lines) {
         std::string fields;
         for (const auto &[name, value] : line.fields) {
-            fields += name == "job" || value.empty() ? "" : name + '=' + value + ' ';
+            if (name != "job" && !value.empty()) {
+                fields.append(name).append("=").append(value).append(" ");
+            }
         }
         rows.push_back({'+' + secondsText(between(lines.front(), line)), line.process, line.event, fields});
     }
