--- a/src/libknapweed/cell/advice.h
+++ b/src/libknapweed/cell/advice.h
@@ -2,20 +2,17 @@
 #pragma once
 
 #include "base/clock.h"
+#include "jobs/job.h"
 
 #include <map>
 #include <set>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
 namespace knapweed::cell
 {
 
-/// Job, occurrence and step.
-using StepName = std::tuple<std::string, int, int>;
-
 struct AdviceRequest
 {
     StepName step;
--- a/src/libknapweed/cell/endpointspeeds.cpp
+++ b/src/libknapweed/cell/endpointspeeds.cpp
@@ -46,7 +46,7 @@
 
 } // namespace
 
-void observePace(EndpointSpeeds &speeds, const PacedStep &step, int index, const std::string &agent, Milliseconds runTime, BootTime now)
+void observePace(EndpointSpeeds &speeds, const StepName &step, int index, const std::string &agent, Milliseconds runTime, BootTime now)
 {
     if (runTime <= Milliseconds::zero()) {
         return;
--- a/src/libknapweed/cell/endpointspeeds.h
+++ b/src/libknapweed/cell/endpointspeeds.h
@@ -3,10 +3,10 @@
 #pragma once
 
 #include "base/clock.h"
+#include "jobs/job.h"
 
 #include <map>
 #include <string>
-#include <tuple>
 
 namespace knapweed::cell
 {
@@ -19,20 +19,17 @@
     BootTime observedAt;
 };
 
-/// Job, occurrence and step.
-using PacedStep = std::tuple<std::string, int, int>;
-
 /// Observations of recent steps, and the factors derived from them.
 struct EndpointSpeeds
 {
-    std::map<PacedStep, std::map<int, TaskPace>> steps; ///< by task index; limited in number
+    std::map<StepName, std::map<int, TaskPace>> steps; ///< by task index; limited in number
     std::map<std::string, double> logSlowness; ///< by agent: natural logarithm of its run times relative to the usual ones, as last derived
     BootTime derivedAt;
     bool isChanged = false; ///< there are observations that logSlowness does not reflect yet
 };
 
 /// Replaces the observation of the task. Ignores run times of zero or less.
-void observePace(EndpointSpeeds &speeds, const PacedStep &step, int index, const std::string &agent, Milliseconds runTime, BootTime now);
+void observePace(EndpointSpeeds &speeds, const StepName &step, int index, const std::string &agent, Milliseconds runTime, BootTime now);
 
 /// Drops the observations of an agent, whose endpoint has been replaced.
 void forgetPaces(EndpointSpeeds &speeds, const std::string &agent);
--- a/src/libknapweed/cell/schedulerhealth.cpp
+++ b/src/libknapweed/cell/schedulerhealth.cpp
@@ -1,5 +1,4 @@
-// Evaluates the reports of endpoints over time: detects endpoints that fail or stall their runs and orders without an answer, and records run times and
-// checkpoints.
+// Evaluates the reports of endpoints over time: detects endpoints that fail or stall their runs and orders without an answer, and records checkpoints.
 
 #include "cell/scheduler.h"
 
@@ -17,44 +16,10 @@
 constexpr Seconds checkpointInterval {2}; ///< between records of a job written only for its checkpoints: the additional work lost if all processes are lost
 constexpr Seconds avoidDuration {6}; ///< how long an endpoint that fails or stalls its runs is given no work
 constexpr std::size_t maxBlamedEndpoints = 2; ///< if a job has failed on more endpoints and succeeded on none, the job itself is the cause
-constexpr int minComparedPercent = 10; ///< progress from which a run time is derived; reports are up to half a second old
 constexpr int failuresToAvoid = 3; ///< consecutive failed runs after which an endpoint is avoided; fewer are common with jobs that cannot succeed
 
 } // namespace
 
-void Scheduler::declareRunTimes(const JobSpec &spec)
-{
-    for (const Step &step : spec.steps) {
-        if (!step.isLongRunning) {
-            runTimes_.declare(spec.account, spec.queue, step.estimate);
-        }
-    }
-}
-
-/// Records only runs that did all of their work, and one per gang.
-void Scheduler::recordRunTime(const Job &job, const Endpoint &endpoint, const RunId &run, BootTime now)
-{
-    const auto allocation = endpoint.runs.find(run);
-    const Step &step = job.spec.steps[run.task.step];
-    const bool isComplete = allocation != endpoint.runs.end() && !allocation->second.isAdopted && !step.hasCheckpoints;
-    // A member of a gang ends with the slowest one, so that its end says nothing about its own endpoint.
-    if (allocation != endpoint.runs.end() && allocation->second.isWhole && !step.isGang) {
-        observePace(speeds_, {job.spec.id, run.task.occurrence, run.task.step}, run.task.index, endpoint.agent, now - allocation->second.firstOrderedAt, now);
-    }
-    if (isComplete && (!step.isGang || run.task.index == 0)) {
-        runTimes_.record(job.spec.account, job.spec.queue, now - allocation->second.firstOrderedAt);
-    }
-}
-
-/// Derives the run time of a task from its progress, once there is enough of it to be compared.
-void Scheduler::observeProgress(const Endpoint &endpoint, const RunId &run, const Allocation &allocation, BootTime now)
-{
-    if (allocation.isWhole && allocation.percent >= minComparedPercent && allocation.percent < 100) {
-        const Milliseconds runTime = (now - allocation.firstOrderedAt) * 100 / allocation.percent;
-        observePace(speeds_, {run.task.job, run.task.occurrence, run.task.step}, run.task.index, endpoint.agent, runTime, now);
-    }
-}
-
 /// A failure is not counted against the endpoint if the job has failed on several other endpoints and succeeded on none.
 void Scheduler::updateHealth(Endpoint &endpoint, Job *job, RunOutcome outcome, BootTime now)
 {
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -4,7 +4,6 @@
 
 #include "base/invariant.h"
 #include "base/logging.h"
-#include "cell/objective.h"
 #include "cell/runwire.h"
 
 #include <algorithm>
@@ -133,24 +132,6 @@
     return fitsTwice && std::max(freeCores, freeAccelerators) > 1 - mostlyIdleUtilization;
 }
 
-/// Expected duration of one run of the step: the median of recent runs of its queue, or the submitter's estimate while too few are known.
-Milliseconds Scheduler::runTimeOf(const Job &job, const Step &step) const
-{
-    return runTimes_.quantile(job.spec.account, job.spec.queue, step.estimate, 0.5);
-}
-
-/// For each step of the job, the time by which it must be started to meet the objective of its queue.
-std::vector<BootTime> Scheduler::latestStartsOf(const Job &job, int occurrence) const
-{
-    const auto capacity = capacityByService_.find(job.queue.service);
-    std::vector<Milliseconds> durations;
-    for (const Step &step : job.spec.steps) {
-        durations.push_back(
-            stepDuration(step, countedNeeds(step), runTimeOf(job, step), capacity == capacityByService_.end() ? Resources() : capacity->second.capacity));
-    }
-    return latestStarts(chainDurations(job.spec.steps, durations), job.queue.stretch, job.queue.slack, job.dueSince[occurrence]);
-}
-
 WaitingUnit Scheduler::makeWaitingUnit(const Job &job, const UnitKey &key, const Unit &unit, Rank rank, BootTime now) const
 {
     const Step &step = job.spec.steps[key.step];
--- a/src/libknapweed/jobs/job.h
+++ b/src/libknapweed/jobs/job.h
@@ -42,6 +42,9 @@
     return needs.milliCores <= capacity.milliCores && needs.memoryMib <= capacity.memoryMib && needs.accelerators <= capacity.accelerators;
 }
 
+/// Job, occurrence and step.
+using StepName = std::tuple<std::string, int, int>;
+
 /// One task of one occurrence of a job.
 struct TaskId
 {
