--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -32,6 +32,9 @@
 {
     const bool isSameIncarnation = incarnation_ && incarnation_->status.id == status.id && incarnation_->status.incarnation == status.incarnation;
     if (incarnation_ && (status.incarnation < incarnation_->status.incarnation || (isSameIncarnation && status.sequence <= incarnation_->status.sequence))) {
+        logEvent(LogLevel::Info,
+            "endpoint.outdated",
+            {{"endpoint", status.id}, {"born", std::to_string(status.incarnation)}, {"seq", std::to_string(status.sequence)}});
         return false;
     }
     const bool isChanged = !isSameIncarnation || incarnation_->status.isDraining != status.isDraining;
@@ -216,7 +219,7 @@
 {
     const bool isDueToLeave = incarnation_->hasLeft || (incarnation_->status.isDraining && hooks_.now() >= incarnation_->leavesAt);
     if (!isDueToLeave || failure.kind != EndpointError::Kind::ConnectionFailed) {
-        logEvent(LogLevel::Warning, "hold.failed", {{"reason", failure.detail}});
+        logEvent(LogLevel::Warning, "hold.failed", {{"endpoint", incarnation_->status.id}, {"reason", failure.detail}});
         return;
     }
     nextRenewal_ = hooks_.now() + idleRenewalInterval;
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -27,6 +27,18 @@
     Milliseconds lease {0}; ///< how long the runs of an endpoint continue after the agent's last contact
 };
 
+/// Why the scheduler takes it as certain that a run uses no capacity any more.
+enum class ReleaseReason {
+    Ended, ///< its end is listed
+    NeverOrdered, ///< its start order was not sent
+    Refused, ///< the endpoint or its agent refused the start
+    Unlisted, ///< it was listed, and later lists hold neither the run nor its end
+    Absent, ///< it was stopped, and later lists do not hold it
+    LeaseExpired, ///< the lease of its endpoint has expired
+    EndpointReplaced, ///< its agent reports another endpoint
+    NextIncarnation, ///< a later incarnation of its endpoint has reported its lists
+};
+
 struct StoreWrite
 {
     std::string key;
@@ -131,10 +143,10 @@
     void updateHealth(Endpoint &endpoint, Job *job, RunOutcome outcome, BootTime now);
     void grant(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now);
     void advanceStoredEnds(Endpoint &endpoint);
-    void release(Endpoint &endpoint, const RunId &run, BootTime now);
-    void releaseAll(Endpoint &endpoint, BootTime now);
+    void release(Endpoint &endpoint, const RunId &run, ReleaseReason reason, BootTime now);
+    void releaseAll(Endpoint &endpoint, ReleaseReason reason, BootTime now);
     void releaseOrphaned(Endpoint &endpoint, BootTime now);
-    void releaseRuns(Endpoint &endpoint, const std::vector<RunId> &runs, BootTime now);
+    void releaseRuns(Endpoint &endpoint, const std::vector<RunId> &runs, ReleaseReason reason, BootTime now);
 
     void finishUnit(Job &job, const UnitKey &key, BootTime now);
     void countFailure(Job &job, const UnitKey &key, std::int64_t run);
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -75,7 +75,12 @@
         for (const auto &[run, allocation] : kept) {
             endpoint.runs.erase(run);
         }
-        releaseAll(endpoint, now);
+        if (!endpoint.runs.empty()) {
+            logEvent(LogLevel::Warning,
+                "endpoint.replaced",
+                {{"agent", agent}, {"endpoint", endpoint.id}, {"by", report.endpoint}, {"runs", std::to_string(endpoint.runs.size())}});
+        }
+        releaseAll(endpoint, ReleaseReason::EndpointReplaced, now);
         forgetPaces(speeds_, agent);
         endpoint = Endpoint();
         endpoint.runs = std::move(kept);
@@ -168,7 +173,7 @@
         "run.ended",
         {{"job", run.task.job}, {"task", nameOf(run.task)}, {"run", std::to_string(run.run)}, {"how", nameOf(outcome)}, {"endpoint", endpoint.id}});
     if (unit == nullptr) {
-        release(endpoint, run, now);
+        release(endpoint, run, ReleaseReason::Ended, now);
         return 0;
     }
     job->hasBegun = true;
@@ -187,7 +192,7 @@
         unit->progress.checkpoint = end.checkpoint;
     }
     const bool isGangBroken = unit->indices.size() > 1 && unit->phase == Unit::Phase::Active && run.run == unit->run && outcome != RunOutcome::Done;
-    release(endpoint, run, now);
+    release(endpoint, run, ReleaseReason::Ended, now);
     if (unit->progress.isDone && unit->members.empty()) {
         unit->phase = Unit::Phase::Finished; // also if only the end of the run was reported, after a change of scheduler
     }
@@ -234,7 +239,7 @@
         }
     }
     for (const RunId &run : gone) {
-        release(endpoint, run, now);
+        release(endpoint, run, ReleaseReason::Unlisted, now);
     }
 }
 
@@ -302,7 +307,7 @@
         endpoint->isListed = false; // the view of the endpoint is wrong, and the next start there would be refused as well
     }
     if (result.outcome != wire::StartOutcome::Unanswered) {
-        release(*endpoint, run, now);
+        release(*endpoint, run, ReleaseReason::Refused, now);
     }
 }
 
@@ -310,7 +315,7 @@
 {
     Endpoint *endpoint = currentEndpoint(peer, absent.born, absent.endpoint);
     if (absent.generation == options_.generation && endpoint != nullptr) {
-        release(*endpoint, runIdOf(absent.run), now);
+        release(*endpoint, runIdOf(absent.run), ReleaseReason::Absent, now);
     }
 }
 
--- a/src/libknapweed/cell/schedulerunits.cpp
+++ b/src/libknapweed/cell/schedulerunits.cpp
@@ -3,17 +3,56 @@
 #include "cell/scheduler.h"
 
 #include "base/logging.h"
+#include "cell/runwire.h"
 
 #include <algorithm>
 
 namespace knapweed::cell
 {
 
-void Scheduler::release(Endpoint &endpoint, const RunId &run, BootTime now)
+namespace
+{
+
+/// Null for reasons that other log events show.
+const char *nameOf(ReleaseReason reason)
+{
+    switch (reason) {
+    case ReleaseReason::Ended:
+    case ReleaseReason::NeverOrdered:
+        return nullptr;
+    case ReleaseReason::Refused:
+        return "refused";
+    case ReleaseReason::Unlisted:
+        return "unlisted";
+    case ReleaseReason::Absent:
+        return "absent";
+    case ReleaseReason::LeaseExpired:
+        return "lapsed";
+    case ReleaseReason::EndpointReplaced:
+        return "endpoint replaced";
+    case ReleaseReason::NextIncarnation:
+        return "next incarnation";
+    }
+    return nullptr;
+}
+
+} // namespace
+
+void Scheduler::release(Endpoint &endpoint, const RunId &run, ReleaseReason reason, BootTime now)
 {
     if (endpoint.runs.erase(run) == 0) {
         return;
     }
+    if (nameOf(reason) != nullptr) {
+        logEvent(LogLevel::Info,
+            "run.released",
+            {{"job", run.task.job},
+                {"task", nameOf(run.task)},
+                {"run", std::to_string(run.run)},
+                {"endpoint", endpoint.id},
+                {"born", std::to_string(endpoint.incarnation)},
+                {"reason", nameOf(reason)}});
+    }
     isPlanDue_ = true;
     const auto job = jobs_.find(run.task.job);
     if (job == jobs_.end()) {
@@ -26,13 +65,13 @@
     }
 }
 
-void Scheduler::releaseAll(Endpoint &endpoint, BootTime now)
+void Scheduler::releaseAll(Endpoint &endpoint, ReleaseReason reason, BootTime now)
 {
     std::vector<RunId> runs;
     for (const auto &[run, allocation] : endpoint.runs) {
         runs.push_back(run);
     }
-    releaseRuns(endpoint, runs, now);
+    releaseRuns(endpoint, runs, reason, now);
 }
 
 void Scheduler::releaseOrphaned(Endpoint &endpoint, BootTime now)
@@ -43,16 +82,16 @@
             runs.push_back(run);
         }
     }
-    releaseRuns(endpoint, runs, now);
+    releaseRuns(endpoint, runs, ReleaseReason::NextIncarnation, now);
 }
 
-void Scheduler::releaseRuns(Endpoint &endpoint, const std::vector<RunId> &runs, BootTime now)
+void Scheduler::releaseRuns(Endpoint &endpoint, const std::vector<RunId> &runs, ReleaseReason reason, BootTime now)
 {
     for (const RunId &run : runs) {
         // The other members of a gang that has lost one end by themselves within the platform's limit; stopping them releases their capacity sooner.
         const auto job = jobs_.find(run.task.job);
         Unit *unit = job == jobs_.end() ? nullptr : unitOf(job->second, run.task);
-        release(endpoint, run, now);
+        release(endpoint, run, reason, now);
         if (unit != nullptr && !unit->members.empty() && unit->run == run.run) {
             stopUnit(*unit, now);
         } else if (unit != nullptr && unit->phase == Unit::Phase::Waiting) {
@@ -132,7 +171,7 @@
             continue;
         }
         if (allocation->second.state == Allocation::State::Planned) {
-            release(endpoint->second, run, now);
+            release(endpoint->second, run, ReleaseReason::NeverOrdered, now);
             continue;
         }
         sendStop(endpoint->second, run, now);
