--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,87 @@
+"""Callers that submit gangs and plain tasks through any entry, repeat what got no answer, and ask for the state of their jobs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import time
+
+from soak.cell import FRONT
+from soak.httplite import Response, call
+from soak.judge import Job, Judge
+
+DEADLINE_S = 3.0
+ATTEMPTS = 4
+POLL_S = 0.7
+HOST = "soak.example"
+
+
+class Callers:
+    def __init__(self, judge: Judge, entries: list[str], token: str, seed: int) -> None:
+        self.judge, self.entries, self.token = judge, entries, token
+        self.rng = random.Random(f"{seed}-callers")
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def request(self, method: str, job: str, body: bytes = b"", timeout: float = DEADLINE_S) -> Response | None:
+        headers = {"host": HOST, "authorization": f"Token {self.token}", "x-deadline-ms": str(int(timeout * 1000))}
+        return await call((self.rng.choice(self.entries), FRONT), method, f"/q/{job}", body, headers, timeout)
+
+    async def is_serving(self) -> bool:
+        answer = await self.request("GET", "00000000000000ff", timeout=1.0)
+        return answer is not None and answer.status == 410
+
+    async def submit_for(self, seconds: float, per_second: float) -> None:
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            task = asyncio.create_task(self._follow(self._draw()))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            await asyncio.sleep(self.rng.expovariate(per_second))
+
+    def _draw(self) -> Job:
+        count = self.rng.choice((2, 2, 3, 3, 3, 9))
+        cpu, gpu = {2: (52_000, self.rng.choice((1, 2, 4, 8))), 3: (15_000, self.rng.choice((1, 2, 4))), 9: (11_000, 1)}[count]
+        gang, one_rack = self.rng.random() < 0.7, self.rng.random() < 0.4
+        needs = {"cpu": cpu, "memMb": 4096, "gpu": gpu}
+        job = Job(f"{self.rng.getrandbits(64):016x}", count, self.rng.uniform(1, 4), needs, gang, one_rack, self.rng.random() < 0.5)
+        self.judge.jobs[job.id] = job
+        return job
+
+    async def _follow(self, job: Job) -> None:
+        step = {"count": job.count, **job.needs, "estMs": int(job.work_s * 1000), "gang": job.gang}
+        step |= {"rackLocality": job.one_rack, "farX": 3, "checkpointing": job.checkpoints}
+        body = json.dumps({"spec": "soak", "steps": [{name: value for name, value in step.items() if value}]}).encode()
+        is_unknown = False
+        for _ in range(ATTEMPTS):
+            answer = await self.request("POST", job.id, body)
+            if answer is not None and 200 <= answer.status < 300:
+                job.is_accepted, job.accepted_at = True, time.time()
+                self.judge.note(f"accepted job={job.id} count={job.count} gang={job.gang} work={job.work_s:.2f}")
+                break
+            is_unknown = is_unknown or answer is None or answer.status not in (429, 503)
+            await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+        job.is_refused = not job.is_accepted and not is_unknown
+        while job.is_accepted and job.state not in ("succeeded", "failed", "cancelled"):
+            await asyncio.sleep(POLL_S * self.rng.uniform(0.5, 1.5))
+            await self._ask(job)
+        if job.is_accepted:  # asked again long after its end
+            await asyncio.sleep(self.rng.uniform(2, 8))
+            await self._ask(job)
+
+    async def _ask(self, job: Job) -> None:
+        answer = await self.request("GET", job.id)
+        if answer is not None and answer.status == 200 and isinstance(answer.body, dict):
+            self.judge.shown(job, str(answer.body.get("state", "")))
+        elif answer is not None and answer.status == 410 and time.time() - job.accepted_at > DEADLINE_S:
+            self.judge.findings.append(f"LOST job={job.id} accepted, then answered 410")
+            await asyncio.sleep(1)
+
+    async def settle(self, seconds: float) -> list[Job]:
+        """Waits until all accepted jobs have ended, and returns the others."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end and any(job.is_accepted and job.succeeded_at is None for job in self.judge.jobs.values()):
+            await asyncio.sleep(0.2)
+        for task in list(self.tasks):
+            task.cancel()
+        return [job for job in self.judge.jobs.values() if job.is_accepted and job.succeeded_at is None]
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,186 @@
+"""Faults by seed. Each kind runs in a series of its own, so that faults of several kinds overlap."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import signal
+import time
+from collections.abc import Awaitable, Callable
+
+from soak.cell import Process
+from soak.endpoint import Boot, Machine
+from soak.judge import Judge
+from soak.store import Store
+from soak.trouble import Trouble
+
+FOREIGN_GAP_S = (0.2, 0.9)  # for each of the machines it is a few seconds
+
+
+class Faults:
+    def __init__(self, seed: int, judge: Judge, store: Store, machines: list[Machine], entries: list[Process], agents: list[Process]) -> None:
+        self.seed, self.judge, self.store, self.machines, self.entries, self.agents = seed, judge, store, machines, entries, agents
+        self.version = 1
+        self.kinds: dict[str, tuple[Callable[[random.Random], Awaitable[None]], tuple[float, float]]] = {
+            "agent-kill": (self.agent_kill, (1, 4)),
+            "agent-away": (self.agent_away, (5, 12)),
+            "agent-pause": (lambda rng: self.pause(rng, self.agents), (0.5, 3)),
+            "entry-kill": (self.entry_kill, (4, 10)),
+            "entry-pause": (lambda rng: self.pause(rng, self.entries), (2, 6)),
+            "endpoint-crash": (self.endpoint_crash, (1, 4)),
+            "answers-lost": (lambda rng: self.endpoint_trouble(rng, Trouble(lost=0.5)), (0.5, 3)),
+            "answers-slow": (lambda rng: self.endpoint_trouble(rng, Trouble(slow_s=1.5)), (0.5, 3)),
+            "orders-late": (lambda rng: self.endpoint_trouble(rng, Trouble(late=0.5)), (0.5, 3)),
+            "orders-refused": (lambda rng: self.endpoint_trouble(rng, Trouble(refused=0.6)), (0.5, 3)),
+            "endpoint-reset": (lambda rng: self.endpoint_trouble(rng, Trouble(reset=0.5)), (0.5, 3)),
+            "store-away": (lambda rng: self.store_trouble(rng, self.away(rng), False), (4, 10)),
+            "store-slow": (lambda rng: self.store_trouble(rng, Trouble(slow_s=0.8), False), (4, 10)),
+            "store-lost": (lambda rng: self.store_trouble(rng, Trouble(lost=0.3, late=0.1, late_s=(0.5, 4)), False), (3, 8)),
+            "store-one-away": (lambda rng: self.store_trouble(rng, self.away(rng), True), (1, 4)),
+            "store-one-lost": (lambda rng: self.store_trouble(rng, Trouble(lost=0.5, late=0.2, late_s=(0.5, 4)), True), (1, 4)),
+            "store-reassign": (self.store_reassign, (3, 10)),
+            "config-change": (self.config_change, (2, 6)),
+            "foreign-reports": (lambda rng: self.foreign_report(rng, None), FOREIGN_GAP_S),
+        }
+        for name in FOREIGN:
+            self.kinds[f"foreign-{name}"] = (lambda rng, name=name: self.foreign_report(rng, name), FOREIGN_GAP_S)  # type: ignore[misc]
+
+    async def run(self, kinds: list[str], seconds: float) -> None:
+        end = time.monotonic() + seconds
+        await asyncio.gather(*(self._series(kind, end) for kind in kinds))
+
+    async def _series(self, kind: str, end: float) -> None:
+        rng = random.Random(f"{self.seed}-{kind}")
+        strike, gap = self.kinds[kind]
+        while True:
+            await asyncio.sleep(rng.uniform(*gap))
+            if time.monotonic() >= end:
+                return
+            await strike(rng)
+
+    def note(self, text: str) -> None:
+        self.judge.note(f"fault {text}")
+
+    async def agent_kill(self, rng: random.Random) -> None:
+        await self._kill(rng, rng.choice(self.agents), None)
+
+    async def agent_away(self, rng: random.Random) -> None:
+        """Longer than a lease."""
+        await self._kill(rng, rng.choice(self.agents), rng.uniform(4, 12))
+
+    async def entry_kill(self, rng: random.Random) -> None:
+        await self._kill(rng, rng.choice(self.entries), None)
+
+    async def _kill(self, rng: random.Random, process: Process, away_s: float | None) -> None:
+        number = rng.choice((signal.SIGKILL, signal.SIGKILL, signal.SIGTERM))
+        self.note(f"{number.name} {process.place.name} away {away_s or 0:.1f}")
+        await process.kill(number, away_s)
+
+    async def pause(self, rng: random.Random, processes: list[Process]) -> None:
+        process, seconds = rng.choice(processes), rng.uniform(0.5, 8)
+        self.note(f"pause {process.place.name} {seconds:.1f}")
+        process.send(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            process.send(signal.SIGCONT)
+
+    async def endpoint_crash(self, rng: random.Random) -> None:
+        machine = rng.choice([machine for machine in self.machines if machine.boot is not None])
+        assert machine.boot is not None
+        identity = machine.boot.id if rng.random() < 0.5 else None
+        machine.power_off()
+        await asyncio.sleep(rng.uniform(0.05, 2.5))
+        await machine.power_on(identity)
+
+    async def endpoint_trouble(self, rng: random.Random, trouble: Trouble) -> None:
+        machine, seconds = rng.choice(self.machines), rng.uniform(0.5, 5)
+        self.note(f"{trouble} at {machine.name} {seconds:.1f}")
+        await self._trouble(machine.troubles, trouble, seconds)
+
+    def away(self, rng: random.Random) -> Trouble:
+        return rng.choice((Trouble(refused=1), Trouble(reset=1), Trouble(unheard=1)))
+
+    async def store_trouble(self, rng: random.Random, trouble: Trouble, is_one: bool) -> None:
+        whom, seconds = rng.choice(sorted(self.store.own_troubles)) if is_one else "", rng.uniform(0.5, 6)
+        self.note(f"{trouble} at the store for {whom or 'all'} {seconds:.1f}")
+        await self._trouble(self.store.own_troubles[whom] if is_one else self.store.troubles, trouble, seconds)
+
+    async def _trouble(self, troubles: list[Trouble], trouble: Trouble, seconds: float) -> None:
+        troubles.append(trouble)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            troubles[:] = [other for other in troubles if other is not trouble]
+
+    async def store_reassign(self, rng: random.Random) -> None:
+        self.note("reassign")
+        for group in self.store.groups.values():
+            self.store.rebalance(group, shift=True)
+
+    async def config_change(self, rng: random.Random) -> None:
+        self.version += rng.randrange(1, 4)
+        self.store.configuration(self.version, self.machines[0].service, "soak-token")
+
+    async def foreign_report(self, rng: random.Random, name: str | None) -> None:
+        """A report of another writer, or a delayed one of an earlier life, at an agent's report address."""
+        machine = rng.choice(self.machines)
+        if machine.boot is None:
+            return
+        name = name or rng.choice(sorted(FOREIGN))
+        drawn = draw_foreign(rng, name, machine, rng.choice(self.machines))
+        if drawn is not None:
+            identity, body = drawn
+            self.note(f"foreign report {name} at {machine.name} as {identity}: {body[:240]!r}")
+            with contextlib.suppress(OSError):
+                await machine.send_report(identity, body)
+
+
+def other_type(rng: random.Random) -> object:
+    return rng.choice(("17", None, [], {}, True, -1, 1.5, "", [1, "x"]))
+
+
+FOREIGN = {
+    # name: the fields that are wrong for certain; the id, born and seq vary in all of them
+    "service": ("service",),
+    "state": ("state",),
+    "missing": ("capacity", "labels", "zone", "address", "version", "slots", "coldLeftMs", "clockMs", "born", "seq", "service", "state"),
+    "type": ("capacity", "labels", "zone", "address", "version", "slots", "coldLeftMs", "clockMs", "born", "seq", "service", "state"),
+    "bytes": (),
+    "delayed": (),
+}
+
+
+def draw_foreign(rng: random.Random, name: str, machine: Machine, other: Machine) -> tuple[str, bytes] | None:
+    boot = machine.boot
+    assert boot is not None
+    if name == "delayed":
+        return delayed_report(rng, machine)
+    stranger = other.boot.id if other.boot is not None else "i-00000000"
+    identity = rng.choice((boot.id, boot.id, stranger, f"i-{rng.getrandbits(32):08x}"))
+    if name == "bytes":
+        return identity, rng.choice((b"", b"\xff\xfe\x00", b'{"service":', b"[]", b'"ready"', rng.randbytes(40)))
+    report = machine.report(boot)
+    boot.sequence -= 1
+    report["born"] = boot.born + rng.choice((0, 0, -60_000, 60_000, 1, int(1000 * (time.time() - boot.born / 1000))))
+    report["seq"] = boot.sequence + rng.choice((-1, 0, 1, 1, 1000, 1_000_000))
+    report["capacity"] = rng.choice((report["capacity"], report["capacity"], {}, {"cpu": 1, "memMb": 1, "gpu": 0}))
+    wrong = rng.choice(FOREIGN[name])
+    if name == "service":
+        report["service"] = rng.choice(("other-service", "-", "fitline2"))
+    elif name == "state":
+        report["state"] = rng.choice(("starting", "unknown", "READY", "stopped"))
+    elif name == "missing":
+        del report[wrong]
+    else:
+        report[wrong] = other_type(rng)
+    return identity, json.dumps(report).encode()
+
+
+def delayed_report(rng: random.Random, machine: Machine) -> tuple[str, bytes] | None:
+    if not machine.earlier:
+        return None
+    boot: Boot = rng.choice(machine.earlier[-3:])
+    return boot.id, json.dumps(machine.report(boot)).encode()
--- /dev/null
+++ b/tests/soak/judge.py
@@ -0,0 +1,135 @@
+"""Checks what the endpoints run against the rules: one run of a task at a time, none after an end that was taken note of, capacities, and the shown states."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING, TextIO
+
+if TYPE_CHECKING:
+    from soak.endpoint import Boot, Run
+
+SHOWN_GRACE_S = 1.0
+
+
+def clock_text(at: float | None = None) -> str:
+    at = time.time() if at is None else at
+    return time.strftime("%H:%M:%S", time.gmtime(at)) + f".{int(at * 1000) % 1000:03d}"
+
+
+@dataclass
+class Job:
+    """A submitted job: what the endpoints need to run its tasks, and what its caller was told."""
+
+    id: str
+    count: int
+    work_s: float
+    needs: dict[str, int]
+    gang: bool
+    one_rack: bool
+    checkpoints: bool
+    is_accepted: bool = False
+    is_refused: bool = False  # all attempts to submit it were refused
+    is_started: bool = False
+    accepted_at: float = 0.0
+    succeeded_at: float | None = None  # when it was first shown so
+    state: str = ""
+
+
+@dataclass
+class DoneEnd:
+    run: Run
+    boot: Boot
+    lapses: int
+    noted_at: float | None = None
+    later: list[Run] = field(default_factory=list)  # started since, while the end was neither acknowledged nor void
+
+
+@dataclass
+class Violation:
+    rule: str
+    text: str
+    job: str
+    agents: list[str]
+    at: float
+
+
+class Judge:
+    def __init__(self, folder: Path) -> None:
+        self.jobs: dict[str, Job] = {}
+        self.active: dict[str, list[Run]] = {}  # by task
+        self.done: dict[str, list[DoneEnd]] = {}  # by task
+        self.violations: list[Violation] = []
+        self.findings: list[str] = []  # broken promises that are no matter of safety
+        self.starts = 0
+        self.log: TextIO = (folder / "runs.log").open("w")
+
+    def note(self, text: str) -> None:
+        self.log.write(f"{clock_text()} {text}\n")
+        self.log.flush()
+
+    def violated(self, rule: str, job: str, text: str, runs: list[Run]) -> None:
+        agents = [run.boot.machine.name for run in runs]
+        self.violations.append(Violation(rule, text, job, agents, time.time()))
+        line = f"VIOLATION {rule} job={job} {text} " + " while ".join(f"[{run.describe()}]" for run in runs)
+        self.note(line)
+        print(f"{clock_text()} {line}", flush=True)
+
+    def started(self, run: Run) -> None:
+        self.starts += 1
+        run.job.is_started = True
+        self.note(f"start {run.describe()}")
+        others = self.active.setdefault(run.task, [])
+        for other in list(others):
+            other.boot.advance()  # its lease may have run out since its timers last ran
+        for other in others:
+            self.violated("TWICE", run.job.id, f"task={run.task} two runs at once", [run, other])
+        others.append(run)
+        for end in self.done.get(run.task, []):
+            if end.noted_at is not None:
+                self.violated("TWICE", run.job.id, f"task={run.task} started after a noted end", [run, end.run])
+            elif end.boot.is_up and end.lapses == end.boot.lapses:
+                end.later.append(run)
+        shown = run.job.succeeded_at
+        if shown is not None and time.time() - shown > SHOWN_GRACE_S and not run.is_late:
+            self.violated("TWICE", run.job.id, f"task={run.task} started after the job was shown as succeeded", [run])
+        if run.job.is_refused:
+            self.violated("REFUSED", run.job.id, f"task={run.task} all attempts to submit the job were refused", [run])
+        used = {name: sum(other.job.needs[name] for other in run.boot.runs.values()) + run.job.needs[name] for name in run.job.needs}
+        if any(used[name] > run.boot.machine.capacity[name] for name in used):
+            self.violated("LIMIT", run.job.id, f"task={run.task} over capacity {used}", [run])
+
+    def ended(self, run: Run, how: str) -> None:
+        """Also for runs that vanish with their endpoint, with how = "vanished"."""
+        self.active[run.task].remove(run)
+        self.note(f"end {how} {run.describe()}")
+        if how == "done":
+            self.done.setdefault(run.task, []).append(DoneEnd(run, run.boot, run.boot.lapses))
+
+    def noted(self, boot: Boot, run: Run) -> None:
+        """An end has been acknowledged at the endpoint."""
+        for end in self.done.get(run.task, []):
+            if end.run is run and end.lapses == boot.lapses and end.noted_at is None:
+                end.noted_at = time.time()
+                self.note(f"noted {run.describe()}")
+                for later in end.later:
+                    self.violated("TWICE", run.job.id, f"task={run.task} started after an end that was noted later", [later, run])
+
+    def shown(self, job: Job, state: str) -> None:
+        if state != job.state:
+            self.note(f"shown job={job.id} state={state}")
+        if job.state in ("succeeded", "failed") and state != job.state:
+            self.findings.append(f"STATE job={job.id} was shown as {job.state}, then as {state}")
+        job.state = state
+        if state == "succeeded" and job.succeeded_at is None:
+            job.succeeded_at = time.time()
+            units = [[task for task in self.tasks(job)]] if job.gang else [[task] for task in self.tasks(job)]
+            if any(all(not self.done.get(task) for task in unit) for unit in units):
+                self.violated("MIXED", job.id, "shown as succeeded before all tasks were done", [])
+        if state in ("failed", "cancelled"):
+            self.findings.append(f"LOST job={job.id} shown as {state} without cause")
+
+    @staticmethod
+    def tasks(job: Job) -> list[str]:
+        return [f"{job.id}.0.0.{index}" for index in range(job.count)]
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,182 @@
+"""Plays a cell of real processes with faults by seed and prints each broken rule with its trace. The exit status tells whether the rules held.
+
+Example, in tests/: python3 -B -m soak.run --build ../build --seed 3 --seconds 40 --faults foreign-reports,agent-kill"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import socket
+import sys
+import tempfile
+from pathlib import Path
+
+from soak.callers import Callers
+from soak.cell import APP, CONTROL, STORE, Place, Process
+from soak.endpoint import Machine, Shared
+from soak.faults import Faults
+from soak.judge import Judge, Violation
+from soak.store import Store
+
+TOKEN = "soak-token"
+SERVICE = "soak-service"
+ZONES = ("west-a", "west-b", "west-c", "west-d")
+RACK_SIZE = 3
+LOCK_PORT = 19999
+START_S = 20.0
+SETTLE_S = 30.0
+TRACED = 3
+TRACE_LINES = 30
+TRACE_EVENTS = ("run.released", "endpoint.replaced", "endpoint.boot", "endpoint.joined", "endpoint.lapsed", "hold.failed", "start.failed", "stop.failed")
+
+
+def free_net() -> tuple[int, socket.socket]:
+    """A part 127.NET of the loopback network that no other run uses, and the socket that keeps it."""
+    for net in range(10, 60):
+        keeper = socket.socket()
+        try:
+            keeper.bind((f"127.{net}.0.1", LOCK_PORT))
+            return net, keeper
+        except OSError:
+            keeper.close()
+    raise SystemExit("no free part of the loopback network")
+
+
+class Cell:
+    """The stand-ins and the processes of one run."""
+
+    def __init__(self, options: argparse.Namespace, folder: Path, net: int) -> None:
+        self.options, self.net = options, net
+        self.judge = Judge(folder)
+        self.store = Store(random.Random(f"{options.seed}-store"))
+        self.shared = Shared(SERVICE, options.lease_ms, options.seed, self.judge)
+        self.entries: list[Process] = []
+        self.agents: list[Process] = []
+        self.machines: list[Machine] = []
+        places = [self._place("entry", "front", index, 1) for index in range(options.entries)]
+        places += [self._place("agent", "side", index, 10 + index) for index in range(options.agents)]
+        seeds = [f"{place.ip}:{CONTROL}" for place in places if place.role == "entry"][:3]
+        for index, place in enumerate(places):
+            place.store = f"127.{net}.0.1:{STORE + index}"
+            process = Process(options.build / "src" / "knapweedstaged", place, folder, seeds, options.lease_ms, self.judge.findings)
+            (self.entries if place.role == "entry" else self.agents).append(process)
+        for index, agent in enumerate(self.agents):
+            ip, zone = agent.place.ip, agent.place.zone
+            self.machines.append(Machine(agent.place.name, (ip, APP), (ip, CONTROL), zone, f"rack-{index // RACK_SIZE}", self.shared))
+        self.callers = Callers(self.judge, [entry.place.ip for entry in self.entries], TOKEN, options.seed)
+        self.faults = Faults(options.seed, self.judge, self.store, self.machines, self.entries, self.agents)
+
+    def _place(self, role: str, word: str, index: int, host: int) -> Place:
+        zone = index % len(ZONES)
+        return Place(role, f"{word}-{ZONES[zone]}-{index + 1}", f"127.{self.net}.{zone + 1}.{host + (index // len(ZONES) if role == 'entry' else 0)}", ZONES[zone], "")
+
+    async def start(self) -> None:
+        self.store.configuration(1, SERVICE, TOKEN)
+        for process in self.entries + self.agents:
+            ip, _, port = process.place.store.partition(":")
+            await self.store.open_for(process.place.name, (ip, int(port)))
+        for process in self.entries + self.agents:
+            process.start()
+        for machine in self.machines:
+            await machine.power_on()
+        async with asyncio.timeout(START_S):
+            while not await self.callers.is_serving():
+                await asyncio.sleep(0.1)
+
+    async def play(self) -> list[str]:
+        seconds = self.options.seconds
+        await asyncio.gather(self.callers.submit_for(seconds, self.options.rate), self.faults.run(self.options.faults, seconds))
+        stuck = await self.callers.settle(SETTLE_S)
+        return [f"STUCK job={job.id} state={job.state} count={job.count} gang={job.gang} {SETTLE_S:.0f} s after the last fault" for job in stuck]
+
+    async def stop(self) -> None:
+        for machine in self.machines:
+            machine.judge.log.flush()
+        await asyncio.gather(*(process.stop() for process in self.entries + self.agents))
+        for server in self.store.servers + [machine.server for machine in self.machines]:
+            server.close()
+
+
+def trace(folder: Path, violation: Violation) -> list[str]:
+    """The lines of all logs that name the job, and the changes at its agents."""
+    lines = []
+    for log in sorted(folder.glob("*.log")):
+        for line in log.read_text(errors="replace").splitlines():
+            is_agent = log.stem in violation.agents and any(event in line for event in TRACE_EVENTS)
+            if violation.job in line and " VIOLATION " not in line or is_agent or (" fault " in line and any(name in line for name in violation.agents)):
+                text = line.split("T", 1)[1] if line[4:5] == "-" else line
+                lines.append((text, log.stem))
+    at = [index for index, (text, _) in enumerate(sorted(lines)) if text[:8] <= Judge_time(violation)]
+    last = (at[-1] if at else 0) + 3
+    return [f"    {stem}: {text[:330]}" for text, stem in sorted(lines)[max(0, last - TRACE_LINES) : last]]
+
+
+def Judge_time(violation: Violation) -> str:
+    from soak.judge import clock_text
+
+    return clock_text(violation.at)[:8]
+
+
+async def run(options: argparse.Namespace, folder: Path, net: int) -> int:
+    cell = Cell(options, folder, net)
+    findings: list[str] = []
+    try:
+        await cell.start()
+        findings = await cell.play()
+    except TimeoutError:
+        findings = ["the cell did not serve in time"]
+    finally:
+        await cell.stop()
+    judge = cell.judge
+    for job in judge.jobs.values():
+        if job.is_refused and job.is_started:
+            judge.violated("REFUSED", job.id, "was started although all attempts to submit it were refused", [])
+    for violation in judge.violations[:TRACED]:
+        print(f"trace of {violation.rule} job={violation.job}:", *trace(folder, violation), sep="\n")
+    for finding in judge.findings + findings:
+        print(f"finding {finding}")
+    jobs = judge.jobs.values()
+    served = sum(job.succeeded_at is not None for job in jobs)
+    accepted = sum(job.is_accepted for job in jobs)
+    rules = {rule: sum(violation.rule == rule for violation in judge.violations) for rule in sorted({v.rule for v in judge.violations})}
+    faults = ",".join(options.faults) or "none"
+    print(f"seed {options.seed} faults {faults}: jobs {len(jobs)} accepted {accepted} succeeded {served} starts {judge.starts} violations {rules or 0} logs {folder}")
+    return 0 if served > 0 and not judge.violations else 1
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--build", type=Path, required=True, help="build directory with src/knapweedstaged")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=30, help="time with callers and faults")
+    parser.add_argument("--faults", default="", help="kinds separated by commas, or 'all', or 'all-but:KIND+KIND'; see --list")
+    parser.add_argument("--list", action="store_true", help="print the kinds of faults")
+    parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--agents", type=int, default=9)
+    parser.add_argument("--rate", type=float, default=1.2, help="jobs a second")
+    parser.add_argument("--lease-ms", type=int, default=6000)
+    parser.add_argument("--logs", type=Path, help="directory for the logs; by default a new one")
+    options = parser.parse_args()
+    options.build = options.build.resolve()
+    folder = options.logs or Path(tempfile.mkdtemp(prefix="soak-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    known = list(Faults(0, None, None, [], [], []).kinds)  # type: ignore[arg-type]
+    if options.list:
+        print(*known, sep="\n")
+        return 0
+    if options.faults.startswith("all"):
+        left_out = options.faults.partition(":")[2].split("+")
+        options.faults = [kind for kind in known if kind not in left_out and (kind == "foreign-reports" or not kind.startswith("foreign-"))]
+    else:
+        options.faults = [kind for kind in options.faults.split(",") if kind]
+    unknown = [kind for kind in options.faults if kind not in known]
+    if unknown:
+        parser.error(f"unknown kinds of faults: {', '.join(unknown)}")
+    net, keeper = free_net()
+    with keeper:
+        return asyncio.run(run(options, folder, net))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
