--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -21,6 +21,7 @@
     def __init__(self, judge: Judge, entries: list[str], token: str, seed: int) -> None:
         self.judge, self.entries, self.token = judge, entries, token
         self.rng = random.Random(f"{seed}-callers")
+        self.draws = random.Random(f"{seed}-jobs")  # of its own, so that a seed gives the same jobs
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def request(self, method: str, job: str, body: bytes = b"", timeout: float = DEADLINE_S) -> Response | None:
@@ -37,14 +38,14 @@
             task = asyncio.create_task(self._follow(self._draw()))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
-            await asyncio.sleep(self.rng.expovariate(per_second))
+            await asyncio.sleep(self.draws.expovariate(per_second))
 
     def _draw(self) -> Job:
-        count = self.rng.choice((2, 2, 3, 3, 3, 9))
-        cpu, gpu = {2: (52_000, self.rng.choice((1, 2, 4, 8))), 3: (15_000, self.rng.choice((1, 2, 4))), 9: (11_000, 1)}[count]
-        gang, one_rack = self.rng.random() < 0.7, self.rng.random() < 0.4
+        count = self.draws.choice((2, 2, 3, 3, 3, 9))
+        cpu, gpu = {2: (52_000, self.draws.choice((1, 2, 4, 8))), 3: (15_000, self.draws.choice((1, 2, 4))), 9: (11_000, 1)}[count]
+        gang, one_rack = self.draws.random() < 0.7, self.draws.random() < 0.4
         needs = {"cpu": cpu, "memMb": 4096, "gpu": gpu}
-        job = Job(f"{self.rng.getrandbits(64):016x}", count, self.rng.uniform(1, 4), needs, gang, one_rack, self.rng.random() < 0.5)
+        job = Job(f"{self.draws.getrandbits(64):016x}", count, self.draws.uniform(1, 4), needs, gang, one_rack, self.draws.random() < 0.5)
         self.judge.jobs[job.id] = job
         return job
 
--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -14,6 +14,7 @@
 
 REPORT_S = 1.5
 REPORT_TIMEOUT_S = 1.0
+RETRY_S = 0.3
 STOP_S = (0.02, 0.4)
 BREAK_S = (0.05, 0.2)
 GANG_S = 3.0
@@ -118,6 +119,7 @@
         self.ends: list[tuple[int, Run, str]] = []
         self.ends_made = 0
         self.waiters: list[asyncio.Future[None]] = []
+        self.leaves_at: float | None = None  # of a planned end
 
     def clock(self) -> int:
         return self.clock_offset + int((time.monotonic() - self.clock_start) * 1000 * self.rate)
@@ -253,11 +255,24 @@
         if self._reporting is not None:
             self._reporting.cancel()
 
+    async def leave(self, notice_s: float) -> None:
+        """A planned end: reported as draining, then the end itself, which takes all runs along."""
+        boot = self.boot
+        if boot is None:
+            return
+        boot.leaves_at = time.monotonic() + notice_s
+        await asyncio.sleep(notice_s + self.rng.uniform(0, 2))
+        if boot is self.boot:
+            self.power_off()
+            await call(self.control, "DELETE", f"/-/instances/{boot.id}", timeout=REPORT_TIMEOUT_S)
+
     def report(self, boot: Boot) -> dict[str, object]:
         boot.sequence += 1
         address = f"{self.app[0]}:{self.app[1]}"
         report = {"service": self.service, "address": address, "zone": self.zone, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0}
         report |= {"capacity": dict(self.capacity), "labels": ["a", self.rack], "clockMs": boot.clock(), "born": boot.born, "seq": boot.sequence}
+        if boot.leaves_at is not None:
+            report |= {"state": "draining", "remainingMs": max(0, int(1000 * (boot.leaves_at - time.monotonic())))}
         return report
 
     async def send_report(self, identity: str, body: bytes) -> bool:
@@ -268,7 +283,7 @@
         await asyncio.sleep(self.rng.uniform(0, 0.3))
         while boot.is_up:
             is_heard = await self.send_report(boot.id, json.dumps(self.report(boot)).encode())
-            await asyncio.sleep(REPORT_S * self.rng.uniform(0.9, 1.1) if is_heard else 0.3)
+            await asyncio.sleep(REPORT_S * self.rng.uniform(0.9, 1.1) if is_heard else RETRY_S)
 
     async def handle(self, request: Request) -> Response:
         body = request.json()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,6 +30,7 @@
             "entry-kill": (self.entry_kill, (4, 10)),
             "entry-pause": (lambda rng: self.pause(rng, self.entries), (2, 6)),
             "endpoint-crash": (self.endpoint_crash, (1, 4)),
+            "endpoint-leave": (self.endpoint_leave, (2, 6)),
             "answers-lost": (lambda rng: self.endpoint_trouble(rng, Trouble(lost=0.5)), (0.5, 3)),
             "answers-slow": (lambda rng: self.endpoint_trouble(rng, Trouble(slow_s=1.5)), (0.5, 3)),
             "orders-late": (lambda rng: self.endpoint_trouble(rng, Trouble(late=0.5)), (0.5, 3)),
@@ -87,13 +88,23 @@
         finally:
             process.send(signal.SIGCONT)
 
+    async def endpoint_leave(self, rng: random.Random) -> None:
+        machine = rng.choice(self.machines)
+        self.note(f"leave {machine.name}")
+        await machine.leave(2.0)
+        await asyncio.sleep(rng.uniform(0.05, 2.5))
+        if machine.boot is None:
+            await machine.power_on(None)
+
     async def endpoint_crash(self, rng: random.Random) -> None:
-        machine = rng.choice([machine for machine in self.machines if machine.boot is not None])
-        assert machine.boot is not None
+        machine = rng.choice(self.machines)
+        if machine.boot is None:
+            return
         identity = machine.boot.id if rng.random() < 0.5 else None
         machine.power_off()
         await asyncio.sleep(rng.uniform(0.05, 2.5))
-        await machine.power_on(identity)
+        if machine.boot is None:
+            await machine.power_on(identity)
 
     async def endpoint_trouble(self, rng: random.Random, trouble: Trouble) -> None:
         machine, seconds = rng.choice(self.machines), rng.uniform(0.5, 5)
@@ -166,7 +177,9 @@
     boot.sequence -= 1
     report["born"] = boot.born + rng.choice((0, 0, -60_000, 60_000, 1, int(1000 * (time.time() - boot.born / 1000))))
     report["seq"] = boot.sequence + rng.choice((-1, 0, 1, 1, 1000, 1_000_000))
-    report["capacity"] = rng.choice((report["capacity"], report["capacity"], {}, {"cpu": 1, "memMb": 1, "gpu": 0}))
+    report["capacity"] = rng.choice((report["capacity"], report["capacity"], {}, {"cpu": 1, "memMb": 1, "gpu": 0}, {"cpu": 999_000, "memMb": 999_000, "gpu": 64}))
+    if rng.random() < 0.1:
+        report |= {"state": "draining", "remainingMs": rng.choice((0, 0, 2000))}
     wrong = rng.choice(FOREIGN[name])
     if name == "service":
         report["service"] = rng.choice(("other-service", "-", "fitline2"))
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -50,8 +50,9 @@
 class Violation:
     rule: str
     text: str
-    job: str
+    task: str
     agents: list[str]
+    endpoints: list[str]
     at: float
 
 
@@ -69,10 +70,10 @@
         self.log.write(f"{clock_text()} {text}\n")
         self.log.flush()
 
-    def violated(self, rule: str, job: str, text: str, runs: list[Run]) -> None:
-        agents = [run.boot.machine.name for run in runs]
-        self.violations.append(Violation(rule, text, job, agents, time.time()))
-        line = f"VIOLATION {rule} job={job} {text} " + " while ".join(f"[{run.describe()}]" for run in runs)
+    def violated(self, rule: str, task: str, text: str, runs: list[Run]) -> None:
+        agents, endpoints = [run.boot.machine.name for run in runs], [run.boot.id for run in runs]
+        self.violations.append(Violation(rule, text, task, agents, endpoints, time.time()))
+        line = f"VIOLATION {rule} job={task.partition('.')[0]} task={task} {text} " + " while ".join(f"[{run.describe()}]" for run in runs)
         self.note(line)
         print(f"{clock_text()} {line}", flush=True)
 
@@ -84,21 +85,21 @@
         for other in list(others):
             other.boot.advance()  # its lease may have run out since its timers last ran
         for other in others:
-            self.violated("TWICE", run.job.id, f"task={run.task} two runs at once", [run, other])
+            self.violated("TWICE", run.task, "two runs at once", [run, other])
         others.append(run)
         for end in self.done.get(run.task, []):
             if end.noted_at is not None:
-                self.violated("TWICE", run.job.id, f"task={run.task} started after a noted end", [run, end.run])
+                self.violated("TWICE", run.task, "started after a noted end", [run, end.run])
             elif end.boot.is_up and end.lapses == end.boot.lapses:
                 end.later.append(run)
         shown = run.job.succeeded_at
         if shown is not None and time.time() - shown > SHOWN_GRACE_S and not run.is_late:
-            self.violated("TWICE", run.job.id, f"task={run.task} started after the job was shown as succeeded", [run])
+            self.violated("TWICE", run.task, "started after the job was shown as succeeded", [run])
         if run.job.is_refused:
-            self.violated("REFUSED", run.job.id, f"task={run.task} all attempts to submit the job were refused", [run])
+            self.violated("REFUSED", run.task, "all attempts to submit the job were refused", [run])
         used = {name: sum(other.job.needs[name] for other in run.boot.runs.values()) + run.job.needs[name] for name in run.job.needs}
         if any(used[name] > run.boot.machine.capacity[name] for name in used):
-            self.violated("LIMIT", run.job.id, f"task={run.task} over capacity {used}", [run])
+            self.violated("LIMIT", run.task, f"over capacity {used}", [run])
 
     def ended(self, run: Run, how: str) -> None:
         """Also for runs that vanish with their endpoint, with how = "vanished"."""
@@ -114,7 +115,7 @@
                 end.noted_at = time.time()
                 self.note(f"noted {run.describe()}")
                 for later in end.later:
-                    self.violated("TWICE", run.job.id, f"task={run.task} started after an end that was noted later", [later, run])
+                    self.violated("TWICE", run.task, "started after an end that was noted later", [later, run])
 
     def shown(self, job: Job, state: str) -> None:
         if state != job.state:
@@ -126,7 +127,7 @@
             job.succeeded_at = time.time()
             units = [[task for task in self.tasks(job)]] if job.gang else [[task] for task in self.tasks(job)]
             if any(all(not self.done.get(task) for task in unit) for unit in units):
-                self.violated("MIXED", job.id, "shown as succeeded before all tasks were done", [])
+                self.violated("MIXED", self.tasks(job)[0], "shown as succeeded before all tasks were done", [])
         if state in ("failed", "cancelled"):
             self.findings.append(f"LOST job={job.id} shown as {state} without cause")
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,7 +16,7 @@
 from soak.cell import APP, CONTROL, STORE, Place, Process
 from soak.endpoint import Machine, Shared
 from soak.faults import Faults
-from soak.judge import Judge, Violation
+from soak.judge import Judge, Violation, clock_text
 from soak.store import Store
 
 TOKEN = "soak-token"
@@ -25,10 +25,10 @@
 RACK_SIZE = 3
 LOCK_PORT = 19999
 START_S = 20.0
-SETTLE_S = 30.0
 TRACED = 3
-TRACE_LINES = 30
-TRACE_EVENTS = ("run.released", "endpoint.replaced", "endpoint.boot", "endpoint.joined", "endpoint.lapsed", "hold.failed", "start.failed", "stop.failed")
+TRACE_LINES = 24
+TRACE_AFTER_S = 0.5
+TRACE_EVENTS = (" endpoint.", "hold.failed", "start.failed", "stop.failed")
 
 
 def free_net() -> tuple[int, socket.socket]:
@@ -87,8 +87,8 @@
     async def play(self) -> list[str]:
         seconds = self.options.seconds
         await asyncio.gather(self.callers.submit_for(seconds, self.options.rate), self.faults.run(self.options.faults, seconds))
-        stuck = await self.callers.settle(SETTLE_S)
-        return [f"STUCK job={job.id} state={job.state} count={job.count} gang={job.gang} {SETTLE_S:.0f} s after the last fault" for job in stuck]
+        stuck = await self.callers.settle(self.options.settle)
+        return [f"STUCK job={job.id} state={job.state} count={job.count} gang={job.gang} {self.options.settle:.0f} s after the last fault" for job in stuck]
 
     async def stop(self) -> None:
         for machine in self.machines:
@@ -99,23 +99,21 @@
 
 
 def trace(folder: Path, violation: Violation) -> list[str]:
-    """The lines of all logs that name the job, and the changes at its agents."""
-    lines = []
-    for log in sorted(folder.glob("*.log")):
+    """The lines of all logs about the task until shortly after the violation, and what changed at the endpoints concerned. Repetitions are left out."""
+    job, _, task = violation.task.partition(".")
+    names = violation.agents + violation.endpoints
+    lines = set()
+    for log in folder.glob("*.log"):
         for line in log.read_text(errors="replace").splitlines():
-            is_agent = log.stem in violation.agents and any(event in line for event in TRACE_EVENTS)
-            if violation.job in line and " VIOLATION " not in line or is_agent or (" fault " in line and any(name in line for name in violation.agents)):
-                text = line.split("T", 1)[1] if line[4:5] == "-" else line
-                lines.append((text, log.stem))
-    at = [index for index, (text, _) in enumerate(sorted(lines)) if text[:8] <= Judge_time(violation)]
-    last = (at[-1] if at else 0) + 3
-    return [f"    {stem}: {text[:330]}" for text, stem in sorted(lines)[max(0, last - TRACE_LINES) : last]]
-
-
-def Judge_time(violation: Violation) -> str:
-    from soak.judge import clock_text
-
-    return clock_text(violation.at)[:8]
+            line = line.split("T", 1)[1] if line[4:5] == "-" else line
+            is_of_task = violation.task in line or (f"job={job} " in line and (f"task={task} " in line or "task=" not in line) and "call.answered" not in line)
+            is_of_place = any(name in line for name in names) and (" fault " in line or any(event in line for event in TRACE_EVENTS))
+            if (is_of_task or is_of_place) and line[:12] <= clock_text(violation.at + TRACE_AFTER_S) and "VIOLATION" not in line:
+                lines.add(f"{line[:12]} {log.stem}: {line[12:].removeprefix('Z').strip()[:260]}")
+    shown: dict[str, str] = {}
+    for line in sorted(lines):
+        shown.setdefault(line[13:], line)
+    return [f"    {line}" for line in list(shown.values())[-TRACE_LINES:]]
 
 
 async def run(options: argparse.Namespace, folder: Path, net: int) -> int:
@@ -131,9 +129,10 @@
     judge = cell.judge
     for job in judge.jobs.values():
         if job.is_refused and job.is_started:
-            judge.violated("REFUSED", job.id, "was started although all attempts to submit it were refused", [])
-    for violation in judge.violations[:TRACED]:
-        print(f"trace of {violation.rule} job={violation.job}:", *trace(folder, violation), sep="\n")
+            judge.violated("REFUSED", judge.tasks(job)[0], "was started although all attempts to submit it were refused", [])
+    by_job = {violation.task.partition(".")[0]: violation for violation in reversed(judge.violations)}
+    for violation in list(reversed(by_job.values()))[:TRACED]:
+        print(f"trace of {violation.rule} task={violation.task}:", *trace(folder, violation), sep="\n")
     for finding in judge.findings + findings:
         print(f"finding {finding}")
     jobs = judge.jobs.values()
@@ -141,6 +140,7 @@
     accepted = sum(job.is_accepted for job in jobs)
     rules = {rule: sum(violation.rule == rule for violation in judge.violations) for rule in sorted({v.rule for v in judge.violations})}
     faults = ",".join(options.faults) or "none"
+    rules = {rule: f"{count} in {len({v.task.partition('.')[0] for v in judge.violations if v.rule == rule})} jobs" for rule, count in rules.items()}
     print(f"seed {options.seed} faults {faults}: jobs {len(jobs)} accepted {accepted} succeeded {served} starts {judge.starts} violations {rules or 0} logs {folder}")
     return 0 if served > 0 and not judge.violations else 1
 
@@ -150,6 +150,7 @@
     parser.add_argument("--build", type=Path, required=True, help="build directory with src/knapweedstaged")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=30, help="time with callers and faults")
+    parser.add_argument("--settle", type=float, default=30, help="time after the last fault for accepted jobs to end")
     parser.add_argument("--faults", default="", help="kinds separated by commas, or 'all', or 'all-but:KIND+KIND'; see --list")
     parser.add_argument("--list", action="store_true", help="print the kinds of faults")
     parser.add_argument("--entries", type=int, default=3)
