--- a/tests/soak/cell.py
+++ b/tests/soak/cell.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import json
 import random
+import re
 import signal
 from dataclasses import dataclass
 from pathlib import Path
@@ -14,6 +16,8 @@
 FRONT, READINESS, CONTROL, APP, STORE = 8521, 8523, 8526, 8867, 20000
 PEERS, METRICS = 7000, 7015
 GRACE_S = 6
+TEMPLATES = Path(__file__).parents[2] / "deploy"
+PR_SET_PDEATHSIG = 1
 RESTART_S = (0.3, 1.2)
 
 
@@ -26,24 +30,34 @@
     store: str
 
 
-def settings_of(place: Place, seeds: list[str], lease_ms: int) -> dict[str, object]:
-    """The settings as the templates in deploy/ render them."""
-    settings: dict[str, object] = {"role": place.role, "name": place.name, "region": "west", "failure_domain": place.zone, "ip": place.ip}
-    settings |= {"peer_port": PEERS, "metrics_port": METRICS, "seeds": seeds, "store": place.store, "lease_ms": lease_ms, "grace_s": GRACE_S}
-    if place.role == "entry":
-        settings |= {"processor_share": 0.25, "callers": f"{place.ip}:{FRONT}", "readiness": f"{place.ip}:{READINESS}", "advice": None}
-    else:
-        settings |= {"endpoint_reports": f"{place.ip}:{CONTROL}", "endpoint": f"{place.ip}:{APP}"}
-    return settings
+def settings_of(place: Place, seeds: list[str], lease_ms: int, service: str) -> str:
+    """The settings as the platform fills in the template of the role."""
+    listen = {"control": f"{place.ip}:{CONTROL}", "front": f"{place.ip}:{FRONT}", "readiness": f"{place.ip}:{READINESS}"}
+    fields: dict[str, object] = {"nodeName": place.name, "ip": place.ip, "zone": place.zone, "region": "west", "seeds": seeds, "listen": listen}
+    fields |= {"portRange": [PEERS, METRICS], "platform": {"address": place.store}, "limits": {"cpuShare": 0.25}}
+    fields |= {"bounds": {"holdMaxMs": lease_ms, "graceS": GRACE_S}, "heartbeatMs": 1500, "app": f"{place.ip}:{APP}", "service": service, "advice": None}
+
+    def fill(match: re.Match[str]) -> str:
+        value: object = fields
+        for part in match[1].split("."):
+            value = value[int(part)] if isinstance(value, list) else value.get(part) if isinstance(value, dict) else None
+        return json.dumps(value) if match[2] else str(value)
+
+    return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", fill, (TEMPLATES / f"{place.role}.json").read_text())
+
+
+def end_with_parent() -> None:
+    """In the new process: no process of the cell outlives this run, however it ends."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 class Process:
     """One process of the cell. It is restarted whenever it ends, until it is stopped."""
 
-    def __init__(self, program: Path, place: Place, folder: Path, seeds: list[str], lease_ms: int, findings: list[str]) -> None:
+    def __init__(self, program: Path, place: Place, folder: Path, settings: str, findings: list[str]) -> None:
         self.program, self.place, self.findings = program, place, findings
         self.settings = folder / f"{place.name}.json"
-        self.settings.write_text(json.dumps(settings_of(place, seeds, lease_ms)))
+        self.settings.write_text(settings)
         self.log = (folder / f"{place.name}.log").open("ab")
         self.rng = random.Random(place.name)
         self.child: asyncio.subprocess.Process | None = None
@@ -63,7 +77,7 @@
         while self.is_wanted:
             self.is_killed = False
             self.child = await asyncio.create_subprocess_exec(
-                str(self.program), "--cell", str(self.settings), stdin=asyncio.subprocess.DEVNULL, stdout=self.log, stderr=self.log
+                str(self.program), "--cell", str(self.settings), stdin=asyncio.subprocess.DEVNULL, stdout=self.log, stderr=self.log, preexec_fn=end_with_parent
             )
             self.note(f"started pid {self.child.pid}")
             code = await self.child.wait()
@@ -74,11 +88,12 @@
                 away, self.away_s = self.away_s, None
                 await asyncio.sleep(self.rng.uniform(*RESTART_S) if away is None else away)
 
-    def send(self, number: signal.Signals) -> None:
+    def send(self, number: signal.Signals, is_noted: bool = True) -> None:
         if self.child is not None and self.child.returncode is None:
             if number in (signal.SIGKILL, signal.SIGTERM):
                 self.is_killed = True
-            self.note(f"signal {number.name}")
+            if is_noted:
+                self.note(f"signal {number.name}")
             self.child.send_signal(number)
 
     async def kill(self, number: signal.Signals, away_s: float | None) -> None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,7 +16,7 @@
 from soak.store import Store
 from soak.trouble import Trouble
 
-FOREIGN_GAP_S = (0.2, 0.9)  # for each of the machines it is a few seconds
+FOREIGN_GAP_S = (0.1, 0.5)  # about 2.6 s for each of 9 agents
 
 
 class Faults:
@@ -27,9 +27,12 @@
             "agent-kill": (self.agent_kill, (1, 4)),
             "agent-away": (self.agent_away, (5, 12)),
             "agent-pause": (lambda rng: self.pause(rng, self.agents), (0.5, 3)),
+            "agent-throttle": (lambda rng: self.throttle(rng, self.agents), (0.1, 1)),
             "entry-kill": (self.entry_kill, (4, 10)),
             "entry-pause": (lambda rng: self.pause(rng, self.entries), (2, 6)),
-            "endpoint-crash": (self.endpoint_crash, (1, 4)),
+            "entry-throttle": (lambda rng: self.throttle(rng, self.entries), (1, 4)),
+            "endpoint-crash": (lambda rng: self.endpoint_crash(rng, False), (1, 4)),
+            "endpoint-restart": (lambda rng: self.endpoint_crash(rng, True), (1, 4)),
             "endpoint-leave": (self.endpoint_leave, (2, 6)),
             "answers-lost": (lambda rng: self.endpoint_trouble(rng, Trouble(lost=0.5)), (0.5, 3)),
             "answers-slow": (lambda rng: self.endpoint_trouble(rng, Trouble(slow_s=1.5)), (0.5, 3)),
@@ -88,6 +91,18 @@
         finally:
             process.send(signal.SIGCONT)
 
+    async def throttle(self, rng: random.Random, processes: list[Process]) -> None:
+        """The process gets short turns of the processor only."""
+        process, end = rng.choice(processes), time.monotonic() + rng.uniform(1, 5)
+        self.note(f"throttle {process.place.name}")
+        while time.monotonic() < end:
+            await asyncio.sleep(rng.uniform(0.0005, 0.03))
+            process.send(signal.SIGSTOP, is_noted=False)
+            try:
+                await asyncio.sleep(rng.uniform(0.05, 0.9))
+            finally:
+                process.send(signal.SIGCONT, is_noted=False)
+
     async def endpoint_leave(self, rng: random.Random) -> None:
         machine = rng.choice(self.machines)
         self.note(f"leave {machine.name}")
@@ -96,11 +111,11 @@
         if machine.boot is None:
             await machine.power_on(None)
 
-    async def endpoint_crash(self, rng: random.Random) -> None:
+    async def endpoint_crash(self, rng: random.Random, keeps_id: bool) -> None:
         machine = rng.choice(self.machines)
         if machine.boot is None:
             return
-        identity = machine.boot.id if rng.random() < 0.5 else None
+        identity = machine.boot.id if keeps_id else None
         machine.power_off()
         await asyncio.sleep(rng.uniform(0.05, 2.5))
         if machine.boot is None:
@@ -177,12 +192,13 @@
     boot.sequence -= 1
     report["born"] = boot.born + rng.choice((0, 0, -60_000, 60_000, 1, int(1000 * (time.time() - boot.born / 1000))))
     report["seq"] = boot.sequence + rng.choice((-1, 0, 1, 1, 1000, 1_000_000))
-    report["capacity"] = rng.choice((report["capacity"], report["capacity"], {}, {"cpu": 1, "memMb": 1, "gpu": 0}, {"cpu": 999_000, "memMb": 999_000, "gpu": 64}))
+    report["capacity"] = rng.choice((report["capacity"], report["capacity"], {}, {"cpu": 1, "memMb": 1, "gpu": 0}))
     if rng.random() < 0.1:
         report |= {"state": "draining", "remainingMs": rng.choice((0, 0, 2000))}
     wrong = rng.choice(FOREIGN[name])
     if name == "service":
         report["service"] = rng.choice(("other-service", "-", "fitline2"))
+        report["capacity"] = rng.choice((report["capacity"], {"cpu": 999_000, "memMb": 999_000, "gpu": 64}))
     elif name == "state":
         report["state"] = rng.choice(("starting", "unknown", "READY", "stopped"))
     elif name == "missing":
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 from soak.callers import Callers
-from soak.cell import APP, CONTROL, STORE, Place, Process
+from soak.cell import APP, CONTROL, STORE, Place, Process, settings_of
 from soak.endpoint import Machine, Shared
 from soak.faults import Faults
 from soak.judge import Judge, Violation, clock_text
@@ -54,12 +54,13 @@
         self.entries: list[Process] = []
         self.agents: list[Process] = []
         self.machines: list[Machine] = []
-        places = [self._place("entry", "front", index, 1) for index in range(options.entries)]
-        places += [self._place("agent", "side", index, 10 + index) for index in range(options.agents)]
+        places = [self._place("entry", "front", index, 1 + index) for index in range(options.entries)]
+        places += [self._place("agent", "side", index, 100 + index) for index in range(options.agents)]
         seeds = [f"{place.ip}:{CONTROL}" for place in places if place.role == "entry"][:3]
         for index, place in enumerate(places):
             place.store = f"127.{net}.0.1:{STORE + index}"
-            process = Process(options.build / "src" / "knapweedstaged", place, folder, seeds, options.lease_ms, self.judge.findings)
+            settings = settings_of(place, seeds, options.lease_ms, SERVICE)
+            process = Process(options.build / "src" / "knapweedstaged", place, folder, settings, self.judge.findings)
             (self.entries if place.role == "entry" else self.agents).append(process)
         for index, agent in enumerate(self.agents):
             ip, zone = agent.place.ip, agent.place.zone
@@ -69,7 +70,7 @@
 
     def _place(self, role: str, word: str, index: int, host: int) -> Place:
         zone = index % len(ZONES)
-        return Place(role, f"{word}-{ZONES[zone]}-{index + 1}", f"127.{self.net}.{zone + 1}.{host + (index // len(ZONES) if role == 'entry' else 0)}", ZONES[zone], "")
+        return Place(role, f"{word}-{ZONES[zone]}-{index + 1}", f"127.{self.net}.{zone + 1}.{host}", ZONES[zone], "")
 
     async def start(self) -> None:
         self.store.configuration(1, SERVICE, TOKEN)
@@ -88,11 +89,9 @@
         seconds = self.options.seconds
         await asyncio.gather(self.callers.submit_for(seconds, self.options.rate), self.faults.run(self.options.faults, seconds))
         stuck = await self.callers.settle(self.options.settle)
-        return [f"STUCK job={job.id} state={job.state} count={job.count} gang={job.gang} {self.options.settle:.0f} s after the last fault" for job in stuck]
+        return [f"STUCK job={job.id} state={job.state} count={job.count} gang={job.gang} long after the last fault" for job in stuck]
 
     async def stop(self) -> None:
-        for machine in self.machines:
-            machine.judge.log.flush()
         await asyncio.gather(*(process.stop() for process in self.entries + self.agents))
         for server in self.store.servers + [machine.server for machine in self.machines]:
             server.close()
@@ -138,10 +137,13 @@
     jobs = judge.jobs.values()
     served = sum(job.succeeded_at is not None for job in jobs)
     accepted = sum(job.is_accepted for job in jobs)
-    rules = {rule: sum(violation.rule == rule for violation in judge.violations) for rule in sorted({v.rule for v in judge.violations})}
     faults = ",".join(options.faults) or "none"
-    rules = {rule: f"{count} in {len({v.task.partition('.')[0] for v in judge.violations if v.rule == rule})} jobs" for rule, count in rules.items()}
-    print(f"seed {options.seed} faults {faults}: jobs {len(jobs)} accepted {accepted} succeeded {served} starts {judge.starts} violations {rules or 0} logs {folder}")
+    rules: dict[str, str] = {}
+    for rule in sorted({violation.rule for violation in judge.violations}):
+        tasks = [violation.task for violation in judge.violations if violation.rule == rule]
+        rules[rule] = f"{len(tasks)} in {len({task.partition('.')[0] for task in tasks})} jobs"
+    print(f"seed {options.seed} faults {faults}: jobs {len(jobs)} accepted {accepted} succeeded {served} starts {judge.starts}", end=" ")
+    print(f"violations {rules or 0} logs {folder}")
     return 0 if served > 0 and not judge.violations else 1
 
 
