--- a/tests/cell/simulation.cpp
+++ b/tests/cell/simulation.cpp
@@ -13,8 +13,6 @@
 {
 
 constexpr Milliseconds stepTime {5};
-constexpr Milliseconds callTimeout {400}; ///< the platform adapter's time-out for orders
-constexpr Milliseconds lease {5000};
 
 } // namespace
 
@@ -51,150 +49,13 @@
     return Milliseconds(least + static_cast<int>(random_(static_cast<std::uint32_t>(most - least + 1))));
 }
 
-void Simulation::startAgent(AgentNode &node)
-{
-    ++node.incarnation;
-    AgentHooks hooks;
-    hooks.driver = driverOf(node);
-    hooks.send = [this, name = node.name](const std::string &peer, const PeerMessage &message) {
-        deliver(name, peer, message);
-    };
-    hooks.now = [this]() {
-        return now_;
-    };
-    node.agent = std::make_unique<Agent>(AgentOptions {static_cast<std::int64_t>(node.incarnation), lease}, std::move(hooks));
-    node.nextHeartbeat = now_;
-}
-
-/// A delayed call gets no answer and is carried out later.
-template<typename Answer>
-void Simulation::callEndpoint(AgentNode &node, std::function<Answer()> call, std::function<void(Answer)> callback, Milliseconds wait)
-{
-    const std::uint64_t incarnation = node.incarnation;
-    AgentNode *target = &node;
-    const auto answer = [this, target, incarnation, callback](Milliseconds delay, const Answer &value) {
-        after(delay, [target, incarnation, callback, value]() {
-            if (target->incarnation == incarnation) {
-                callback(value);
-            }
-        });
-    };
-    if (injectsFaults_ && chance() < options_.lateCallShare) {
-        after(between(900, 3000), [call]() {
-            call();
-        });
-        answer(callTimeout, EndpointError {EndpointError::Kind::Unanswered, "timed out"});
-        return;
-    }
-    after(between(1, 4) + wait, [call, answer, this]() {
-        answer(between(1, 4), call());
-    });
-}
-
-EndpointDriver Simulation::driverOf(AgentNode &node)
-{
-    EndpointDriver driver;
-    AgentNode *target = &node;
-    driver.renewLease = [this, target](const RenewalRequest &request, RenewalCallback callback) {
-        using Answer = Result<RenewalResult, EndpointError>;
-        // The wait for an end takes half of its maximum.
-        callEndpoint<Answer>(
-            *target,
-            [target, request]() {
-                return target->endpoint->renewLease(request);
-            },
-            std::move(callback),
-            request.wait / 2);
-    };
-    driver.start = [this, target](const StartRequest &request, OrderCallback callback) {
-        using Answer = Result<Milliseconds, EndpointError>;
-        callEndpoint<Answer>(
-            *target,
-            [this, target, request]() {
-                if (cancelled_.count(request.run.task.job) != 0) {
-                    shared_.violations.push_back("started after its cancel was acknowledged: " + request.run.task.job);
-                }
-                return target->endpoint->start(request);
-            },
-            std::move(callback),
-            Milliseconds(0));
-    };
-    driver.stop = [this, target](const StopRequest &request, OrderCallback callback) {
-        using Answer = Result<Milliseconds, EndpointError>;
-        callEndpoint<Answer>(
-            *target,
-            [target, request]() {
-                return target->endpoint->stop(request);
-            },
-            std::move(callback),
-            Milliseconds(0));
-    };
-    return driver;
-}
-
-bool Simulation::isDisconnected(const std::string &process) const
-{
-    const auto agent = agents_.find(process);
-    return agent != agents_.end() && (now_ < agent->second.disconnectedUntil || now_ < agent->second.downUntil);
-}
-
-void Simulation::deliver(const std::string &from, const std::string &to, const PeerMessage &message)
-{
-    if (isDisconnected(from) || isDisconnected(to) || (injectsFaults_ && chance() < options_.messageLossShare)) {
-        return;
-    }
-    after(between(1, 5), [this, from, to, message]() {
-        if (!isDisconnected(to)) {
-            receive(from, to, message);
-        }
-    });
-}
-
-void Simulation::receive(const std::string &from, const std::string &to, const PeerMessage &message)
-{
-    const auto agent = agents_.find(to);
-    if (agent != agents_.end()) {
-        agent->second.agent->receive(from, message);
-        return;
-    }
-    if (to == "caller") {
-        const wire::JobAnswer &answer = std::get<wire::JobAnswer>(message);
-        const auto &[kind, job] = calls_[answer.call];
-        if (kind == wire::CallKind::Submit && answer.outcome == wire::CallOutcome::Ok) {
-            accepted_.insert(job);
-        } else if (kind == wire::CallKind::Cancel && answer.outcome == wire::CallOutcome::Ok && reportedSucceeded_.count(job) == 0) {
-            // Until then, orders that were sent before the cancel may still arrive; the longest delay of messages is shorter than this.
-            after(Milliseconds(4000), [this, job = job]() {
-                cancelled_.insert(job);
-            });
-        } else if (kind == wire::CallKind::Query) {
-            if (answer.outcome == wire::CallOutcome::Missing && accepted_.count(job) != 0) {
-                shared_.violations.push_back("an accepted job is missing: " + job);
-            }
-            if (reportedSucceeded_.count(job) != 0 && answer.outcome == wire::CallOutcome::Ok && answer.state != "succeeded") {
-                shared_.violations.push_back("a job that was reported as succeeded is " + answer.state + ": " + job);
-            }
-            if (answer.state == "succeeded") {
-                reportedSucceeded_.insert(job);
-            }
-        }
-        return;
-    }
-    for (const std::shared_ptr<SchedulerNode> &node : schedulers_) {
-        if (node->name == to && !node->isGone) {
-            node->scheduler->receive(from, message, now_, WallTime(now_.time_since_epoch()));
-            flush(*node);
-        }
-    }
-}
-
 void Simulation::newScheduler()
 {
     std::shared_ptr<SchedulerNode> node = std::make_shared<SchedulerNode>();
     node->generation = static_cast<std::int64_t>(schedulers_.size()) + 1;
     node->name = "s" + std::to_string(node->generation);
     epoch_ = node->generation;
-    node->scheduler = std::make_unique<Scheduler>(SchedulerOptions {node->generation, lease});
+    node->scheduler = std::make_unique<Scheduler>(SchedulerOptions {node->generation, simulatedLease});
     node->scheduler->load(records_, now_, WallTime(now_.time_since_epoch()));
     node->scheduler->setConfiguration(plainConfiguration());
     node->scheduler->beginRecovery(now_);
@@ -260,28 +121,6 @@
     });
 }
 
-void Simulation::injectFault()
-{
-    const double fault = chance() * 5;
-    const int index = static_cast<int>(random_(static_cast<std::uint32_t>(options_.agents)));
-    AgentNode &node = std::next(agents_.begin(), index)->second;
-    if (fault < 1 && options_.changesSchedulers && now_ >= storeDownUntil_) {
-        newScheduler();
-    } else if (fault < 2 && fault >= 1 && options_.killsAgents) {
-        node.downUntil = now_ + between(50, 7000);
-        ++node.incarnation;
-        after(node.downUntil - now_, [this, &node]() {
-            startAgent(node);
-        });
-    } else if (fault < 3 && fault >= 2 && options_.disconnectsAgents) {
-        node.disconnectedUntil = now_ + between(100, 8000);
-    } else if (fault < 4 && fault >= 3 && options_.restartsEndpoints) {
-        node.endpoint->restart(++incarnation_);
-    } else if (fault >= 4 && options_.losesStore) {
-        storeDownUntil_ = now_ + between(100, 4000);
-    }
-}
-
 void Simulation::step()
 {
     now_ += stepTime;
--- a/tests/cell/simulation.h
+++ b/tests/cell/simulation.h
@@ -16,6 +16,8 @@
 namespace knapweed::cell
 {
 
+constexpr Milliseconds simulatedLease {5000};
+
 struct SimulationOptions
 {
     std::uint64_t seed = 1;
--- /dev/null
+++ b/tests/cell/simulationagents.cpp
@@ -0,0 +1,96 @@
+// Agents of the simulation and their calls to endpoints.
+
+#include "cell/simulation.h"
+
+namespace knapweed::cell
+{
+
+namespace
+{
+
+constexpr Milliseconds callTimeout {400}; ///< the platform adapter's time-out for orders
+
+} // namespace
+
+void Simulation::startAgent(AgentNode &node)
+{
+    ++node.incarnation;
+    AgentHooks hooks;
+    hooks.driver = driverOf(node);
+    hooks.send = [this, name = node.name](const std::string &peer, const PeerMessage &message) {
+        deliver(name, peer, message);
+    };
+    hooks.now = [this]() {
+        return now_;
+    };
+    node.agent = std::make_unique<Agent>(AgentOptions {static_cast<std::int64_t>(node.incarnation), simulatedLease}, std::move(hooks));
+    node.nextHeartbeat = now_;
+}
+
+/// A delayed call gets no answer and is carried out later.
+template<typename Answer>
+void Simulation::callEndpoint(AgentNode &node, std::function<Answer()> call, std::function<void(Answer)> callback, Milliseconds wait)
+{
+    const std::uint64_t incarnation = node.incarnation;
+    AgentNode *target = &node;
+    const auto answer = [this, target, incarnation, callback](Milliseconds delay, const Answer &value) {
+        after(delay, [target, incarnation, callback, value]() {
+            if (target->incarnation == incarnation) {
+                callback(value);
+            }
+        });
+    };
+    if (injectsFaults_ && chance() < options_.lateCallShare) {
+        after(between(900, 3000), [call]() {
+            call();
+        });
+        answer(callTimeout, EndpointError {EndpointError::Kind::Unanswered, "timed out"});
+        return;
+    }
+    after(between(1, 4) + wait, [call, answer, this]() {
+        answer(between(1, 4), call());
+    });
+}
+
+EndpointDriver Simulation::driverOf(AgentNode &node)
+{
+    EndpointDriver driver;
+    AgentNode *target = &node;
+    driver.renewLease = [this, target](const RenewalRequest &request, RenewalCallback callback) {
+        using Answer = Result<RenewalResult, EndpointError>;
+        // The wait for an end takes half of its maximum.
+        callEndpoint<Answer>(
+            *target,
+            [target, request]() {
+                return target->endpoint->renewLease(request);
+            },
+            std::move(callback),
+            request.wait / 2);
+    };
+    driver.start = [this, target](const StartRequest &request, OrderCallback callback) {
+        using Answer = Result<Milliseconds, EndpointError>;
+        callEndpoint<Answer>(
+            *target,
+            [this, target, request]() {
+                if (cancelled_.count(request.run.task.job) != 0) {
+                    shared_.violations.push_back("started after its cancel was acknowledged: " + request.run.task.job);
+                }
+                return target->endpoint->start(request);
+            },
+            std::move(callback),
+            Milliseconds(0));
+    };
+    driver.stop = [this, target](const StopRequest &request, OrderCallback callback) {
+        using Answer = Result<Milliseconds, EndpointError>;
+        callEndpoint<Answer>(
+            *target,
+            [target, request]() {
+                return target->endpoint->stop(request);
+            },
+            std::move(callback),
+            Milliseconds(0));
+    };
+    return driver;
+}
+
+} // namespace knapweed::cell
