Let simulated processes lose connections and pause

In the simulation of the cell, messages between processes arrived within 5 ms or never. Real ones wait up to 10 s for a connection and arrive in order on the next one, and a process that was paused gets all that has arrived meanwhile at once. Clocks go on during a pause, writes that were sent are carried out, the answers of endpoints and of the store wait, and a process that goes on may run its timers first and may take an answer that has waited for timed out. The options draw from a generator of their own.

With these options, an answer to a query that was sent before the job was reported as succeeded may arrive after it, and it is not compared with that report; later queries are, as before. Orders that were sent before a cancel may be under way for longer, and the check of starts after a cancel counts from then. Without the options both checks are as they were.

--- a/tests/cell/randomtest.cpp
+++ b/tests/cell/randomtest.cpp
@@ -145,3 +145,25 @@
     options.losesStore = true;
     runSeeds(options);
 }
+
+TEST(CellHistory, messagesWaitForConnections)
+{
+    SimulationOptions options;
+    options.delaysMessages = true;
+    runSeeds(options);
+}
+
+TEST(CellHistory, agentsPause)
+{
+    SimulationOptions options;
+    options.pausesAgents = true;
+    runSeeds(options);
+}
+
+TEST(CellHistory, schedulersPause)
+{
+    SimulationOptions options;
+    options.changesSchedulers = true;
+    options.pausesSchedulers = true;
+    runSeeds(options);
+}
--- a/tests/cell/simulation.h
+++ b/tests/cell/simulation.h
@@ -29,6 +29,10 @@
     bool disconnectsAgents = false;
     bool restartsEndpoints = false;
     bool losesStore = false;
+    // The options below draw from a generator of their own, so that the histories of the options above stay as they are.
+    bool delaysMessages = false; ///< processes lose their connections; messages wait for the next one and arrive in order
+    bool pausesAgents = false;
+    bool pausesSchedulers = false;
 };
 
 class Simulation
@@ -72,38 +76,71 @@
         BootTime nextHeartbeat;
     };
 
+    /// A process that is paused receives everything that has arrived meanwhile, in order, when it goes on.
+    struct Process
+    {
+        BootTime pausedUntil;
+        BootTime disconnectedUntil;
+        std::vector<std::function<void()>> arrived;
+    };
+
+    /// Messages from one process to another that have no connection yet.
+    struct WaitingMessages
+    {
+        BootTime since;
+        std::map<std::uint64_t, PeerMessage> messages; ///< by the order in which they were sent
+    };
+
     void after(Milliseconds delay, std::function<void()> event);
     double chance();
     Milliseconds between(int least, int most);
+    double newChance();
+    Milliseconds newBetween(int least, int most);
     void startAgent(AgentNode &node);
+    void killAgent(AgentNode &node, Milliseconds span);
     EndpointDriver driverOf(AgentNode &node);
     template<typename Answer>
     void callEndpoint(AgentNode &node, std::function<Answer()> call, std::function<void(Answer)> callback, Milliseconds wait);
     void deliver(const std::string &from, const std::string &to, const PeerMessage &message);
     void receive(const std::string &from, const std::string &to, const PeerMessage &message);
+    bool isDown(const std::string &process) const;
     bool isDisconnected(const std::string &process) const;
+    bool isPaused(const std::string &process) const;
+    bool waitsForConnection(const std::string &from, const std::string &to) const;
+    void wait(const std::string &from, const std::string &to, std::uint64_t number, const PeerMessage &message);
+    void deliverWaiting();
+    void whenAwake(const std::string &process, std::function<void()> event);
+    void wake();
+    void tick(const std::string &process);
     void newScheduler();
     void flush(SchedulerNode &node);
     void writeNext(const std::shared_ptr<SchedulerNode> &node);
     void injectFault();
+    void injectNewFault();
     void step();
 
     SimulationOptions options_;
     pcg32 random_;
+    pcg32 newRandom_; ///< for the options that came later
     SharedState shared_;
     BootTime now_ = BootTime(Milliseconds(100000));
     std::multimap<BootTime, std::function<void()>> events_;
     std::map<std::string, AgentNode> agents_;
+    std::map<std::string, Process> processes_;
+    std::map<std::pair<std::string, std::string>, WaitingMessages> waiting_; ///< by sender and receiver
+    std::uint64_t lastMessage_ = 0;
     std::vector<std::shared_ptr<SchedulerNode>> schedulers_; ///< the newest is the last
     std::map<std::string, std::string> records_;
     bool injectsFaults_ = true; ///< messages and calls are lost only while this is set
     std::int64_t epoch_ = 0; ///< epoch of the store's fence
     BootTime storeDownUntil_;
+    BootTime nextNewFault_;
     std::int64_t incarnation_ = 1;
     std::map<std::string, JobSpec> submitted_;
     std::set<std::string> accepted_;
     std::set<std::string> cancelled_;
     std::set<std::string> reportedSucceeded_;
+    std::map<std::string, std::int64_t> lastCallBeforeSuccess_; ///< for each job that was reported as succeeded; later answers to earlier calls may differ
     std::map<std::int64_t, std::pair<wire::CallKind::type, std::string>> calls_;
     std::int64_t lastCall_ = 0;
 };
