Let simulated endpoints start again under another id

An endpoint of the simulation started again only under the same id. With the new option renamesEndpoints, off by default, it comes back under a new id, and at times under its first one.

--- a/tests/cell/fakeendpoint.cpp
+++ b/tests/cell/fakeendpoint.cpp
@@ -217,4 +217,10 @@
     status_.sequence = 0;
 }
 
+void FakeEndpoint::restart(std::int64_t incarnation, const std::string &id)
+{
+    restart(incarnation);
+    status_.id = id;
+}
+
 } // namespace knapweed::cell
--- a/tests/cell/fakeendpoint.h
+++ b/tests/cell/fakeendpoint.h
@@ -41,6 +41,8 @@
 
     /// Starts a new incarnation: all runs, ends and fences are lost.
     void restart(std::int64_t incarnation);
+    /// The same under another id.
+    void restart(std::int64_t incarnation, const std::string &id);
 
     EndpointStatus status();
     std::size_t runs() const;
--- a/tests/cell/randomtest.cpp
+++ b/tests/cell/randomtest.cpp
@@ -167,3 +167,10 @@
     options.pausesSchedulers = true;
     runSeeds(options);
 }
+
+TEST(CellHistory, endpointsAreRenamed)
+{
+    SimulationOptions options;
+    options.renamesEndpoints = true;
+    runSeeds(options);
+}
--- a/tests/cell/simulation.h
+++ b/tests/cell/simulation.h
@@ -33,6 +33,7 @@
     bool delaysMessages = false; ///< processes lose their connections; messages wait for the next one and arrive in order
     bool pausesAgents = false;
     bool pausesSchedulers = false;
+    bool renamesEndpoints = false; ///< endpoints start again under another id, and at times under their first one
 };
 
 class Simulation
--- a/tests/cell/simulationfaults.cpp
+++ b/tests/cell/simulationfaults.cpp
@@ -45,6 +45,13 @@
             processes_[scheduler].pausedUntil = now_ + newBetween(50, 7000);
         });
     }
+    if (options_.renamesEndpoints) {
+        faults.emplace_back([this, &node]() {
+            ++incarnation_;
+            const std::string first = "i-" + node.name;
+            node.endpoint->restart(incarnation_, newChance() < 0.25 ? first : first + '-' + std::to_string(incarnation_));
+        });
+    }
     if (!faults.empty()) {
         faults[static_cast<std::size_t>(newBetween(0, static_cast<int>(faults.size()) - 1).count())]();
     }
