Let the members of a simulated gang end late when another one is lost

On the platform the other members of a gang end 50 to 200 ms after one has ended; in the simulation they ended in the same step. New option breaksGangsLate, off by default.

--- a/tests/cell/fakeendpoint.cpp
+++ b/tests/cell/fakeendpoint.cpp
@@ -70,6 +70,18 @@
     ended_[lastEnd_] = {lastEnd_, run, outcome, {}};
 }
 
+/// Whether a run whose gang has lost a member ends now.
+bool FakeEndpoint::isBroken(Running &state, BootTime now) const
+{
+    if (!shared_.gangEndDelay) {
+        return true;
+    }
+    if (!state.breaksAt) {
+        state.breaksAt = now + shared_.gangEndDelay();
+    }
+    return now >= *state.breaksAt;
+}
+
 void FakeEndpoint::advance(BootTime now)
 {
     const double elapsed = double((now - now_).count());
@@ -89,9 +101,9 @@
             finishedRuns.emplace_back(run, RunOutcome::Stopped);
         } else if (state.workMs >= state.neededMs || (isMember && shared_.completedGangs.count(gangOf(run)) != 0)) {
             finishedRuns.emplace_back(run, RunOutcome::Done);
-        } else if (isMember && !isTogether && state.workMs > 0) {
+        } else if (isMember && !isTogether && state.workMs > 0 && isBroken(state, now)) {
             finishedRuns.emplace_back(run, RunOutcome::GangMemberLost);
-        } else if (isMember && !isTogether && now - state.startedAt > gangStartTimeout) {
+        } else if (isMember && !isTogether && state.workMs <= 0 && now - state.startedAt > gangStartTimeout) {
             finishedRuns.emplace_back(run, RunOutcome::GangIncomplete);
         }
     }
--- a/tests/cell/fakeendpoint.h
+++ b/tests/cell/fakeendpoint.h
@@ -3,7 +3,9 @@
 
 #include "cell/endpointstatus.h"
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -24,6 +26,7 @@
     std::map<GangName, std::set<int>> runningMembers; ///< members of each gang that are running
     std::set<GangName> completedGangs; ///< gangs of which at least one member has ended with the outcome done
     std::map<std::string, JobSpec> jobs; ///< submitted jobs
+    std::function<Milliseconds()> gangEndDelay; ///< from the end of a member of a gang to the end of another one; unset: none
     std::vector<std::string> violations; ///< violations of the invariants
 };
 
@@ -55,10 +58,12 @@
         double neededMs = 0;
         bool isStopping = false;
         BootTime stopsAt;
+        std::optional<BootTime> breaksAt; ///< another member of its gang has ended
     };
 
     Milliseconds clock() const;
     void extendLease(Milliseconds until);
+    bool isBroken(Running &state, BootTime now) const;
     void finish(const RunId &run, RunOutcome outcome);
     GangName gangOf(const RunId &run) const;
     bool isGang(const RunId &run) const;
--- a/tests/cell/randomtest.cpp
+++ b/tests/cell/randomtest.cpp
@@ -174,3 +174,11 @@
     options.renamesEndpoints = true;
     runSeeds(options);
 }
+
+TEST(CellHistory, gangsBreakLate)
+{
+    SimulationOptions options;
+    options.restartsEndpoints = true;
+    options.breaksGangsLate = true;
+    runSeeds(options);
+}
--- a/tests/cell/simulation.cpp
+++ b/tests/cell/simulation.cpp
@@ -21,6 +21,11 @@
     , random_(options.seed)
     , newRandom_(options.seed, 77)
 {
+    if (options_.breaksGangsLate) {
+        shared_.gangEndDelay = [this]() {
+            return newBetween(50, 200);
+        };
+    }
     for (int i = 0; i < options_.agents; ++i) {
         const std::string name = "a" + std::to_string(i);
         AgentNode &node = agents_[name];
--- a/tests/cell/simulation.h
+++ b/tests/cell/simulation.h
@@ -33,6 +33,7 @@
     bool delaysMessages = false; ///< processes lose their connections; messages wait for the next one and arrive in order
     bool pausesAgents = false;
     bool pausesSchedulers = false;
+    bool breaksGangsLate = false; ///< the other members of a gang that has lost one end 50 to 200 ms later
     bool renamesEndpoints = false; ///< endpoints start again under another id, and at times under their first one
 };
 
