Let simulated endpoints carry out calls whose answer is lost

In the simulation, a call without an answer was always carried out late. With the new option lostAnswerShare, 0 by default, calls are carried out at once and their answer is lost: the connection breaks, at times before the call is carried out, or the call times out.

--- a/tests/cell/randomtest.cpp
+++ b/tests/cell/randomtest.cpp
@@ -182,3 +182,10 @@
     options.breaksGangsLate = true;
     runSeeds(options);
 }
+
+TEST(CellHistory, answersAreLost)
+{
+    SimulationOptions options;
+    options.lostAnswerShare = 0.15;
+    runSeeds(options);
+}
--- a/tests/cell/simulationagents.cpp
+++ b/tests/cell/simulationagents.cpp
@@ -44,7 +44,7 @@
     });
 }
 
-/// A delayed call gets no answer and is carried out later.
+/// A delayed call gets no answer and is carried out later. The answer of another call may be lost.
 template<typename Answer>
 void Simulation::callEndpoint(AgentNode &node, std::function<Answer()> call, std::function<void(Answer)> callback, Milliseconds wait)
 {
@@ -71,6 +71,15 @@
         answer(callTimeout, EndpointError {EndpointError::Kind::Unanswered, "timed out"});
         return;
     }
+    if (injectsFaults_ && options_.lostAnswerShare > 0 && newChance() < options_.lostAnswerShare) {
+        after(newBetween(1, 4) + wait, [call]() {
+            call();
+        });
+        // The connection may break, also before the call is carried out, or stay silent.
+        const bool isSilent = newChance() < 0.5;
+        answer(isSilent ? callTimeout + wait : newBetween(1, 8), EndpointError {EndpointError::Kind::Unanswered, isSilent ? "timed out" : "read failed"});
+        return;
+    }
     after(between(1, 4) + wait, [call, answer, this]() {
         answer(between(1, 4), call());
     });
