Let simulated agents start again while messages for them wait

Messages to an agent that had ended were lost; real ones wait up to 10 s and reach the next process at the same address, while what the ended process had not sent yet is lost with it. New option restartsAgents, off by default.

--- a/tests/cell/randomtest.cpp
+++ b/tests/cell/randomtest.cpp
@@ -189,3 +189,10 @@
     options.lostAnswerShare = 0.15;
     runSeeds(options);
 }
+
+TEST(CellHistory, agentsRestartWhileMessagesWait)
+{
+    SimulationOptions options;
+    options.restartsAgents = true;
+    runSeeds(options);
+}
--- a/tests/cell/simulation.h
+++ b/tests/cell/simulation.h
@@ -35,6 +35,7 @@
     bool pausesSchedulers = false;
     bool breaksGangsLate = false; ///< the other members of a gang that has lost one end 50 to 200 ms later
     double lostAnswerShare = 0; ///< share of the calls to endpoints that are carried out at once and whose answer is lost
+    bool restartsAgents = false; ///< agents end and start again while messages for them wait
     bool renamesEndpoints = false; ///< endpoints start again under another id, and at times under their first one
 };
 
--- a/tests/cell/simulationfaults.cpp
+++ b/tests/cell/simulationfaults.cpp
@@ -52,6 +52,11 @@
             node.endpoint->restart(incarnation_, newChance() < 0.25 ? first : first + '-' + std::to_string(incarnation_));
         });
     }
+    if (options_.restartsAgents && !isDown(node.name)) {
+        faults.emplace_back([this, &node]() {
+            killAgent(node, newBetween(20, newChance() < 0.5 ? 300 : 9000));
+        });
+    }
     if (!faults.empty()) {
         faults[static_cast<std::size_t>(newBetween(0, static_cast<int>(faults.size()) - 1).count())]();
     }
--- a/tests/cell/simulationmessages.cpp
+++ b/tests/cell/simulationmessages.cpp
@@ -37,7 +37,7 @@
 /// Whether messages without a connection are kept. What a process has not sent yet is lost when it ends.
 bool Simulation::waitsForConnection(const std::string &from, const std::string &to) const
 {
-    return options_.delaysMessages && !isDown(from) && !isDown(to);
+    return !isDown(from) && (isDown(to) ? options_.restartsAgents : options_.delaysMessages);
 }
 
 void Simulation::wait(const std::string &from, const std::string &to, std::uint64_t number, const PeerMessage &message)
@@ -143,7 +143,8 @@
             accepted_.insert(job);
         } else if (kind == wire::CallKind::Cancel && answer.outcome == wire::CallOutcome::Ok && reportedSucceeded_.count(job) == 0) {
             // Until then, orders that were sent before the cancel may still arrive.
-            const Milliseconds delay = options_.delaysMessages || options_.pausesAgents ? longestDelay + connectionWait + longestPause : longestDelay;
+            const Milliseconds delay =
+                options_.delaysMessages || options_.pausesAgents || options_.restartsAgents ? longestDelay + connectionWait + longestPause : longestDelay;
             after(delay, [this, job = job]() {
                 cancelled_.insert(job);
             });
