Play the new troubles of the simulation together

Two histories more: the options for connections, pauses, gangs, ids, answers and agents together, and these with all troubles of before.

--- a/tests/cell/randomtest.cpp
+++ b/tests/cell/randomtest.cpp
@@ -88,6 +88,33 @@
     }
 }
 
+/// The troubles of connections, processes, ids and answers together, without those of allTroublesOverlap except changes of the scheduler.
+SimulationOptions moreTroubles()
+{
+    SimulationOptions options;
+    options.changesSchedulers = true;
+    options.delaysMessages = true;
+    options.pausesAgents = true;
+    options.pausesSchedulers = true;
+    options.breaksGangsLate = true;
+    options.lostAnswerShare = 0.03;
+    options.restartsAgents = true;
+    options.renamesEndpoints = true;
+    return options;
+}
+
+SimulationOptions everyTrouble()
+{
+    SimulationOptions options = moreTroubles();
+    options.messageLossShare = 0.03;
+    options.lateCallShare = 0.03;
+    options.killsAgents = true;
+    options.disconnectsAgents = true;
+    options.restartsEndpoints = true;
+    options.losesStore = true;
+    return options;
+}
+
 } // namespace
 
 TEST_GROUP(CellHistory) {};
@@ -196,3 +223,13 @@
     options.restartsAgents = true;
     runSeeds(options);
 }
+
+TEST(CellHistory, moreTroublesOverlap)
+{
+    runSeeds(moreTroubles());
+}
+
+TEST(CellHistory, everyTroubleOverlaps)
+{
+    runSeeds(everyTrouble());
+}
