--- a/tests/cell/randomtest.cpp
+++ b/tests/cell/randomtest.cpp
@@ -88,6 +88,33 @@
     }
 }
 
+/// The troubles of connections, processes, ids and answers together, without those of allTroublesOverlap except changes of the scheduler.
+SimulationOptions moreTroubles()
+{
+    SimulationOptions options;
+    options.changesSchedulers = true;
+    options.delaysMessages = true;
+    options.pausesAgents = true;
+    options.pausesSchedulers = true;
+    options.breaksGangsLate = true;
+    options.lostAnswerShare = 0.03;
+    options.restartsAgents = true;
+    options.renamesEndpoints = true;
+    return options;
+}
+
+SimulationOptions everyTrouble()
+{
+    SimulationOptions options = moreTroubles();
+    options.messageLossShare = 0.03;
+    options.lateCallShare = 0.03;
+    options.killsAgents = true;
+    options.disconnectsAgents = true;
+    options.restartsEndpoints = true;
+    options.losesStore = true;
+    return options;
+}
+
 } // namespace
 
 TEST_GROUP(CellHistory) {};
@@ -145,3 +172,64 @@
     options.losesStore = true;
     runSeeds(options);
 }
+
+TEST(CellHistory, messagesWaitForConnections)
+{
+    SimulationOptions options;
+    options.delaysMessages = true;
+    runSeeds(options);
+}
+
+TEST(CellHistory, agentsPause)
+{
+    SimulationOptions options;
+    options.pausesAgents = true;
+    runSeeds(options);
+}
+
+TEST(CellHistory, schedulersPause)
+{
+    SimulationOptions options;
+    options.changesSchedulers = true;
+    options.pausesSchedulers = true;
+    runSeeds(options);
+}
+
+TEST(CellHistory, endpointsAreRenamed)
+{
+    SimulationOptions options;
+    options.renamesEndpoints = true;
+    runSeeds(options);
+}
+
+TEST(CellHistory, gangsBreakLate)
+{
+    SimulationOptions options;
+    options.restartsEndpoints = true;
+    options.breaksGangsLate = true;
+    runSeeds(options);
+}
+
+TEST(CellHistory, answersAreLost)
+{
+    SimulationOptions options;
+    options.lostAnswerShare = 0.15;
+    runSeeds(options);
+}
+
+TEST(CellHistory, agentsRestartWhileMessagesWait)
+{
+    SimulationOptions options;
+    options.restartsAgents = true;
+    runSeeds(options);
+}
+
+TEST(CellHistory, moreTroublesOverlap)
+{
+    runSeeds(moreTroubles());
+}
+
+TEST(CellHistory, everyTroubleOverlaps)
+{
+    runSeeds(everyTrouble());
+}
