Serve an incarnation only after the endpoint itself has answered as it

Class: another party's word taken as proof that something has ended, where the party concerned could have been asked.

Change: a report of another incarnation is kept until the endpoint at the agent's address has answered a call under that id as that incarnation; a denial drops it (endpoint.unverified), no answer leaves it to the next report or the next scheduler. Nothing is given up before. Costs one call at each start of an endpoint.

Tests: three of the four tests of AgentIdentity fail on the code before (the agent reported i-2, and incarnation 200, without having asked), all pass now.

--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -28,24 +28,27 @@
 {
 }
 
+bool Agent::isServed(const EndpointStatus &status) const
+{
+    return incarnation_ && incarnation_->status.id == status.id && incarnation_->status.incarnation == status.incarnation;
+}
+
 bool Agent::endpointReported(const EndpointStatus &status)
 {
-    const bool isSameIncarnation = incarnation_ && incarnation_->status.id == status.id && incarnation_->status.incarnation == status.incarnation;
-    if (incarnation_ && (status.incarnation < incarnation_->status.incarnation || (isSameIncarnation && status.sequence <= incarnation_->status.sequence))) {
+    const bool isOutOfOrder = isServed(status) && status.sequence <= incarnation_->status.sequence;
+    if (incarnation_ && (status.incarnation < incarnation_->status.incarnation || isOutOfOrder)) {
         logEvent(LogLevel::Info,
             "endpoint.outdated",
             {{"endpoint", status.id}, {"born", std::to_string(status.incarnation)}, {"seq", std::to_string(status.sequence)}});
         return false;
     }
-    const bool isChanged = !isSameIncarnation || incarnation_->status.isDraining != status.isDraining;
-    if (!isSameIncarnation) {
-        beginIncarnation(status);
-    }
-    if (status.isDraining && isChanged) {
-        logEvent(LogLevel::Info, "endpoint.draining", {{"endpoint", status.id}, {"remaining_ms", std::to_string(status.remaining.count())}});
+    if (!isServed(status)) {
+        unverified_ = status;
+        verifyIncarnation();
+        return true;
     }
-    incarnation_->status = status;
-    incarnation_->leavesAt = hooks_.now() + status.remaining;
+    const bool isChanged = incarnation_->status.isDraining != status.isDraining;
+    applyStatus(status);
     if (isChanged) {
         renewLease(Milliseconds(0));
         report();
@@ -53,11 +56,59 @@
     return true;
 }
 
+void Agent::applyStatus(const EndpointStatus &status)
+{
+    if (status.isDraining && !incarnation_->status.isDraining) {
+        logEvent(LogLevel::Info, "endpoint.draining", {{"endpoint", status.id}, {"remaining_ms", std::to_string(status.remaining.count())}});
+    }
+    incarnation_->status = status;
+    incarnation_->leavesAt = hooks_.now() + status.remaining;
+}
+
+/// Asks the endpoint which incarnation it is. Anybody can send a report, and the runs of the incarnation that is served are given up with it.
+void Agent::verifyIncarnation()
+{
+    if (!unverified_) {
+        return;
+    }
+    RenewalRequest request;
+    request.endpoint = unverified_->id;
+    request.fence = generation_;
+    hooks_.driver.renewLease(request, [this, status = *unverified_](const Result<RenewalResult, EndpointError> &result) {
+        handleVerification(status, result);
+    });
+}
+
+/// Without an answer the report stays unverified; the endpoint repeats it.
+void Agent::handleVerification(const EndpointStatus &status, const Result<RenewalResult, EndpointError> &result)
+{
+    const std::int64_t answering = isOk(result) ? value(result).incarnation : 0;
+    const bool isDenied = isOk(result) ? answering != 0 && answering != status.incarnation : error(result).kind == EndpointError::Kind::DifferentIncarnation;
+    if (!isOk(result) || isDenied) {
+        logEvent(LogLevel::Warning,
+            "endpoint.unverified",
+            {{"endpoint", status.id},
+                {"born", std::to_string(status.incarnation)},
+                {"reason", isOk(result) ? "the endpoint was born " + std::to_string(answering) : error(result).detail}});
+    }
+    const bool isNewest = unverified_ && unverified_->id == status.id && unverified_->incarnation == status.incarnation;
+    if (isNewest && (isOk(result) || isDenied)) {
+        unverified_.reset();
+    }
+    const bool isOutdated = isServed(status) || (incarnation_ && status.incarnation < incarnation_->status.incarnation);
+    if (!isOk(result) || isDenied || isOutdated) {
+        return;
+    }
+    beginIncarnation(status);
+    renewLease(Milliseconds(0));
+    report();
+}
+
 void Agent::beginIncarnation(const EndpointStatus &status)
 {
     const BootTime now = hooks_.now();
     incarnation_ = Incarnation();
-    incarnation_->status = status;
+    applyStatus(status);
     nextRenewal_ = now;
     std::erase_if(unansweredStarts_, [now](const auto &start) {
         return start.second.until <= now;
@@ -103,6 +154,7 @@
     if (incarnation_) {
         renewLease(Milliseconds(0));
     }
+    verifyIncarnation();
     report();
 }
 
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -34,7 +34,8 @@
 public:
     Agent(AgentOptions options, AgentHooks hooks);
 
-    /// Applies the endpoint's report about itself. Returns false if the report is ignored: it is from an earlier incarnation or out of order.
+    /// Applies an endpoint's report about itself. A report of another incarnation than the one that is served takes effect once the endpoint itself has
+    /// answered as that incarnation. Returns false if the report is ignored: it is from an earlier incarnation or out of order.
     bool endpointReported(const EndpointStatus &status);
     /// Handles the endpoint's notification that it has left.
     void endpointLeft(const std::string &id);
@@ -91,6 +92,10 @@
     std::optional<RunId> newestUnansweredStartOf(const TaskId &task) const;
     void answerStart(const std::string &peer, const wire::StartOrder &order, wire::StartOutcome::type outcome, const std::string &detail);
     void startFailed(const std::string &peer, const wire::StartOrder &order, EndpointError failure, int attempt);
+    bool isServed(const EndpointStatus &status) const;
+    void applyStatus(const EndpointStatus &status);
+    void verifyIncarnation();
+    void handleVerification(const EndpointStatus &status, const Result<RenewalResult, EndpointError> &result);
     void beginIncarnation(const EndpointStatus &status);
     void refuseUnansweredStarts();
     void report();
@@ -102,7 +107,8 @@
 
     AgentOptions options_;
     AgentHooks hooks_;
-    std::optional<Incarnation> incarnation_;
+    std::optional<Incarnation> incarnation_; ///< the endpoint itself has answered as this incarnation
+    std::optional<EndpointStatus> unverified_; ///< newest report of another incarnation that the endpoint has neither confirmed nor denied
     std::map<RunId, UnansweredStart> unansweredStarts_;
     std::int64_t generation_ = 0; ///< the highest one seen; never decreases
     std::string scheduler_; ///< the scheduler's peer address; empty while unknown
--- /dev/null
+++ b/tests/cell/agentidentitytest.cpp
@@ -0,0 +1,63 @@
+// Which endpoint, and which of its incarnations, the agent serves. Reports may be late, or come from another writer.
+
+#include "cell/agentfixture.h"
+
+using namespace knapweed;
+using namespace knapweed::cell;
+
+TEST_GROUP_BASE(AgentIdentity, AgentFixture) {};
+
+// Guards against a task that runs twice: a report of another writer made the agent serve another endpoint, and its runs were started elsewhere.
+TEST(AgentIdentity, reportOfAnotherWriterDoesNotReplaceTheEndpoint)
+{
+    agent->receive(schedulerName, orderOf(41));
+    starts[0].callback(Milliseconds(5));
+    EndpointStatus foreign = statusOf(200);
+    foreign.id = "i-2";
+    agent->endpointReported(foreign);
+    answerRenewals(100);
+    now += Milliseconds(500);
+    agent->tick();
+    STRCMP_EQUAL("i-1", lastReport().endpoint.c_str());
+    LONGS_EQUAL(100, lastReport().born);
+    LONGS_EQUAL(1, lastReport().running.size());
+}
+
+// As above, for a report that names the endpoint itself: the agent lost its lists and no longer renewed the lease.
+TEST(AgentIdentity, reportOfAnotherWriterUnderTheSameIdDoesNotEndTheIncarnation)
+{
+    EndpointStatus foreign = statusOf(200);
+    agent->endpointReported(foreign);
+    answerRenewals(100);
+    grantLease(100);
+    now += Seconds(3);
+    agent->tick();
+    LONGS_EQUAL(100, lastReport().born);
+    CHECK_TRUE(lastReport().isListed);
+    CHECK_FALSE(renewals.empty());
+    CHECK_TRUE(renewals.back().request.leaseUntil.has_value());
+}
+
+TEST(AgentIdentity, anotherEndpointIsServedOnceItAnswersAtTheAddress)
+{
+    EndpointStatus next = statusOf(200);
+    next.id = "i-2";
+    agent->endpointReported(next);
+    STRCMP_EQUAL("i-1", lastReport().endpoint.c_str());
+    endpointId = "i-2";
+    answerRenewals(200);
+    STRCMP_EQUAL("i-2", lastReport().endpoint.c_str());
+    CHECK_TRUE(lastReport().isListed);
+}
+
+TEST(AgentIdentity, reportThatCouldNotBeVerifiedIsVerifiedAgainForTheNextScheduler)
+{
+    EndpointStatus next = statusOf(200);
+    next.id = "i-2";
+    agent->endpointReported(next);
+    failRenewals(EndpointError::Kind::Fenced);
+    endpointId = "i-2";
+    announceNextScheduler();
+    answerRenewals(200);
+    STRCMP_EQUAL("i-2", lastReport().endpoint.c_str());
+}
