Ignore reports of endpoints of another service

A report of another writer that carries the endpoint's own identity would still be applied: its sequence number makes the agent ignore the endpoint's next reports as outdated, and its state and capacity count. Cause: the agent did not know what its endpoint is, though the platform's settings name the service. Change: the setting `service` of the agent, rendered from the platform's; a report of another service is ignored (endpoint.foreign). Absent or null: any service, as before. Test reportOfAnotherServiceIsIgnored, which cannot be built on the code before, where the setting does not exist.

--- a/src/knapweedstaged/cellagenttask.cpp
+++ b/src/knapweedstaged/cellagenttask.cpp
@@ -50,7 +50,7 @@
     self.incarnation = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
     self.region = settings_.region;
     self.failureDomain = settings_.failureDomain;
-    agent_ = std::make_unique<cell::Agent>(cell::AgentOptions {self.incarnation, settings_.lease}, std::move(hooks));
+    agent_ = std::make_unique<cell::Agent>(cell::AgentOptions {self.incarnation, settings_.lease, settings_.service}, std::move(hooks));
     peers_->attach(*peerServer_, self, settings_.seeds);
     loop_.callEvery(tickInterval, [this]() {
         agent_->tick();
--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -23,7 +23,7 @@
 } // namespace
 
 Agent::Agent(AgentOptions options, AgentHooks hooks)
-    : options_(options)
+    : options_(std::move(options))
     , hooks_(std::move(hooks))
 {
 }
@@ -35,6 +35,10 @@
 
 bool Agent::endpointReported(const EndpointStatus &status)
 {
+    if (!options_.service.empty() && status.service != options_.service) {
+        logEvent(LogLevel::Warning, "endpoint.foreign", {{"endpoint", status.id}, {"service", status.service}});
+        return false;
+    }
     const bool isOutOfOrder = isServed(status) && status.sequence <= incarnation_->status.sequence;
     if (incarnation_ && (status.incarnation < incarnation_->status.incarnation || isOutOfOrder)) {
         logEvent(LogLevel::Info,
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -18,6 +18,7 @@
 {
     std::int64_t incarnation = 0; ///< distinguishes this process's reports from those of an earlier process at the same address
     Milliseconds lease {0}; ///< validity of the runs' lease, counted from when a report that the scheduler answered was sent
+    std::string service; ///< reports of endpoints of another service are ignored; empty: any service
 };
 
 struct AgentHooks
@@ -35,7 +36,7 @@
     Agent(AgentOptions options, AgentHooks hooks);
 
     /// Applies an endpoint's report about itself. A report of another incarnation than the one that is served takes effect once the endpoint itself has
-    /// answered as that incarnation. Returns false if the report is ignored: it is from an earlier incarnation or out of order.
+    /// answered as that incarnation. Returns false if the report is ignored: it is of another service, from an earlier incarnation or out of order.
     bool endpointReported(const EndpointStatus &status);
     /// Handles the endpoint's notification that it has left.
     void endpointLeft(const std::string &id);
--- a/src/libknapweed/cell/settings.cpp
+++ b/src/libknapweed/cell/settings.cpp
@@ -96,6 +96,12 @@
     if (!root.isPresent() || (isRoleKnown && settings.role == ProcessRole::Agent)) {
         settings.endpointReports = readAddress(root, "endpoint_reports");
         settings.endpoint = readAddress(root, "endpoint");
+        const nlohmann::json *service = root.member("service");
+        if (service != nullptr && service->is_string()) {
+            settings.service = service->get<std::string>();
+        } else if (service != nullptr && !service->is_null()) {
+            root.fault("service", describeFound(*service), "the name of a service, or null");
+        }
     }
     root.finish();
     return settings;
--- a/src/libknapweed/cell/settings.h
+++ b/src/libknapweed/cell/settings.h
@@ -33,6 +33,7 @@
     Address readiness; ///< entry only: listen address for readiness checks
     Address endpointReports; ///< agent only: listen address for the endpoint's reports
     Address endpoint; ///< agent only: address at which the endpoint accepts orders
+    std::string service; ///< agent only: the service that the endpoint runs; empty if it is not known
 };
 
 Result<CellSettings, SettingsError> parseCellSettings(const std::string &json);
--- a/tests/cell/agentfixture.h
+++ b/tests/cell/agentfixture.h
@@ -61,7 +61,7 @@
         hooks.now = [this]() {
             return now;
         };
-        agent = std::make_unique<Agent>(AgentOptions {1, Milliseconds(6000)}, std::move(hooks));
+        agent = std::make_unique<Agent>(AgentOptions {1, Milliseconds(6000), testService}, std::move(hooks));
         agent->endpointReported(statusOf(100));
         wire::SchedulerNotice notice;
         notice.generation = 7;
--- a/tests/cell/agentidentitytest.cpp
+++ b/tests/cell/agentidentitytest.cpp
@@ -38,6 +38,21 @@
     CHECK_TRUE(renewals.back().request.leaseUntil.has_value());
 }
 
+// Guards against a report of another writer that carries the endpoint's own identity and a higher sequence number: later reports would be ignored as outdated.
+TEST(AgentIdentity, reportOfAnotherServiceIsIgnored)
+{
+    EndpointStatus foreign = statusOf(100);
+    foreign.sequence = 1000;
+    foreign.service = "unknown";
+    CHECK_FALSE(agent->endpointReported(foreign));
+    EndpointStatus own = statusOf(100);
+    own.sequence = 2;
+    own.isDraining = true;
+    CHECK_TRUE(agent->endpointReported(own));
+    CHECK_TRUE(lastReport().draining);
+    STRCMP_EQUAL(testService, lastReport().serviceName.c_str());
+}
+
 TEST(AgentIdentity, anotherEndpointIsServedOnceItAnswersAtTheAddress)
 {
     EndpointStatus next = statusOf(200);
--- a/tests/cell/simulation.cpp
+++ b/tests/cell/simulation.cpp
@@ -62,7 +62,7 @@
     hooks.now = [this]() {
         return now_;
     };
-    node.agent = std::make_unique<Agent>(AgentOptions {static_cast<std::int64_t>(node.incarnation), lease}, std::move(hooks));
+    node.agent = std::make_unique<Agent>(AgentOptions {static_cast<std::int64_t>(node.incarnation), lease, testService}, std::move(hooks));
     node.nextHeartbeat = now_;
 }
 
--- a/tests/settings/cellsettingstest.cpp
+++ b/tests/settings/cellsettingstest.cpp
@@ -52,7 +52,8 @@
         {"{{listen.readiness|json}}", "\"10.1.0.19:8523\""},
         {"{{listen.control|json}}", "\"10.1.0.20:8526\""},
         {"{{advice|json}}", "null"},
-        {"{{app|json}}", "\"10.1.0.20:8529\""}};
+        {"{{app|json}}", "\"10.1.0.20:8529\""},
+        {"{{service|json}}", "\"tailoring\""}};
     for (const auto &[placeholder, value] : values) {
         for (std::size_t at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder)) {
             text.replace(at, std::string(placeholder).size(), value);
@@ -73,6 +74,16 @@
     }
 }
 
+TEST(CellSettings, serviceOfTheEndpointIsANameOrMissing)
+{
+    nlohmann::json settings = nlohmann::json::parse(rendered(readSourceFile("deploy/agent.json")));
+    STRCMP_EQUAL("tailoring", value(parseCellSettings(settings.dump())).service.c_str());
+    settings["service"] = nullptr;
+    STRCMP_EQUAL("", value(parseCellSettings(settings.dump())).service.c_str());
+    settings["service"] = 7;
+    CHECK_TRUE(cellFaults(settings).find("service") != std::string::npos);
+}
+
 TEST(CellSettings, seedsGetThePeerPort)
 {
     const Result<CellSettings, SettingsError> parsed = parseCellSettings(entryCell().dump());
