Send no request after it has been reported as not sent

Cause: when the time of an exchange ends before its connection is open, HttpClient reports NotSent and asks the library to close the connection, which is a timer of no time. Timers run before sockets in one turn of the loop, so that the connection could open in that same turn, and the whole request went out.

Change: an exchange that has been reported writes no head; the library then closes the connection.

--- a/src/libknapweed/base/httpclient.cpp
+++ b/src/libknapweed/base/httpclient.cpp
@@ -122,6 +122,9 @@
 
 int appendHeaders(lws *wsi, Exchange &exchange, unsigned char **position, std::size_t room)
 {
+    if (!exchange.callback) {
+        return -1; // reported as not sent: its time ended in the turn of the loop in which the connection opened
+    }
     unsigned char *end = *position + room;
     for (const auto &[name, text] : exchange.request.headers) {
         if (!addHeader(wsi, name, text, position, end)) {
--- a/tests/base/httpfaulttest.cpp
+++ b/tests/base/httpfaulttest.cpp
@@ -105,6 +105,33 @@
     }
 }
 
+/// A request that is reported as not sent has not reached the server, also not later: whoever sends an order relies on it to give the order to another endpoint.
+TEST(HttpFaults, aRequestWhoseTimeEndsBeforeItIsSentNeverArrives)
+{
+    constexpr Milliseconds timeout {50};
+    for (const char *method : {"POST", "GET"}) {
+        HttpFixture http;
+        const std::shared_ptr<std::vector<HttpResult>> results = std::make_shared<std::vector<HttpResult>>();
+        http.clientTask().call([&]() {
+            http.client().send(http.server().address(),
+                plainRequest(method, "/hold", std::string(method) == "POST" ? "order" : ""),
+                timeout,
+                [results](HttpResult result) {
+                    results->push_back(std::move(result));
+                });
+            std::this_thread::sleep_for(timeout * 3); // as a process that gets no processor time
+        });
+        const bool isAnswered = http.clientTask().waitFor([results]() {
+            return !results->empty();
+        });
+        CHECK_TEXT(isAnswered, method);
+        CHECK_TEXT(!isOk(results->front()), method);
+        std::this_thread::sleep_for(Milliseconds(200));
+        const bool mayHaveArrived = error(results->front()).kind != HttpError::Kind::NotSent;
+        CHECK_TEXT(mayHaveArrived || http.heldRequests() == 0, method);
+    }
+}
+
 TEST(HttpFaults, doesNotReuseAConnectionThatTheServerClosed)
 {
     HttpFixture http;
