Don't release a run that its endpoint lists when its start is reported as refused

What callers would see: a task that runs twice. Cause: the scheduler released the run of a refused start whatever it knew about it, also when the endpoint's lists already held it. Change: only a run that is ordered and not listed is released by a refusal. Measured: Scheduler.doesNotStartATaskAgainThatIsListedWhenItsStartIsReportedAsRejected failed before (one start order instead of none); all tests of tests/cell pass.

--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -291,6 +291,9 @@
         }
         return;
     }
+    if (allocation.state != Allocation::State::Ordered) {
+        return; // the endpoint's lists hold it, which is better evidence
+    }
     logEvent(
         LogLevel::Warning, "run.notstarted", {{"job", run.task.job}, {"run", std::to_string(run.run)}, {"endpoint", endpoint->id}, {"reason", result.detail}});
     const auto advice = advice_.find({run.task.job, run.task.occurrence, run.task.step});
--- a/tests/cell/schedulertest.cpp
+++ b/tests/cell/schedulertest.cpp
@@ -263,6 +263,25 @@
     CHECK(again.front().run.run > starts.front().run.run);
 }
 
+/// The endpoint's own list is stronger evidence than an outcome that may be late or wrong.
+TEST(Scheduler, doesNotStartATaskAgainThatIsListedWhenItsStartIsReportedAsRejected)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    const std::vector<wire::StartOrder> starts = startsOf(send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})}))));
+    send(*scheduler, "b", reportOf("i-b", 1));
+    wire::EndpointReport report = reportOf("i-a", 1);
+    report.running = {rowOf(starts.at(0).run, 10)};
+    send(*scheduler, "a", report);
+    wire::StartResult result;
+    result.generation = 1;
+    result.endpoint = "i-a";
+    result.born = 100;
+    result.run = starts.at(0).run;
+    result.outcome = wire::StartOutcome::Rejected;
+    LONGS_EQUAL(0, startsOf(send(*scheduler, "a", result)).size());
+}
+
 TEST(Scheduler, releasesRunsOfAnUnresponsiveAgentOnlyAfterItsLease)
 {
     std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
