Don't report a stopped run as absent while its end is listed

What callers would see: a task that has ended as done runs again. Cause: a run that ended by itself before its stop arrived was reported as absent as soon as a list no longer held it as running. If the report with its end was lost with its connection, the scheduler learned only that the run was over without having been done, and started the task again; the end that follows is acknowledged. Change: a run whose end is listed and not stored yet is not reported absent. Measured: Agent.aStoppedRunWhoseEndIsNotStoredIsNotReportedAbsent failed before, all tests of tests/cell pass now.

--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -104,6 +104,7 @@
     void renewalSucceeded(std::uint64_t number, std::int64_t fence, std::int64_t incarnation, std::int64_t endsStored, const RenewalResult &answer);
     std::optional<Milliseconds> leaseUntil() const;
     void renewalFailed(const EndpointError &failure);
+    bool hasListedEnd(const RunId &run) const;
     void reportAbsentRuns();
 
     AgentOptions options_;
--- a/src/libknapweed/cell/agentreports.cpp
+++ b/src/libknapweed/cell/agentreports.cpp
@@ -4,6 +4,8 @@
 
 #include "cell/runwire.h"
 
+#include <algorithm>
+
 namespace knapweed::cell
 {
 
@@ -20,20 +22,29 @@
     hooks_.send(peer, result);
 }
 
-/// Reports stopped runs that are missing from a later list: they can no longer start. The report with their ends is sent first.
+/// Whether an end of the run is listed that is not stored durably yet.
+bool Agent::hasListedEnd(const RunId &run) const
+{
+    return std::any_of(incarnation_->ended.begin(), incarnation_->ended.end(), [&run](const auto &end) {
+        return end.second.run == run;
+    });
+}
+
+/// Reports stopped runs that are missing from a later list: they can no longer start. How a listed run has ended is said by the reports only.
 void Agent::reportAbsentRuns()
 {
     for (auto stopped = incarnation_->stopped.begin(); stopped != incarnation_->stopped.end();) {
-        if (stopped->second >= incarnation_->appliedRenewal || incarnation_->running.count(stopped->first) != 0) {
-            stopped = stopped->second >= incarnation_->appliedRenewal ? std::next(stopped) : incarnation_->stopped.erase(stopped);
+        const auto &[run, renewal] = *stopped;
+        if (renewal >= incarnation_->appliedRenewal) {
+            ++stopped;
             continue;
         }
-        wire::RunAbsent absent;
-        absent.generation = generation_;
-        absent.endpoint = incarnation_->status.id;
-        absent.born = incarnation_->status.incarnation;
-        absent.run = wireRef(stopped->first);
-        if (!scheduler_.empty()) {
+        if (incarnation_->running.count(run) == 0 && !hasListedEnd(run) && !scheduler_.empty()) {
+            wire::RunAbsent absent;
+            absent.generation = generation_;
+            absent.endpoint = incarnation_->status.id;
+            absent.born = incarnation_->status.incarnation;
+            absent.run = wireRef(run);
             hooks_.send(scheduler_, absent);
         }
         stopped = incarnation_->stopped.erase(stopped);
--- a/tests/base/httpfaulttest.cpp
+++ b/tests/base/httpfaulttest.cpp
@@ -105,7 +105,8 @@
     }
 }
 
-/// A request that is reported as not sent has not reached the server, also not later: whoever sends an order relies on it to give the order to another endpoint.
+/// A request that is reported as not sent has not reached the server, also not later: whoever sends an order relies on it to give the order to another
+/// endpoint.
 TEST(HttpFaults, aRequestWhoseTimeEndsBeforeItIsSentNeverArrives)
 {
     constexpr Milliseconds timeout {50};
@@ -113,10 +114,8 @@
         HttpFixture http;
         const std::shared_ptr<std::vector<HttpResult>> results = std::make_shared<std::vector<HttpResult>>();
         http.clientTask().call([&]() {
-            http.client().send(http.server().address(),
-                plainRequest(method, "/hold", std::string(method) == "POST" ? "order" : ""),
-                timeout,
-                [results](HttpResult result) {
+            http.client().send(
+                http.server().address(), plainRequest(method, "/hold", std::string(method) == "POST" ? "order" : ""), timeout, [results](HttpResult result) {
                     results->push_back(std::move(result));
                 });
             std::this_thread::sleep_for(timeout * 3); // as a process that gets no processor time
--- a/tests/cell/agenttest.cpp
+++ b/tests/cell/agenttest.cpp
@@ -156,3 +156,41 @@
     agent->receive("third", notice);
     CHECK_FALSE(lastReport().isListed);
 }
+
+/// The order to stop a run may reach the agent after the run has ended by itself. If the report with the end is lost, a scheduler that learns only that the run
+/// is absent starts the task again, although it has ended as done.
+TEST(Agent, aStoppedRunWhoseEndIsNotStoredIsNotReportedAbsent)
+{
+    const RunId run = runIdOf(orderOf(41).run);
+    agent->receive(schedulerName, orderOf(41));
+    starts[0].callback(Milliseconds(5));
+    renewals.clear();
+    now += Seconds(3);
+    agent->tick();
+    const auto answerWithEnd = [&]() {
+        while (!renewals.empty()) {
+            const RenewalCall call = std::move(renewals.front());
+            renewals.erase(renewals.begin());
+            RenewalResult answer;
+            answer.clock = Milliseconds(++clock);
+            answer.incarnation = 100;
+            answer.ended.push_back({1, run, RunOutcome::Done, ""});
+            call.callback(answer);
+        }
+    };
+    agent->receive(schedulerName, [&]() {
+        wire::StopOrder order;
+        order.generation = 7;
+        order.endpoint = "i-1";
+        order.born = 100;
+        order.run = wireRef(run);
+        return order;
+    }());
+    LONGS_EQUAL(1, stops.size());
+    stops[0].callback(Milliseconds(5));
+    answerWithEnd();
+    LONGS_EQUAL(1, lastReport().ended.size());
+    for (const PeerMessage &message : sent) {
+        CHECK_FALSE(std::holds_alternative<wire::RunAbsent>(message));
+    }
+}
