Take an endpoint that reports again as not having left

What callers would see: tasks run twice. Cause: the notification that an endpoint has left names neither its incarnation nor a sequence number, so it may be late or from another writer, and it stood for good: one refused connection later the agent reported that nothing runs there any more. Change: a newer report of the incarnation withdraws it. Measured: Agent.anEndpointThatReportsAgainAfterItsNotificationHasNotLeft failed before, all tests of tests/cell pass now.

--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -67,6 +67,7 @@
     }
     incarnation_->status = status;
     incarnation_->leavesAt = hooks_.now() + status.remaining;
+    incarnation_->hasLeft = false;
 }
 
 /// Asks the endpoint which incarnation it is. Anybody can send a report, and the runs of the incarnation that is served are given up with it.
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -66,7 +66,7 @@
         /// numbers its ends from 1 again.
         std::int64_t endsDiscarded = 0;
         std::map<RunId, std::uint64_t> started; ///< started but maybe not listed yet; with the newest renewal sent before the answer
-        bool hasLeft = false; ///< the endpoint has announced this; its runs end with it
+        bool hasLeft = false; ///< announced since the newest report; its runs end with it
         BootTime leavesAt; ///< earliest time at which the endpoint may be gone; meaningful while draining
         bool isGone = false; ///< the endpoint was due to leave and its address refuses connections: nothing runs there any more
         std::map<RunId, std::uint64_t> stopped; ///< stopped but maybe still listed; with the newest renewal sent before the answer
--- a/tests/cell/agenttest.cpp
+++ b/tests/cell/agenttest.cpp
@@ -194,3 +194,18 @@
         CHECK_FALSE(std::holds_alternative<wire::RunAbsent>(message));
     }
 }
+
+/// The notification that an endpoint has left names neither its incarnation nor a sequence number, so it may be late or from another writer.
+TEST(Agent, anEndpointThatReportsAgainAfterItsNotificationHasNotLeft)
+{
+    agent->receive(schedulerName, orderOf(41));
+    starts[0].callback(Milliseconds(5));
+    agent->endpointLeft("i-1");
+    EndpointStatus status = statusOf(100);
+    status.sequence = 2;
+    agent->endpointReported(status);
+    failRenewals(EndpointError::Kind::ConnectionFailed);
+    now += Seconds(1);
+    agent->tick();
+    LONGS_EQUAL(1, lastReport().running.size());
+}
