Tell a lack of descriptors from an endpoint that refuses connections

What callers would see: tasks of a draining endpoint run twice. Cause: when this process could not open a socket, the client said "connection refused", and the agent took a draining endpoint whose notice was over for gone. Change: such a failure is marked as local and counts as a call that was not made. Measured: EndpointCalls.aLackOfDescriptorsIsNotReportedAsConnectionFailed failed before ("1 connection refused"); all tests of tests/adapter (23) and tests/base (32) pass.

--- a/src/libknapweed/base/httpclient.cpp
+++ b/src/libknapweed/base/httpclient.cpp
@@ -340,7 +340,7 @@
     }
     exchange->wsi = nullptr;
     loop->post([exchange]() {
-        fail(*exchange, "connection refused");
+        finish(*exchange, HttpError {HttpError::Kind::NotSent, "no connection could be opened", false, true});
         releaseSlot(*exchange);
     });
 }
--- a/src/libknapweed/base/httpclient.h
+++ b/src/libknapweed/base/httpclient.h
@@ -23,6 +23,7 @@
     Kind kind = Kind::NotSent;
     std::string detail;
     bool isTimeout = false; ///< the time allowed was over; else the connection itself failed or was refused
+    bool isLocal = false; ///< this process could not open a connection, for lack of a descriptor for example: nothing is known about the target
 };
 
 using HttpResult = Result<HttpResponse, HttpError>;
--- a/tests/adapter/endpointcallstest.cpp
+++ b/tests/adapter/endpointcallstest.cpp
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <optional>
+#include <sys/resource.h>
 #include <vector>
 
 using namespace knapweed;
@@ -82,6 +83,20 @@
     }
 }
 
+/// As theEndOfAKeptConnectionIsNotReportedAsConnectionFailed: the fault is this process's own.
+TEST(EndpointCalls, aLackOfDescriptorsIsNotReportedAsConnectionFailed)
+{
+    rlimit before {};
+    getrlimit(RLIMIT_NOFILE, &before);
+    const std::optional<Result<cell::RenewalResult, cell::EndpointError>> result = renew([&]() {
+        rlimit none = before;
+        none.rlim_cur = 0;
+        setrlimit(RLIMIT_NOFILE, &none);
+    });
+    setrlimit(RLIMIT_NOFILE, &before);
+    CHECK_TEXT(!saysThatNothingListens(result), nameOf(result).c_str());
+}
+
 /// A run that is missing from the lists of an endpoint is taken to have ended. Lists that cannot be read in full say nothing about any run.
 TEST(EndpointCalls, listsThatCannotBeReadInFullAreNoAnswer)
 {
