--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -18,6 +18,7 @@
 {
     std::int64_t incarnation = 0; ///< distinguishes this process's reports from those of an earlier process at the same address
     Milliseconds lease {0}; ///< validity of the runs' lease, counted from when a report that the scheduler answered was sent
+    std::string service; ///< reports of endpoints of another service are ignored; empty: any service
 };
 
 struct AgentHooks
@@ -34,7 +35,8 @@
 public:
     Agent(AgentOptions options, AgentHooks hooks);
 
-    /// Applies the endpoint's report about itself. Returns false if the report is ignored: it is from an earlier incarnation or out of order.
+    /// Applies an endpoint's report about itself. A report of another incarnation than the one that is served takes effect once the endpoint itself has
+    /// answered as that incarnation. Returns false if the report is ignored: it is of another service, from an earlier incarnation or out of order.
     bool endpointReported(const EndpointStatus &status);
     /// Handles the endpoint's notification that it has left.
     void endpointLeft(const std::string &id);
@@ -64,7 +66,7 @@
         /// numbers its ends from 1 again.
         std::int64_t endsDiscarded = 0;
         std::map<RunId, std::uint64_t> started; ///< started but maybe not listed yet; with the newest renewal sent before the answer
-        bool hasLeft = false; ///< the endpoint has announced this; its runs end with it
+        bool hasLeft = false; ///< announced since the newest report; its runs end with it
         BootTime leavesAt; ///< earliest time at which the endpoint may be gone; meaningful while draining
         bool isGone = false; ///< the endpoint was due to leave and its address refuses connections: nothing runs there any more
         std::map<RunId, std::uint64_t> stopped; ///< stopped but maybe still listed; with the newest renewal sent before the answer
@@ -91,6 +93,10 @@
     std::optional<RunId> newestUnansweredStartOf(const TaskId &task) const;
     void answerStart(const std::string &peer, const wire::StartOrder &order, wire::StartOutcome::type outcome, const std::string &detail);
     void startFailed(const std::string &peer, const wire::StartOrder &order, EndpointError failure, int attempt);
+    bool isServed(const EndpointStatus &status) const;
+    void applyStatus(const EndpointStatus &status);
+    void verifyIncarnation();
+    void handleVerification(const EndpointStatus &status, const Result<RenewalResult, EndpointError> &result);
     void beginIncarnation(const EndpointStatus &status);
     void refuseUnansweredStarts();
     void report();
@@ -98,11 +104,13 @@
     void renewalSucceeded(std::uint64_t number, std::int64_t fence, std::int64_t incarnation, std::int64_t endsStored, const RenewalResult &answer);
     std::optional<Milliseconds> leaseUntil() const;
     void renewalFailed(const EndpointError &failure);
+    bool hasListedEnd(const RunId &run) const;
     void reportAbsentRuns();
 
     AgentOptions options_;
     AgentHooks hooks_;
-    std::optional<Incarnation> incarnation_;
+    std::optional<Incarnation> incarnation_; ///< the endpoint itself has answered as this incarnation
+    std::optional<EndpointStatus> unverified_; ///< newest report of another incarnation that the endpoint has neither confirmed nor denied
     std::map<RunId, UnansweredStart> unansweredStarts_;
     std::int64_t generation_ = 0; ///< the highest one seen; never decreases
     std::string scheduler_; ///< the scheduler's peer address; empty while unknown
--- a/tests/cell/simulationagents.cpp
+++ b/tests/cell/simulationagents.cpp
@@ -2,6 +2,8 @@
 
 #include "cell/simulation.h"
 
+#include "cell/builders.h"
+
 namespace knapweed::cell
 {
 
@@ -23,7 +25,7 @@
     hooks.now = [this]() {
         return now_;
     };
-    node.agent = std::make_unique<Agent>(AgentOptions {static_cast<std::int64_t>(node.incarnation), simulatedLease}, std::move(hooks));
+    node.agent = std::make_unique<Agent>(AgentOptions {static_cast<std::int64_t>(node.incarnation), simulatedLease, testService}, std::move(hooks));
     node.nextHeartbeat = now_;
 }
 
