Let another writer report endpoints to simulated agents

With the new option hasOtherWriters, off by default, agents receive reports with the endpoint's id or an unknown one, the incarnation missing (0), lower, the same, higher or much higher, another service, no capacity, and sequence numbers around those of the endpoint, up to four times.

--- a/tests/cell/fakeendpoint.cpp
+++ b/tests/cell/fakeendpoint.cpp
@@ -45,6 +45,11 @@
     return status_;
 }
 
+const EndpointStatus &FakeEndpoint::lastStatus() const
+{
+    return status_;
+}
+
 std::size_t FakeEndpoint::runs() const
 {
     return running_.size();
--- a/tests/cell/fakeendpoint.h
+++ b/tests/cell/fakeendpoint.h
@@ -48,6 +48,8 @@
     void restart(std::int64_t incarnation, const std::string &id);
 
     EndpointStatus status();
+    /// The status of the newest report.
+    const EndpointStatus &lastStatus() const;
     std::size_t runs() const;
 
 private:
--- a/tests/cell/randomtest.cpp
+++ b/tests/cell/randomtest.cpp
@@ -233,3 +233,17 @@
 {
     runSeeds(everyTrouble());
 }
+
+TEST(CellHistory, othersReport)
+{
+    SimulationOptions options;
+    options.hasOtherWriters = true;
+    runSeeds(options);
+}
+
+TEST(CellHistory, troublesOverlapWhileOthersReport)
+{
+    SimulationOptions options = everyTrouble();
+    options.hasOtherWriters = true;
+    runSeeds(options);
+}
--- a/tests/cell/simulation.h
+++ b/tests/cell/simulation.h
@@ -36,6 +36,7 @@
     bool breaksGangsLate = false; ///< the other members of a gang that has lost one end 50 to 200 ms later
     double lostAnswerShare = 0; ///< share of the calls to endpoints that are carried out at once and whose answer is lost
     bool restartsAgents = false; ///< agents end and start again while messages for them wait
+    bool hasOtherWriters = false; ///< agents receive reports about endpoints that another writer has made up
     bool renamesEndpoints = false; ///< endpoints start again under another id, and at times under their first one
 };
 
@@ -121,6 +122,8 @@
     void writeNext(const std::shared_ptr<SchedulerNode> &node);
     void injectFault();
     void injectNewFault();
+    EndpointStatus madeUpStatus(const AgentNode &node);
+    void reportMadeUp(AgentNode &node);
     void step();
 
     SimulationOptions options_;
--- a/tests/cell/simulationfaults.cpp
+++ b/tests/cell/simulationfaults.cpp
@@ -23,6 +23,45 @@
     }
 }
 
+/// A report as another writer may make it up: each field may be that of the endpoint or not.
+EndpointStatus Simulation::madeUpStatus(const AgentNode &node)
+{
+    EndpointStatus status = node.endpoint->lastStatus();
+    if (newChance() < 0.5) {
+        status.id = "i-other-" + std::to_string(newBetween(1, 3).count());
+    }
+    const std::int64_t muchHigher = status.incarnation + 1000000;
+    const std::int64_t incarnations[] = {0, status.incarnation - 1, status.incarnation, status.incarnation + 1, muchHigher};
+    status.incarnation = incarnations[newBetween(0, 4).count()];
+    const std::int64_t sequences[] = {1, status.sequence, status.sequence + 1, status.sequence + 5};
+    status.sequence = sequences[newBetween(0, 3).count()];
+    if (newChance() < 0.5) {
+        status.service = "other";
+    }
+    if (newChance() < 0.5) {
+        status.capacity = Resources();
+        status.labels.clear();
+    }
+    return status;
+}
+
+/// The other writer repeats its report a few times.
+void Simulation::reportMadeUp(AgentNode &node)
+{
+    EndpointStatus status = madeUpStatus(node);
+    const int reports = static_cast<int>(newBetween(1, 4).count());
+    for (int i = 0; i < reports; ++i) {
+        after(Milliseconds(1000) * i, [this, target = &node, status]() {
+            if (!isDown(target->name)) {
+                whenAwake(target->name, [target, status]() {
+                    target->agent->endpointReported(status);
+                });
+            }
+        });
+        ++status.sequence;
+    }
+}
+
 /// The same for the options that came later.
 void Simulation::injectNewFault()
 {
@@ -57,6 +96,11 @@
             killAgent(node, newBetween(20, newChance() < 0.5 ? 300 : 9000));
         });
     }
+    if (options_.hasOtherWriters) {
+        faults.emplace_back([this, &node]() {
+            reportMadeUp(node);
+        });
+    }
     if (!faults.empty()) {
         faults[static_cast<std::size_t>(newBetween(0, static_cast<int>(faults.size()) - 1).count())]();
     }
