Play paused agents together with lost answers and endpoints that restart

Three histories more, each with the fewest options that show a fault: agents that pause while endpoints restart, that pause and miss answers, and both while schedulers change.

--- a/tests/cell/randomtest.cpp
+++ b/tests/cell/randomtest.cpp
@@ -224,6 +224,32 @@
     runSeeds(options);
 }
 
+TEST(CellHistory, endpointsRestartWhileAgentsPause)
+{
+    SimulationOptions options;
+    options.pausesAgents = true;
+    options.restartsEndpoints = true;
+    runSeeds(options);
+}
+
+TEST(CellHistory, agentsPauseAndMissAnswers)
+{
+    SimulationOptions options;
+    options.pausesAgents = true;
+    options.lostAnswerShare = 0.1;
+    runSeeds(options);
+}
+
+TEST(CellHistory, schedulersChangeWhileEndpointsRestartAndAgentsPause)
+{
+    SimulationOptions options;
+    options.changesSchedulers = true;
+    options.pausesAgents = true;
+    options.restartsEndpoints = true;
+    options.lostAnswerShare = 0.1;
+    runSeeds(options);
+}
+
 TEST(CellHistory, moreTroublesOverlap)
 {
     runSeeds(moreTroubles());
