Carry out an order only under the lease under which it arrived

What callers would see: tasks run twice. It compared the end of the lease with the time when it last read the endpoint's clock, not with now. The endpoint refuses such a start as late, but a next boot under the same id, whose clock has just begun, accepts it; and a start whose refusal got lost was repeated under the next lease. A paused process acting on a lapsed permission. Change: no call is made for a lease that is over, and an order holds until the end of the lease under which it arrived.

--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -214,7 +214,7 @@
 /// Expiry of the lease on the endpoint's clock, computed so that the lease expires there no later than here.
 std::optional<Milliseconds> Agent::leaseUntil() const
 {
-    if (!incarnation_ || !incarnation_->isClockKnown || leaseExpiresAt_ <= incarnation_->clockReadAt) {
+    if (!incarnation_ || !incarnation_->isClockKnown || leaseExpiresAt_ <= std::max(incarnation_->clockReadAt, hooks_.now())) {
         return std::nullopt;
     }
     const double remaining = double((leaseExpiresAt_ - incarnation_->clockReadAt).count()) * minClockRate;
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -88,7 +88,7 @@
     void handle(const std::string &peer, const wire::StartOrder &order);
     void handle(const std::string &peer, const wire::StopOrder &order);
     bool isCurrent(const std::string &peer, std::int64_t generation, std::int64_t incarnation, const std::string &endpoint) const;
-    void attemptStart(const std::string &peer, const wire::StartOrder &order, int attempt);
+    void attemptStart(const std::string &peer, const wire::StartOrder &order, BootTime validUntil, int attempt);
     void startSucceeded(const std::string &peer, const wire::StartOrder &order);
     std::optional<RunId> newestUnansweredStartOf(const TaskId &task) const;
     void answerStart(const std::string &peer, const wire::StartOrder &order, wire::StartOutcome::type outcome, const std::string &detail);
--- a/src/libknapweed/cell/agentstarts.cpp
+++ b/src/libknapweed/cell/agentstarts.cpp
@@ -44,15 +44,16 @@
         return;
     }
     const RunId run = runIdOf(order.run);
+    const BootTime validUntil = leaseExpiresAt_;
     const std::optional<RunId> unanswered = newestUnansweredStartOf(run.task);
     if (!unanswered || unanswered->run >= run.run) {
-        attemptStart(peer, order, 1);
+        attemptStart(peer, order, validUntil, 1);
         return;
     }
     // Stopping the newest run makes the endpoint refuse all earlier runs of the task as well.
-    hooks_.driver.stop({order.endpoint, order.generation, *unanswered}, [this, peer, order](const Result<Milliseconds, EndpointError> &result) {
+    hooks_.driver.stop({order.endpoint, order.generation, *unanswered}, [this, peer, order, validUntil](const Result<Milliseconds, EndpointError> &result) {
         if (isOk(result)) {
-            attemptStart(peer, order, 1);
+            attemptStart(peer, order, validUntil, 1);
         } else {
             answerStart(peer,
                 order,
@@ -74,11 +75,12 @@
     return unanswered;
 }
 
-/// Repeats a start that gets no answer. This is safe because an endpoint carries out each run number at most once.
-void Agent::attemptStart(const std::string &peer, const wire::StartOrder &order, int attempt)
+/// Repeats a start that gets no answer. This is safe because an endpoint carries out each run number at most once. The order holds until the end of the lease
+/// under which it arrived, at @p validUntil: once that is over, the scheduler may have started the task elsewhere.
+void Agent::attemptStart(const std::string &peer, const wire::StartOrder &order, BootTime validUntil, int attempt)
 {
     const std::optional<Milliseconds> until = leaseUntil();
-    if (!isCurrent(peer, order.generation, order.born, order.endpoint) || incarnation_->status.isDraining || !until
+    if (!isCurrent(peer, order.generation, order.born, order.endpoint) || incarnation_->status.isDraining || !until || validUntil <= hooks_.now()
         || incarnation_->listedGeneration != generation_) {
         startFailed(peer, order, {EndpointError::Kind::Refused, "agent is not ready for this generation or endpoint"}, attempt);
         return;
@@ -91,7 +93,7 @@
     request.checkpoint = order.checkpoint;
     request.ticket = order.ticket;
     request.leaseUntil = *until;
-    hooks_.driver.start(request, [this, peer, order, attempt](const Result<Milliseconds, EndpointError> &result) {
+    hooks_.driver.start(request, [this, peer, order, validUntil, attempt](const Result<Milliseconds, EndpointError> &result) {
         if (isOk(result)) {
             startSucceeded(peer, order);
             return;
@@ -99,7 +101,7 @@
         if (error(result).kind == EndpointError::Kind::Unanswered) {
             unansweredStarts_[runIdOf(order.run)] = {order.endpoint, hooks_.now() + lateOrderWindow};
             if (attempt < maxStartAttempts) {
-                attemptStart(peer, order, attempt + 1);
+                attemptStart(peer, order, validUntil, attempt + 1);
                 return;
             }
         }
--- a/tests/cell/agenttest.cpp
+++ b/tests/cell/agenttest.cpp
@@ -209,3 +209,27 @@
     agent->tick();
     LONGS_EQUAL(1, lastReport().running.size());
 }
+
+// Guards against a task that runs twice because an agent that was paused carries out an order after its lease: the next boot of the endpoint accepts it,
+// because its clock has just begun.
+TEST(Agent, orderIsNotCarriedOutOnceTheLeaseIsOver)
+{
+    now += Milliseconds(6500);
+    agent->receive(schedulerName, orderOf(41));
+    LONGS_EQUAL(0, starts.size());
+    LONGS_EQUAL(1, results().size());
+    LONGS_EQUAL(wire::StartOutcome::Rejected, results()[0].outcome);
+}
+
+// As above, for the repetition of an order whose answer was lost: a later lease says nothing about the order.
+TEST(Agent, unansweredStartIsNotRepeatedUnderALaterLease)
+{
+    now += Milliseconds(5800);
+    agent->receive(schedulerName, orderOf(41));
+    LONGS_EQUAL(1, starts.size());
+    now += Milliseconds(400);
+    grantLease(100);
+    failOneStart(EndpointError::Kind::Unanswered);
+    LONGS_EQUAL(0, starts.size());
+    LONGS_EQUAL(wire::StartOutcome::Unanswered, results().back().outcome);
+}
