Keep a run that the next incarnation of its endpoint lists

What callers would see: a task that runs twice after a change of scheduler. Change: the lists are applied first; what they don't hold is released then. Measured: Scheduler.runThatTheNextIncarnationListsIsNotReleased failed before (one start order instead of none); all tests of tests/cell pass.

--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -47,9 +47,9 @@
     }
     isPlanDue_ = isPlanDue_ || !endpoint.isListed;
     endpoint.isListed = true;
-    releaseOrphaned(endpoint, now);
     applyEnds(endpoint, report, now);
     applyRunning(endpoint, report, now);
+    releaseOrphaned(endpoint, now);
     advanceStoredEnds(endpoint);
     if (awaitedAgents_.erase(peer) != 0) {
         isPlanDue_ = true;
@@ -216,7 +216,8 @@
             adopt(endpoint, run, now);
         }
         Allocation &allocation = endpoint.runs.at(run);
-        if (allocation.state == Allocation::State::Ordered || allocation.state == Allocation::State::Planned) {
+        if (allocation.state == Allocation::State::Ordered || allocation.state == Allocation::State::Planned
+            || allocation.state == Allocation::State::Orphaned) {
             allocation.state = Allocation::State::Listed;
             allocation.progressAt = now;
             allocation.startedSequence = 0;
--- a/tests/cell/schedulertest.cpp
+++ b/tests/cell/schedulertest.cpp
@@ -439,3 +439,28 @@
     gone.ended = {endOf(1, late.run, wire::RunEnding::Broken)};
     LONGS_EQUAL(2, startsOf(send(*second, "a2", gone)).size());
 }
+
+// Guards against a task that runs twice: a run that the next incarnation of its endpoint lists was released, and a later scheduler did not wait for its agent.
+TEST(Scheduler, runThatTheNextIncarnationListsIsNotReleased)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    const std::vector<wire::StartOrder> starts = startsOf(send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})}))));
+    LONGS_EQUAL(1, starts.size());
+    wire::StartResult started;
+    started.generation = 1;
+    started.endpoint = "i-a";
+    started.born = 100;
+    started.run = starts[0].run;
+    started.outcome = wire::StartOutcome::Started;
+    send(*scheduler, "a", started);
+
+    wire::EndpointReport report = reportOf("i-a", 1);
+    report.born = 200;
+    report.running = {rowOf(starts[0].run, 10)};
+    send(*scheduler, "a", report);
+    send(*scheduler, "b", reportOf("i-b", 1));
+
+    std::unique_ptr<Scheduler> next = makeScheduler(2);
+    LONGS_EQUAL(0, startsOf(send(*next, "b", reportOf("i-b", 2))).size());
+}
