Refuse endpoint reports with missing fields or fields of another type

An agent took a report for one of its endpoint if id, service, state and seq were there.

Cause: the decoder of reports gave each other field the value of an omitted one: no capacity, no labels, no rack, born 0, and a draining endpoint without remainingMs counted as due to leave at once, so that its next refused connection ended all its runs for the scheduler.

Other fields are ignored as before.

--- a/tests/adapter/documentstest.cpp
+++ b/tests/adapter/documentstest.cpp
@@ -2,6 +2,7 @@
 
 #include "documents.h"
 #include "endpointcalls.h"
+#include "fields.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -107,6 +108,99 @@
     CHECK(!isOk(decodeEndpointStatus("i-1", "\xff\xfe")));
 }
 
+namespace
+{
+
+const nlohmann::json completeReport = {{"service", "s1"},
+    {"address", "10.0.0.1:80"},
+    {"zone", "z"},
+    {"version", "v1"},
+    {"slots", 8},
+    {"state", "draining"},
+    {"remainingMs", 1500},
+    {"coldLeftMs", 0},
+    {"capacity", {{"cpu", 16000}, {"memMb", 32768}, {"gpu", 8}}},
+    {"labels", {"a", "r1-3"}},
+    {"clockMs", 5},
+    {"seq", 4},
+    {"born", 1779173895892}};
+
+bool isReport(const nlohmann::json &document)
+{
+    return isOk(decodeEndpointStatus("i-1", document.dump()));
+}
+
+nlohmann::json reportWith(const std::string &pointer, const nlohmann::json &value)
+{
+    nlohmann::json report = completeReport;
+    report[nlohmann::json::json_pointer(pointer)] = value;
+    return report;
+}
+
+} // namespace
+
+/// A report of another writer that is taken for one of the endpoint replaces its identity, its capacity or its notice period, and its runs are started
+/// elsewhere.
+TEST(PlatformDocuments, endpointReportsThatLackAFieldAreRefused)
+{
+    CHECK(isReport(completeReport));
+    for (const char *name : {"service", "address", "zone", "version", "slots", "state", "remainingMs", "coldLeftMs", "capacity", "labels", "seq"}) {
+        nlohmann::json report = completeReport;
+        report.erase(name);
+        CHECK_TEXT(!isReport(report), name);
+    }
+    for (const char *name : {"cpu", "memMb", "gpu"}) {
+        nlohmann::json report = completeReport;
+        report["capacity"].erase(name);
+        CHECK_TEXT(!isReport(report), name);
+    }
+}
+
+/// As endpointReportsThatLackAFieldAreRefused.
+TEST(PlatformDocuments, endpointReportsWithAFieldOfAnotherTypeAreRefused)
+{
+    const nlohmann::json notText[] = {nullptr, true, 7, 1.5, nlohmann::json::array(), nlohmann::json::object(), ""};
+    for (const char *pointer : {"/service", "/address", "/zone", "/version", "/state"}) {
+        for (const nlohmann::json &other : notText) {
+            const nlohmann::json report = reportWith(pointer, other);
+            CHECK_TEXT(!isReport(report), report.dump().c_str());
+        }
+    }
+    const nlohmann::json notCounts[] = {nullptr, true, "4", "", 1.5, 4.0, 1e300, -1, 18446744073709551615U, nlohmann::json::array(), nlohmann::json::object()};
+    for (const char *pointer : {"/slots", "/remainingMs", "/coldLeftMs", "/capacity/cpu", "/capacity/memMb", "/capacity/gpu", "/clockMs", "/seq", "/born"}) {
+        for (const nlohmann::json &other : notCounts) {
+            const nlohmann::json report = reportWith(pointer, other);
+            CHECK_TEXT(!isReport(report), report.dump().c_str());
+        }
+    }
+    for (const nlohmann::json &other :
+        {nlohmann::json(), nlohmann::json(7), nlohmann::json("a"), nlohmann::json::array(), nlohmann::json::array({16000, 32768, 8})}) {
+        CHECK(!isReport(reportWith("/capacity", other)));
+    }
+    for (const nlohmann::json &other : {nlohmann::json(),
+             nlohmann::json(7),
+             nlohmann::json("a"),
+             nlohmann::json::object(),
+             nlohmann::json::array({"a", 7}),
+             nlohmann::json::array({nullptr, "r1-3"})}) {
+        CHECK(!isReport(reportWith("/labels", other)));
+    }
+}
+
+TEST(PlatformDocuments, endpointReportsMayLackWhatThePlatformOmitsAndHaveMore)
+{
+    nlohmann::json report = completeReport;
+    report.erase("born");
+    report.erase("clockMs");
+    report["newField"] = {{"a", 1}};
+    CHECK(isReport(report));
+    report["state"] = "ready";
+    report.erase("remainingMs");
+    CHECK(isReport(report));
+    report["remainingMs"] = "1500";
+    CHECK(!isReport(report));
+}
+
 TEST(PlatformDocuments, taskNamesAreEncodedAndParsed)
 {
     const cell::TaskId task {"5c0e7a21d94b36f8", 3, 1, 17};
