Test that a request is not sent again by itself when a kept connection ends

An order that libwebsockets repeated would be carried out twice without any process of the system knowing. The test shows that it does not: the server has one request and one connection, and the client reports Interrupted. Passes on the code as it is.

--- a/tests/base/httpfaulttest.cpp
+++ b/tests/base/httpfaulttest.cpp
@@ -119,6 +119,31 @@
     LONGS_EQUAL(20, http.relay().accepted());
 }
 
+/// An order that is sent twice by itself may be carried out twice.
+TEST(HttpFaults, doesNotSendARequestAgainWhenAKeptConnectionEnds)
+{
+    HttpFixture http;
+    const std::shared_ptr<std::vector<HttpResult>> results = std::make_shared<std::vector<HttpResult>>();
+    CHECK(http.fetch(http.relay().address(), plainRequest("POST", "/n", "first")).has_value());
+    http.clientTask().call([&]() {
+        http.client().send(http.relay().address(), plainRequest("POST", "/hold", "order"), Milliseconds(15000), [results](HttpResult result) {
+            results->push_back(std::move(result));
+        });
+    });
+    CHECK(http.serverTask().waitFor([&]() {
+        return http.server().openRequests() == 1;
+    }));
+    LONGS_EQUAL(1, http.relay().accepted());
+    http.relay().cut();
+    CHECK(http.clientTask().waitFor([results]() {
+        return !results->empty();
+    }));
+    std::this_thread::sleep_for(Milliseconds(100));
+    LONGS_EQUAL(1, http.heldRequests());
+    LONGS_EQUAL(1, http.relay().accepted());
+    LONGS_EQUAL(static_cast<int>(HttpError::Kind::Interrupted), static_cast<int>(error(results->front()).kind));
+}
+
 TEST(HttpFaults, refusesChunkedBodies)
 {
     HttpFixture http;
