Refuse endpoint reports without clockMs

The example of a report on the platform's pages has the field; the decoder only checked its type when it was there, so a report of another writer that lacks it passed.

Measured: endpointReportsThatLackAFieldAreRefused failed at clockMs before; all 19 tests of tests/adapter pass.

--- a/tests/adapter/documentstest.cpp
+++ b/tests/adapter/documentstest.cpp
@@ -144,7 +144,7 @@
 TEST(PlatformDocuments, endpointReportsThatLackAFieldAreRefused)
 {
     CHECK(isReport(completeReport));
-    for (const char *name : {"service", "address", "zone", "version", "slots", "state", "remainingMs", "coldLeftMs", "capacity", "labels", "seq"}) {
+    for (const char *name : {"service", "address", "zone", "version", "slots", "state", "remainingMs", "coldLeftMs", "capacity", "labels", "clockMs", "seq"}) {
         nlohmann::json report = completeReport;
         report.erase(name);
         CHECK_TEXT(!isReport(report), name);
@@ -191,7 +191,6 @@
 {
     nlohmann::json report = completeReport;
     report.erase("born");
-    report.erase("clockMs");
     report["newField"] = {{"a", 1}};
     CHECK(isReport(report));
     report["state"] = "ready";
