Stop reporting an endpoint that does not answer

What callers would see: an accepted job that never ends. Cause: the scheduler counts each report of an agent as a renewal of the endpoint's lease, and the agent went on reporting its last lists while every renewal was denied or unanswered, so that runs that had lapsed at the endpoint were never given up. Change: an agent whose endpoint has not answered a renewal for 5 s sends no reports until it does; the lease in the scheduler's table then expires as for a silent agent.

--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -114,6 +114,7 @@
     const BootTime now = hooks_.now();
     incarnation_ = Incarnation();
     applyStatus(status);
+    incarnation_->answeredAt = now;
     nextRenewal_ = now;
     std::erase_if(unansweredStarts_, [now](const auto &start) {
         return start.second.until <= now;
@@ -305,6 +306,7 @@
         incarnation_->endsDiscarded = incarnation_->endsStored;
         return;
     }
+    incarnation_->answeredAt = hooks_.now();
     if (!incarnation_->pendingRefusals.empty() || number <= incarnation_->renewalAtRefusal) {
         return;
     }
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -57,6 +57,7 @@
         Milliseconds clock {0}; ///< the endpoint's clock as last read
         BootTime clockReadAt; ///< when the response with this clock value arrived
         bool isClockKnown = false;
+        BootTime answeredAt; ///< when the endpoint last answered a renewal
         std::int64_t listedGeneration = -1; ///< generation under whose fence the lists were read; -1: no valid lists
         std::uint64_t appliedRenewal = 0; ///< number of the newest renewal whose lists have been applied
         std::map<RunId, ListedRun> running;
--- a/src/libknapweed/cell/agentreports.cpp
+++ b/src/libknapweed/cell/agentreports.cpp
@@ -9,6 +9,13 @@
 namespace knapweed::cell
 {
 
+namespace
+{
+
+constexpr Seconds silentEndpointTimeout {5}; ///< more than two renewals of an endpoint without runs
+
+} // namespace
+
 void Agent::answerStart(const std::string &peer, const wire::StartOrder &order, wire::StartOutcome::type outcome, const std::string &detail)
 {
     wire::StartResult result;
@@ -57,6 +64,10 @@
         return;
     }
     const BootTime now = hooks_.now();
+    // The scheduler counts each report as a renewal of the lease, which an endpoint that does not answer may not have received.
+    if (!incarnation_->isGone && now - incarnation_->answeredAt >= silentEndpointTimeout) {
+        return;
+    }
     lastReport_ = now;
     wire::EndpointReport report;
     report.sequence = ++reportNumber_;
