--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -39,6 +39,7 @@
             "orders-late": (lambda rng: self.endpoint_trouble(rng, Trouble(late=0.5)), (0.5, 3)),
             "orders-refused": (lambda rng: self.endpoint_trouble(rng, Trouble(refused=0.6)), (0.5, 3)),
             "endpoint-reset": (lambda rng: self.endpoint_trouble(rng, Trouble(reset=0.5)), (0.5, 3)),
+            "endpoint-closes": (self.endpoint_closes, (0.1, 2)),
             "store-away": (lambda rng: self.store_trouble(rng, self.away(rng), False), (4, 10)),
             "store-slow": (lambda rng: self.store_trouble(rng, Trouble(slow_s=0.8), False), (4, 10)),
             "store-lost": (lambda rng: self.store_trouble(rng, Trouble(lost=0.3, late=0.1, late_s=(0.5, 4)), False), (3, 8)),
@@ -92,11 +93,18 @@
             process.send(signal.SIGCONT)
 
     async def throttle(self, rng: random.Random, processes: list[Process]) -> None:
-        """The process gets short turns of the processor only."""
-        process, end = rng.choice(processes), time.monotonic() + rng.uniform(1, 5)
+        """Some processes get short turns of the processor only."""
+        await asyncio.gather(*(self._throttle(rng, process) for process in rng.sample(processes, 1 + len(processes) // 4)))
+
+    async def _throttle(self, rng: random.Random, process: Process) -> None:
+        end = time.monotonic() + rng.uniform(1, 5)
         self.note(f"throttle {process.place.name}")
         while time.monotonic() < end:
-            await asyncio.sleep(rng.uniform(0.0005, 0.03))
+            turn = 0.0001 * 300 ** rng.random()
+            if turn < 0.001:
+                time.sleep(turn)  # the event loop's timers are too coarse
+            else:
+                await asyncio.sleep(turn)
             process.send(signal.SIGSTOP, is_noted=False)
             try:
                 await asyncio.sleep(rng.uniform(0.05, 0.9))
@@ -126,6 +134,12 @@
         self.note(f"{trouble} at {machine.name} {seconds:.1f}")
         await self._trouble(machine.troubles, trouble, seconds)
 
+    async def endpoint_closes(self, rng: random.Random) -> None:
+        """All endpoints: most calls need a new connection."""
+        trouble = Trouble(closes=0.7)
+        self.note(f"{trouble} at all endpoints")
+        await asyncio.gather(*(self._trouble(machine.troubles, trouble, 8) for machine in self.machines))
+
     def away(self, rng: random.Random) -> Trouble:
         return rng.choice((Trouble(refused=1), Trouble(reset=1), Trouble(unheard=1)))
 
--- a/tests/soak/httplite.py
+++ b/tests/soak/httplite.py
@@ -20,6 +20,10 @@
     """Raised by a handler: the connection is reset."""
 
 
+class Closed(Exception):
+    """The server ends the connection in order."""
+
+
 @dataclass
 class Request:
     method: str
@@ -37,6 +41,7 @@
 class Response:
     status: int = 200
     body: Any = field(default_factory=dict)
+    closes: bool = False  # the connection, after the answer
 
     def data(self) -> bytes:
         return self.body if isinstance(self.body, bytes) else json.dumps(self.body).encode()
@@ -86,6 +91,8 @@
                 await self._exchange(reader, writer)
         except (Reset, OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError):
             writer.transport.abort()
+        except Closed:
+            writer.close()
         except Silence:
             try:
                 await reader.read()
@@ -102,9 +109,13 @@
         url = urlsplit(target)
         response = await self.handler(Request(method, url.path, dict(parse_qsl(url.query, keep_blank_values=True)), headers, body))
         data = response.data()
+        close = "connection: close\r\n" if response.closes else ""
         kind = "application/octet-stream" if isinstance(response.body, bytes) else "application/json"
-        writer.write(f"HTTP/1.1 {response.status} X\r\ncontent-type: {kind}\r\ncontent-length: {len(data)}\r\n\r\n".encode() + data)
+        writer.write(f"HTTP/1.1 {response.status} X\r\ncontent-type: {kind}\r\ncontent-length: {len(data)}\r\n{close}\r\n".encode() + data)
         await writer.drain()
+        if response.closes:
+            writer.write_eof()
+            raise Closed
 
 
 async def call(address: Address, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None, timeout: float = 1.0) -> Response | None:
--- a/tests/soak/trouble.py
+++ b/tests/soak/trouble.py
@@ -21,6 +21,7 @@
     late: float = 0.0  # no answer, carried out after a time within late_s
     late_s: tuple[float, float] = (2.0, 12.0)
     slow_s: float = 0.0  # the answer waits for up to this long
+    closes: float = 0.0  # the connection ends after the answer
 
 
 async def serve(troubles: list[Trouble], rng: random.Random, request: Request, execute: Callable[[bool], Response]) -> Response:
@@ -41,6 +42,7 @@
         lost = lost or rng.random() < trouble.lost
         slow += rng.uniform(0, trouble.slow_s)
     response = execute(False)
+    response.closes = any(rng.random() < trouble.closes for trouble in troubles)
     if lost:
         raise Silence
     if slow > 0:
