Failing test: a notice that arrives during a verification is dropped

What callers would see: tasks started on an endpoint that has said that it drains, and that was answered 200 (rule DRAIN), until its next report.

Cause (not mended here): Agent::handleVerification() begins the incarnation with the report that was current when the endpoint was asked. A later report of the same incarnation replaces unverified_, and is dropped with it: only id and time of birth are compared, and the second answer finds the incarnation served.

Evidence: test-cell -sg AgentIdentity -sn noticeThatArrivesDuringTheVerificationIsApplied fails at: the report to the scheduler isn't draining.

--- a/tests/cell/agentidentitytest.cpp
+++ b/tests/cell/agentidentitytest.cpp
@@ -76,3 +76,19 @@
     answerRenewals(200);
     STRCMP_EQUAL("i-2", lastReport().endpoint.c_str());
 }
+
+// Guards against work that is started on a draining endpoint: the notice arrived, and was acknowledged, while the endpoint was asked about an earlier report.
+TEST(AgentIdentity, noticeThatArrivesDuringTheVerificationIsApplied)
+{
+    EndpointStatus next = statusOf(200);
+    next.id = "i-2";
+    agent->endpointReported(next);
+    next.sequence = 2;
+    next.isDraining = true;
+    next.remaining = Seconds(2);
+    agent->endpointReported(next);
+    endpointId = "i-2";
+    answerRenewals(200);
+    STRCMP_EQUAL("i-2", lastReport().endpoint.c_str());
+    CHECK_TRUE(lastReport().draining);
+}
