Begin an incarnation with the newest report that has arrived

What callers would see: tasks started on an endpoint that has said that it drains (rule DRAIN), until its next report.

Cause: the report that was current when the endpoint was asked was applied, and a later one that had arrived and been acknowledged meanwhile was dropped.

--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -97,6 +97,7 @@
                 {"reason", isOk(result) ? "the endpoint was born " + std::to_string(answering) : error(result).detail}});
     }
     const bool isNewest = unverified_ && unverified_->id == status.id && unverified_->incarnation == status.incarnation;
+    const EndpointStatus newest = isNewest && unverified_->sequence > status.sequence ? *unverified_ : status;
     if (isNewest && (isOk(result) || isDenied)) {
         unverified_.reset();
     }
@@ -104,7 +105,7 @@
     if (!isOk(result) || isDenied || isOutdated) {
         return;
     }
-    beginIncarnation(status);
+    beginIncarnation(newest);
     renewLease(Milliseconds(0));
     report();
 }
