Serve an endpoint whose machine's clock was set back

What callers see: less capacity. Cause: the agent ignored a report whose time of birth, which is wall-clock time, lies before that of the incarnation it serves, as outdated, for good. Since the endpoint is asked before anything is given up, the order of the times decides nothing any more: another incarnation than the one at the address is denied by the endpoint itself. An answer to an older call than one that the served incarnation has answered is ignored.

--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -39,8 +39,7 @@
         logEvent(LogLevel::Warning, "endpoint.foreign", {{"endpoint", status.id}, {"service", status.service}});
         return false;
     }
-    const bool isOutOfOrder = isServed(status) && status.sequence <= incarnation_->status.sequence;
-    if (incarnation_ && (status.incarnation < incarnation_->status.incarnation || isOutOfOrder)) {
+    if (isServed(status) && status.sequence <= incarnation_->status.sequence) {
         logEvent(LogLevel::Info,
             "endpoint.outdated",
             {{"endpoint", status.id}, {"born", std::to_string(status.incarnation)}, {"seq", std::to_string(status.sequence)}});
@@ -79,13 +78,14 @@
     RenewalRequest request;
     request.endpoint = unverified_->id;
     request.fence = generation_;
-    hooks_.driver.renewLease(request, [this, status = *unverified_](const Result<RenewalResult, EndpointError> &result) {
-        handleVerification(status, result);
+    const std::uint64_t number = ++renewalNumber_;
+    hooks_.driver.renewLease(request, [this, number, status = *unverified_](const Result<RenewalResult, EndpointError> &result) {
+        handleVerification(number, status, result);
     });
 }
 
 /// Without an answer the report stays unverified; the endpoint repeats it.
-void Agent::handleVerification(const EndpointStatus &status, const Result<RenewalResult, EndpointError> &result)
+void Agent::handleVerification(std::uint64_t number, const EndpointStatus &status, const Result<RenewalResult, EndpointError> &result)
 {
     const std::int64_t answering = isOk(result) ? value(result).incarnation : 0;
     const bool isDenied = isOk(result) ? answering != 0 && answering != status.incarnation : error(result).kind == EndpointError::Kind::DifferentIncarnation;
@@ -101,11 +101,13 @@
     if (isNewest && (isOk(result) || isDenied)) {
         unverified_.reset();
     }
-    const bool isOutdated = isServed(status) || (incarnation_ && status.incarnation < incarnation_->status.incarnation);
+    // The incarnation that is served has answered a later call.
+    const bool isOutdated = isServed(status) || (incarnation_ && number < incarnation_->appliedRenewal);
     if (!isOk(result) || isDenied || isOutdated) {
         return;
     }
     beginIncarnation(newest);
+    incarnation_->appliedRenewal = number;
     renewLease(Milliseconds(0));
     report();
 }
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -36,7 +36,7 @@
     Agent(AgentOptions options, AgentHooks hooks);
 
     /// Applies an endpoint's report about itself. A report of another incarnation than the one that is served takes effect once the endpoint itself has
-    /// answered as that incarnation. Returns false if the report is ignored: it is of another service, from an earlier incarnation or out of order.
+    /// answered as that incarnation. Returns false if the report is ignored: it is of another service or out of order.
     bool endpointReported(const EndpointStatus &status);
     /// Handles the endpoint's notification that it has left.
     void endpointLeft(const std::string &id);
@@ -97,7 +97,7 @@
     bool isServed(const EndpointStatus &status) const;
     void applyStatus(const EndpointStatus &status);
     void verifyIncarnation();
-    void handleVerification(const EndpointStatus &status, const Result<RenewalResult, EndpointError> &result);
+    void handleVerification(std::uint64_t number, const EndpointStatus &status, const Result<RenewalResult, EndpointError> &result);
     void beginIncarnation(const EndpointStatus &status);
     void refuseUnansweredStarts();
     void report();
--- a/tests/cell/agentidentitytest.cpp
+++ b/tests/cell/agentidentitytest.cpp
@@ -92,3 +92,15 @@
     STRCMP_EQUAL("i-2", lastReport().endpoint.c_str());
     CHECK_TRUE(lastReport().draining);
 }
+
+// Guards against an endpoint that is never used again: the wall clock of its machine has been set back, and its next incarnation was born "before" the last.
+TEST(AgentIdentity, endpointWithAnEarlierTimeOfBirthIsServedOnceItAnswersAtTheAddress)
+{
+    EndpointStatus next = statusOf(50);
+    next.id = "i-2";
+    agent->endpointReported(next);
+    endpointId = "i-2";
+    answerRenewals(50);
+    STRCMP_EQUAL("i-2", lastReport().endpoint.c_str());
+    LONGS_EQUAL(50, lastReport().born);
+}
