Keep runs whose ends may not have fitted into an endpoint's list

What callers would see: a task that ended as done runs again. Cause: an endpoint lists 500 unacknowledged ends at a time, and a run whose end is beyond these is in neither list, which was taken for its end without an outcome. Change: while the list of ends is full, runs that were known before are kept. Measured: Agent.runWhoseEndDoesNotFitInTheListIsNotReportedAsOver failed before; needs more than 500 unacknowledged ends at one endpoint, which no run has shown.

--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -326,8 +326,9 @@
     incarnation_->isClockKnown = true;
     const bool isFirstOfGeneration = incarnation_->listedGeneration != fence;
     incarnation_->listedGeneration = std::max(incarnation_->listedGeneration, fence);
-    const std::size_t runsBefore = incarnation_->running.size();
-    incarnation_->running.clear();
+    std::map<RunId, ListedRun> before;
+    before.swap(incarnation_->running);
+    const std::size_t runsBefore = before.size();
     for (const ListedRun &run : answer.running) {
         incarnation_->running[run.run] = run;
     }
@@ -338,9 +339,17 @@
             incarnation_->ended[end.number] = end;
         }
     }
-    std::erase_if(incarnation_->started, [number](const auto &started) {
-        return started.second < number;
-    });
+    if (answer.ended.size() < maxListedEnds) {
+        std::erase_if(incarnation_->started, [number](const auto &started) {
+            return started.second < number;
+        });
+    } else {
+        // A run that is in neither list may have ended, with an end that did not fit.
+        std::erase_if(before, [this](const auto &run) {
+            return hasListedEnd(run.first);
+        });
+        incarnation_->running.merge(before);
+    }
     if (isFirstOfGeneration || incarnation_->ended.size() != endsBefore || incarnation_->running.size() != runsBefore) {
         report();
     }
--- a/src/libknapweed/cell/endpointstatus.h
+++ b/src/libknapweed/cell/endpointstatus.h
@@ -54,6 +54,8 @@
     Milliseconds wait {0}; ///< how long to wait for an end; at most two seconds
 };
 
+constexpr std::size_t maxListedEnds = 500; ///< an endpoint lists no more ends at a time; the others follow once these are stored durably
+
 struct RenewalResult
 {
     Milliseconds clock {0}; ///< the endpoint's clock
--- a/tests/cell/agenttest.cpp
+++ b/tests/cell/agenttest.cpp
@@ -233,3 +233,24 @@
     LONGS_EQUAL(0, starts.size());
     LONGS_EQUAL(wire::StartOutcome::Unanswered, results().back().outcome);
 }
+
+// Guards against a task that is started again although it has ended as done: an endpoint lists at most 500 unacknowledged ends, so a run whose end has a
+// later number is in neither list.
+TEST(Agent, runWhoseEndDoesNotFitInTheListIsNotReportedAsOver)
+{
+    agent->receive(schedulerName, orderOf(41));
+    starts[0].callback(Milliseconds(5));
+    while (!renewals.empty()) {
+        const RenewalCall call = std::move(renewals.front());
+        renewals.erase(renewals.begin());
+        RenewalResult answer;
+        answer.clock = Milliseconds(++clock);
+        answer.incarnation = 100;
+        for (int number = 1; number <= 500; ++number) {
+            answer.ended.push_back({number, RunId {TaskId {"other", 0, 0, number}, 7}, RunOutcome::Done, ""});
+        }
+        call.callback(answer);
+    }
+    LONGS_EQUAL(500, lastReport().ended.size());
+    CHECK_TRUE(!lastReport().isListed || lastReport().running.size() == 1);
+}
