Count runs that were released without a listed end in knapweedctl explain

A run that was lost with its endpoint was part of no figure. The reason of run.released counts as a cause now, and its time as lost. Test JobLog.countsRunsThatWereReleasedWithoutAListedEnd.

--- a/src/libknapweed/tool/joblog.cpp
+++ b/src/libknapweed/tool/joblog.cpp
@@ -126,8 +126,8 @@
             summary.state = fieldOf(line, "state");
         } else if (causeEvents.count(line.event) != 0) {
             ++summary.causes[line.event];
-        } else if (line.event == "run.ended" && fieldOf(line, "how") != "done") {
-            ++summary.causes[fieldOf(line, "how")];
+        } else if ((line.event == "run.ended" && fieldOf(line, "how") != "done") || line.event == "run.released") {
+            ++summary.causes[fieldOf(line, line.event == "run.ended" ? "how" : "reason")];
             const auto plan = plans.find(run);
             summary.lost += plan == plans.end() ? Milliseconds(0) : between(*plan->second, line);
         }
--- a/tests/ctl/joblogtest.cpp
+++ b/tests/ctl/joblogtest.cpp
@@ -52,6 +52,15 @@
     LONGS_EQUAL(1, summary.causes.at("stopped"));
 }
 
+TEST(JobLog, countsRunsThatWereReleasedWithoutAListedEnd)
+{
+    std::istringstream in("2026-07-04T21:26:25.000Z INFO front-a-1 unit.planned job=2b10 step=0 index=0 run=301 waited_ms=0\n"
+                          "2026-07-04T21:26:31.300Z INFO front-a-1 run.released job=2b10 task=0.0.0 run=301 endpoint=i-1 reason=\"endpoint replaced\"\n");
+    const JobSummary summary = summarizeJob(readJobLines(in).at("2b10"));
+    LONGS_EQUAL(6300, summary.lost.count());
+    LONGS_EQUAL(1, summary.causes.at("endpoint replaced"));
+}
+
 TEST(JobLog, printsTheHistoryOfOneJobInTheOrderOfTime)
 {
     const std::string text = explained({"explain", "-", "--job", "1dc5"});
