Don't repeat a start whose run was ordered to stop

What callers would see: a task started beyond capacity, or twice. Change: an order to stop a run ends the repeats of its start.

--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -231,6 +231,7 @@
         return;
     }
     StopRequest request {order.endpoint, order.generation, runIdOf(order.run)};
+    recordStopOrder(request.run);
     hooks_.driver.stop(request, [this, run = request.run, incarnation = order.born](const Result<Milliseconds, EndpointError> &result) {
         if (!isOk(result)) {
             logEvent(LogLevel::Warning, "stop.failed", {{"job", run.task.job}, {"run", std::to_string(run.run)}, {"reason", error(result).detail}});
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -91,6 +91,7 @@
     bool isCurrent(const std::string &peer, std::int64_t generation, std::int64_t incarnation, const std::string &endpoint) const;
     void attemptStart(const std::string &peer, const wire::StartOrder &order, BootTime validUntil, int attempt);
     void startSucceeded(const std::string &peer, const wire::StartOrder &order);
+    void recordStopOrder(const RunId &run);
     std::optional<RunId> newestUnansweredStartOf(const TaskId &task) const;
     void answerStart(const std::string &peer, const wire::StartOrder &order, wire::StartOutcome::type outcome, const std::string &detail);
     void startFailed(const std::string &peer, const wire::StartOrder &order, EndpointError failure, int attempt);
@@ -113,6 +114,7 @@
     std::optional<Incarnation> incarnation_; ///< the endpoint itself has answered as this incarnation
     std::optional<EndpointStatus> unverified_; ///< newest report of another incarnation that the endpoint has neither confirmed nor denied
     std::map<RunId, UnansweredStart> unansweredStarts_;
+    std::map<RunId, BootTime> stopOrders_; ///< runs that were ordered to stop, with the time; their starts are not repeated
     std::int64_t generation_ = 0; ///< the highest one seen; never decreases
     std::string scheduler_; ///< the scheduler's peer address; empty while unknown
     BootTime leaseExpiresAt_; ///< expiry of the runs' lease; never moves back
--- a/src/libknapweed/cell/agentstarts.cpp
+++ b/src/libknapweed/cell/agentstarts.cpp
@@ -63,6 +63,15 @@
     });
 }
 
+void Agent::recordStopOrder(const RunId &run)
+{
+    const BootTime now = hooks_.now();
+    std::erase_if(stopOrders_, [now](const auto &order) {
+        return order.second + lateOrderWindow <= now;
+    });
+    stopOrders_[run] = now;
+}
+
 /// The newest unanswered start of the task that may still be carried out.
 std::optional<RunId> Agent::newestUnansweredStartOf(const TaskId &task) const
 {
@@ -100,7 +109,7 @@
         }
         if (error(result).kind == EndpointError::Kind::Unanswered) {
             unansweredStarts_[runIdOf(order.run)] = {order.endpoint, hooks_.now() + lateOrderWindow};
-            if (attempt < maxStartAttempts) {
+            if (attempt < maxStartAttempts && stopOrders_.count(runIdOf(order.run)) == 0) {
                 attemptStart(peer, order, validUntil, attempt + 1);
                 return;
             }
--- a/tests/cell/agenttest.cpp
+++ b/tests/cell/agenttest.cpp
@@ -254,3 +254,19 @@
     LONGS_EQUAL(500, lastReport().ended.size());
     CHECK_TRUE(!lastReport().isListed || lastReport().running.size() == 1);
 }
+
+// Guards against a run that starts after it was given up: the endpoint stopped it and forgot that when it started again under its id, and the repeated start
+// came.
+TEST(Agent, startIsNotRepeatedOnceItsRunWasOrderedToStop)
+{
+    agent->receive(schedulerName, orderOf(41));
+    wire::StopOrder stop;
+    stop.generation = 7;
+    stop.endpoint = "i-1";
+    stop.born = 100;
+    stop.run = orderOf(41).run;
+    agent->receive(schedulerName, stop);
+    failOneStart(EndpointError::Kind::Unanswered);
+    LONGS_EQUAL(0, starts.size());
+    LONGS_EQUAL(wire::StartOutcome::Unanswered, results().back().outcome);
+}
