Failing test: an agent reports the lists of an endpoint that is denied at its address

Cause: the next incarnation is served only once it has confirmed itself. While it refuses or doesn't answer calls, the agent goes on to report the former one with its last lists as read, though each renewal is answered by "another incarnation" (421). Before the confirmation was introduced, the first report of the next incarnation ended the former one.

Evidence: test-cell -sg AgentIdentity -sn listsOfAnEndpointThatIsDeniedAtItsAddressAreNotReported fails at: listed with the run after 20 s.

--- a/tests/cell/agentidentitytest.cpp
+++ b/tests/cell/agentidentitytest.cpp
@@ -104,3 +104,28 @@
     STRCMP_EQUAL("i-2", lastReport().endpoint.c_str());
     LONGS_EQUAL(50, lastReport().born);
 }
+
+// Guards against work that stands still: the endpoint itself denies that it is the one that is served, and refuses calls otherwise, so that its next
+// incarnation is not confirmed. The old lists say nothing any more.
+TEST(AgentIdentity, listsOfAnEndpointThatIsDeniedAtItsAddressAreNotReported)
+{
+    agent->receive(schedulerName, orderOf(41));
+    starts[0].callback(Milliseconds(5));
+    endpointId = "i-2";
+    for (int round = 0; round < 40; ++round) {
+        now += Milliseconds(500);
+        EndpointStatus next = statusOf(200);
+        next.id = endpointId;
+        next.sequence = round + 1;
+        agent->endpointReported(next);
+        agent->tick();
+        std::vector<RenewalCall> calls = std::move(renewals);
+        renewals.clear();
+        for (const RenewalCall &call : calls) {
+            const bool isNamed = call.request.endpoint == endpointId;
+            call.callback(
+                EndpointError {isNamed ? EndpointError::Kind::Refused : EndpointError::Kind::DifferentIncarnation, isNamed ? "status 503" : "status 421"});
+        }
+    }
+    CHECK_FALSE(lastReport().isListed && !lastReport().running.empty());
+}
