Give up the lists of an endpoint that is denied at its address

Cause: only an answer with another time of birth ended the validity of the lists, not the refusal that another incarnation gives to a call under the former id.

The scheduler still extends the lease of an endpoint that reports without lists; releasing its runs needs that to change as well.

--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -279,6 +279,9 @@
 /// An endpoint that has left or whose notice period is over runs nothing if it refuses connections, so no scheduler has to wait for its lease to expire.
 void Agent::renewalFailed(const EndpointError &failure)
 {
+    if (failure.kind == EndpointError::Kind::DifferentIncarnation) {
+        incarnation_->listedGeneration = -1; // the endpoint itself says that it is another one
+    }
     const bool isDueToLeave = incarnation_->hasLeft || (incarnation_->status.isDraining && hooks_.now() >= incarnation_->leavesAt);
     if (!isDueToLeave || failure.kind != EndpointError::Kind::ConnectionFailed) {
         logEvent(LogLevel::Warning, "hold.failed", {{"endpoint", incarnation_->status.id}, {"reason", failure.detail}});
