--- a/tests/adapter/storetest.cpp
+++ b/tests/adapter/storetest.cpp
@@ -146,6 +146,10 @@
     LONGS_EQUAL(9, error(append()).expected);
     answer.status = 0;
     CHECK(error(append()).kind == StoreError::Kind::Unknown);
+    answer = jsonResponse(507, "");
+    CHECK(error(append()).kind == StoreError::Kind::NotDone);
+    answer = jsonResponse(502, ""); // says nothing of the append
+    CHECK(error(append()).kind == StoreError::Kind::Unknown);
 }
 
 TEST(PlatformStore, readOfDeletedRecordsGivesTheOldestOffset)
