--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -88,8 +88,9 @@
 void Agent::handleVerification(std::uint64_t number, const EndpointStatus &status, const Result<RenewalResult, EndpointError> &result)
 {
     const std::int64_t answering = isOk(result) ? value(result).incarnation : 0;
-    const bool isDenied = isOk(result) ? answering != 0 && answering != status.incarnation : error(result).kind == EndpointError::Kind::DifferentIncarnation;
-    if (!isOk(result) || isDenied) {
+    const bool isConfirmed = isOk(result) && (answering == 0 || answering == status.incarnation);
+    const bool isDenied = isOk(result) ? !isConfirmed : error(result).kind == EndpointError::Kind::DifferentIncarnation;
+    if (!isConfirmed) {
         logEvent(LogLevel::Warning,
             "endpoint.unverified",
             {{"endpoint", status.id},
@@ -98,12 +99,11 @@
     }
     const bool isNewest = unverified_ && unverified_->id == status.id && unverified_->incarnation == status.incarnation;
     const EndpointStatus newest = isNewest && unverified_->sequence > status.sequence ? *unverified_ : status;
-    if (isNewest && (isOk(result) || isDenied)) {
+    if (isNewest && (isConfirmed || isDenied)) {
         unverified_.reset();
     }
-    // The incarnation that is served has answered a later call.
-    const bool isOutdated = isServed(status) || (incarnation_ && number < incarnation_->appliedRenewal);
-    if (!isOk(result) || isDenied || isOutdated) {
+    const bool hasAnsweredLaterCall = incarnation_ && number < incarnation_->appliedRenewal;
+    if (!isConfirmed || isServed(status) || hasAnsweredLaterCall) {
         return;
     }
     beginIncarnation(newest);
--- a/tests/cell/agentfixture.h
+++ b/tests/cell/agentfixture.h
@@ -129,6 +129,16 @@
         return order;
     }
 
+    wire::StopOrder stopOf(std::int64_t run)
+    {
+        wire::StopOrder order;
+        order.generation = 7;
+        order.endpoint = "i-1";
+        order.born = 100;
+        order.run = orderOf(run).run;
+        return order;
+    }
+
     void failOneStart(EndpointError::Kind kind)
     {
         const StartCall call = std::move(starts.front());
--- a/tests/cell/agenttest.cpp
+++ b/tests/cell/agenttest.cpp
@@ -178,14 +178,7 @@
             call.callback(answer);
         }
     };
-    agent->receive(schedulerName, [&]() {
-        wire::StopOrder order;
-        order.generation = 7;
-        order.endpoint = "i-1";
-        order.born = 100;
-        order.run = wireRef(run);
-        return order;
-    }());
+    agent->receive(schedulerName, stopOf(41));
     LONGS_EQUAL(1, stops.size());
     stops[0].callback(Milliseconds(5));
     answerWithEnd();
@@ -260,12 +253,7 @@
 TEST(Agent, startIsNotRepeatedOnceItsRunWasOrderedToStop)
 {
     agent->receive(schedulerName, orderOf(41));
-    wire::StopOrder stop;
-    stop.generation = 7;
-    stop.endpoint = "i-1";
-    stop.born = 100;
-    stop.run = orderOf(41).run;
-    agent->receive(schedulerName, stop);
+    agent->receive(schedulerName, stopOf(41));
     failOneStart(EndpointError::Kind::Unanswered);
     LONGS_EQUAL(0, starts.size());
     LONGS_EQUAL(wire::StartOutcome::Unanswered, results().back().outcome);
