--- a/tests/cell/agentfixture.h
+++ b/tests/cell/agentfixture.h
@@ -101,6 +101,20 @@
         }
     }
 
+    /// Answers all renewals, also those that wait, with lists that hold no runs.
+    void answerRenewalsWithEnds(const std::vector<ListedEnd> &ends)
+    {
+        while (!renewals.empty()) {
+            const RenewalCall call = std::move(renewals.front());
+            renewals.erase(renewals.begin());
+            RenewalResult answer;
+            answer.clock = Milliseconds(++clock);
+            answer.incarnation = 100;
+            answer.ended = ends;
+            call.callback(answer);
+        }
+    }
+
     /// The endpoint has started again under its id: it reports that, and confirms it when it is asked.
     void beginIncarnation(std::int64_t incarnation)
     {
--- a/tests/cell/agenttest.cpp
+++ b/tests/cell/agenttest.cpp
@@ -167,21 +167,10 @@
     renewals.clear();
     now += Seconds(3);
     agent->tick();
-    const auto answerWithEnd = [&]() {
-        while (!renewals.empty()) {
-            const RenewalCall call = std::move(renewals.front());
-            renewals.erase(renewals.begin());
-            RenewalResult answer;
-            answer.clock = Milliseconds(++clock);
-            answer.incarnation = 100;
-            answer.ended.push_back({1, run, RunOutcome::Done, ""});
-            call.callback(answer);
-        }
-    };
     agent->receive(schedulerName, stopOf(41));
     LONGS_EQUAL(1, stops.size());
     stops[0].callback(Milliseconds(5));
-    answerWithEnd();
+    answerRenewalsWithEnds({{1, run, RunOutcome::Done, ""}});
     LONGS_EQUAL(1, lastReport().ended.size());
     for (const PeerMessage &message : sent) {
         CHECK_FALSE(std::holds_alternative<wire::RunAbsent>(message));
@@ -233,17 +222,11 @@
 {
     agent->receive(schedulerName, orderOf(41));
     starts[0].callback(Milliseconds(5));
-    while (!renewals.empty()) {
-        const RenewalCall call = std::move(renewals.front());
-        renewals.erase(renewals.begin());
-        RenewalResult answer;
-        answer.clock = Milliseconds(++clock);
-        answer.incarnation = 100;
-        for (int number = 1; number <= 500; ++number) {
-            answer.ended.push_back({number, RunId {TaskId {"other", 0, 0, number}, 7}, RunOutcome::Done, ""});
-        }
-        call.callback(answer);
+    std::vector<ListedEnd> ends;
+    for (int number = 1; number <= 500; ++number) {
+        ends.push_back({number, RunId {TaskId {"other", 0, 0, number}, 7}, RunOutcome::Done, ""});
     }
+    answerRenewalsWithEnds(ends);
     LONGS_EQUAL(500, lastReport().ended.size());
     CHECK_TRUE(!lastReport().isListed || lastReport().running.size() == 1);
 }
