--- a/tests/cell/simulation.cpp
+++ b/tests/cell/simulation.cpp
@@ -19,11 +19,11 @@
 Simulation::Simulation(SimulationOptions options)
     : options_(options)
     , random_(options.seed)
-    , newRandom_(options.seed, 77)
+    , independentRandom_(options.seed, 77)
 {
     if (options_.breaksGangsLate) {
         shared_.gangEndDelay = [this]() {
-            return newBetween(50, 200);
+            return independentBetween(50, 200);
         };
     }
     for (int i = 0; i < options_.agents; ++i) {
@@ -55,14 +55,14 @@
     return Milliseconds(least + static_cast<int>(random_(static_cast<std::uint32_t>(most - least + 1))));
 }
 
-double Simulation::newChance()
+double Simulation::independentChance()
 {
-    return double(newRandom_()) / 4294967296.0;
+    return double(independentRandom_()) / 4294967296.0;
 }
 
-Milliseconds Simulation::newBetween(int least, int most)
+Milliseconds Simulation::independentBetween(int least, int most)
 {
-    return Milliseconds(least + static_cast<int>(newRandom_(static_cast<std::uint32_t>(most - least + 1))));
+    return Milliseconds(least + static_cast<int>(independentRandom_(static_cast<std::uint32_t>(most - least + 1))));
 }
 
 void Simulation::newScheduler()
@@ -212,9 +212,9 @@
             nextFault = now_ + between(200, 2000);
             injectFault();
         }
-        if (injectsFaults && now_ >= nextNewFault_) {
-            nextNewFault_ = now_ + newBetween(200, 2000);
-            injectNewFault();
+        if (injectsFaults && now_ >= nextIndependentFault_) {
+            nextIndependentFault_ = now_ + independentBetween(200, 2000);
+            injectIndependentFault();
         }
         if (now_ >= nextCalls) {
             nextCalls = now_ + Milliseconds(500);
--- a/tests/cell/simulation.h
+++ b/tests/cell/simulation.h
@@ -99,8 +99,8 @@
     void after(Milliseconds delay, std::function<void()> event);
     double chance();
     Milliseconds between(int least, int most);
-    double newChance();
-    Milliseconds newBetween(int least, int most);
+    double independentChance();
+    Milliseconds independentBetween(int least, int most);
     void startAgent(AgentNode &node);
     void killAgent(AgentNode &node, Milliseconds span);
     EndpointDriver driverOf(AgentNode &node);
@@ -121,14 +121,14 @@
     void flush(SchedulerNode &node);
     void writeNext(const std::shared_ptr<SchedulerNode> &node);
     void injectFault();
-    void injectNewFault();
+    void injectIndependentFault();
     EndpointStatus madeUpStatus(const AgentNode &node);
     void reportMadeUp(AgentNode &node);
     void step();
 
     SimulationOptions options_;
     pcg32 random_;
-    pcg32 newRandom_; ///< for the options that came later
+    pcg32 independentRandom_; ///< for the options that must not change the draws of the others
     SharedState shared_;
     BootTime now_ = BootTime(Milliseconds(100000));
     std::multimap<BootTime, std::function<void()>> events_;
@@ -141,7 +141,7 @@
     bool injectsFaults_ = true; ///< messages and calls are lost only while this is set
     std::int64_t epoch_ = 0; ///< epoch of the store's fence
     BootTime storeDownUntil_;
-    BootTime nextNewFault_;
+    BootTime nextIndependentFault_;
     std::int64_t incarnation_ = 1;
     std::map<std::string, JobSpec> submitted_;
     std::set<std::string> accepted_;
--- a/tests/cell/simulationagents.cpp
+++ b/tests/cell/simulationagents.cpp
@@ -61,7 +61,7 @@
                     return;
                 }
                 // A process that goes on may notice the time-out first.
-                const bool isTimedOut = hasWaited && now_ >= timesOutAt && newChance() < 0.5;
+                const bool isTimedOut = hasWaited && now_ >= timesOutAt && independentChance() < 0.5;
                 callback(isTimedOut ? Answer(EndpointError {EndpointError::Kind::Unanswered, "timed out"}) : value);
             });
         });
@@ -73,13 +73,14 @@
         answer(callTimeout, EndpointError {EndpointError::Kind::Unanswered, "timed out"});
         return;
     }
-    if (injectsFaults_ && options_.lostAnswerShare > 0 && newChance() < options_.lostAnswerShare) {
-        after(newBetween(1, 4) + wait, [call]() {
+    if (injectsFaults_ && options_.lostAnswerShare > 0 && independentChance() < options_.lostAnswerShare) {
+        after(independentBetween(1, 4) + wait, [call]() {
             call();
         });
         // The connection may break, also before the call is carried out, or stay silent.
-        const bool isSilent = newChance() < 0.5;
-        answer(isSilent ? callTimeout + wait : newBetween(1, 8), EndpointError {EndpointError::Kind::Unanswered, isSilent ? "timed out" : "read failed"});
+        const bool isSilent = independentChance() < 0.5;
+        answer(
+            isSilent ? callTimeout + wait : independentBetween(1, 8), EndpointError {EndpointError::Kind::Unanswered, isSilent ? "timed out" : "read failed"});
         return;
     }
     after(between(1, 4) + wait, [call, answer, this]() {
--- a/tests/cell/simulationfaults.cpp
+++ b/tests/cell/simulationfaults.cpp
@@ -27,18 +27,18 @@
 EndpointStatus Simulation::madeUpStatus(const AgentNode &node)
 {
     EndpointStatus status = node.endpoint->lastStatus();
-    if (newChance() < 0.5) {
-        status.id = "i-other-" + std::to_string(newBetween(1, 3).count());
+    if (independentChance() < 0.5) {
+        status.id = "i-other-" + std::to_string(independentBetween(1, 3).count());
     }
     const std::int64_t muchHigher = status.incarnation + 1000000;
     const std::int64_t incarnations[] = {0, status.incarnation - 1, status.incarnation, status.incarnation + 1, muchHigher};
-    status.incarnation = incarnations[newBetween(0, 4).count()];
+    status.incarnation = incarnations[independentBetween(0, 4).count()];
     const std::int64_t sequences[] = {1, status.sequence, status.sequence + 1, status.sequence + 5};
-    status.sequence = sequences[newBetween(0, 3).count()];
-    if (newChance() < 0.5) {
+    status.sequence = sequences[independentBetween(0, 3).count()];
+    if (independentChance() < 0.5) {
         status.service = "other";
     }
-    if (newChance() < 0.5) {
+    if (independentChance() < 0.5) {
         status.capacity = Resources();
         status.labels.clear();
     }
@@ -49,7 +49,7 @@
 void Simulation::reportMadeUp(AgentNode &node)
 {
     EndpointStatus status = madeUpStatus(node);
-    const int reports = static_cast<int>(newBetween(1, 4).count());
+    const int reports = static_cast<int>(independentBetween(1, 4).count());
     for (int i = 0; i < reports; ++i) {
         after(Milliseconds(1000) * i, [this, target = &node, status]() {
             if (!isDown(target->name)) {
@@ -62,38 +62,38 @@
     }
 }
 
-/// The same for the options that came later.
-void Simulation::injectNewFault()
+/// Injects a fault of the options that draw from independentRandom_.
+void Simulation::injectIndependentFault()
 {
-    AgentNode &node = std::next(agents_.begin(), newBetween(0, options_.agents - 1).count())->second;
+    AgentNode &node = std::next(agents_.begin(), independentBetween(0, options_.agents - 1).count())->second;
     const std::string &scheduler = schedulers_.back()->name;
     std::vector<std::function<void()>> faults;
     if (options_.delaysMessages) {
         faults.emplace_back([this, &node, &scheduler]() {
-            const bool isAgent = newChance() < 0.75;
-            processes_[isAgent ? node.name : scheduler].disconnectedUntil = now_ + newBetween(50, isAgent ? 12000 : 4000);
+            const bool isAgent = independentChance() < 0.75;
+            processes_[isAgent ? node.name : scheduler].disconnectedUntil = now_ + independentBetween(50, isAgent ? 12000 : 4000);
         });
     }
     if (options_.pausesAgents) {
         faults.emplace_back([this, &node]() {
-            processes_[node.name].pausedUntil = now_ + newBetween(50, 9000);
+            processes_[node.name].pausedUntil = now_ + independentBetween(50, 9000);
         });
     }
     if (options_.pausesSchedulers) {
         faults.emplace_back([this, &scheduler]() {
-            processes_[scheduler].pausedUntil = now_ + newBetween(50, 7000);
+            processes_[scheduler].pausedUntil = now_ + independentBetween(50, 7000);
         });
     }
     if (options_.renamesEndpoints) {
         faults.emplace_back([this, &node]() {
             ++incarnation_;
             const std::string first = "i-" + node.name;
-            node.endpoint->restart(incarnation_, newChance() < 0.25 ? first : first + '-' + std::to_string(incarnation_));
+            node.endpoint->restart(incarnation_, independentChance() < 0.25 ? first : first + '-' + std::to_string(incarnation_));
         });
     }
     if (options_.restartsAgents && !isDown(node.name)) {
         faults.emplace_back([this, &node]() {
-            killAgent(node, newBetween(20, newChance() < 0.5 ? 300 : 9000));
+            killAgent(node, independentBetween(20, independentChance() < 0.5 ? 300 : 9000));
         });
     }
     if (options_.hasOtherWriters) {
@@ -102,7 +102,7 @@
         });
     }
     if (!faults.empty()) {
-        faults[static_cast<std::size_t>(newBetween(0, static_cast<int>(faults.size()) - 1).count())]();
+        faults[static_cast<std::size_t>(independentBetween(0, static_cast<int>(faults.size()) - 1).count())]();
     }
 }
 
--- a/tests/cell/simulationmessages.cpp
+++ b/tests/cell/simulationmessages.cpp
@@ -95,7 +95,7 @@
         }
         const std::vector<std::function<void()>> arrived = std::move(process.arrived);
         process.arrived.clear();
-        if (newChance() < 0.5) {
+        if (independentChance() < 0.5) {
             tick(name);
         }
         for (const std::function<void()> &event : arrived) {
