--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -108,7 +108,13 @@
     };
     events.disconnected = [](const std::string &) {};
     events.rosterChanged = []() {};
-    events.configurationSeen = [this](const std::string &peer, std::int64_t) {
+    events.configurationSeen = [this](const std::string &peer, std::int64_t version) {
+        if (version > announcedConfiguration_) {
+            announcedConfiguration_ = version;
+            logEvent(LogLevel::Info,
+                "configuration.announced",
+                {{"peer", peer}, {"version", std::to_string(version)}, {"known", std::to_string(feed_.configuration().version)}});
+        }
         wire::CellConfigurationOffer request;
         request.version = feed_.configuration().version;
         peers_->send(peer, request);
--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -93,6 +93,7 @@
     std::unique_ptr<HttpServer> readinessServer_;
     std::unique_ptr<HttpServer> metricsServer_;
 
+    std::int64_t announcedConfiguration_ = 0; ///< newest version of the configuration that a peer has announced before it arrived here
     std::int64_t generation_ = 0; ///< highest scheduler generation known to this process; never decreases
     std::string scheduler_; ///< peer address of the current scheduler; empty while unknown
     std::int64_t groupGeneration_ = 0; ///< group generation in the last answer to a join
--- a/src/knapweedstaged/configurationfeed.cpp
+++ b/src/knapweedstaged/configurationfeed.cpp
@@ -26,9 +26,30 @@
 
 void ConfigurationFeed::start()
 {
+    answeredAt_ = std::chrono::steady_clock::now();
     readNewest();
 }
 
+/// Time since the store last answered a read.
+Milliseconds ConfigurationFeed::unansweredTime() const
+{
+    return std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - answeredAt_);
+}
+
+void ConfigurationFeed::noteAnswer(bool isAnswered, const char *call, const std::string &detail)
+{
+    if (!isAnswered) {
+        logEvent(
+            LogLevel::Warning, "configuration.read_failed", {{"call", call}, {"reason", detail}, {"unanswered_ms", std::to_string(unansweredTime().count())}});
+    } else if (!isReachable_) {
+        logEvent(LogLevel::Info, "configuration.followed", {{"unanswered_ms", std::to_string(unansweredTime().count())}});
+    }
+    if (isAnswered) {
+        answeredAt_ = std::chrono::steady_clock::now();
+    }
+    isReachable_ = isAnswered;
+}
+
 void ConfigurationFeed::callLater(Milliseconds delay, void (ConfigurationFeed::*step)())
 {
     loop_.callAfter(delay, [this, step]() {
@@ -39,6 +60,7 @@
 void ConfigurationFeed::readNewest()
 {
     store_.newest(platform::operatorTopic, "", answerTimeout, [this](Result<platform::NewestPage, platform::StoreError> result) {
+        noteAnswer(isOk(result), "newest", isOk(result) ? std::string() : error(result).detail);
         if (!isOk(result)) {
             callLater(retryDelay, &ConfigurationFeed::readNewest);
             return;
@@ -57,10 +79,7 @@
 {
     store_.read(platform::operatorTopic, nextOffset_, readWait, readWait + answerTimeout, [this](Result<platform::ReadPage, platform::StoreError> result) {
         const bool isReachable = isOk(result) || error(result).kind == platform::StoreError::Kind::Deleted;
-        if (isReachable != isReachable_) {
-            isReachable_ = isReachable;
-            logEvent(isReachable ? LogLevel::Info : LogLevel::Warning, isReachable ? "configuration.followed" : "configuration.unfollowed");
-        }
+        noteAnswer(isReachable, "read", isOk(result) ? std::string() : error(result).detail);
         if (!isOk(result)) {
             // The records at this offset may have been deleted, but the store always keeps the newest record of the key.
             callLater(isReachable ? Milliseconds(0) : retryDelay, &ConfigurationFeed::readNewest);
@@ -88,7 +107,10 @@
     }
     logEvent(LogLevel::Info,
         "configuration.applied",
-        {{"version", std::to_string(value(decoded).version)}, {"before", std::to_string(configuration_.version)}, {"source", source}});
+        {{"version", std::to_string(value(decoded).version)},
+            {"before", std::to_string(configuration_.version)},
+            {"source", source},
+            {"unanswered_ms", std::to_string(unansweredTime().count())}});
     configuration_ = value(decoded);
     document_ = document;
     changed_(configuration_);
--- a/src/knapweedstaged/configurationfeed.h
+++ b/src/knapweedstaged/configurationfeed.h
@@ -28,6 +28,8 @@
 private:
     void readNewest();
     void follow();
+    Milliseconds unansweredTime() const;
+    void noteAnswer(bool isAnswered, const char *call, const std::string &detail);
     void callLater(Milliseconds delay, void (ConfigurationFeed::*step)());
 
     EventLoop &loop_;
@@ -36,7 +38,8 @@
     cell::CellConfiguration configuration_; ///< its version never decreases
     std::string document_;
     std::int64_t nextOffset_ = 0; ///< offset of the next record to read
-    bool isReachable_ = true;
+    MonotonicTime answeredAt_; ///< when the store last answered a read
+    bool isReachable_ = true; ///< whether it answered the last one
 };
 
 } // namespace knapweed
