Bound the time from a stored configuration to its effect

What callers saw: 404 for a queue 3.0 and 5.1 s after the version that adds it was acknowledged; bound 3 s. Cause, as far as reproduced: a read on a connection that had gone silent was waited for 2.9 s, then 250 ms, then 0.9 s for each attempt at the newest record, which might use another silent connection of the pool. All entries did so in phase, since one change answers the reads of all, so the peers' way had nothing to pass on. Change: ConfigurationReads decides when to read, with all times as shares of the bound (new setting configuration_apply_ms). A read that is overdue is no longer waited for: the next one goes out beside it, on a new connection. The waits are spread.

--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <functional>
 
 namespace knapweed
 {
@@ -37,6 +38,8 @@
     , store_(http_, settings.store)
     , feed_(loop_,
           store_,
+          settings.configurationApplyTime,
+          static_cast<std::uint32_t>(std::hash<std::string>()(settings.name)),
           [this](const cell::CellConfiguration &configuration) {
               configurationChanged(configuration);
           })
--- a/src/knapweedstaged/configurationfeed.cpp
+++ b/src/knapweedstaged/configurationfeed.cpp
@@ -1,25 +1,21 @@
-// Reads the newest record first, then waits for later records by long polling.
+// Carries out the reads that cell::ConfigurationReads decides on, and applies what they or the peers bring.
 
 #include "configurationfeed.h"
 
 #include "base/logging.h"
 #include "documents.h"
 
-namespace knapweed
-{
+#include <algorithm>
 
-namespace
+namespace knapweed
 {
 
-constexpr Milliseconds readWait {2000}; ///< how long the store may hold one read; limits how long an unresponsive connection delays a change
-constexpr Milliseconds answerTimeout {900}; ///< for the store's answer, in addition to readWait
-constexpr Milliseconds retryDelay {250};
-
-} // namespace
-
-ConfigurationFeed::ConfigurationFeed(EventLoop &loop, platform::StoreClient &store, std::function<void(const cell::CellConfiguration &)> changed)
+ConfigurationFeed::ConfigurationFeed(
+    EventLoop &loop, platform::StoreClient &store, Milliseconds applyTime, std::uint32_t seed, std::function<void(const cell::CellConfiguration &)> changed)
     : loop_(loop)
     , store_(store)
+    , times_(cell::configurationReadTimes(applyTime))
+    , reads_(times_, seed)
     , changed_(std::move(changed))
 {
 }
@@ -27,7 +23,73 @@
 void ConfigurationFeed::start()
 {
     answeredAt_ = std::chrono::steady_clock::now();
-    readNewest();
+    proceed();
+}
+
+void ConfigurationFeed::proceed()
+{
+    const std::optional<cell::ConfigurationRead> read = reads_.begin(std::chrono::steady_clock::now());
+    if (read && read->isNewest) {
+        readNewest(read->number);
+    } else if (read) {
+        follow(*read);
+    }
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    loop_.cancelTimer(timer_);
+    timer_ = loop_.callAfter(std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(reads_.nextBegin() - now)), [this]() {
+        proceed();
+    });
+}
+
+void ConfigurationFeed::readNewest(std::uint64_t number)
+{
+    const auto received = [this, number](const Result<platform::NewestPage, platform::StoreError> &result) {
+        noteAnswer(isOk(result), "newest", isOk(result) ? std::string() : error(result).detail);
+        if (isOk(result)) {
+            apply(value(result).records);
+            nextOffset_ = std::max(nextOffset_, value(result).end);
+        }
+        finish(number, isOk(result), false);
+    };
+    store_.newest(platform::operatorTopic, "", times_.giveUp, received, HttpConnection::New);
+}
+
+void ConfigurationFeed::follow(const cell::ConfigurationRead &read)
+{
+    const auto received = [this, number = read.number](const Result<platform::ReadPage, platform::StoreError> &result) {
+        // The records at this offset may have been deleted, but the store always keeps the newest record of the key.
+        const bool hasGap = !isOk(result) && error(result).kind == platform::StoreError::Kind::Deleted;
+        noteAnswer(isOk(result) || hasGap, "read", isOk(result) ? std::string() : error(result).detail);
+        if (isOk(result)) {
+            apply(value(result).records);
+            nextOffset_ = std::max(nextOffset_, value(result).next);
+        }
+        finish(number, isOk(result) || hasGap, hasGap);
+    };
+    store_.read(platform::operatorTopic, nextOffset_, read.wait, read.wait + times_.giveUp, received);
+}
+
+void ConfigurationFeed::finish(std::uint64_t number, bool isAnswered, bool hasGap)
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    if (isAnswered) {
+        reads_.answered(number, hasGap, now);
+    } else {
+        reads_.failed(number, now);
+    }
+    // Posted, because the connection of this answer can be used again only after this callback.
+    loop_.post([this]() {
+        proceed();
+    });
+}
+
+void ConfigurationFeed::apply(const std::vector<platform::KeyedRecord> &records)
+{
+    for (const platform::KeyedRecord &record : records) {
+        if (record.key == platform::configurationKey) {
+            offer(record.value, "store");
+        }
+    }
 }
 
 /// Time since the store last answered a read.
@@ -50,51 +112,6 @@
     isReachable_ = isAnswered;
 }
 
-void ConfigurationFeed::callLater(Milliseconds delay, void (ConfigurationFeed::*step)())
-{
-    loop_.callAfter(delay, [this, step]() {
-        (this->*step)();
-    });
-}
-
-void ConfigurationFeed::readNewest()
-{
-    store_.newest(platform::operatorTopic, "", answerTimeout, [this](Result<platform::NewestPage, platform::StoreError> result) {
-        noteAnswer(isOk(result), "newest", isOk(result) ? std::string() : error(result).detail);
-        if (!isOk(result)) {
-            callLater(retryDelay, &ConfigurationFeed::readNewest);
-            return;
-        }
-        for (const platform::KeyedRecord &record : value(result).records) {
-            if (record.key == platform::configurationKey) {
-                offer(record.value, "store");
-            }
-        }
-        nextOffset_ = value(result).end;
-        follow();
-    });
-}
-
-void ConfigurationFeed::follow()
-{
-    store_.read(platform::operatorTopic, nextOffset_, readWait, readWait + answerTimeout, [this](Result<platform::ReadPage, platform::StoreError> result) {
-        const bool isReachable = isOk(result) || error(result).kind == platform::StoreError::Kind::Deleted;
-        noteAnswer(isReachable, "read", isOk(result) ? std::string() : error(result).detail);
-        if (!isOk(result)) {
-            // The records at this offset may have been deleted, but the store always keeps the newest record of the key.
-            callLater(isReachable ? Milliseconds(0) : retryDelay, &ConfigurationFeed::readNewest);
-            return;
-        }
-        for (const platform::KeyedRecord &record : value(result).records) {
-            if (record.key == platform::configurationKey) {
-                offer(record.value, "store");
-            }
-        }
-        nextOffset_ = value(result).next;
-        callLater(Milliseconds(0), &ConfigurationFeed::follow);
-    });
-}
-
 void ConfigurationFeed::offer(const std::string &document, const char *source)
 {
     const Result<cell::CellConfiguration, platform::DocumentError> decoded = platform::decodeConfiguration(document);
--- a/src/knapweedstaged/configurationfeed.h
+++ b/src/knapweedstaged/configurationfeed.h
@@ -3,10 +3,12 @@
 
 #include "base/eventloop.h"
 #include "cell/configuration.h"
+#include "cell/configurationreads.h"
 #include "storeclient.h"
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace knapweed
 {
@@ -14,8 +16,13 @@
 class ConfigurationFeed
 {
 public:
-    /// @p changed runs for each newer version, whether it came from the store or from a peer.
-    ConfigurationFeed(EventLoop &loop, platform::StoreClient &store, std::function<void(const cell::CellConfiguration &)> changed);
+    /// @p applyTime is the time within which a stored change has to be in force; @p seed differs between the entries of a site. @p changed runs for each newer
+    /// version, whether it came from the store or from a peer.
+    ConfigurationFeed(EventLoop &loop,
+        platform::StoreClient &store,
+        Milliseconds applyTime,
+        std::uint32_t seed,
+        std::function<void(const cell::CellConfiguration &)> changed);
 
     void start();
 
@@ -26,18 +33,23 @@
     const std::string &document() const;
 
 private:
-    void readNewest();
-    void follow();
+    void proceed();
+    void readNewest(std::uint64_t number);
+    void follow(const cell::ConfigurationRead &read);
+    void finish(std::uint64_t number, bool isAnswered, bool hasGap);
+    void apply(const std::vector<platform::KeyedRecord> &records);
     Milliseconds unansweredTime() const;
     void noteAnswer(bool isAnswered, const char *call, const std::string &detail);
-    void callLater(Milliseconds delay, void (ConfigurationFeed::*step)());
 
     EventLoop &loop_;
     platform::StoreClient &store_;
+    cell::ConfigurationReadTimes times_;
+    cell::ConfigurationReads reads_;
+    TimerId timer_ = 0; ///< for the next read
     std::function<void(const cell::CellConfiguration &)> changed_;
     cell::CellConfiguration configuration_; ///< its version never decreases
     std::string document_;
-    std::int64_t nextOffset_ = 0; ///< offset of the next record to read
+    std::int64_t nextOffset_ = 0; ///< offset of the next record to read; never decreases
     MonotonicTime answeredAt_; ///< when the store last answered a read
     bool isReachable_ = true; ///< whether it answered the last one
 };
--- a/src/libknapweed/base/httpclient.cpp
+++ b/src/libknapweed/base/httpclient.cpp
@@ -55,7 +55,7 @@
     /// Each exchange until libwebsockets destroys its handle, also while the handle only keeps an idle connection.
     std::unordered_map<lws *, std::shared_ptr<Exchange>> handles;
 
-    std::size_t takeSlot(const Address &target);
+    std::size_t takeSlot(const Address &target, HttpConnection connection);
     void putSlot(std::size_t place);
     void dropHandle(std::size_t place);
     lws_vhost *createVhost(std::size_t place);
@@ -272,9 +272,9 @@
     return lws_create_vhost(loop->context(), &info);
 }
 
-std::size_t HttpClient::Private::takeSlot(const Address &target)
+std::size_t HttpClient::Private::takeSlot(const Address &target, HttpConnection connection)
 {
-    const auto found = freeSlots.find(toString(target));
+    const auto found = connection == HttpConnection::New ? freeSlots.end() : freeSlots.find(toString(target));
     std::vector<std::size_t> &places = found == freeSlots.end() ? emptySlots : found->second;
     if (places.empty()) {
         places.push_back(slots.size());
@@ -390,14 +390,14 @@
     }
 }
 
-void HttpClient::send(const Address &target, HttpRequest request, Milliseconds timeout, HttpCallback callback)
+void HttpClient::send(const Address &target, HttpRequest request, Milliseconds timeout, HttpCallback callback, HttpConnection connection)
 {
     const std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>();
     exchange->client = d_;
     exchange->target = target;
     exchange->request = std::move(request);
     exchange->callback = std::move(callback);
-    exchange->slot = d_->takeSlot(target);
+    exchange->slot = d_->takeSlot(target, connection);
     const std::weak_ptr<Exchange> waiting = exchange;
     exchange->timer = d_->loop->callAfter(timeout, [waiting]() {
         const std::shared_ptr<Exchange> late = waiting.lock();
--- a/src/libknapweed/base/httpclient.h
+++ b/src/libknapweed/base/httpclient.h
@@ -26,6 +26,9 @@
     bool isLocal = false; ///< this process could not open a connection, for lack of a descriptor for example: nothing is known about the target
 };
 
+/// Whether a request may use an idle connection of the pool. An idle connection may have gone silent without an error; a new one shows that at once.
+enum class HttpConnection { Any, New };
+
 using HttpResult = Result<HttpResponse, HttpError>;
 using HttpCallback = std::function<void(HttpResult)>;
 
@@ -39,7 +42,7 @@
 
     /// Sends @p request; request.path may hold a query string. @p callback runs exactly once, on the loop's thread, at the latest after @p timeout,
     /// or never when the client is destroyed before.
-    void send(const Address &target, HttpRequest request, Milliseconds timeout, HttpCallback callback);
+    void send(const Address &target, HttpRequest request, Milliseconds timeout, HttpCallback callback, HttpConnection connection = HttpConnection::Any);
 
     struct Private;
 
--- a/src/libknapweed/cell/settings.cpp
+++ b/src/libknapweed/cell/settings.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t maxSeeds = 64;
 constexpr Milliseconds minLease {500}; ///< one report interval: a shorter lease would expire between two reports
 
+constexpr Milliseconds minApplyTime {500}; ///< the reads in it have 75 ms for an answer
+constexpr Milliseconds defaultApplyTime {2000};
+
 const TextRule nameRule {TextRule::Form::Identifier, 1, 128, std::nullopt};
 const TextRule addressRule {TextRule::Form::Line, 9, 21, std::nullopt};
 const Choices roles {{"agent", static_cast<int>(ProcessRole::Agent)}, {"entry", static_cast<int>(ProcessRole::Entry)}};
@@ -86,6 +89,7 @@
     settings.processorShare = root.number("processor_share", {0.001, 1024, 1});
     settings.logLevel = static_cast<LogLevel>(root.choice("log_level", logLevels, "info"));
     if (!root.isPresent() || (isRoleKnown && settings.role == ProcessRole::Entry)) {
+        settings.configurationApplyTime = root.duration("configuration_apply_ms", {minApplyTime, Seconds(60), defaultApplyTime});
         settings.callers = readAddress(root, "callers");
         settings.readiness = readAddress(root, "readiness");
         const nlohmann::json *advice = root.member("advice");
--- a/src/libknapweed/cell/settings.h
+++ b/src/libknapweed/cell/settings.h
@@ -28,6 +28,7 @@
     Milliseconds grace {0}; ///< from SIGTERM to SIGKILL
     double processorShare = 1; ///< cores that the process may use; entries with the largest share are preferred as scheduler
     LogLevel logLevel = LogLevel::Info;
+    Milliseconds configurationApplyTime {0}; ///< entry only: a change that the store has acknowledged has to be in force after this time
     Address callers; ///< entry only: listen address for callers
     Address advice; ///< entry only: the placement adviser; port 0 if there is none
     Address readiness; ///< entry only: listen address for readiness checks
--- a/tests/configuration/feedtest.cpp
+++ b/tests/configuration/feedtest.cpp
@@ -132,11 +132,11 @@
 {
     struct Entry
     {
-        Entry(EventLoop &loop, const Address &topic)
+        Entry(EventLoop &loop, const Address &topic, int index)
             : relay(topic)
             , http(loop)
             , store(http, relay.address())
-            , feed(loop, store, [](const cell::CellConfiguration &) {})
+            , feed(loop, store, applyTime, static_cast<std::uint32_t>(index), [](const cell::CellConfiguration &) {})
         {
             feed.start();
         }
@@ -157,7 +157,7 @@
             topic = std::make_unique<TopicStandin>(task.loop());
             topic->append(1);
             for (int index = 0; index < entryCount; ++index) {
-                entries.push_back(std::make_unique<Entry>(task.loop(), topic->address()));
+                entries.push_back(std::make_unique<Entry>(task.loop(), topic->address(), index));
             }
         });
     }
--- a/tests/soak/cell.py
+++ b/tests/soak/cell.py
@@ -16,6 +16,7 @@
 FRONT, READINESS, CONTROL, APP, STORE = 8521, 8523, 8526, 8867, 20000
 PEERS, METRICS = 7000, 7015
 GRACE_S = 6
+CONFIG_APPLY_MS = 2000
 TEMPLATES = Path(__file__).parents[2] / "deploy"
 PR_SET_PDEATHSIG = 1
 RESTART_S = (0.3, 1.2)
@@ -35,7 +36,7 @@
     listen = {"control": f"{place.ip}:{CONTROL}", "front": f"{place.ip}:{FRONT}", "readiness": f"{place.ip}:{READINESS}"}
     fields: dict[str, object] = {"nodeName": place.name, "ip": place.ip, "zone": place.zone, "region": "west", "seeds": seeds, "listen": listen}
     fields |= {"portRange": [PEERS, METRICS], "platform": {"address": place.store}, "limits": {"cpuShare": 0.25}}
-    fields |= {"bounds": {"holdMaxMs": lease_ms, "graceS": GRACE_S}, "heartbeatMs": 1500, "app": f"{place.ip}:{APP}", "service": service, "advice": None}
+    fields |= {"bounds": {"holdMaxMs": lease_ms, "graceS": GRACE_S, "configApplyMs": CONFIG_APPLY_MS}, "heartbeatMs": 1500, "app": f"{place.ip}:{APP}", "service": service, "advice": None}
 
     def fill(match: re.Match[str]) -> str:
         value: object = fields
