Close idle connections to a target after a time-out

Callers: a request after a silence of all connections could take one idle connection of the pool after another, each for its whole time-out, so that the sum of attempts had no bound. Evidence: usesNoIdleConnectionThatMayHaveGoneSilentWithAnother failed before (the second request times out too). Change: a request that times out closes the idle connections to its target, so the next one opens a new one. Result: the test passes; the other tests of the client pass.

--- a/src/libknapweed/base/httpclient.cpp
+++ b/src/libknapweed/base/httpclient.cpp
@@ -38,7 +38,8 @@
 {
     lws_vhost *vhost = nullptr;
     Address target; ///< of its connections
-    bool isBusy = false; ///< an exchange has it
+    bool isBusy = false; ///< an exchange has it, or isClosing
+    bool isClosing = false; ///< its idle connection is being closed
     int handles = 0; ///< that libwebsockets has not destroyed yet; at most one of them is in use
 };
 
@@ -62,6 +63,7 @@
     void start(const std::shared_ptr<Exchange> &exchange);
     void forget(lws *wsi);
     void expire(const std::shared_ptr<Exchange> &exchange);
+    void closeIdle(const Address &target);
 };
 
 namespace
@@ -278,7 +280,7 @@
     std::vector<std::size_t> &places = found == freeSlots.end() ? emptySlots : found->second;
     if (places.empty()) {
         places.push_back(slots.size());
-        slots.push_back({createVhost(slots.size()), target, false, 0});
+        slots.push_back({createVhost(slots.size()), target, false, false, 0});
     }
     const std::size_t place = places.back();
     places.pop_back();
@@ -304,6 +306,12 @@
     Slot &slot = slots[place];
     --slot.handles;
     assertInvariant(slot.handles >= 0, "a place counts its handles");
+    if (slot.isClosing && slot.handles == 0) {
+        slot.isClosing = false;
+        slot.isBusy = false;
+        emptySlots.push_back(place);
+        return;
+    }
     const auto found = freeSlots.find(toString(slot.target));
     if (slot.isBusy || slot.handles > 0 || found == freeSlots.end()) {
         return;
@@ -363,12 +371,35 @@
 {
     const HttpError::Kind kind = exchange->isSent ? HttpError::Kind::TimedOut : HttpError::Kind::NotSent;
     lws *wsi = exchange->wsi;
+    if (kind == HttpError::Kind::TimedOut) {
+        closeIdle(exchange->target);
+    }
     finish(*exchange, HttpError {kind, "timed out", true});
     if (wsi != nullptr) {
         lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
     }
 }
 
+/// Closes the idle connections to @p target: what silenced one connection may have silenced them too, and nothing but another time-out would show it.
+void HttpClient::Private::closeIdle(const Address &target)
+{
+    const auto found = freeSlots.find(toString(target));
+    if (found == freeSlots.end()) {
+        return;
+    }
+    const std::vector<std::size_t> places = std::move(found->second);
+    freeSlots.erase(found);
+    for (const std::size_t place : places) {
+        slots[place].isBusy = true;
+        slots[place].isClosing = true;
+    }
+    for (const auto &[wsi, exchange] : handles) {
+        if (slots[exchange->slot].isClosing) {
+            lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+        }
+    }
+}
+
 HttpClient::HttpClient(EventLoop &loop)
     : d_(std::make_shared<Private>())
 {
--- a/tests/base/httpfaulttest.cpp
+++ b/tests/base/httpfaulttest.cpp
@@ -146,6 +146,31 @@
 }
 
 /// An order that is sent twice by itself may be carried out twice.
+/// Guards against time-outs that add up: each idle connection of the pool that had gone silent cost one more request its whole time.
+TEST(HttpFaults, usesNoIdleConnectionThatMayHaveGoneSilentWithAnother)
+{
+    HttpFixture http;
+    http.relay().setDelay(Milliseconds(50));
+    const std::shared_ptr<int> answers = std::make_shared<int>(0);
+    http.clientTask().call([&]() {
+        for (int i = 0; i < 3; ++i) {
+            http.client().send(http.relay().address(), {"GET", "/n", {}, {}, {}}, Milliseconds(5000), [answers](const HttpResult &result) {
+                *answers += isOk(result) ? 1 : 0;
+            });
+        }
+    });
+    CHECK(http.clientTask().waitFor([answers]() {
+        return *answers == 3;
+    }));
+    LONGS_EQUAL(3, http.relay().accepted());
+    http.relay().freeze();
+    const std::optional<HttpResult> silent = http.fetch(http.relay().address(), {"GET", "/n", {}, {}, {}}, Milliseconds(500));
+    CHECK(silent && !isOk(*silent) && error(*silent).kind == HttpError::Kind::TimedOut);
+    const std::optional<HttpResult> next = http.fetch(http.relay().address(), {"GET", "/n", {}, {}, {}}, Milliseconds(2000));
+    CHECK(next && isOk(*next));
+    LONGS_EQUAL(4, http.relay().accepted());
+}
+
 TEST(HttpFaults, doesNotSendARequestAgainWhenAKeptConnectionEnds)
 {
     HttpFixture http;
