Follow the configuration from its newest record, not from the end of a list

Callers could see an older configuration for good: a version that was stored while the list of newest records was made stood before the list's end and not in the list, and was never read. Evidence: changeDuringTheFirstReadIsInForceInTime failed before. Change: reads continue after the record itself, or at the first record that the store still has. Result: the test passes.

--- a/src/knapweedstaged/configurationfeed.cpp
+++ b/src/knapweedstaged/configurationfeed.cpp
@@ -47,7 +47,6 @@
         noteAnswer(isOk(result), "newest", isOk(result) ? std::string() : error(result).detail);
         if (isOk(result)) {
             apply(value(result).records);
-            nextOffset_ = std::max(nextOffset_, value(result).end);
         }
         finish(number, isOk(result), false);
     };
@@ -63,6 +62,8 @@
         if (isOk(result)) {
             apply(value(result).records);
             nextOffset_ = std::max(nextOffset_, value(result).next);
+        } else if (hasGap) {
+            nextOffset_ = std::max(nextOffset_, error(result).expected);
         }
         finish(number, isOk(result) || hasGap, hasGap);
     };
@@ -88,6 +89,8 @@
     for (const platform::KeyedRecord &record : records) {
         if (record.key == platform::configurationKey) {
             offer(record.value, "store");
+            // Not after the end of a list: a list is not a snapshot, and a record may have been stored while it was made.
+            nextOffset_ = std::max(nextOffset_, record.offset + 1);
         }
     }
 }
--- a/tests/configuration/feedtest.cpp
+++ b/tests/configuration/feedtest.cpp
@@ -73,6 +73,12 @@
         }
     }
 
+    /// Appends @p version while the next list of newest records is being made: after the records have been collected, before its end is read.
+    void appendDuringNextList(std::int64_t version)
+    {
+        versionDuringList_ = version;
+    }
+
     int waitingReads() const
     {
         return static_cast<int>(readers_.size());
@@ -93,6 +99,10 @@
             if (!documents_.empty()) {
                 items.push_back({{"key", "config"}, {"value", base64(documents_.back())}, {"offset", documents_.size() - 1}});
             }
+            const std::int64_t version = std::exchange(versionDuringList_, 0);
+            if (version != 0) {
+                append(version);
+            }
             respond(jsonResponse(200, nlohmann::json {{"items", items}, {"truncated", false}, {"end", documents_.size()}}.dump()));
             return;
         }
@@ -123,6 +133,7 @@
     EventLoop &loop_;
     std::vector<std::string> documents_;
     std::list<Reader> readers_;
+    std::int64_t versionDuringList_ = 0;
     HttpServer server_;
 };
 
@@ -211,3 +222,16 @@
         },
         applyTime));
 }
+
+/// Guards against CONFIG: a list of newest records is not a snapshot, and a version that was stored while it was made was never read.
+TEST(ConfigurationFeed, changeDuringTheFirstReadIsInForceInTime)
+{
+    task.call([this]() {
+        topic->appendDuringNextList(2);
+    });
+    CHECK(task.waitFor(
+        [this]() {
+            return haveAll(2);
+        },
+        applyTime));
+}
