Log the progress and age of a run that is released

Nothing showed which of the runs that were lost with an endpoint had just started, which is what tells a task that crashes endpoints from those beside it.

--- a/src/libknapweed/cell/schedulerunits.cpp
+++ b/src/libknapweed/cell/schedulerunits.cpp
@@ -40,9 +40,12 @@
 
 void Scheduler::release(Endpoint &endpoint, const RunId &run, ReleaseReason reason, BootTime now)
 {
-    if (endpoint.runs.erase(run) == 0) {
+    const auto released = endpoint.runs.find(run);
+    if (released == endpoint.runs.end()) {
         return;
     }
+    const Allocation allocation = released->second;
+    endpoint.runs.erase(released);
     if (nameOf(reason) != nullptr) {
         logEvent(LogLevel::Info,
             "run.released",
@@ -51,6 +54,8 @@
                 {"run", std::to_string(run.run)},
                 {"endpoint", endpoint.id},
                 {"born", std::to_string(endpoint.incarnation)},
+                {"percent", std::to_string(allocation.percent)},
+                {"age_ms", std::to_string((now - allocation.firstOrderedAt).count())},
                 {"reason", nameOf(reason)}});
     }
     isPlanDue_ = true;
