--- a/tests/cell/fakeendpoint.cpp
+++ b/tests/cell/fakeendpoint.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr Milliseconds stopDuration {200};
+constexpr Milliseconds timeToCrash {20};
 constexpr Milliseconds gangStartTimeout {3000};
 constexpr Milliseconds maxLease {6000};
 
@@ -87,10 +88,27 @@
     return now >= *state.breaksAt;
 }
 
+bool FakeEndpoint::hasCrashed() const
+{
+    return hasCrashed_;
+}
+
+void FakeEndpoint::crash()
+{
+    for (const auto &[run, state] : running_) {
+        shared_.crashes[run.task] += shared_.jobs.at(run.task.job).input == crashingInput ? 1 : 0;
+    }
+    restart(status_.incarnation);
+    hasCrashed_ = true;
+}
+
 void FakeEndpoint::advance(BootTime now)
 {
     const double elapsed = double((now - now_).count());
     now_ = now;
+    if (crashesAt_ && now >= *crashesAt_) {
+        crash();
+    }
     if (clock() >= leaseUntil_) {
         expiredUpTo_ = lastEnd_;
     }
@@ -127,6 +145,9 @@
 
 Result<RenewalResult, EndpointError> FakeEndpoint::renewLease(const RenewalRequest &request)
 {
+    if (hasCrashed_) {
+        return EndpointError {EndpointError::Kind::ConnectionFailed, "crashed"};
+    }
     if (request.endpoint != status_.id) {
         return EndpointError {EndpointError::Kind::DifferentIncarnation, "421"};
     }
@@ -156,6 +177,9 @@
 
 Result<Milliseconds, EndpointError> FakeEndpoint::start(const StartRequest &request)
 {
+    if (hasCrashed_) {
+        return EndpointError {EndpointError::Kind::ConnectionFailed, "crashed"};
+    }
     if (request.endpoint != status_.id) {
         return EndpointError {EndpointError::Kind::DifferentIncarnation, "421"};
     }
@@ -183,12 +207,21 @@
     state.startedAt = now_;
     state.neededMs = double(shared_.jobs.at(request.run.task.job).steps.at(request.run.task.step).estimate.count());
     shared_.runningMembers[gangOf(request.run)].insert(request.run.task.index);
+    if (shared_.jobs.at(request.run.task.job).input == crashingInput) {
+        crashesAt_ = now_ + timeToCrash;
+    }
+    if (shared_.crashes[request.run.task] >= 3 && ++shared_.startsAfterCrashes[request.run.task] >= 3) {
+        shared_.violations.push_back("started three times more after three endpoints had crashed under it: " + text(request.run));
+    }
     checkCapacity();
     return clock();
 }
 
 Result<Milliseconds, EndpointError> FakeEndpoint::stop(const StopRequest &request)
 {
+    if (hasCrashed_) {
+        return EndpointError {EndpointError::Kind::ConnectionFailed, "crashed"};
+    }
     if (request.endpoint != status_.id) {
         return EndpointError {EndpointError::Kind::DifferentIncarnation, "421"};
     }
@@ -230,6 +263,8 @@
     fence_ = 0;
     leaseUntil_ = Milliseconds(0);
     startedAt_ = now_;
+    crashesAt_.reset();
+    hasCrashed_ = false;
     status_.incarnation = incarnation;
     status_.sequence = 0;
 }
--- a/tests/cell/fakeendpoint.h
+++ b/tests/cell/fakeendpoint.h
@@ -18,6 +18,8 @@
 /// Job, occurrence, step and run of a gang.
 using GangName = std::tuple<std::string, int, int, std::int64_t>;
 
+constexpr const char *crashingInput = "crash"; ///< input of jobs whose tasks crash each endpoint that starts them
+
 /// State that all endpoints of a simulation share, for gangs and for the checks.
 struct SharedState
 {
@@ -26,6 +28,8 @@
     std::map<GangName, std::set<int>> runningMembers; ///< members of each gang that are running
     std::set<GangName> completedGangs; ///< gangs of which at least one member has ended with the outcome done
     std::map<std::string, JobSpec> jobs; ///< submitted jobs
+    std::map<TaskId, int> crashes; ///< of endpoints, by the task that caused them
+    std::map<TaskId, int> startsAfterCrashes; ///< of tasks that have caused three
     std::function<Milliseconds()> gangEndDelay; ///< from the end of a member of a gang to the end of another one; unset: none
     std::vector<std::string> violations; ///< violations of the invariants
 };
@@ -47,6 +51,9 @@
     /// The same under another id.
     void restart(std::int64_t incarnation, const std::string &id);
 
+    /// Whether a task has crashed the endpoint; it answers nothing until it is restarted.
+    bool hasCrashed() const;
+
     EndpointStatus status();
     /// The status of the newest report.
     const EndpointStatus &lastStatus() const;
@@ -67,6 +74,7 @@
     void extendLease(Milliseconds until);
     bool isBroken(Running &state, BootTime now) const;
     void finish(const RunId &run, RunOutcome outcome);
+    void crash();
     GangName gangOf(const RunId &run) const;
     bool isGang(const RunId &run) const;
     void checkCapacity();
@@ -77,6 +85,8 @@
     BootTime startedAt_;
     BootTime now_;
     Milliseconds leaseUntil_ {0}; ///< on the endpoint's clock
+    std::optional<BootTime> crashesAt_; ///< a task that it has started crashes it then
+    bool hasCrashed_ = false;
     std::int64_t fence_ = 0;
     std::map<RunId, Running> running_;
     std::map<std::int64_t, ListedEnd> ended_;
--- a/tests/cell/randomtest.cpp
+++ b/tests/cell/randomtest.cpp
@@ -50,7 +50,11 @@
     Simulation simulation(options);
     pcg32 random(options.seed + 77);
     for (int number = 0; number < jobsPerHistory; ++number) {
-        simulation.submit(randomJob(random, number));
+        JobSpec job = randomJob(random, number);
+        if (options.crashingJobEvery > 0 && number % options.crashingJobEvery == 0) {
+            job.input = crashingInput;
+        }
+        simulation.submit(job);
         simulation.run(Milliseconds(200 + random(1200)), true);
         if (random(6) == 0) {
             simulation.cancel("job" + std::to_string(random(static_cast<std::uint32_t>(number) + 1)));
@@ -72,6 +76,9 @@
     CHECK(simulation.violations().empty());
     LONGS_EQUAL(0, simulation.unfinishedJobs());
     LONGS_EQUAL(jobsPerHistory, simulation.acceptedJobs());
+    if (!options.restartsEndpoints && !options.renamesEndpoints) {
+        LONGS_EQUAL(0, simulation.wronglyFailedJobs());
+    }
 }
 
 void runSeeds(const SimulationOptions &options)
@@ -160,6 +167,30 @@
     runSeeds(options);
 }
 
+/// Guards against BUDGET: one task takes endpoint after endpoint down.
+TEST(CellHistory, tasksCrashTheirEndpoints)
+{
+    SimulationOptions options;
+    options.crashingJobEvery = 4;
+    runSeeds(options);
+}
+
+TEST(CellHistory, tasksCrashTheirEndpointsWhileSchedulersChange)
+{
+    SimulationOptions options;
+    options.crashingJobEvery = 4;
+    options.changesSchedulers = true;
+    options.killsAgents = true;
+    runSeeds(options);
+}
+
+TEST(CellHistory, tasksCrashTheirEndpointsWhileEveryTroubleOverlaps)
+{
+    SimulationOptions options = everyTrouble();
+    options.crashingJobEvery = 4;
+    runSeeds(options);
+}
+
 TEST(CellHistory, allTroublesOverlap)
 {
     SimulationOptions options;
--- a/tests/cell/simulation.cpp
+++ b/tests/cell/simulation.cpp
@@ -149,7 +149,14 @@
 {
     now_ += stepTime;
     for (auto &[name, node] : agents_) {
+        const bool wasCrashed = node.endpoint->hasCrashed();
         node.endpoint->advance(now_);
+        if (node.endpoint->hasCrashed() && !wasCrashed) {
+            node.endpointBackAt = now_ + independentBetween(1000, 4000);
+        } else if (wasCrashed && now_ >= node.endpointBackAt) {
+            ++incarnation_;
+            node.endpoint->restart(incarnation_, independentChance() < 0.5 ? node.endpoint->lastStatus().id : "i-" + name + '-' + std::to_string(incarnation_));
+        }
     }
     while (!events_.empty() && events_.begin()->first <= now_) {
         const std::function<void()> event = std::move(events_.begin()->second);
@@ -162,7 +169,7 @@
         if (now_ < node.downUntil) {
             continue;
         }
-        if (now_ >= node.nextHeartbeat) {
+        if (now_ >= node.nextHeartbeat && !node.endpoint->hasCrashed()) {
             node.nextHeartbeat = now_ + Milliseconds(1000);
             whenAwake(name, [target = &node, status = node.endpoint->status()]() {
                 target->agent->endpointReported(status);
@@ -267,6 +274,14 @@
     return reportedSucceeded_.size();
 }
 
+std::size_t Simulation::wronglyFailedJobs() const
+{
+    const std::map<std::string, Job> &jobs = schedulers_.back()->scheduler->jobs();
+    return static_cast<std::size_t>(std::count_if(jobs.begin(), jobs.end(), [](const auto &job) {
+        return job.second.hasFailed && job.second.spec.input != crashingInput;
+    }));
+}
+
 std::int64_t Simulation::generation() const
 {
     return schedulers_.back()->generation;
--- a/tests/cell/simulation.h
+++ b/tests/cell/simulation.h
@@ -37,6 +37,7 @@
     double lostAnswerShare = 0; ///< share of the calls to endpoints that are carried out at once and whose answer is lost
     bool restartsAgents = false; ///< agents end and start again while messages for them wait
     bool hasOtherWriters = false; ///< agents receive reports about endpoints that another writer has made up
+    int crashingJobEvery = 0; ///< tasks of each job with a multiple of this number crash the endpoints that start them; 0: none
     bool renamesEndpoints = false; ///< endpoints start again under another id, and at times under their first one
 };
 
@@ -57,6 +58,8 @@
     std::size_t unfinishedJobs() const;
     std::size_t acceptedJobs() const;
     std::size_t succeededJobs() const;
+    /// Jobs that were shown as failed although their tasks crash no endpoint.
+    std::size_t wronglyFailedJobs() const;
     std::int64_t generation() const;
 
 private:
@@ -79,6 +82,7 @@
         BootTime disconnectedUntil;
         BootTime downUntil;
         BootTime nextHeartbeat;
+        BootTime endpointBackAt; ///< meaningful while the endpoint has crashed
     };
 
     /// A process that is paused receives everything that has arrived meanwhile, in order, when it goes on.
