Count the crashes of endpoints against the tasks that cause them

Cause: an attempt was counted only when its end was listed as failed; a run that was lost with its endpoint counted as nothing and was started again at once. Change: of the runs that are lost with an endpoint, those are held responsible that had not shown progress since their start. The count and the incarnations of the endpoints are in the record of progress, so that the next scheduler counts on.

--- a/src/libknapweed/cell/fleet.cpp
+++ b/src/libknapweed/cell/fleet.cpp
@@ -5,6 +5,19 @@
 namespace knapweed::cell
 {
 
+namespace
+{
+
+constexpr Seconds settleTime {6}; ///< an agent reports for an endpoint that does not answer for up to 5 s
+
+}
+
+bool hasSettled(const Allocation &allocation, BootTime now)
+{
+    const bool isListed = allocation.state == Allocation::State::Listed || allocation.state == Allocation::State::Stopping;
+    return allocation.percent > 0 || (isListed && now - allocation.firstOrderedAt >= settleTime);
+}
+
 Resources freeCapacity(const Endpoint &endpoint)
 {
     Resources free = endpoint.capacity;
--- a/src/libknapweed/cell/fleet.h
+++ b/src/libknapweed/cell/fleet.h
@@ -58,6 +58,7 @@
     BootTime lastReport;
     BootTime leaseExpiresAt; ///< no run on the endpoint continues beyond this time without a new grant
     std::map<RunId, Allocation> runs;
+    std::map<RunId, Allocation> lapsedRuns; ///< those it had when its lease expired; they count if it turns out to have crashed
     std::int64_t endsApplied = 0; ///< ends up to this number have been applied to the jobs
     std::int64_t endsStored = 0; ///< ends up to this number are durable; never above endsApplied
     std::deque<std::pair<std::int64_t, std::uint64_t>> endsPending; ///< number of an end and the write that makes it durable, both ascending
@@ -66,6 +67,10 @@
     BootTime avoidUntil; ///< no starts before this time, because runs have failed or stalled on it
 };
 
+/// Whether the endpoint has shown that it survived the start of the run: by the run's progress, or by going on for longer than its agent would report for an
+/// endpoint that does not answer.
+bool hasSettled(const Allocation &allocation, BootTime now);
+
 /// Capacity that no run uses or may still use.
 Resources freeCapacity(const Endpoint &endpoint);
 
--- a/src/libknapweed/cell/planner.cpp
+++ b/src/libknapweed/cell/planner.cpp
@@ -33,7 +33,7 @@
 };
 
 /// The properties that determine whether a unit finds free capacity.
-using Shape = std::tuple<std::string, std::string, std::string, std::int64_t, std::int64_t, std::int64_t, bool, bool, bool, bool>;
+using Shape = std::tuple<std::string, std::string, std::string, std::int64_t, std::int64_t, std::int64_t, bool, bool, bool, bool, bool>;
 
 struct Table
 {
@@ -93,7 +93,8 @@
         unit.prefersOneRack && unit.tasks > 1,
         unit.mayLeaveRack || unit.mayLeaveTooSmallRacks,
         unit.mayLeaveRack,
-        unit.mayUseSuspects};
+        unit.mayUseSuspects,
+        unit.startsAlone};
 }
 
 /// Whether finding free capacity depends on more than the shape.
@@ -194,7 +195,8 @@
         const PlannedEndpoint &endpoint = table.endpoints[place];
         const bool isAdvised = !unit.needsAdvice || unit.advised.count(endpoint.agent) != 0;
         const bool isTrusted = unit.mayUseSuspects || !endpoint.isSuspect;
-        const bool isCandidate = isAdvised && isTrusted && fits(unit.needs, mayPreempt ? endpoint.capacity : endpoint.freeCapacity);
+        const bool mayStart = !endpoint.isReserved && (!unit.startsAlone || !endpoint.hasStartingRuns);
+        const bool isCandidate = isAdvised && isTrusted && mayStart && fits(unit.needs, mayPreempt ? endpoint.capacity : endpoint.freeCapacity);
         if (isCandidate) {
             candidates.push_back({place, endpoint.freeCapacity, allowedOn(unit, endpoint, table.placed), {}});
         }
@@ -303,6 +305,8 @@
 {
     for (const std::size_t place : choice.places) {
         table.endpoints[place].freeCapacity -= unit.needs;
+        table.endpoints[place].hasStartingRuns = true;
+        table.endpoints[place].isReserved = table.endpoints[place].isReserved || unit.startsAlone;
         if (unit.tasksPerEndpoint > 0) {
             ++table.placed[unit.stepName][table.endpoints[place].agent];
         }
--- a/src/libknapweed/cell/planner.h
+++ b/src/libknapweed/cell/planner.h
@@ -37,6 +37,9 @@
     std::map<std::string, std::size_t> stepTasks; ///< tasks of the step that are already placed, by agent
     std::set<std::string> avoided; ///< agents to use only if no other endpoint has the label and enough capacity
     bool mayUseSuspects = true; ///< the unit may run on endpoints whose last run failed; otherwise it waits or preempts later work elsewhere
+    /// Endpoints have crashed under the unit: it is started only where no other run is still starting, and none is started beside it while it is. If the
+    /// endpoint crashes then, the cause is known.
+    bool startsAlone = false;
     double preemptionBudget = 0; ///< core-seconds of later work that may be lost for a unit of rank First
     bool needsAdvice = false;
     std::set<std::string> advised; ///< agents that the unit may use, if needsAdvice is set
@@ -60,6 +63,8 @@
     std::set<std::string> labels;
     Resources capacity;
     double speed = 1; ///< of its runs, relative to the usual speed; higher is faster
+    bool hasStartingRuns = false; ///< it has not shown yet that it survived the start of all its runs
+    bool isReserved = false; ///< one of these is of a unit that starts alone
     bool isSuspect = false; ///< its last run failed recently, so it is used only if no other endpoint has enough free capacity
     Resources freeCapacity; ///< negative where capacity that is still in use is reserved for a unit
     std::vector<RunningPart> parts;
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -21,6 +21,8 @@
 namespace knapweed::cell
 {
 
+constexpr std::int64_t runsPerGeneration = 1000000; ///< range of run numbers of one term, so that those of a later term are higher
+
 struct SchedulerOptions
 {
     std::int64_t generation = 0; ///< of this term; sent as the fence of all orders
@@ -140,6 +142,9 @@
     void declareRunTimes(const JobSpec &spec);
     Milliseconds runTimeOf(const Job &job, const Step &step) const;
     std::vector<BootTime> latestStartsOf(const Job &job, int occurrence) const;
+    std::vector<std::pair<RunId, bool>> runsBlamedForCrash(const Endpoint &endpoint, BootTime now) const;
+    void countCrash(const RunId &run, const std::string &endpoint, bool isCertain, BootTime now);
+    void countCrashesBeforeTerm(const Endpoint &endpoint, BootTime now);
     void updateHealth(Endpoint &endpoint, Job *job, RunOutcome outcome, BootTime now);
     void grant(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now);
     void advanceStoredEnds(Endpoint &endpoint);
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -52,6 +52,7 @@
     releaseOrphaned(endpoint, now);
     advanceStoredEnds(endpoint);
     if (awaitedAgents_.erase(peer) != 0) {
+        countCrashesBeforeTerm(endpoint, now);
         isPlanDue_ = true;
     }
 }
@@ -60,6 +61,8 @@
 {
     Endpoint &endpoint = endpoints_[agent];
     if (endpoint.incarnation != report.born || endpoint.id != report.endpoint) {
+        const std::vector<std::pair<RunId, bool>> blamed = runsBlamedForCrash(endpoint, now);
+        const std::string crashed = endpoint.id;
         // A new incarnation with the same id may still execute a delayed start order. Runs without an answer are therefore stopped there, and their units are
         // not started elsewhere before the lists of the new incarnation are known.
         std::map<RunId, Allocation> kept;
@@ -96,10 +99,14 @@
                 sendStop(endpoint, run, now);
             }
         }
+        for (const auto &[run, isCertain] : blamed) {
+            countCrash(run, crashed, isCertain, now);
+        }
     }
     if (endpoint.isDraining != report.draining) {
         logEvent(LogLevel::Info, "endpoint.draining", {{"endpoint", endpoint.id}, {"remaining_ms", std::to_string(report.leavesInMs)}});
     }
+    endpoint.lapsedRuns.clear();
     endpoint.service = report.serviceName;
     endpoint.failureDomain = report.failureDomain;
     endpoint.rack = report.rack;
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -26,7 +26,6 @@
 /// Multiple of a unit's own work. Urgent work beyond a guarantee is worth several times as much as later work of its size.
 constexpr double preemptionBudgetFactor = 2;
 constexpr double checkpointSeconds = 0.5; ///< work between two checkpoints
-constexpr std::int64_t runsPerGeneration = 1000000; ///< range of run numbers of one term, so that those of a later term are higher
 constexpr std::size_t maxPlannedUnits = 2000; ///< units considered in one round; bounds its duration on a small machine
 
 std::string joined(const std::vector<std::string> &words)
@@ -149,6 +148,7 @@
     waiting.tasksPerEndpoint = static_cast<std::size_t>(step.tasksPerEndpoint);
     waiting.avoided = unit.failedOn;
     waiting.mayUseSuspects = waiting.rank > Rank::First || now - unit.readySince > suspectWait;
+    waiting.startsAlone = unit.progress.crashes > 0;
     waiting.preemptionBudget = preemptionBudget(waiting.rank, step, waiting.tasks, runTime);
     if (step.tasksPerEndpoint > 0) {
         waiting.stepName = job.spec.id + '.' + std::to_string(key.occurrence) + '.' + std::to_string(key.step);
@@ -275,6 +275,10 @@
             part.rank = rankOf(job->second, guaranteed.count(run.task.job) != 0);
             part.needs = allocation.needs;
             part.isStopping = unit == job->second.units.end() || unit->second.isStopping || unit->second.progress.isDone;
+            if (!hasSettled(allocation, now)) {
+                row.hasStartingRuns = true;
+                row.isReserved = row.isReserved || (unit != job->second.units.end() && unit->second.progress.crashes > 0);
+            }
             lost[part.unit] += lostWork(job->second.spec.steps[key.step], allocation, now);
             row.parts.push_back(part);
         }
@@ -323,6 +327,10 @@
     unit.run = options_.generation * runsPerGeneration + ++startedRuns_;
     job.hasBegun = true;
     unit.progress.agents = agents;
+    unit.progress.incarnations.clear();
+    for (const std::string &agent : agents) {
+        unit.progress.incarnations.push_back(incarnationTag(endpoints_.at(agent).incarnation));
+    }
     const std::uint64_t write = writeProgress(job);
     const Step &step = job.spec.steps[key.step];
     std::vector<std::string> racks;
--- a/src/libknapweed/cell/schedulerunits.cpp
+++ b/src/libknapweed/cell/schedulerunits.cpp
@@ -6,6 +6,7 @@
 #include "cell/runwire.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace knapweed::cell
 {
@@ -112,9 +113,14 @@
     unit.isStopping = false;
     if (!unit.progress.isDone) {
         // Otherwise the next scheduler would wait for agents that may be gone. Agents that have not reported yet may be running another member.
-        std::erase_if(unit.progress.agents, [this](const std::string &agent) {
-            return awaitedAgents_.count(agent) == 0;
-        });
+        const std::vector<std::string> agents = std::exchange(unit.progress.agents, {});
+        const std::vector<int> incarnations = std::exchange(unit.progress.incarnations, {});
+        for (std::size_t i = 0; i < agents.size(); ++i) {
+            if (awaitedAgents_.count(agents[i]) != 0) {
+                unit.progress.agents.push_back(agents[i]);
+                unit.progress.incarnations.push_back(i < incarnations.size() ? incarnations[i] : 0);
+            }
+        }
     }
     unit.phase = unit.progress.isDone || job.isFinished ? Unit::Phase::Finished : Unit::Phase::Waiting;
     unit.readySince = now;
