--- a/tests/adapter/documentstest.cpp
+++ b/tests/adapter/documentstest.cpp
@@ -130,6 +130,15 @@
     return isOk(decodeEndpointStatus("i-1", document.dump()));
 }
 
+/// The complete report with one more member, or another value of one, given as text.
+std::string reportWithText(const std::string &name, const std::string &value)
+{
+    nlohmann::json report = completeReport;
+    report.erase(name);
+    const std::string text = report.dump();
+    return text.substr(0, text.size() - 1) + ",\"" + name + "\":" + value + '}';
+}
+
 nlohmann::json reportWith(const std::string &pointer, const nlohmann::json &value)
 {
     nlohmann::json report = completeReport;
@@ -200,6 +209,19 @@
     CHECK(!isReport(report));
 }
 
+/// Guards against processes that end by themselves: one deeply nested entry of another writer took down whoever read it.
+TEST(PlatformDocuments, deeplyNestedDocumentsAreRefused)
+{
+    for (const std::size_t depth : {40, 1000, 400000}) {
+        const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+        const std::string report = reportWithText("extra", nested);
+        CHECK(!isOk(decodeEndpointStatus("i-1", report)));
+        CHECK(!isOk(decodeSubmission(R"({"steps":[{"count":1}],"extra":)" + nested + '}')));
+        CHECK(!isOk(decodeConfiguration(R"({"version":7,"extra":)" + nested + '}')));
+    }
+    CHECK(isOk(decodeEndpointStatus("i-1", reportWithText("extra", "[[[{\"a\":[1]}]]]"))));
+}
+
 TEST(PlatformDocuments, taskNamesAreEncodedAndParsed)
 {
     const cell::TaskId task {"5c0e7a21d94b36f8", 3, 1, 17};
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -188,6 +188,7 @@
     "state": ("state",),
     "missing": ("capacity", "labels", "zone", "address", "version", "slots", "coldLeftMs", "clockMs", "born", "seq", "service", "state"),
     "type": ("capacity", "labels", "zone", "address", "version", "slots", "coldLeftMs", "clockMs", "born", "seq", "service", "state"),
+    "deep": (),
     "bytes": (),
     "delayed": (),
 }
@@ -204,6 +205,9 @@
         return identity, rng.choice((b"", b"\xff\xfe\x00", b'{"service":', b"[]", b'"ready"', rng.randbytes(40)))
     report = machine.report(boot)
     boot.sequence -= 1
+    if name == "deep":
+        depth = rng.choice((100, 10_000, 400_000))
+        return identity, json.dumps(report)[:-1].encode() + b',"extra":' + b"[" * depth + b"]" * depth + b"}"
     report["born"] = boot.born + rng.choice((0, 0, -60_000, 60_000, 1, int(1000 * (time.time() - boot.born / 1000))))
     report["seq"] = boot.sequence + rng.choice((-1, 0, 1, 1, 1000, 1_000_000))
     report["capacity"] = rng.choice((report["capacity"], report["capacity"], {}, {"cpu": 1, "memMb": 1, "gpu": 0}))
