--- a/tests/adapter/documentstest.cpp
+++ b/tests/adapter/documentstest.cpp
@@ -222,6 +222,37 @@
     CHECK(isOk(decodeEndpointStatus("i-1", reportWithText("extra", "[[[{\"a\":[1]}]]]"))));
 }
 
+/// Guards against sums that overflow: a number that is too large was taken as a capacity or a time.
+TEST(PlatformDocuments, endpointReportsWithANumberTooLargeAreRefused)
+{
+    for (const char *name : {"slots", "coldLeftMs", "clockMs", "seq", "born"}) {
+        for (const char *number : {"9223372036854775807", "9007199254740993", "18446744073709551616", "1e300", "-1"}) {
+            CHECK_TEXT(!isOk(decodeEndpointStatus("i-1", reportWithText(name, number))), (std::string(name) + ' ' + number).c_str());
+        }
+    }
+    for (const char *capacity :
+        {R"({"cpu":9223372036854775807,"memMb":1,"gpu":0})", R"({"cpu":1,"memMb":1000000000001,"gpu":0})", R"({"cpu":1,"memMb":1,"gpu":1e30})"}) {
+        CHECK_TEXT(!isOk(decodeEndpointStatus("i-1", reportWithText("capacity", capacity))), capacity);
+    }
+}
+
+TEST(PlatformDocuments, endpointReportsWithAnAddressOutOfRangeAreRefused)
+{
+    for (const char *address : {"\"10.128.0.9:99999\"", "\"10.128.0.9:0\"", "\"10.128.0.9:-1\"", "\"10.128.0.9\"", "\"10.128.0.9:8080x\""}) {
+        CHECK_TEXT(!isOk(decodeEndpointStatus("i-1", reportWithText("address", address))), address);
+    }
+}
+
+/// Guards against sums that overflow: a whole number written as a floating point number of any size was converted.
+TEST(PlatformDocuments, numbersTooLargeInOtherDocumentsAreNotTaken)
+{
+    const Result<cell::JobSpec, DocumentError> spec =
+        decodeSubmission(R"({"steps":[{"count":1,"cpu":1e300,"memMb":9223372036854775807,"gpu":2e18,"estMs":1e18}]})");
+    CHECK(!isOk(spec));
+    CHECK(!isOk(decodeConfiguration(R"({"version":1e300})")));
+    CHECK(!isOk(decodeConfiguration(R"({"version":18446744073709551615})")));
+}
+
 TEST(PlatformDocuments, taskNamesAreEncodedAndParsed)
 {
     const cell::TaskId task {"5c0e7a21d94b36f8", 3, 1, 17};
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -188,6 +188,8 @@
     "state": ("state",),
     "missing": ("capacity", "labels", "zone", "address", "version", "slots", "coldLeftMs", "clockMs", "born", "seq", "service", "state"),
     "type": ("capacity", "labels", "zone", "address", "version", "slots", "coldLeftMs", "clockMs", "born", "seq", "service", "state"),
+    "number": ("slots", "coldLeftMs", "clockMs", "seq", "born", "capacity"),
+    "port": ("address",),
     "deep": (),
     "bytes": (),
     "delayed": (),
@@ -219,6 +221,11 @@
         report["capacity"] = rng.choice((report["capacity"], {"cpu": 999_000, "memMb": 999_000, "gpu": 64}))
     elif name == "state":
         report["state"] = rng.choice(("starting", "unknown", "READY", "stopped"))
+    elif name == "number":
+        large = rng.choice((2**63 - 1, 2**64, 1e300, 2**53 + 1))
+        report[wrong] = {"cpu": large, "memMb": large, "gpu": large} if wrong == "capacity" else large
+    elif name == "port":
+        report["address"] = rng.choice(("10.0.0.1:99999", "10.0.0.1:-1", "10.0.0.1:0", "10.0.0.1"))
     elif name == "missing":
         del report[wrong]
     else:
