Start nothing beyond a capacity that has shrunk

A start that waited for its record or for a connection was sent and carried out long after (LIMIT). Change: a start whose endpoint is over its capacity when the record is durable is planned again; an order names the capacity for which it was planned, and the agent, which has the endpoint's newest report, refuses it if there is less.

--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -90,6 +90,7 @@
     void handle(const std::string &peer, const wire::StopOrder &order);
     bool isCurrent(const std::string &peer, std::int64_t generation, std::int64_t incarnation, const std::string &endpoint) const;
     void attemptStart(const std::string &peer, const wire::StartOrder &order, BootTime validUntil, int attempt);
+    bool hasShrunkSince(const wire::StartOrder &order) const;
     void startSucceeded(const std::string &peer, const wire::StartOrder &order);
     void recordStopOrder(const RunId &run);
     std::optional<RunId> newestUnansweredStartOf(const TaskId &task) const;
--- a/src/libknapweed/cell/agentstarts.cpp
+++ b/src/libknapweed/cell/agentstarts.cpp
@@ -84,6 +84,13 @@
     return unanswered;
 }
 
+/// Whether the endpoint has less capacity than when the start was planned. Orders may wait for a connection for seconds, and endpoints need not guard
+/// themselves.
+bool Agent::hasShrunkSince(const wire::StartOrder &order) const
+{
+    return !fits({order.milliCores, order.memoryMib, order.accelerators}, incarnation_->status.capacity);
+}
+
 /// Repeats a start that gets no answer. This is safe because an endpoint carries out each run number at most once. The order holds until the end of the lease
 /// under which it arrived, at @p validUntil: once that is over, the scheduler may have started the task elsewhere.
 void Agent::attemptStart(const std::string &peer, const wire::StartOrder &order, BootTime validUntil, int attempt)
@@ -94,6 +101,10 @@
         startFailed(peer, order, {EndpointError::Kind::Refused, "agent is not ready for this generation or endpoint"}, attempt);
         return;
     }
+    if (hasShrunkSince(order)) {
+        startFailed(peer, order, {EndpointError::Kind::Refused, "the endpoint's capacity has shrunk since the start was planned"}, attempt);
+        return;
+    }
     StartRequest request;
     request.endpoint = order.endpoint;
     request.fence = order.generation;
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -356,6 +356,9 @@
         order.run = wireRef(run);
         order.input = job.spec.input;
         order.checkpoint = unit.progress.checkpoint;
+        order.milliCores = endpoint.capacity.milliCores;
+        order.memoryMib = endpoint.capacity.memoryMib;
+        order.accelerators = endpoint.capacity.accelerators;
         const auto advice = advice_.find({jobId, key.occurrence, key.step});
         if (advice != advice_.end()) {
             order.ticket = ticketFor(advice->second, endpoint.id, now);
@@ -389,6 +392,15 @@
     if (endpoint == nullptr || allocation == endpoint->runs.end() || allocation->second.state != Allocation::State::Planned) {
         return; // stopped or lost in the meantime
     }
+    if (!fits({}, freeCapacity(*endpoint))) {
+        // The capacity has shrunk while the record was written. The whole unit is planned again.
+        const auto job = jobs_.find(start.run.task.job);
+        Unit *unit = job == jobs_.end() ? nullptr : unitOf(job->second, start.run.task);
+        if (unit != nullptr) {
+            stopUnit(*unit, now);
+        }
+        return;
+    }
     allocation->second.state = Allocation::State::Ordered;
     allocation->second.orderedAt = now;
     allocation->second.firstOrderedAt = now;
--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -8211,6 +8211,18 @@
 void StartOrder::__set_ticket(const std::string& val) {
   this->ticket = val;
 }
+
+void StartOrder::__set_milliCores(const int64_t val) {
+  this->milliCores = val;
+}
+
+void StartOrder::__set_memoryMib(const int64_t val) {
+  this->memoryMib = val;
+}
+
+void StartOrder::__set_accelerators(const int64_t val) {
+  this->accelerators = val;
+}
 std::ostream& operator<<(std::ostream& out, const StartOrder& obj)
 {
   obj.printTo(out);
@@ -8295,6 +8307,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->milliCores);
+          this->__isset.milliCores = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->memoryMib);
+          this->__isset.memoryMib = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->accelerators);
+          this->__isset.accelerators = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8340,6 +8376,18 @@
   xfer += oprot->writeString(this->ticket);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("milliCores", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->milliCores);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("memoryMib", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->memoryMib);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("accelerators", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->accelerators);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8354,6 +8402,9 @@
   swap(a.input, b.input);
   swap(a.checkpoint, b.checkpoint);
   swap(a.ticket, b.ticket);
+  swap(a.milliCores, b.milliCores);
+  swap(a.memoryMib, b.memoryMib);
+  swap(a.accelerators, b.accelerators);
   swap(a.__isset, b.__isset);
 }
 
@@ -8365,6 +8416,9 @@
   input = other239.input;
   checkpoint = other239.checkpoint;
   ticket = other239.ticket;
+  milliCores = other239.milliCores;
+  memoryMib = other239.memoryMib;
+  accelerators = other239.accelerators;
   __isset = other239.__isset;
 }
 StartOrder::StartOrder(StartOrder&& other240) noexcept {
@@ -8375,6 +8429,9 @@
   input = std::move(other240.input);
   checkpoint = std::move(other240.checkpoint);
   ticket = std::move(other240.ticket);
+  milliCores = other240.milliCores;
+  memoryMib = other240.memoryMib;
+  accelerators = other240.accelerators;
   __isset = other240.__isset;
 }
 StartOrder& StartOrder::operator=(const StartOrder& other241) {
@@ -8385,6 +8442,9 @@
   input = other241.input;
   checkpoint = other241.checkpoint;
   ticket = other241.ticket;
+  milliCores = other241.milliCores;
+  memoryMib = other241.memoryMib;
+  accelerators = other241.accelerators;
   __isset = other241.__isset;
   return *this;
 }
@@ -8396,6 +8456,9 @@
   input = std::move(other242.input);
   checkpoint = std::move(other242.checkpoint);
   ticket = std::move(other242.ticket);
+  milliCores = other242.milliCores;
+  memoryMib = other242.memoryMib;
+  accelerators = other242.accelerators;
   __isset = other242.__isset;
   return *this;
 }
@@ -8409,6 +8472,9 @@
   out << ", " << "input=" << to_string(input);
   out << ", " << "checkpoint=" << to_string(checkpoint);
   out << ", " << "ticket=" << to_string(ticket);
+  out << ", " << "milliCores=" << to_string(milliCores);
+  out << ", " << "memoryMib=" << to_string(memoryMib);
+  out << ", " << "accelerators=" << to_string(accelerators);
   out << ")";
 }
 
--- a/src/libknapweed/peers/gen/peers_types.h
+++ b/src/libknapweed/peers/gen/peers_types.h
@@ -3189,7 +3189,7 @@
 std::ostream& operator<<(std::ostream& out, const EndpointGrant& obj);
 
 typedef struct _StartOrder__isset {
-  _StartOrder__isset() : generation(false), endpoint(false), born(false), run(false), input(false), checkpoint(false), ticket(false) {}
+  _StartOrder__isset() : generation(false), endpoint(false), born(false), run(false), input(false), checkpoint(false), ticket(false), milliCores(false), memoryMib(false), accelerators(false) {}
   bool generation :1;
   bool endpoint :1;
   bool born :1;
@@ -3197,6 +3197,9 @@
   bool input :1;
   bool checkpoint :1;
   bool ticket :1;
+  bool milliCores :1;
+  bool memoryMib :1;
+  bool accelerators :1;
 } _StartOrder__isset;
 
 class StartOrder : public virtual ::apache::thrift::TBase {
@@ -3212,7 +3215,10 @@
                born(0),
                input(),
                checkpoint(),
-               ticket() {
+               ticket(),
+               milliCores(0),
+               memoryMib(0),
+               accelerators(0) {
   }
 
   virtual ~StartOrder() noexcept;
@@ -3223,6 +3229,9 @@
   std::string input;
   std::string checkpoint;
   std::string ticket;
+  int64_t milliCores;
+  int64_t memoryMib;
+  int64_t accelerators;
 
   _StartOrder__isset __isset;
 
@@ -3240,6 +3249,12 @@
 
   void __set_ticket(const std::string& val);
 
+  void __set_milliCores(const int64_t val);
+
+  void __set_memoryMib(const int64_t val);
+
+  void __set_accelerators(const int64_t val);
+
   bool operator == (const StartOrder & rhs) const
   {
     if (!(generation == rhs.generation))
@@ -3256,6 +3271,12 @@
       return false;
     if (!(ticket == rhs.ticket))
       return false;
+    if (!(milliCores == rhs.milliCores))
+      return false;
+    if (!(memoryMib == rhs.memoryMib))
+      return false;
+    if (!(accelerators == rhs.accelerators))
+      return false;
     return true;
   }
   bool operator != (const StartOrder &rhs) const {
--- a/src/libknapweed/peers/peers.thrift
+++ b/src/libknapweed/peers/peers.thrift
@@ -110,7 +110,11 @@
   15: i64 generation, 16: i64 leavesInMs, 17: string rack, 18: i64 life
 }
 struct EndpointGrant { 1: i64 generation, 2: i64 sentAtMs, 3: string endpoint, 4: i64 born, 5: i64 endsStored }
-struct StartOrder { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run, 5: string input, 6: string checkpoint, 7: string ticket }
+/// milliCores, memoryMib and accelerators are the endpoint's capacity for which the start was planned; the agent refuses it if the endpoint has less by then.
+struct StartOrder {
+  1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run, 5: string input, 6: string checkpoint, 7: string ticket,
+  8: i64 milliCores, 9: i64 memoryMib, 10: i64 accelerators
+}
 /// sequence is that of the agent's newest report. Only later reports can be expected to hold the run.
 struct StartResult { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run, 5: StartOutcome outcome, 6: string detail, 7: i64 sequence }
 struct StopOrder { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run }
--- a/tests/cell/agenttest.cpp
+++ b/tests/cell/agenttest.cpp
@@ -64,6 +64,25 @@
     LONGS_EQUAL(wire::StartOutcome::Unanswered, results()[0].outcome);
 }
 
+/// Guards against LIMIT: an order that waits for a connection or its record arrives at an endpoint whose capacity has shrunk.
+TEST(Agent, orderThatWasPlannedForMoreCapacityIsRefused)
+{
+    EndpointStatus status = statusOf(100);
+    status.sequence = 2;
+    status.capacity = {8000, 32768, 4};
+    agent->endpointReported(status);
+    wire::StartOrder order = orderOf(41);
+    order.milliCores = 16000;
+    order.memoryMib = 32768;
+    order.accelerators = 4;
+    agent->receive(schedulerName, order);
+    LONGS_EQUAL(0, starts.size());
+    LONGS_EQUAL(wire::StartOutcome::Rejected, results()[0].outcome);
+    order.milliCores = 8000;
+    agent->receive(schedulerName, order);
+    LONGS_EQUAL(1, starts.size());
+}
+
 TEST(Agent, startIsAbandonedAfterThreeAttempts)
 {
     agent->receive(schedulerName, orderOf(41));
--- a/tests/cell/fakeendpoint.cpp
+++ b/tests/cell/fakeendpoint.cpp
@@ -12,6 +12,7 @@
 
 constexpr Milliseconds stopDuration {200};
 constexpr Milliseconds timeToCrash {20};
+constexpr Milliseconds resizeSlack {4500}; ///< the platform's time for a machine to be in touch again, and one report
 constexpr Milliseconds gangStartTimeout {3000};
 constexpr Milliseconds maxLease {6000};
 
@@ -241,6 +242,9 @@
 void FakeEndpoint::checkCapacity()
 {
     Resources freeCapacity = status_.capacity;
+    if (resizedAt_ != BootTime() && now_ - resizedAt_ < resizeSlack) {
+        freeCapacity.accelerators = std::max(freeCapacity.accelerators, earlierCapacity_.accelerators);
+    }
     for (const auto &[run, state] : running_) {
         freeCapacity -= shared_.jobs.at(run.task.job).steps.at(run.task.step).needs;
     }
@@ -249,6 +253,13 @@
     }
 }
 
+void FakeEndpoint::resize(Resources capacity)
+{
+    earlierCapacity_ = status_.capacity;
+    resizedAt_ = now_;
+    status_.capacity = capacity;
+}
+
 void FakeEndpoint::restart(std::int64_t incarnation)
 {
     for (const auto &[run, state] : running_) {
--- a/tests/cell/fakeendpoint.h
+++ b/tests/cell/fakeendpoint.h
@@ -46,6 +46,9 @@
     Result<Milliseconds, EndpointError> start(const StartRequest &request);
     Result<Milliseconds, EndpointError> stop(const StopRequest &request);
 
+    /// The capacity shrinks or grows while the endpoint runs. A start may use what it had before until the news can have spread.
+    void resize(Resources capacity);
+
     /// Starts a new incarnation: all runs, ends and fences are lost.
     void restart(std::int64_t incarnation);
     /// The same under another id.
@@ -87,6 +90,8 @@
     Milliseconds leaseUntil_ {0}; ///< on the endpoint's clock
     std::optional<BootTime> crashesAt_; ///< a task that it has started crashes it then
     bool hasCrashed_ = false;
+    Resources earlierCapacity_; ///< before the last resize
+    BootTime resizedAt_;
     std::int64_t fence_ = 0;
     std::map<RunId, Running> running_;
     std::map<std::int64_t, ListedEnd> ended_;
--- a/tests/cell/randomtest.cpp
+++ b/tests/cell/randomtest.cpp
@@ -191,6 +191,17 @@
     runSeeds(options);
 }
 
+/// Guards against LIMIT: orders on their way, or waiting for a connection or the store, when the capacity of an endpoint shrinks.
+TEST(CellHistory, endpointsShrinkAndGrowWhileMessagesWait)
+{
+    SimulationOptions options;
+    options.resizesEndpoints = true;
+    options.delaysMessages = true;
+    options.pausesSchedulers = true;
+    options.losesStore = true;
+    runSeeds(options);
+}
+
 TEST(CellHistory, allTroublesOverlap)
 {
     SimulationOptions options;
--- a/tests/cell/schedulertest.cpp
+++ b/tests/cell/schedulertest.cpp
@@ -50,6 +50,25 @@
     LONGS_EQUAL(1, messagesOf<wire::StartOrder>(scheduler->takeOutput()).size());
 }
 
+/// Guards against LIMIT: a start that waits for its record was sent although the endpoint's capacity had shrunk.
+TEST(Scheduler, startIsNotSentWhenTheCapacityHasShrunkMeanwhile)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    scheduler->receive("entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 8})})), now, wall);
+    scheduler->stored(scheduler->takeOutput().lastWrite, now);
+    scheduler->tick(now, wall);
+    const SchedulerOutput planned = scheduler->takeOutput();
+    CHECK(!planned.writes.empty());
+    wire::EndpointReport report = reportOf("i-a", 1);
+    report.accelerators = 4;
+    scheduler->receive("a", report, now, wall);
+    scheduler->stored(planned.lastWrite, now);
+    CHECK(messagesOf<wire::StartOrder>(scheduler->takeOutput()).empty());
+    report = reportOf("i-a", 1);
+    LONGS_EQUAL(1, startsOf(send(*scheduler, "a", report)).size());
+}
+
 TEST(Scheduler, jobCancelledBeforeItsStartIsRecordedIsNeverStarted)
 {
     std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
--- a/tests/cell/simulation.cpp
+++ b/tests/cell/simulation.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr Milliseconds stepTime {5};
+const Resources fullCapacity {16000, 65536, 8};
 
 } // namespace
 
@@ -30,7 +31,7 @@
         const std::string name = "a" + std::to_string(i);
         AgentNode &node = agents_[name];
         node.name = name;
-        node.endpoint = std::make_unique<FakeEndpoint>(shared_, "i-" + name, Resources {16000, 65536, 8}, i % 2 == 0 ? 1.0 : 0.98);
+        node.endpoint = std::make_unique<FakeEndpoint>(shared_, "i-" + name, fullCapacity, i % 2 == 0 ? 1.0 : 0.98);
         node.endpoint->advance(now_);
         node.endpoint->restart(incarnation_);
         startAgent(node);
@@ -211,6 +212,11 @@
 {
     const BootTime end = now_ + span;
     injectsFaults_ = injectsFaults;
+    for (auto &[name, node] : agents_) {
+        if (options_.resizesEndpoints && !injectsFaults) {
+            node.endpoint->resize(fullCapacity);
+        }
+    }
     BootTime nextFault = now_ + between(200, 2000);
     BootTime nextCalls = now_;
     while (now_ < end) {
--- a/tests/cell/simulation.h
+++ b/tests/cell/simulation.h
@@ -38,6 +38,7 @@
     bool restartsAgents = false; ///< agents end and start again while messages for them wait
     bool hasOtherWriters = false; ///< agents receive reports about endpoints that another writer has made up
     int crashingJobEvery = 0; ///< tasks of each job with a multiple of this number crash the endpoints that start them; 0: none
+    bool resizesEndpoints = false; ///< their capacity shrinks and grows while they run
     bool renamesEndpoints = false; ///< endpoints start again under another id, and at times under their first one
 };
 
--- a/tests/cell/simulationfaults.cpp
+++ b/tests/cell/simulationfaults.cpp
@@ -96,6 +96,11 @@
             killAgent(node, independentBetween(20, independentChance() < 0.5 ? 300 : 9000));
         });
     }
+    if (options_.resizesEndpoints) {
+        faults.emplace_back([this, &node]() {
+            node.endpoint->resize({16000, 65536, independentChance() < 0.5 ? 8 : 2});
+        });
+    }
     if (options_.hasOtherWriters) {
         faults.emplace_back([this, &node]() {
             reportMadeUp(node);
