--- a/src/libknapweed/base/httpclient.cpp
+++ b/src/libknapweed/base/httpclient.cpp
@@ -2,7 +2,7 @@
 
 #include "base/httpclient.h"
 
-#include "base/invariant.h"
+#include "base/httpclientslots.h"
 #include "base/lwsrequest.h"
 
 #include <libwebsockets.h>
@@ -33,32 +33,17 @@
 
 struct Exchange;
 
-/// One place in the pool: at most one exchange at a time and at most one connection.
-struct Slot
-{
-    lws_vhost *vhost = nullptr;
-    Address target; ///< of its connections
-    bool isBusy = false; ///< an exchange has it, or isClosing
-    bool isClosing = false; ///< its idle connection is being closed
-    int handles = 0; ///< that libwebsockets has not destroyed yet; at most one of them is in use
-};
-
 } // namespace
 
 struct HttpClient::Private : std::enable_shared_from_this<HttpClient::Private>
 {
     EventLoop *loop = nullptr;
     bool isDestroyed = false;
-    std::vector<Slot> slots;
-    /// Invariant: each slot is busy, or in one of these: by target while it has a handle, else in emptySlots.
-    std::unordered_map<std::string, std::vector<std::size_t>> freeSlots;
-    std::vector<std::size_t> emptySlots;
+    HttpClientSlots slots;
     /// Each exchange until libwebsockets destroys its handle, also while the handle only keeps an idle connection.
     std::unordered_map<lws *, std::shared_ptr<Exchange>> handles;
 
     std::size_t takeSlot(const Address &target, HttpConnection connection);
-    void putSlot(std::size_t place);
-    void dropHandle(std::size_t place);
     lws_vhost *createVhost(std::size_t place);
     void start(const std::shared_ptr<Exchange> &exchange);
     void forget(lws *wsi);
@@ -118,7 +103,7 @@
     const std::shared_ptr<HttpClient::Private> client = exchange.client.lock();
     if (client != nullptr && exchange.holdsSlot) {
         exchange.holdsSlot = false;
-        client->putSlot(exchange.slot);
+        client->slots.put(exchange.slot);
     }
 }
 
@@ -276,53 +261,13 @@
 
 std::size_t HttpClient::Private::takeSlot(const Address &target, HttpConnection connection)
 {
-    const auto found = connection == HttpConnection::New ? freeSlots.end() : freeSlots.find(toString(target));
-    std::vector<std::size_t> &places = found == freeSlots.end() ? emptySlots : found->second;
-    if (places.empty()) {
-        places.push_back(slots.size());
-        slots.push_back({createVhost(slots.size()), target, false, false, 0});
-    }
-    const std::size_t place = places.back();
-    places.pop_back();
-    if (found != freeSlots.end() && places.empty()) {
-        freeSlots.erase(found);
+    const std::size_t place = slots.take(target, connection == HttpConnection::New);
+    if (slots[place].vhost == nullptr) {
+        slots[place].vhost = createVhost(place);
     }
-    slots[place].target = target;
-    slots[place].isBusy = true;
     return place;
 }
 
-void HttpClient::Private::putSlot(std::size_t place)
-{
-    Slot &slot = slots[place];
-    assertInvariant(slot.isBusy, "only a busy place is given back");
-    slot.isBusy = false;
-    (slot.handles == 0 ? emptySlots : freeSlots[toString(slot.target)]).push_back(place);
-}
-
-/// Its last connection has ended: any target may have it.
-void HttpClient::Private::dropHandle(std::size_t place)
-{
-    Slot &slot = slots[place];
-    --slot.handles;
-    assertInvariant(slot.handles >= 0, "a place counts its handles");
-    if (slot.isClosing && slot.handles == 0) {
-        slot.isClosing = false;
-        slot.isBusy = false;
-        emptySlots.push_back(place);
-        return;
-    }
-    const auto found = freeSlots.find(toString(slot.target));
-    if (slot.isBusy || slot.handles > 0 || found == freeSlots.end()) {
-        return;
-    }
-    std::erase(found->second, place);
-    if (found->second.empty()) {
-        freeSlots.erase(found);
-    }
-    emptySlots.push_back(place);
-}
-
 void HttpClient::Private::start(const std::shared_ptr<Exchange> &exchange)
 {
     lws_vhost *vhost = slots[exchange->slot].vhost;
@@ -364,7 +309,7 @@
     exchange->wsi = nullptr;
     fail(*exchange, "connection closed");
     releaseSlot(*exchange);
-    dropHandle(exchange->slot);
+    slots.dropHandle(exchange->slot);
 }
 
 void HttpClient::Private::expire(const std::shared_ptr<Exchange> &exchange)
@@ -383,16 +328,9 @@
 /// Closes the idle connections to @p target: what silenced one connection may have silenced them too, and nothing but another time-out would show it.
 void HttpClient::Private::closeIdle(const Address &target)
 {
-    const auto found = freeSlots.find(toString(target));
-    if (found == freeSlots.end()) {
+    if (!slots.beginClosing(target)) {
         return;
     }
-    const std::vector<std::size_t> places = std::move(found->second);
-    freeSlots.erase(found);
-    for (const std::size_t place : places) {
-        slots[place].isBusy = true;
-        slots[place].isClosing = true;
-    }
     for (const auto &[wsi, exchange] : handles) {
         if (slots[exchange->slot].isClosing) {
             lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
@@ -414,7 +352,7 @@
     for (const auto &[wsi, exchange] : d_->handles) {
         exchange->callback = nullptr;
     }
-    for (const Slot &slot : d_->slots) {
+    for (const HttpClientSlot &slot : d_->slots.all()) {
         if (slot.vhost != nullptr) {
             lws_vhost_destroy(slot.vhost);
         }
