--- a/src/libknapweed/cell/schedulercrashes.cpp
+++ b/src/libknapweed/cell/schedulercrashes.cpp
@@ -42,6 +42,7 @@
             && unitKeyOf(job->second.spec, run.task) == unitKeyOf(job->second.spec, starting.front().task);
     });
     std::vector<std::pair<RunId, bool>> result;
+    result.reserve(blamed.size());
     for (const RunId &run : blamed) {
         result.emplace_back(run, isOneUnit);
     }
