--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -21,7 +21,7 @@
 sys.path.insert(0, str(ROOT / "tests"))
 
 from soak.cell import APP, CONTROL, FRONT, STORE, Place, Process, settings_of  # noqa: E402
-from soak.httplite import Request, Response, Server, call  # noqa: E402
+from soak.httplite import Request, Response, Server, Silence, call  # noqa: E402
 from soak.run import free_net  # noqa: E402
 from soak.store import Store  # noqa: E402
 
@@ -116,6 +116,7 @@
         self.changed = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
         self.reports = asyncio.Lock()
+        self.mute_until = 0.0
         self.begin_life()
 
     def begin_life(self) -> None:
@@ -218,7 +219,16 @@
         running = [[run.task, run.number, "", self.percent(run), 0] for run in self.runs.values()]
         return self.answer(running=running, ended=self.ends[:MOST_ENDS])
 
+    def lose_answers(self, seconds: float) -> None:
+        self.mute_until = time.monotonic() + seconds
+
     async def handle(self, request: Request) -> Response:
+        response = await self.execute(request)
+        if time.monotonic() < self.mute_until:
+            raise Silence
+        return response
+
+    async def execute(self, request: Request) -> Response:
         body = request.json()
         if request.headers.get("x-expect-instance", self.id) != self.id:
             return self.answer(421)
