--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -1,7 +1,7 @@
 """A small cell of real processes on loopback: entries, agents, a store, runners and clients. The store and the HTTP helpers are those of tests/soak.
 
-The runners do what the users' pages say of a sound runner. What a task does stands in its `spec`: "work=SECONDS" and, for a gang, "gang=COUNT"; "work=inf"
-is a task that lasts. Everything that was sent, answered and run is written to record.txt in the folder of the case."""
+The runners do what the users' pages say of a sound runner. What a task does stands in its `spec`: "work=SECONDS"; "work=inf" is a task that
+lasts. Everything that was sent, answered and run is written to record.txt in the folder of the case."""
 
 from __future__ import annotations
 
@@ -31,7 +31,6 @@
 CALL_BYTES = 2_097_152
 LEASE_MS = 6000
 STOP_S = 0.1
-GANG_S = 3.0
 STARTUP_S = 0.3  # of a task that lasts
 REPORT_S = 1.5
 MOST_ENDS = 500
@@ -75,7 +74,6 @@
     task: str
     number: int
     spec: dict[str, str]
-    checkpoint: str
     began: float
     worked: float = 0.0
     counted: float = 0.0  # until when `worked` counts
@@ -100,15 +98,10 @@
     rack: str
     service: str
     record: Record
-    gpus: int = 8
-    labels: list[str] = field(default_factory=list)
-    slowness: float = 1.0  # tasks take so many times as long
-    refuses_starts: bool = False  # answers 503 to starts and does nothing
     runs: dict[str, Run] = field(default_factory=dict)
-    starts: list[tuple[float, str, int]] = field(default_factory=list)
+    starts: list[str] = field(default_factory=list)  # the tasks, over all lives
     ends: list[list] = field(default_factory=list)
     closed: dict[str, int] = field(default_factory=dict)
-    history: list[tuple[str, str]] = field(default_factory=list)  # task and how it ended, over all lives
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.name)
@@ -170,7 +163,7 @@
             body = {"service": self.service, "address": f"{self.ip}:{APP}", "zone": self.zone, "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0}
             if self.leaves_at is not None:
                 body["remainingMs"] = max(0, int(1000 * (self.leaves_at - time.monotonic())))
-            body |= {"capacity": {"cpu": 128_000, "memMb": 262_144, "gpu": self.gpus}, "labels": ["a", self.rack, *self.labels]}
+            body |= {"capacity": {"cpu": 128_000, "memMb": 262_144, "gpu": 8}, "labels": ["a", self.rack]}
             body |= {"clockMs": self.clock(), "seq": self.seq, "born": self.born}
             answer = await call((self.ip, CONTROL), "PUT", f"/-/instances/{self.id}", json.dumps(body).encode(), timeout=1.0)
             return answer is not None and answer.status == 200
@@ -185,9 +178,7 @@
                 for run in list(self.runs.values()):
                     self.end(run, "lapsed")
             for run in list(self.runs.values()):
-                if "gang" in run.spec:
-                    continue  # no case lets all members of a gang be present
-                run.worked += (now - run.counted) / self.slowness
+                run.worked += now - run.counted
                 run.counted = now
                 if run.worked >= run.work:
                     self.end(run, "done")
@@ -199,7 +190,6 @@
         self.closed[run.task] = max(self.closed.get(run.task, 0), run.number)
         self.made += 1
         self.ends.append([self.made, run.task, run.number, how, ""])
-        self.history.append((run.task, how))
         self.record.write(f"runner {self.name}: {run.task} run {run.number} ended {how} after {time.monotonic() - run.began:.2f} s")
         self.changed.set()
 
@@ -254,9 +244,6 @@
 
     def run_start(self, body: dict) -> Response:
         task, number = str(body["task"]), int(body["run"])
-        if self.refuses_starts:
-            self.record.write(f"runner {self.name}: refuses the start of {task} run {number} with 503")
-            return self.answer(503)
         self.extend(body.get("untilMs"))
         present = self.runs.get(task)
         if present is not None and present.number == number:
@@ -267,8 +254,8 @@
             return self.answer(409, reason="late")
         now = time.monotonic()
         spec = dict(word.split("=", 1) for word in str(body["spec"]).split() if "=" in word)
-        self.runs[task] = Run(task, number, spec, str(body.get("checkpoint", "")), now, counted=now)
-        self.starts.append((now, task, number))
+        self.runs[task] = Run(task, number, spec, now, counted=now)
+        self.starts.append(task)
         self.record.write(f"runner {self.name}: {task} run {number} started")
         return self.answer()
 
@@ -399,12 +386,7 @@
         return [(runner, run) for runner in self.runners for run in runner.runs.values() if run.job == job]
 
     def starts(self, job: str) -> int:
-        return sum(task.split(".")[0] == job for runner in self.runners for _, task, _ in runner.starts)
-
-    def used_gpus(self, service: str, gpus: dict[str, int]) -> tuple[int, int]:
-        """GPUs in use and present at the runners of a service; `gpus` holds those of one task by job."""
-        mine = [runner for runner in self.runners if runner.service == service]
-        return sum(gpus[run.job] for runner in mine for run in runner.runs.values()), sum(runner.gpus for runner in mine)
+        return sum(task.split(".")[0] == job for runner in self.runners for task in runner.starts)
 
 
 def has_trouble() -> bool:
