--- a/review/1/case.py
+++ b/review/1/case.py
@@ -54,4 +54,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(play(CASE, [route("q", "/q/", "svc")], [{"service": "svc"} for _ in range(7)], script))
+    sys.exit(play(CASE, [route("q", "/q/", "svc")], [{"service": "svc"} for _ in range(10)], script))
