Await the lists of a recorded agent until its own lease is over

Cause: the next scheduler took all recorded runs to be over when the leases of its predecessor were, but extends the lease with each report itself, also before it knows the endpoint's lists. Change: each agent is awaited until its lists are known, or until the later of the earlier leases' end and the lease that this scheduler has granted it. Who else: a unit on an endpoint that never answers again waits up to 5 s longer (its agent stops reporting then); other units do not wait (test).

--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -175,7 +175,8 @@
         writePendingCheckpoints(now);
     }
     addDueOccurrences(now, wall);
-    if (isRecovering_ && (awaitedAgents_.empty() || now >= recoveryEnds_)) {
+    removeLapsedAgents(now);
+    if (isRecovering_ && awaitedAgents_.empty()) {
         finishRecovery(now);
     }
     if (isRecovering_) {
@@ -229,16 +230,37 @@
     }
 }
 
+/// When no run that an earlier scheduler started through the agent can be going on any more. This scheduler extends the lease of an endpoint as long as its
+/// agent reports, also while the endpoint does not answer the agent and its lists are unknown.
+BootTime Scheduler::latestRunEnd(const std::string &agent) const
+{
+    const auto endpoint = endpoints_.find(agent);
+    return endpoint == endpoints_.end() ? recoveryEnds_ : std::max(recoveryEnds_, endpoint->second.leaseExpiresAt);
+}
+
+/// Stops waiting for the agents whose runs are over because no lease for them is left.
+void Scheduler::removeLapsedAgents(BootTime now)
+{
+    for (auto agent = awaitedAgents_.begin(); agent != awaitedAgents_.end();) {
+        if (now < latestRunEnd(*agent)) {
+            ++agent;
+            continue;
+        }
+        logEvent(LogLevel::Warning, "recovery.lapsed", {{"agent", *agent}, {"has_reported", endpoints_.count(*agent) != 0 ? "yes" : "no"}});
+        ++lapsedAgents_;
+        agent = awaitedAgents_.erase(agent);
+        isPlanDue_ = true;
+    }
+}
+
 void Scheduler::finishRecovery(BootTime now)
 {
-    const std::size_t missing = awaitedAgents_.size();
-    awaitedAgents_.clear();
     stopPartialGangs(now);
     isRecovering_ = false;
     isPlanDue_ = true;
     logEvent(LogLevel::Info,
         "scheduler.recovered",
-        {{"generation", std::to_string(options_.generation)}, {"endpoints", std::to_string(endpoints_.size())}, {"missing", std::to_string(missing)}});
+        {{"generation", std::to_string(options_.generation)}, {"endpoints", std::to_string(endpoints_.size())}, {"missing", std::to_string(lapsedAgents_)}});
 }
 
 void Scheduler::addDueOccurrences(BootTime now, WallTime wall)
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -64,7 +64,7 @@
     void load(const std::map<std::string, std::string> &records, BootTime now, WallTime wall);
 
     /// Starts the recovery after a change of scheduler. A unit that an earlier scheduler may have started is not started again until all agents recorded with
-    /// it have reported, or until all leases granted by that scheduler have expired.
+    /// it have reported the lists of their endpoints, or until the leases there, including those granted by this scheduler, have expired.
     void beginRecovery(BootTime now);
 
     void setConfiguration(const CellConfiguration &configuration);
@@ -165,6 +165,8 @@
 
     void restoreOrder();
     void removeLostEndpoints(BootTime now);
+    BootTime latestRunEnd(const std::string &agent) const;
+    void removeLapsedAgents(BootTime now);
     void finishRecovery(BootTime now);
     bool mayRunOnAwaitedAgent(const Unit &unit) const;
     void stopPartialGangs(BootTime now);
@@ -207,9 +209,10 @@
     bool hasBlockedUnits_ = false; ///< units found no free capacity in the last round; rack waits and endpoint health also change with time
     BootTime plannedAt_;
     BootTime checkedAt_; ///< when the time-outs of all runs were last checked
-    std::set<std::string> awaitedAgents_; ///< recorded with a run by an earlier scheduler; no report received yet
+    std::set<std::string> awaitedAgents_; ///< recorded with a run by an earlier scheduler; the endpoint's lists are not known yet, and its lease is not over
+    std::size_t lapsedAgents_ = 0; ///< agents that were awaited until no lease was left
     std::vector<PendingStart> pendingStarts_; ///< wait until their record is durable
-    BootTime recoveryEnds_;
+    BootTime recoveryEnds_; ///< all leases granted by earlier schedulers have expired
 };
 
 } // namespace knapweed::cell
--- a/tests/cell/randomtest.cpp
+++ b/tests/cell/randomtest.cpp
@@ -18,6 +18,8 @@
 
 constexpr int defaultSeeds = 12; ///< for each test, in CI
 constexpr int jobsPerHistory = 14;
+constexpr Milliseconds calmTime {60000}; ///< for all jobs to finish; finished jobs are forgotten after 150 s
+constexpr Milliseconds calmTimePerWork {20000};
 
 int integerFromEnvironment(const char *variable, int fallback)
 {
@@ -51,6 +53,9 @@
     pcg32 random(options.seed + 77);
     for (int number = 0; number < jobsPerHistory; ++number) {
         JobSpec job = randomJob(random, number);
+        for (Step &step : job.steps) {
+            step.estimate *= options.workFactor;
+        }
         if (options.crashingJobEvery > 0 && number % options.crashingJobEvery == 0) {
             job.input = crashingInput;
         }
@@ -61,7 +66,7 @@
         }
     }
     simulation.run(Milliseconds(4000), true);
-    simulation.run(Milliseconds(60000), false);
+    simulation.run(calmTime + calmTimePerWork * (options.workFactor - 1), false);
     if (!simulation.violations().empty() || simulation.unfinishedJobs() != 0 || simulation.acceptedJobs() != jobsPerHistory) {
         std::printf("seed %llu: %zu accepted, %zu unfinished, %zu reported as succeeded, %lld generations\n",
             static_cast<unsigned long long>(options.seed),
@@ -167,6 +172,16 @@
     runSeeds(options);
 }
 
+/// Guards against TWICE: the next scheduler starts tasks again whose endpoints it extends the lease of without knowing their lists.
+TEST(CellHistory, endpointsDoNotAnswerWhileSchedulersChange)
+{
+    SimulationOptions options;
+    options.mutesEndpoints = true;
+    options.changesSchedulers = true;
+    options.workFactor = 4; // for runs that last longer than a recovery
+    runSeeds(options);
+}
+
 /// Guards against BUDGET: one task takes endpoint after endpoint down.
 TEST(CellHistory, tasksCrashTheirEndpoints)
 {
--- a/tests/cell/simulation.h
+++ b/tests/cell/simulation.h
@@ -37,8 +37,10 @@
     double lostAnswerShare = 0; ///< share of the calls to endpoints that are carried out at once and whose answer is lost
     bool restartsAgents = false; ///< agents end and start again while messages for them wait
     bool hasOtherWriters = false; ///< agents receive reports about endpoints that another writer has made up
+    int workFactor = 1; ///< multiplies the work of all tasks
     int crashingJobEvery = 0; ///< tasks of each job with a multiple of this number crash the endpoints that start them; 0: none
     bool resizesEndpoints = false; ///< their capacity shrinks and grows while they run
+    bool mutesEndpoints = false; ///< for up to fourteen seconds, an endpoint carries out its calls and all answers are lost
     bool renamesEndpoints = false; ///< endpoints start again under another id, and at times under their first one
 };
 
@@ -84,6 +86,7 @@
         BootTime downUntil;
         BootTime nextHeartbeat;
         BootTime endpointBackAt; ///< meaningful while the endpoint has crashed
+        BootTime mutedUntil; ///< the endpoint's answers are lost until then
     };
 
     /// A process that is paused receives everything that has arrived meanwhile, in order, when it goes on.
--- a/tests/cell/simulationagents.cpp
+++ b/tests/cell/simulationagents.cpp
@@ -73,6 +73,13 @@
         answer(callTimeout, EndpointError {EndpointError::Kind::Unanswered, "timed out"});
         return;
     }
+    if (now_ < node.mutedUntil) {
+        after(independentBetween(1, 4) + wait, [call]() {
+            call();
+        });
+        answer(callTimeout + wait, EndpointError {EndpointError::Kind::Unanswered, "timed out"});
+        return;
+    }
     if (injectsFaults_ && options_.lostAnswerShare > 0 && independentChance() < options_.lostAnswerShare) {
         after(independentBetween(1, 4) + wait, [call]() {
             call();
--- a/tests/cell/simulationfaults.cpp
+++ b/tests/cell/simulationfaults.cpp
@@ -84,6 +84,11 @@
             processes_[scheduler].pausedUntil = now_ + independentBetween(50, 7000);
         });
     }
+    if (options_.mutesEndpoints) {
+        faults.emplace_back([this, &node]() {
+            node.mutedUntil = now_ + independentBetween(1000, 14000);
+        });
+    }
     if (options_.renamesEndpoints) {
         faults.emplace_back([this, &node]() {
             ++incarnation_;
