Take over new seeds when the settings file changes

Cause: the seeds were read once at the start. A process whose known entries had all left never found the others, though its settings named them. Evidence: agents got SIGHUP ten times and logged settings.unchanged; the leader recovered with endpoints=0. Change: the file is read again on SIGHUP and each second; new seeds are taken over, changes of other settings and invalid files are logged once and change nothing. Who else: a half-written file is refused and read again; an entry that is alone stays so; nothing of the scheduler has changed.

--- a/src/knapweedstaged/cellagenttask.cpp
+++ b/src/knapweedstaged/cellagenttask.cpp
@@ -13,14 +13,16 @@
 {
 
 constexpr Milliseconds tickInterval {100};
+constexpr Milliseconds reloadInterval {1000}; ///< the settings file may change without a signal
 constexpr std::size_t entryLinks =
     3; ///< to receive the announcements of a new scheduler; with the seeds, enough to survive the loss of several entries at once
 constexpr const char *reportPath = "/-/instances/";
 
 } // namespace
 
-CellAgentTask::CellAgentTask(const cell::CellSettings &settings)
-    : settings_(settings)
+CellAgentTask::CellAgentTask(const cell::SettingsFile &file)
+    : settingsFile_(file)
+    , settings_(file.settings)
     , http_(loop_)
 {
     PeerNetworkOptions options;
@@ -55,6 +57,9 @@
     loop_.callEvery(tickInterval, [this]() {
         agent_->tick();
     });
+    loop_.callEvery(reloadInterval, [this]() {
+        reload();
+    });
     logEvent(LogLevel::Info, "process.started", {{"peers", self.address}, {"endpoint", toString(settings_.endpoint)}});
 }
 
@@ -131,7 +136,11 @@
 
 void CellAgentTask::reload()
 {
-    logEvent(LogLevel::Info, "settings.unchanged", {{"reason", "no setting of this role changes while it runs"}});
+    const std::optional<cell::CellSettings> changed = cell::rereadSettings(settingsFile_);
+    if (changed) {
+        settings_ = *changed;
+        peers_->setSeeds(settings_.seeds);
+    }
 }
 
 } // namespace knapweed
--- a/src/knapweedstaged/cellagenttask.h
+++ b/src/knapweedstaged/cellagenttask.h
@@ -6,7 +6,7 @@
 #include "base/httpclient.h"
 #include "base/httpserver.h"
 #include "cell/agent.h"
-#include "cell/settings.h"
+#include "cell/settingsfile.h"
 #include "peers/peernetwork.h"
 
 #include <memory>
@@ -17,7 +17,7 @@
 class CellAgentTask
 {
 public:
-    explicit CellAgentTask(const cell::CellSettings &settings);
+    explicit CellAgentTask(const cell::SettingsFile &file);
     ~CellAgentTask();
     CellAgentTask(const CellAgentTask &) = delete;
     CellAgentTask &operator=(const CellAgentTask &) = delete;
@@ -33,13 +33,14 @@
     /// Stops at once. Runs in progress are covered by a lease, and the next incarnation of the agent takes them over.
     void drain();
 
-    /// Only logs that no setting of this role can change while the process runs.
+    /// Applies the settings file if it has changed.
     void reload();
 
 private:
     PeerNetworkEvents networkEvents();
     void handleReport(const HttpRequest &request, const HttpResponder &respond);
 
+    cell::SettingsFile settingsFile_;
     cell::CellSettings settings_;
     EventLoop loop_;
     HttpClient http_;
--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr Milliseconds tickInterval {100};
+constexpr Milliseconds reloadInterval {1000}; ///< the settings file may change without a signal
 constexpr Milliseconds listenerDrainTime {2500}; ///< the platform routes new connections to this entry until two readiness probes have failed
 constexpr Milliseconds shutdownReserve {1000}; ///< time before the platform kills the process; requests still open then would be aborted in any case
 
@@ -32,14 +33,15 @@
 
 } // namespace
 
-CellEntryTask::CellEntryTask(const cell::CellSettings &settings)
-    : settings_(settings)
+CellEntryTask::CellEntryTask(const cell::SettingsFile &file)
+    : settingsFile_(file)
+    , settings_(file.settings)
     , http_(loop_)
-    , store_(http_, settings.store)
+    , store_(http_, settings_.store)
     , feed_(loop_,
           store_,
-          settings.configurationApplyTime,
-          static_cast<std::uint32_t>(std::hash<std::string>()(settings.name)),
+          settings_.configurationApplyTime,
+          static_cast<std::uint32_t>(std::hash<std::string>()(settings_.name)),
           [this](const cell::CellConfiguration &configuration) {
               configurationChanged(configuration);
           })
@@ -62,13 +64,14 @@
     self.region = settings_.region;
     self.failureDomain = settings_.failureDomain;
     self.processorPermille = processorPermille();
-    std::vector<Address> seeds = settings_.seeds;
-    std::erase(seeds, peerServer_->address());
-    peers_->attach(*peerServer_, self, seeds);
+    peers_->attach(*peerServer_, self, settings_.seeds);
     feed_.start();
     loop_.callEvery(tickInterval, [this]() {
         tick();
     });
+    loop_.callEvery(reloadInterval, [this]() {
+        reload();
+    });
     maintainLeadership();
     logEvent(LogLevel::Info, "process.started", {{"peers", self_}, {"callers", toString(settings_.callers)}, {"store", toString(settings_.store)}});
 }
@@ -283,7 +286,11 @@
 
 void CellEntryTask::reload()
 {
-    logEvent(LogLevel::Info, "settings.unchanged", {{"reason", "no setting of this role changes while it runs"}});
+    const std::optional<cell::CellSettings> changed = cell::rereadSettings(settingsFile_);
+    if (changed) {
+        settings_ = *changed;
+        peers_->setSeeds(settings_.seeds);
+    }
 }
 
 bool CellEntryTask::isListening() const
--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -9,7 +9,7 @@
 #include "callrelay.h"
 #include "cell/election.h"
 #include "cell/scheduler.h"
-#include "cell/settings.h"
+#include "cell/settingsfile.h"
 #include "cellcallerapi.h"
 #include "configurationfeed.h"
 #include "journalwriter.h"
@@ -25,7 +25,7 @@
 class CellEntryTask
 {
 public:
-    explicit CellEntryTask(const cell::CellSettings &settings);
+    explicit CellEntryTask(const cell::SettingsFile &file);
     ~CellEntryTask();
     CellEntryTask(const CellEntryTask &) = delete;
     CellEntryTask &operator=(const CellEntryTask &) = delete;
@@ -41,7 +41,7 @@
     /// Starts the graceful shutdown. Further calls have no effect.
     void drain();
 
-    /// Only logs that no setting of this role can change while the process runs.
+    /// Applies the settings file if it has changed.
     void reload();
 
 private:
@@ -77,6 +77,7 @@
     void tick();
     void finishDrain(MonotonicTime now);
 
+    cell::SettingsFile settingsFile_;
     cell::CellSettings settings_;
     EventLoop loop_;
     Metrics metrics_;
--- a/src/knapweedstaged/main.cpp
+++ b/src/knapweedstaged/main.cpp
@@ -3,7 +3,7 @@
 #include "agent.h"
 #include "base/logging.h"
 #include "base/settings.h"
-#include "cell/settings.h"
+#include "cell/settingsfile.h"
 #include "cellagenttask.h"
 #include "cellentrytask.h"
 #include "entry.h"
@@ -42,12 +42,13 @@
     return isEntry ? knapweed::runEntry(settings) : knapweed::runAgent(settings);
 }
 
-int runCell(const knapweed::cell::CellSettings &settings)
+int runCell(const knapweed::cell::SettingsFile &file)
 {
+    const knapweed::cell::CellSettings &settings = file.settings;
     knapweed::blockTerminationSignals();
     knapweed::initializeLogging(settings.name, settings.logLevel, knapweed::LogStream::StandardOutput);
     const bool isEntry = settings.role == knapweed::ProcessRole::Entry;
-    const int status = isEntry ? knapweed::runTask<knapweed::CellEntryTask>(settings) : knapweed::runTask<knapweed::CellAgentTask>(settings);
+    const int status = isEntry ? knapweed::runTask<knapweed::CellEntryTask>(file) : knapweed::runTask<knapweed::CellAgentTask>(file);
     // All requests have been answered and all events logged. The teardown of libraries and their threads is not needed and could exceed the platform's grace
     // time, so it is skipped.
     std::fflush(nullptr);
@@ -80,7 +81,7 @@
     if (cellFile != nullptr || checkedCellFile != nullptr) {
         knapweed::cell::CellSettings settings;
         const int status = checkSettings(knapweed::cell::readCellSettings(cellFile != nullptr ? cellFile : checkedCellFile), settings);
-        return status != 0 || checkedCellFile != nullptr ? status : runCell(settings);
+        return status != 0 || checkedCellFile != nullptr ? status : runCell({cellFile, settings, {}});
     }
     knapweed::Settings settings;
     const int status = checkSettings(knapweed::readSettings(settingsFile != nullptr ? settingsFile : checkedFile), settings);
--- a/src/libknapweed/cell/settings.h
+++ b/src/libknapweed/cell/settings.h
@@ -35,6 +35,8 @@
     Address endpointReports; ///< agent only: listen address for the endpoint's reports
     Address endpoint; ///< agent only: address at which the endpoint accepts orders
     std::string service; ///< agent only: the service that the endpoint runs; empty if it is not known
+
+    bool operator==(const CellSettings &) const = default;
 };
 
 Result<CellSettings, SettingsError> parseCellSettings(const std::string &json);
--- a/src/libknapweed/peers/peernetwork.cpp
+++ b/src/libknapweed/peers/peernetwork.cpp
@@ -36,6 +36,18 @@
 
 } // namespace
 
+void PeerNetwork::Private::setSeeds(const std::vector<Address> &seeds)
+{
+    for (auto &[address, target] : dials) {
+        target.isSeed = false; // tickDials() removes those that nothing else needs
+    }
+    for (const Address &seed : seeds) {
+        if (toString(seed) != roster.self.address) {
+            dials[toString(seed)].isSeed = true;
+        }
+    }
+}
+
 void PeerNetwork::Private::send(const std::string &peer, const PeerMessage &message)
 {
     if (peer == roster.self.address) {
@@ -331,11 +343,7 @@
     d_->roster.self = self;
     d_->lastTick = std::chrono::steady_clock::now();
     d_->attachedAt = d_->lastTick;
-    for (const Address &seed : seeds) {
-        if (toString(seed) != self.address) {
-            d_->dials[toString(seed)].isSeed = true;
-        }
-    }
+    d_->setSeeds(seeds);
     for (auto &[id, link] : d_->links) {
         d_->sendHello(link);
     }
@@ -347,6 +355,11 @@
     d_->tickDials(d_->lastTick);
 }
 
+void PeerNetwork::setSeeds(const std::vector<Address> &seeds)
+{
+    d_->setSeeds(seeds);
+}
+
 void PeerNetwork::send(const std::string &peer, const PeerMessage &message)
 {
     d_->send(peer, message);
--- a/src/libknapweed/peers/peernetwork.h
+++ b/src/libknapweed/peers/peernetwork.h
@@ -53,6 +53,9 @@
     /// and reconnects to them after a failure.
     void attach(HttpServer &server, const wire::RosterEntry &self, const std::vector<Address> &seeds);
 
+    /// Replaces the seeds. Connections to former seeds stay open.
+    void setSeeds(const std::vector<Address> &seeds);
+
     /// Sends @p message on the connection to @p peer. Without a connection, queues the message and opens one; the queue is bounded and drops
     /// the oldest messages first.
     void send(const std::string &peer, const PeerMessage &message);
--- a/src/libknapweed/peers/peernetworkprivate.h
+++ b/src/libknapweed/peers/peernetworkprivate.h
@@ -97,6 +97,7 @@
     std::vector<wire::RosterEntry> gossip() const;
 
     // peernetwork.cpp: which addresses to connect to, and timed tasks
+    void setSeeds(const std::vector<Address> &seeds);
     void send(const std::string &peer, const PeerMessage &message);
     void enqueue(const std::string &peer, std::string bytes);
     void tick();
--- a/tests/peers/networktest.cpp
+++ b/tests/peers/networktest.cpp
@@ -74,6 +74,22 @@
     CHECK(isReplaced);
 }
 
+/// Guards against LOST: once all known entries had been replaced, no process found the others any more.
+TEST(PeerNetwork, newSeedsAreConnectedTo)
+{
+    TestNode former(wire::Role::Entry, 1);
+    TestNode next(wire::Role::Entry, 2);
+    TestNode agent(wire::Role::Agent, 3);
+    former.start({});
+    next.start({});
+    agent.start({former.listening()});
+    CHECK(agent.waitConnected(former.name()));
+    agent.task().call([&]() {
+        agent.network().setSeeds({next.listening()});
+    });
+    CHECK(agent.waitConnected(next.name()));
+}
+
 TEST(PeerNetwork, agentsConnectToEachOtherToSend)
 {
     TestNode first(wire::Role::Agent, 1);
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -19,9 +19,16 @@
 FOREIGN_GAP_S = (0.1, 0.5)  # about 2.6 s for each of 9 agents
 
 
+# process, whether it is planned, seconds until the settings name the new seeds, whether SIGHUP says so
+ReplaceEntry = Callable[[Process, bool, float, bool], Awaitable[None]]
+
+
 class Faults:
-    def __init__(self, seed: int, judge: Judge, store: Store, machines: list[Machine], entries: list[Process], agents: list[Process]) -> None:
+    def __init__(
+        self, seed: int, judge: Judge, store: Store, machines: list[Machine], entries: list[Process], agents: list[Process], replace_entry: ReplaceEntry
+    ) -> None:
         self.seed, self.judge, self.store, self.machines, self.entries, self.agents = seed, judge, store, machines, entries, agents
+        self.replace = replace_entry
         self.version = 1
         self.kinds: dict[str, tuple[Callable[[random.Random], Awaitable[None]], tuple[float, float]]] = {
             "agent-kill": (self.agent_kill, (1, 4)),
@@ -29,6 +36,7 @@
             "agent-pause": (lambda rng: self.pause(rng, self.agents), (0.5, 3)),
             "agent-throttle": (lambda rng: self.throttle(rng, self.agents), (0.1, 1)),
             "entry-kill": (self.entry_kill, (4, 10)),
+            "entry-replace": (self.entry_replace, (0.5, 4)),
             "entry-pause": (lambda rng: self.pause(rng, self.entries), (2, 6)),
             "entry-throttle": (lambda rng: self.throttle(rng, self.entries), (1, 4)),
             "endpoint-crash": (lambda rng: self.endpoint_crash(rng, False), (1, 4)),
@@ -78,6 +86,16 @@
     async def entry_kill(self, rng: random.Random) -> None:
         await self._kill(rng, rng.choice(self.entries), None)
 
+    async def entry_replace(self, rng: random.Random) -> None:
+        """All entries, faster than news of the new ones spreads."""
+        replacements = []
+        for process in rng.sample(self.entries, len(self.entries)):
+            is_planned = rng.random() < 0.5
+            self.note(f"replace {process.place.name} {'planned' if is_planned else 'lost'}")
+            replacements.append(asyncio.create_task(self.replace(process, is_planned, rng.uniform(0, 3), rng.random() < 0.5)))
+            await asyncio.sleep(rng.uniform(0.5, 1.7))
+        await asyncio.gather(*replacements)
+
     async def _kill(self, rng: random.Random, process: Process, away_s: float | None) -> None:
         number = rng.choice((signal.SIGKILL, signal.SIGKILL, signal.SIGTERM))
         self.note(f"{number.name} {process.place.name} away {away_s or 0:.1f}")
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,6 +7,7 @@
 import argparse
 import asyncio
 import random
+import signal
 import socket
 import sys
 import tempfile
@@ -16,7 +17,7 @@
 from soak.cell import APP, CONTROL, STORE, Place, Process, settings_of
 from soak.endpoint import Machine, Shared
 from soak.faults import Faults
-from soak.judge import Judge, Violation, clock_text
+from soak.judge import Job, Judge, Violation, clock_text
 from soak.store import Store
 
 TOKEN = "soak-token"
@@ -43,6 +44,10 @@
     raise SystemExit("no free part of the loopback network")
 
 
+def seeds_of(places: list[Place]) -> list[str]:
+    return [f"{place.ip}:{CONTROL}" for place in places if place.role == "entry"][:3]
+
+
 class Cell:
     """The stand-ins and the processes of one run."""
 
@@ -56,27 +61,59 @@
         self.machines: list[Machine] = []
         places = [self._place("entry", "front", index, 1 + index) for index in range(options.entries)]
         places += [self._place("agent", "side", index, 100 + index) for index in range(options.agents)]
-        seeds = [f"{place.ip}:{CONTROL}" for place in places if place.role == "entry"][:3]
-        for index, place in enumerate(places):
-            place.store = f"127.{net}.0.1:{STORE + index}"
-            settings = settings_of(place, seeds, options.lease_ms, SERVICE)
-            process = Process(options.build / "src" / "knapweedstaged", place, folder, settings, self.judge.findings)
-            (self.entries if place.role == "entry" else self.agents).append(process)
+        self.folder, self.places_made, self.entries_made = folder, 0, options.entries
+        self.seeds = seeds_of(places)
+        for place in places:
+            (self.entries if place.role == "entry" else self.agents).append(self._process(place))
         for index, agent in enumerate(self.agents):
             ip, zone = agent.place.ip, agent.place.zone
             self.machines.append(Machine(agent.place.name, (ip, APP), (ip, CONTROL), zone, f"rack-{index // RACK_SIZE}", self.shared))
         self.callers = Callers(self.judge, [entry.place.ip for entry in self.entries], TOKEN, options.seed)
-        self.faults = Faults(options.seed, self.judge, self.store, self.machines, self.entries, self.agents)
+        self.faults = Faults(options.seed, self.judge, self.store, self.machines, self.entries, self.agents, self.replace_entry)
 
     def _place(self, role: str, word: str, index: int, host: int) -> Place:
         zone = index % len(ZONES)
         return Place(role, f"{word}-{ZONES[zone]}-{index + 1}", f"127.{self.net}.{zone + 1}.{host}", ZONES[zone], "")
 
+    def _process(self, place: Place) -> Process:
+        place.store = f"127.{self.net}.0.1:{STORE + self.places_made}"
+        self.places_made += 1
+        return Process(self.options.build / "src" / "knapweedstaged", place, self.folder, self._settings(place), self.judge.findings)
+
+    def _settings(self, place: Place) -> str:
+        return settings_of(place, self.seeds, self.options.lease_ms, SERVICE)
+
+    async def _open_store(self, process: Process) -> None:
+        ip, _, port = process.place.store.partition(":")
+        await self.store.open_for(process.place.name, (ip, int(port)))
+
+    async def replace_entry(self, process: Process, is_planned: bool, seed_lag_s: float, is_signalled: bool) -> None:
+        """An entry leaves for good, and another one comes at another address. The seeds in the settings of all processes follow after a time."""
+        successor = self._process(self._place("entry", "front", self.entries_made, 1 + self.entries_made))
+        self.entries_made += 1
+        await self._open_store(successor)
+        if is_planned:
+            successor.start()
+            await asyncio.sleep(1)
+        process.is_wanted = False
+        leaving = asyncio.create_task(process.kill(signal.SIGTERM if is_planned else signal.SIGKILL, None))
+        if not is_planned:
+            await asyncio.sleep(2)
+            successor.start()
+        self.entries[self.entries.index(process)] = successor
+        self.callers.entries[:] = [entry.place.ip for entry in self.entries]
+        await leaving
+        await asyncio.sleep(seed_lag_s)
+        self.seeds = seeds_of([entry.place for entry in self.entries])
+        for other in self.entries + self.agents:
+            other.settings.write_text(self._settings(other.place))
+            if is_signalled:
+                other.send(signal.SIGHUP)
+
     async def start(self) -> None:
         self.store.configuration(1, SERVICE, TOKEN)
         for process in self.entries + self.agents:
-            ip, _, port = process.place.store.partition(":")
-            await self.store.open_for(process.place.name, (ip, int(port)))
+            await self._open_store(process)
         for process in self.entries + self.agents:
             process.start()
         for machine in self.machines:
@@ -85,11 +122,11 @@
             while not await self.callers.is_serving():
                 await asyncio.sleep(0.1)
 
-    async def play(self) -> list[str]:
+    async def play(self) -> list[Job]:
+        """Returns the accepted jobs that did not end in time."""
         seconds = self.options.seconds
         await asyncio.gather(self.callers.submit_for(seconds, self.options.rate), self.faults.run(self.options.faults, seconds))
-        stuck = await self.callers.settle(self.options.settle)
-        return [f"STUCK job={job.id} state={job.state} count={job.count} gang={job.gang} long after the last fault" for job in stuck]
+        return await self.callers.settle(self.options.settle)
 
     async def stop(self) -> None:
         await asyncio.gather(*(process.stop() for process in self.entries + self.agents))
@@ -118,9 +155,11 @@
 async def run(options: argparse.Namespace, folder: Path, net: int) -> int:
     cell = Cell(options, folder, net)
     findings: list[str] = []
+    stuck: list[Job] = []
     try:
         await cell.start()
-        findings = await cell.play()
+        stuck = await cell.play()
+        findings = [f"STUCK job={job.id} state={job.state} count={job.count} gang={job.gang} long after the last fault" for job in stuck]
     except TimeoutError:
         findings = ["the cell did not serve in time"]
     finally:
@@ -144,7 +183,8 @@
         rules[rule] = f"{len(tasks)} in {len({task.partition('.')[0] for task in tasks})} jobs"
     print(f"seed {options.seed} faults {faults}: jobs {len(jobs)} accepted {accepted} succeeded {served} starts {judge.starts}", end=" ")
     print(f"violations {rules or 0} logs {folder}")
-    return 0 if served > 0 and not judge.violations else 1
+    is_finished = not stuck or not options.must_finish
+    return 0 if served > 0 and not judge.violations and is_finished else 1
 
 
 def main() -> int:
@@ -159,12 +199,13 @@
     parser.add_argument("--agents", type=int, default=9)
     parser.add_argument("--rate", type=float, default=1.2, help="jobs a second")
     parser.add_argument("--lease-ms", type=int, default=6000)
+    parser.add_argument("--must-finish", action="store_true", help="fail if an accepted job has not ended when the time to settle is over")
     parser.add_argument("--logs", type=Path, help="directory for the logs; by default a new one")
     options = parser.parse_args()
     options.build = options.build.resolve()
     folder = options.logs or Path(tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
-    known = list(Faults(0, None, None, [], [], []).kinds)  # type: ignore[arg-type]
+    known = list(Faults(0, None, None, [], [], [], None).kinds)  # type: ignore[arg-type]
     if options.list:
         print(*known, sep="\n")
         return 0
