--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -18,6 +18,7 @@
 constexpr Milliseconds renewalRetryInterval {200}; ///< after a failed renewal, or while ends are not yet stored durably
 constexpr Milliseconds idleRenewalInterval {2000}; ///< without runs, only delayed orders change the lists
 constexpr Milliseconds refusalRetryInterval {400}; ///< between repeated stops of unanswered starts
+constexpr Seconds lostRunsRetention {60}; ///< several changes of scheduler
 constexpr double minClockRate = 0.98; ///< rate of the slowest endpoint clock, relative to the local clock
 
 } // namespace
@@ -115,6 +116,8 @@
 void Agent::beginIncarnation(const EndpointStatus &status)
 {
     const BootTime now = hooks_.now();
+    lostRuns_ = runsLostInCrash();
+    lostRunsExpireAt_ = now + lostRunsRetention;
     incarnation_ = Incarnation();
     applyStatus(status);
     incarnation_->answeredAt = now;
@@ -335,10 +338,13 @@
     const std::size_t runsBefore = before.size();
     for (const ListedRun &run : answer.running) {
         incarnation_->running[run.run] = run;
+        incarnation_->ordered.try_emplace(run.run, hooks_.now());
+        before.erase(run.run);
     }
     const std::size_t endsBefore = incarnation_->ended.size();
     for (const ListedEnd &end : answer.ended) {
         incarnation_->started.erase(end.run);
+        incarnation_->ordered.erase(end.run);
         if (end.number > incarnation_->endsStored) {
             incarnation_->ended[end.number] = end;
         }
@@ -347,6 +353,9 @@
         std::erase_if(incarnation_->started, [number](const auto &started) {
             return started.second < number;
         });
+        for (const auto &[run, listed] : before) {
+            incarnation_->ordered.erase(run);
+        }
     } else {
         // A run that is in neither list may have ended, with an end that did not fit.
         std::erase_if(before, [this](const auto &run) {
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace knapweed::cell
 {
@@ -66,6 +67,7 @@
         /// The endpoint has confirmed that it discarded ends up to this number. The request is not repeated after that, because the next incarnation
         /// numbers its ends from 1 again.
         std::int64_t endsDiscarded = 0;
+        std::map<RunId, BootTime> ordered; ///< runs whose start was sent, or which were listed, with the first time; none whose end is known
         std::map<RunId, std::uint64_t> started; ///< started but maybe not listed yet; with the newest renewal sent before the answer
         bool hasLeft = false; ///< announced since the newest report; its runs end with it
         BootTime leavesAt; ///< earliest time at which the endpoint may be gone; meaningful while draining
@@ -101,6 +103,7 @@
     void verifyIncarnation();
     void handleVerification(std::uint64_t number, const EndpointStatus &status, const Result<RenewalResult, EndpointError> &result);
     void beginIncarnation(const EndpointStatus &status);
+    std::vector<wire::LostRun> runsLostInCrash() const;
     void refuseUnansweredStarts();
     void report();
     void renewLease(Milliseconds wait);
@@ -113,6 +116,8 @@
     AgentOptions options_;
     AgentHooks hooks_;
     std::optional<Incarnation> incarnation_; ///< the endpoint itself has answered as this incarnation
+    std::vector<wire::LostRun> lostRuns_; ///< of the incarnation before this one, if it crashed
+    BootTime lostRunsExpireAt_; ///< they are reported until then
     std::optional<EndpointStatus> unverified_; ///< newest report of another incarnation that the endpoint has neither confirmed nor denied
     std::map<RunId, UnansweredStart> unansweredStarts_;
     std::map<RunId, BootTime> stopOrders_; ///< runs that were ordered to stop, with the time; their starts are not repeated
--- a/src/libknapweed/cell/agentreports.cpp
+++ b/src/libknapweed/cell/agentreports.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/agent.h"
 
+#include "cell/fleet.h"
 #include "cell/runwire.h"
 
 #include <algorithm>
@@ -37,6 +38,24 @@
     });
 }
 
+/// The runs that end with the current incarnation. Empty if it was leaving: its end is no crash.
+std::vector<wire::LostRun> Agent::runsLostInCrash() const
+{
+    std::vector<wire::LostRun> lost;
+    if (!incarnation_ || incarnation_->status.isDraining || incarnation_->isGone) {
+        return lost;
+    }
+    for (const auto &[run, since] : incarnation_->ordered) {
+        const auto listed = incarnation_->running.find(run);
+        const bool isListed = listed != incarnation_->running.end();
+        wire::LostRun row;
+        row.run = wireRef(run);
+        row.isSettled = isListed && (listed->second.percent > 0 || hooks_.now() - since >= settleTime);
+        lost.push_back(std::move(row));
+    }
+    return lost;
+}
+
 /// Reports stopped runs that are missing from a later list: they can no longer start. How a listed run has ended is said by the reports only.
 void Agent::reportAbsentRuns()
 {
@@ -53,6 +72,7 @@
             absent.born = incarnation_->status.incarnation;
             absent.run = wireRef(run);
             hooks_.send(scheduler_, absent);
+            incarnation_->ordered.erase(run);
         }
         stopped = incarnation_->stopped.erase(stopped);
     }
@@ -85,6 +105,9 @@
     report.draining = incarnation_->status.isDraining;
     report.leavesInMs = incarnation_->status.remaining.count();
     report.generation = generation_;
+    if (now < lostRunsExpireAt_) {
+        report.lost = lostRuns_;
+    }
     report.isListed = incarnation_->isGone || incarnation_->listedGeneration == generation_;
     for (const auto &[id, run] : incarnation_->running) {
         wire::RunRow row;
--- a/src/libknapweed/cell/agentstarts.cpp
+++ b/src/libknapweed/cell/agentstarts.cpp
@@ -113,6 +113,7 @@
     request.checkpoint = order.checkpoint;
     request.ticket = order.ticket;
     request.leaseUntil = *until;
+    incarnation_->ordered.try_emplace(request.run, hooks_.now());
     hooks_.driver.start(request, [this, peer, order, validUntil, attempt](const Result<Milliseconds, EndpointError> &result) {
         if (isOk(result)) {
             startSucceeded(peer, order);
@@ -149,6 +150,9 @@
     if (attempt > 1) {
         failure.kind = Kind::Unanswered; // an earlier attempt may have been carried out, or may still be
     }
+    if (failure.kind != Kind::Unanswered && incarnation_ && incarnation_->status.incarnation == order.born) {
+        incarnation_->ordered.erase(runIdOf(order.run));
+    }
     wire::StartOutcome::type outcome = wire::StartOutcome::Rejected;
     if (failure.kind == Kind::Unanswered) {
         outcome = wire::StartOutcome::Unanswered;
--- a/src/libknapweed/cell/fleet.cpp
+++ b/src/libknapweed/cell/fleet.cpp
@@ -5,13 +5,6 @@
 namespace knapweed::cell
 {
 
-namespace
-{
-
-constexpr Seconds settleTime {6}; ///< an agent reports for an endpoint that does not answer for up to 5 s
-
-}
-
 bool hasSettled(const Allocation &allocation, BootTime now)
 {
     const bool isListed = allocation.state == Allocation::State::Listed || allocation.state == Allocation::State::Stopping;
--- a/src/libknapweed/cell/fleet.h
+++ b/src/libknapweed/cell/fleet.h
@@ -13,6 +13,7 @@
 {
 
 constexpr Milliseconds reportTimeout {1500}; ///< three report intervals; the runs of an endpoint without a report for longer are not checked
+constexpr Seconds settleTime {6}; ///< an agent reports for an endpoint that does not answer for up to 5 s
 constexpr Milliseconds leaseMargin {300}; ///< allowance for messages in transit when the expiry of a lease is computed
 
 /// A run that uses capacity of an endpoint, from planning until its end is listed.
@@ -58,7 +59,6 @@
     BootTime lastReport;
     BootTime leaseExpiresAt; ///< no run on the endpoint continues beyond this time without a new grant
     std::map<RunId, Allocation> runs;
-    std::map<RunId, Allocation> lapsedRuns; ///< those it had when its lease expired; they count if it turns out to have crashed
     std::int64_t endsApplied = 0; ///< ends up to this number have been applied to the jobs
     std::int64_t endsStored = 0; ///< ends up to this number are durable; never above endsApplied
     std::deque<std::pair<std::int64_t, std::uint64_t>> endsPending; ///< number of an end and the write that makes it durable, both ascending
--- a/src/libknapweed/cell/jobtable.cpp
+++ b/src/libknapweed/cell/jobtable.cpp
@@ -75,6 +75,14 @@
     return std::find(indices.begin(), indices.end(), task.index) == indices.end() ? nullptr : &found->second;
 }
 
+bool removeRecordedAgent(Unit &unit, const std::string &agent)
+{
+    const bool hasMember = std::any_of(unit.members.begin(), unit.members.end(), [&agent](const MemberLocation &member) {
+        return member.first == agent;
+    });
+    return !hasMember && std::erase(unit.progress.agents, agent) != 0;
+}
+
 bool areDependenciesDone(const Job &job, const UnitKey &key)
 {
     const std::vector<int> &after = job.spec.steps[key.step].after;
--- a/src/libknapweed/cell/jobtable.h
+++ b/src/libknapweed/cell/jobtable.h
@@ -68,6 +68,9 @@
 Unit *unitOf(Job &job, const TaskId &task);
 UnitKey unitKeyOf(const JobSpec &spec, const TaskId &task);
 
+/// Takes @p agent out of the record of a unit that has no member there. Returns whether it was recorded.
+bool removeRecordedAgent(Unit &unit, const std::string &agent);
+
 /// Whether all tasks of the steps on which the unit's step depends have succeeded.
 bool areDependenciesDone(const Job &job, const UnitKey &key);
 
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -142,9 +142,9 @@
     void declareRunTimes(const JobSpec &spec);
     Milliseconds runTimeOf(const Job &job, const Step &step) const;
     std::vector<BootTime> latestStartsOf(const Job &job, int occurrence) const;
-    std::vector<std::pair<RunId, bool>> runsBlamedForCrash(const Endpoint &endpoint, BootTime now) const;
+    void countCrashes(const wire::EndpointReport &report, BootTime now);
     void countCrash(const RunId &run, const std::string &endpoint, bool isCertain, BootTime now);
-    void countCrashesBeforeTerm(const Endpoint &endpoint, BootTime now);
+    void removeFromRecords(const Endpoint &endpoint);
     void updateHealth(Endpoint &endpoint, Job *job, RunOutcome outcome, BootTime now);
     void grant(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now);
     void advanceStoredEnds(Endpoint &endpoint);
--- a/src/libknapweed/cell/schedulercrashes.cpp
+++ b/src/libknapweed/cell/schedulercrashes.cpp
@@ -20,33 +20,23 @@
 
 } // namespace
 
-/// The runs held responsible for the end of the endpoint's incarnation, each with whether its unit is the only one. Empty if the endpoint left in order.
-std::vector<std::pair<RunId, bool>> Scheduler::runsBlamedForCrash(const Endpoint &endpoint, BootTime now) const
+/// Counts the runs held responsible for the crash that the report tells of. Each run is counted once, whichever scheduler hears of it first: the record holds
+/// the newest run that was counted.
+void Scheduler::countCrashes(const wire::EndpointReport &report, BootTime now)
 {
-    if (endpoint.isDraining) {
-        return {};
-    }
     std::vector<RunId> starting;
     std::vector<RunId> settled;
-    for (const std::map<RunId, Allocation> *runs : {&endpoint.runs, &endpoint.lapsedRuns}) {
-        for (const auto &[run, allocation] : *runs) {
-            if (allocation.state != Allocation::State::Planned && allocation.state != Allocation::State::Orphaned) {
-                (hasSettled(allocation, now) ? settled : starting).push_back(run);
-            }
-        }
+    for (const wire::LostRun &lost : report.lost) {
+        (lost.isSettled ? settled : starting).push_back(runIdOf(lost.run));
     }
-    const std::vector<RunId> &blamed = starting.empty() ? settled : starting;
     const bool isOneUnit = !starting.empty() && std::all_of(starting.begin(), starting.end(), [&](const RunId &run) {
         const auto job = jobs_.find(run.task.job);
         return job != jobs_.end() && run.task.job == starting.front().task.job
             && unitKeyOf(job->second.spec, run.task) == unitKeyOf(job->second.spec, starting.front().task);
     });
-    std::vector<std::pair<RunId, bool>> result;
-    result.reserve(blamed.size());
-    for (const RunId &run : blamed) {
-        result.emplace_back(run, isOneUnit);
+    for (const RunId &run : starting.empty() ? settled : starting) {
+        countCrash(run, report.endpoint, isOneUnit, now);
     }
-    return result;
 }
 
 /// Several members of a gang may crash their endpoints in one run; it is counted once. @p isCertain: no other unit can be the cause.
@@ -76,25 +66,17 @@
     updateJobState(job, now);
 }
 
-/// Counts the starts of earlier schedulers on an incarnation of the endpoint that has ended, according to their records. Whether it crashed under them or left
-/// isn't known.
-void Scheduler::countCrashesBeforeTerm(const Endpoint &endpoint, BootTime now)
+/// Takes the endpoint out of the records of the units that earlier schedulers started there and that its first lists do not hold: no later scheduler has to
+/// wait for it.
+void Scheduler::removeFromRecords(const Endpoint &endpoint)
 {
-    const int tag = incarnationTag(endpoint.incarnation);
-    std::vector<RunId> lost;
     for (auto &[id, job] : jobs_) {
         for (auto &[key, unit] : job.units) {
-            for (std::size_t i = 0; i < unit.progress.incarnations.size() && !unit.progress.isDone; ++i) {
-                if (unit.progress.agents[i] == endpoint.agent && unit.progress.incarnations[i] != tag) {
-                    // Any run number of an earlier term; the record doesn't hold the run itself.
-                    lost.push_back({{id, key.occurrence, key.step, unit.indices[i]}, options_.generation * runsPerGeneration});
-                }
+            if (!unit.progress.isDone && removeRecordedAgent(unit, endpoint.agent)) {
+                writeProgress(job);
             }
         }
     }
-    for (const RunId &run : lost) {
-        countCrash(run, endpoint.id, false, now);
-    }
 }
 
 } // namespace knapweed::cell
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -41,6 +41,7 @@
     }
     updateEndpoint(peer, report, now);
     Endpoint &endpoint = endpoints_.at(peer);
+    countCrashes(report, now);
     grant(endpoint, report, now);
     if (!report.isListed) {
         return;
@@ -52,7 +53,7 @@
     releaseOrphaned(endpoint, now);
     advanceStoredEnds(endpoint);
     if (awaitedAgents_.erase(peer) != 0) {
-        countCrashesBeforeTerm(endpoint, now);
+        removeFromRecords(endpoint);
         isPlanDue_ = true;
     }
 }
@@ -61,8 +62,6 @@
 {
     Endpoint &endpoint = endpoints_[agent];
     if (endpoint.incarnation != report.born || endpoint.id != report.endpoint) {
-        const std::vector<std::pair<RunId, bool>> blamed = runsBlamedForCrash(endpoint, now);
-        const std::string crashed = endpoint.id;
         // A new incarnation with the same id may still execute a delayed start order. Runs without an answer are therefore stopped there, and their units are
         // not started elsewhere before the lists of the new incarnation are known.
         std::map<RunId, Allocation> kept;
@@ -99,14 +98,10 @@
                 sendStop(endpoint, run, now);
             }
         }
-        for (const auto &[run, isCertain] : blamed) {
-            countCrash(run, crashed, isCertain, now);
-        }
     }
     if (endpoint.isDraining != report.draining) {
         logEvent(LogLevel::Info, "endpoint.draining", {{"endpoint", endpoint.id}, {"remaining_ms", std::to_string(report.leavesInMs)}});
     }
-    endpoint.lapsedRuns.clear();
     endpoint.service = report.serviceName;
     endpoint.failureDomain = report.failureDomain;
     endpoint.rack = report.rack;
@@ -269,6 +264,12 @@
     }
     allocation.needs = countedNeeds(job->spec.steps[run.task.step]);
     job->hasBegun = true;
+    std::vector<std::string> &agents = unit->progress.agents;
+    if (!unit->progress.isDone && std::find(agents.begin(), agents.end(), endpoint.agent) == agents.end()) {
+        // The next scheduler must not start the unit either before it knows what runs here.
+        agents.push_back(endpoint.agent);
+        writeProgress(*job);
+    }
     const bool isFirst = unit->members.empty();
     unit->members.insert({endpoint.agent, run});
     if (isFirst) {
--- a/src/libknapweed/cell/schedulerhealth.cpp
+++ b/src/libknapweed/cell/schedulerhealth.cpp
@@ -53,7 +53,6 @@
         if (now >= endpoint.leaseExpiresAt) {
             if (!endpoint.runs.empty()) {
                 logEvent(LogLevel::Warning, "endpoint.lapsed", {{"endpoint", endpoint.id}, {"runs", std::to_string(endpoint.runs.size())}});
-                endpoint.lapsedRuns = endpoint.runs;
                 releaseAll(endpoint, ReleaseReason::LeaseExpired, now);
             }
         } else if (now - endpoint.lastReport < reportTimeout) {
--- a/src/libknapweed/cell/schedulerstarts.cpp
+++ b/src/libknapweed/cell/schedulerstarts.cpp
@@ -34,10 +34,6 @@
     unit.run = options_.generation * runsPerGeneration + ++startedRuns_;
     job.hasBegun = true;
     unit.progress.agents = agents;
-    unit.progress.incarnations.clear();
-    for (const std::string &agent : agents) {
-        unit.progress.incarnations.push_back(incarnationTag(endpoints_.at(agent).incarnation));
-    }
     const std::uint64_t write = writeProgress(job);
     const Step &step = job.spec.steps[key.step];
     std::vector<std::string> racks;
--- a/src/libknapweed/cell/schedulerunits.cpp
+++ b/src/libknapweed/cell/schedulerunits.cpp
@@ -6,6 +6,7 @@
 #include "cell/runwire.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace knapweed::cell
@@ -100,8 +101,6 @@
         release(endpoint, run, reason, now);
         if (unit != nullptr && !unit->members.empty() && unit->run == run.run) {
             stopUnit(*unit, now);
-        } else if (unit != nullptr && unit->phase == Unit::Phase::Waiting) {
-            writeProgress(job->second);
         }
     }
 }
@@ -114,12 +113,11 @@
     if (!unit.progress.isDone) {
         // Otherwise the next scheduler would wait for agents that may be gone. Agents that have not reported yet may be running another member.
         const std::vector<std::string> agents = std::exchange(unit.progress.agents, {});
-        const std::vector<int> incarnations = std::exchange(unit.progress.incarnations, {});
-        for (std::size_t i = 0; i < agents.size(); ++i) {
-            if (awaitedAgents_.count(agents[i]) != 0) {
-                unit.progress.agents.push_back(agents[i]);
-                unit.progress.incarnations.push_back(i < incarnations.size() ? incarnations[i] : 0);
-            }
+        std::copy_if(agents.begin(), agents.end(), std::back_inserter(unit.progress.agents), [this](const std::string &agent) {
+            return awaitedAgents_.count(agent) != 0;
+        });
+        if (!agents.empty()) {
+            writeProgress(job);
         }
     }
     unit.phase = unit.progress.isDone || job.isFinished ? Unit::Phase::Finished : Unit::Phase::Waiting;
--- a/src/libknapweed/jobs/jobrecord.cpp
+++ b/src/libknapweed/jobs/jobrecord.cpp
@@ -118,12 +118,6 @@
     }
 }
 
-int incarnationTag(std::int64_t incarnation)
-{
-    constexpr std::int64_t tags = 10000;
-    return static_cast<int>(incarnation % tags);
-}
-
 std::string encodeProgress(const JobProgress &progress)
 {
     json out = json::object();
@@ -139,7 +133,7 @@
         if (!unit.checkpoint.empty() || !unit.agents.empty() || unit.crashes > 0) {
             row.push_back(unit.checkpoint);
             row.push_back(unit.agents);
-            row.push_back(unit.incarnations);
+            row.push_back(json::array()); // records of earlier versions hold tags of incarnations here
         }
         if (unit.crashes > 0) {
             row.push_back(unit.crashes);
@@ -166,12 +160,8 @@
             unit.lastFailedRun = row.at(5).get<std::int64_t>();
             unit.checkpoint = row.size() > 6 ? row.at(6).get<std::string>() : std::string();
             unit.agents = row.size() > 7 ? row.at(7).get<std::vector<std::string>>() : std::vector<std::string>();
-            unit.incarnations = row.size() > 8 ? row.at(8).get<std::vector<int>>() : std::vector<int>();
             unit.crashes = row.size() > 9 ? row.at(9).get<int>() : 0;
             unit.lastCrashedRun = row.size() > 10 ? row.at(10).get<std::int64_t>() : 0;
-            if (unit.incarnations.size() != unit.agents.size()) {
-                unit.incarnations.clear();
-            }
             progress.units[key] = unit;
         }
         return progress;
--- a/src/libknapweed/jobs/jobrecord.h
+++ b/src/libknapweed/jobs/jobrecord.h
@@ -24,17 +24,13 @@
     int failures = 0; ///< number of failed runs
     std::int64_t lastFailedRun = 0; ///< the newest run counted in failures
     std::string checkpoint; ///< checkpoint that the next run resumes from; empty: it starts from the beginning
-    std::vector<std::string> agents; ///< agents of the newest run, by task; no part of the unit can be running elsewhere
-    std::vector<int> incarnations; ///< tags of the endpoints' incarnations that the newest run was started on, by task; as many as agents, or none
+    std::vector<std::string> agents; ///< those where a run may be going on or may still start; no part of the unit can be running elsewhere
     int crashes = 0; ///< number of runs held responsible for the crash of an endpoint
     std::int64_t lastCrashedRun = 0; ///< the newest run counted in crashes
 
     bool operator==(const UnitProgress &) const = default;
 };
 
-/// A short number that tells the incarnations of one endpoint apart; a record has no room for more.
-int incarnationTag(std::int64_t incarnation);
-
 /// Identifies a unit within its job. The index of a gang is -1.
 struct UnitKey
 {
--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -7456,6 +7456,129 @@
 }
 
 
+LostRun::~LostRun() noexcept {
+}
+
+
+void LostRun::__set_run(const RunRef& val) {
+  this->run = val;
+}
+
+void LostRun::__set_isSettled(const bool val) {
+  this->isSettled = val;
+}
+std::ostream& operator<<(std::ostream& out, const LostRun& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LostRun::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->run.read(iprot);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isSettled);
+          this->__isset.isSettled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LostRun::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LostRun");
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->run.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isSettled", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->isSettled);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LostRun &a, LostRun &b) {
+  using ::std::swap;
+  swap(a.run, b.run);
+  swap(a.isSettled, b.isSettled);
+  swap(a.__isset, b.__isset);
+}
+
+LostRun::LostRun(const LostRun& other213) {
+  run = other213.run;
+  isSettled = other213.isSettled;
+  __isset = other213.__isset;
+}
+LostRun::LostRun(LostRun&& other214) noexcept {
+  run = std::move(other214.run);
+  isSettled = other214.isSettled;
+  __isset = other214.__isset;
+}
+LostRun& LostRun::operator=(const LostRun& other215) {
+  run = other215.run;
+  isSettled = other215.isSettled;
+  __isset = other215.__isset;
+  return *this;
+}
+LostRun& LostRun::operator=(LostRun&& other216) noexcept {
+  run = std::move(other216.run);
+  isSettled = other216.isSettled;
+  __isset = other216.__isset;
+  return *this;
+}
+void LostRun::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LostRun(";
+  out << "run=" << to_string(run);
+  out << ", " << "isSettled=" << to_string(isSettled);
+  out << ")";
+}
+
+
 EndpointReport::~EndpointReport() noexcept {
 }
 
@@ -7531,6 +7654,10 @@
 void EndpointReport::__set_life(const int64_t val) {
   this->life = val;
 }
+
+void EndpointReport::__set_lost(const std::vector<LostRun> & val) {
+  this->lost = val;
+}
 std::ostream& operator<<(std::ostream& out, const EndpointReport& obj)
 {
   obj.printTo(out);
@@ -7611,14 +7738,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->labels.clear();
-            uint32_t _size213;
-            ::apache::thrift::protocol::TType _etype216;
-            xfer += iprot->readListBegin(_etype216, _size213);
-            this->labels.resize(_size213);
-            uint32_t _i217;
-            for (_i217 = 0; _i217 < _size213; ++_i217)
+            uint32_t _size217;
+            ::apache::thrift::protocol::TType _etype220;
+            xfer += iprot->readListBegin(_etype220, _size217);
+            this->labels.resize(_size217);
+            uint32_t _i221;
+            for (_i221 = 0; _i221 < _size217; ++_i221)
             {
-              xfer += iprot->readString(this->labels[_i217]);
+              xfer += iprot->readString(this->labels[_i221]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7671,14 +7798,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size218;
-            ::apache::thrift::protocol::TType _etype221;
-            xfer += iprot->readListBegin(_etype221, _size218);
-            this->running.resize(_size218);
-            uint32_t _i222;
-            for (_i222 = 0; _i222 < _size218; ++_i222)
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->running.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
             {
-              xfer += this->running[_i222].read(iprot);
+              xfer += this->running[_i226].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7691,14 +7818,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended.clear();
-            uint32_t _size223;
-            ::apache::thrift::protocol::TType _etype226;
-            xfer += iprot->readListBegin(_etype226, _size223);
-            this->ended.resize(_size223);
-            uint32_t _i227;
-            for (_i227 = 0; _i227 < _size223; ++_i227)
+            uint32_t _size227;
+            ::apache::thrift::protocol::TType _etype230;
+            xfer += iprot->readListBegin(_etype230, _size227);
+            this->ended.resize(_size227);
+            uint32_t _i231;
+            for (_i231 = 0; _i231 < _size227; ++_i231)
             {
-              xfer += this->ended[_i227].read(iprot);
+              xfer += this->ended[_i231].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7739,6 +7866,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->lost.clear();
+            uint32_t _size232;
+            ::apache::thrift::protocol::TType _etype235;
+            xfer += iprot->readListBegin(_etype235, _size232);
+            this->lost.resize(_size232);
+            uint32_t _i236;
+            for (_i236 = 0; _i236 < _size232; ++_i236)
+            {
+              xfer += this->lost[_i236].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.lost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7783,10 +7930,10 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::vector<std::string> ::const_iterator _iter228;
-    for (_iter228 = this->labels.begin(); _iter228 != this->labels.end(); ++_iter228)
+    std::vector<std::string> ::const_iterator _iter237;
+    for (_iter237 = this->labels.begin(); _iter237 != this->labels.end(); ++_iter237)
     {
-      xfer += oprot->writeString((*_iter228));
+      xfer += oprot->writeString((*_iter237));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7815,10 +7962,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<RunRow> ::const_iterator _iter229;
-    for (_iter229 = this->running.begin(); _iter229 != this->running.end(); ++_iter229)
+    std::vector<RunRow> ::const_iterator _iter238;
+    for (_iter238 = this->running.begin(); _iter238 != this->running.end(); ++_iter238)
     {
-      xfer += (*_iter229).write(oprot);
+      xfer += (*_iter238).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7827,10 +7974,10 @@
   xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
-    std::vector<EndRow> ::const_iterator _iter230;
-    for (_iter230 = this->ended.begin(); _iter230 != this->ended.end(); ++_iter230)
+    std::vector<EndRow> ::const_iterator _iter239;
+    for (_iter239 = this->ended.begin(); _iter239 != this->ended.end(); ++_iter239)
     {
-      xfer += (*_iter230).write(oprot);
+      xfer += (*_iter239).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7852,6 +7999,18 @@
   xfer += oprot->writeI64(this->life);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_LIST, 19);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lost.size()));
+    std::vector<LostRun> ::const_iterator _iter240;
+    for (_iter240 = this->lost.begin(); _iter240 != this->lost.end(); ++_iter240)
+    {
+      xfer += (*_iter240).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7877,93 +8036,98 @@
   swap(a.leavesInMs, b.leavesInMs);
   swap(a.rack, b.rack);
   swap(a.life, b.life);
+  swap(a.lost, b.lost);
   swap(a.__isset, b.__isset);
 }
 
-EndpointReport::EndpointReport(const EndpointReport& other231) {
-  sequence = other231.sequence;
-  sentAtMs = other231.sentAtMs;
-  endpoint = other231.endpoint;
-  born = other231.born;
-  serviceName = other231.serviceName;
-  failureDomain = other231.failureDomain;
-  labels = other231.labels;
-  milliCores = other231.milliCores;
-  memoryMib = other231.memoryMib;
-  accelerators = other231.accelerators;
-  draining = other231.draining;
-  isListed = other231.isListed;
-  running = other231.running;
-  ended = other231.ended;
-  generation = other231.generation;
-  leavesInMs = other231.leavesInMs;
-  rack = other231.rack;
-  life = other231.life;
-  __isset = other231.__isset;
-}
-EndpointReport::EndpointReport(EndpointReport&& other232) noexcept {
-  sequence = other232.sequence;
-  sentAtMs = other232.sentAtMs;
-  endpoint = std::move(other232.endpoint);
-  born = other232.born;
-  serviceName = std::move(other232.serviceName);
-  failureDomain = std::move(other232.failureDomain);
-  labels = std::move(other232.labels);
-  milliCores = other232.milliCores;
-  memoryMib = other232.memoryMib;
-  accelerators = other232.accelerators;
-  draining = other232.draining;
-  isListed = other232.isListed;
-  running = std::move(other232.running);
-  ended = std::move(other232.ended);
-  generation = other232.generation;
-  leavesInMs = other232.leavesInMs;
-  rack = std::move(other232.rack);
-  life = other232.life;
-  __isset = other232.__isset;
-}
-EndpointReport& EndpointReport::operator=(const EndpointReport& other233) {
-  sequence = other233.sequence;
-  sentAtMs = other233.sentAtMs;
-  endpoint = other233.endpoint;
-  born = other233.born;
-  serviceName = other233.serviceName;
-  failureDomain = other233.failureDomain;
-  labels = other233.labels;
-  milliCores = other233.milliCores;
-  memoryMib = other233.memoryMib;
-  accelerators = other233.accelerators;
-  draining = other233.draining;
-  isListed = other233.isListed;
-  running = other233.running;
-  ended = other233.ended;
-  generation = other233.generation;
-  leavesInMs = other233.leavesInMs;
-  rack = other233.rack;
-  life = other233.life;
-  __isset = other233.__isset;
+EndpointReport::EndpointReport(const EndpointReport& other241) {
+  sequence = other241.sequence;
+  sentAtMs = other241.sentAtMs;
+  endpoint = other241.endpoint;
+  born = other241.born;
+  serviceName = other241.serviceName;
+  failureDomain = other241.failureDomain;
+  labels = other241.labels;
+  milliCores = other241.milliCores;
+  memoryMib = other241.memoryMib;
+  accelerators = other241.accelerators;
+  draining = other241.draining;
+  isListed = other241.isListed;
+  running = other241.running;
+  ended = other241.ended;
+  generation = other241.generation;
+  leavesInMs = other241.leavesInMs;
+  rack = other241.rack;
+  life = other241.life;
+  lost = other241.lost;
+  __isset = other241.__isset;
+}
+EndpointReport::EndpointReport(EndpointReport&& other242) noexcept {
+  sequence = other242.sequence;
+  sentAtMs = other242.sentAtMs;
+  endpoint = std::move(other242.endpoint);
+  born = other242.born;
+  serviceName = std::move(other242.serviceName);
+  failureDomain = std::move(other242.failureDomain);
+  labels = std::move(other242.labels);
+  milliCores = other242.milliCores;
+  memoryMib = other242.memoryMib;
+  accelerators = other242.accelerators;
+  draining = other242.draining;
+  isListed = other242.isListed;
+  running = std::move(other242.running);
+  ended = std::move(other242.ended);
+  generation = other242.generation;
+  leavesInMs = other242.leavesInMs;
+  rack = std::move(other242.rack);
+  life = other242.life;
+  lost = std::move(other242.lost);
+  __isset = other242.__isset;
+}
+EndpointReport& EndpointReport::operator=(const EndpointReport& other243) {
+  sequence = other243.sequence;
+  sentAtMs = other243.sentAtMs;
+  endpoint = other243.endpoint;
+  born = other243.born;
+  serviceName = other243.serviceName;
+  failureDomain = other243.failureDomain;
+  labels = other243.labels;
+  milliCores = other243.milliCores;
+  memoryMib = other243.memoryMib;
+  accelerators = other243.accelerators;
+  draining = other243.draining;
+  isListed = other243.isListed;
+  running = other243.running;
+  ended = other243.ended;
+  generation = other243.generation;
+  leavesInMs = other243.leavesInMs;
+  rack = other243.rack;
+  life = other243.life;
+  lost = other243.lost;
+  __isset = other243.__isset;
   return *this;
 }
-EndpointReport& EndpointReport::operator=(EndpointReport&& other234) noexcept {
-  sequence = other234.sequence;
-  sentAtMs = other234.sentAtMs;
-  endpoint = std::move(other234.endpoint);
-  born = other234.born;
-  serviceName = std::move(other234.serviceName);
-  failureDomain = std::move(other234.failureDomain);
-  labels = std::move(other234.labels);
-  milliCores = other234.milliCores;
-  memoryMib = other234.memoryMib;
-  accelerators = other234.accelerators;
-  draining = other234.draining;
-  isListed = other234.isListed;
-  running = std::move(other234.running);
-  ended = std::move(other234.ended);
-  generation = other234.generation;
-  leavesInMs = other234.leavesInMs;
-  rack = std::move(other234.rack);
-  life = other234.life;
-  __isset = other234.__isset;
+EndpointReport& EndpointReport::operator=(EndpointReport&& other244) noexcept {
+  sequence = other244.sequence;
+  sentAtMs = other244.sentAtMs;
+  endpoint = std::move(other244.endpoint);
+  born = other244.born;
+  serviceName = std::move(other244.serviceName);
+  failureDomain = std::move(other244.failureDomain);
+  labels = std::move(other244.labels);
+  milliCores = other244.milliCores;
+  memoryMib = other244.memoryMib;
+  accelerators = other244.accelerators;
+  draining = other244.draining;
+  isListed = other244.isListed;
+  running = std::move(other244.running);
+  ended = std::move(other244.ended);
+  generation = other244.generation;
+  leavesInMs = other244.leavesInMs;
+  rack = std::move(other244.rack);
+  life = other244.life;
+  lost = std::move(other244.lost);
+  __isset = other244.__isset;
   return *this;
 }
 void EndpointReport::printTo(std::ostream& out) const {
@@ -7987,6 +8151,7 @@
   out << ", " << "leavesInMs=" << to_string(leavesInMs);
   out << ", " << "rack=" << to_string(rack);
   out << ", " << "life=" << to_string(life);
+  out << ", " << "lost=" << to_string(lost);
   out << ")";
 }
 
@@ -8134,38 +8299,38 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointGrant::EndpointGrant(const EndpointGrant& other235) {
-  generation = other235.generation;
-  sentAtMs = other235.sentAtMs;
-  endpoint = other235.endpoint;
-  born = other235.born;
-  endsStored = other235.endsStored;
-  __isset = other235.__isset;
-}
-EndpointGrant::EndpointGrant(EndpointGrant&& other236) noexcept {
-  generation = other236.generation;
-  sentAtMs = other236.sentAtMs;
-  endpoint = std::move(other236.endpoint);
-  born = other236.born;
-  endsStored = other236.endsStored;
-  __isset = other236.__isset;
-}
-EndpointGrant& EndpointGrant::operator=(const EndpointGrant& other237) {
-  generation = other237.generation;
-  sentAtMs = other237.sentAtMs;
-  endpoint = other237.endpoint;
-  born = other237.born;
-  endsStored = other237.endsStored;
-  __isset = other237.__isset;
+EndpointGrant::EndpointGrant(const EndpointGrant& other245) {
+  generation = other245.generation;
+  sentAtMs = other245.sentAtMs;
+  endpoint = other245.endpoint;
+  born = other245.born;
+  endsStored = other245.endsStored;
+  __isset = other245.__isset;
+}
+EndpointGrant::EndpointGrant(EndpointGrant&& other246) noexcept {
+  generation = other246.generation;
+  sentAtMs = other246.sentAtMs;
+  endpoint = std::move(other246.endpoint);
+  born = other246.born;
+  endsStored = other246.endsStored;
+  __isset = other246.__isset;
+}
+EndpointGrant& EndpointGrant::operator=(const EndpointGrant& other247) {
+  generation = other247.generation;
+  sentAtMs = other247.sentAtMs;
+  endpoint = other247.endpoint;
+  born = other247.born;
+  endsStored = other247.endsStored;
+  __isset = other247.__isset;
   return *this;
 }
-EndpointGrant& EndpointGrant::operator=(EndpointGrant&& other238) noexcept {
-  generation = other238.generation;
-  sentAtMs = other238.sentAtMs;
-  endpoint = std::move(other238.endpoint);
-  born = other238.born;
-  endsStored = other238.endsStored;
-  __isset = other238.__isset;
+EndpointGrant& EndpointGrant::operator=(EndpointGrant&& other248) noexcept {
+  generation = other248.generation;
+  sentAtMs = other248.sentAtMs;
+  endpoint = std::move(other248.endpoint);
+  born = other248.born;
+  endsStored = other248.endsStored;
+  __isset = other248.__isset;
   return *this;
 }
 void EndpointGrant::printTo(std::ostream& out) const {
@@ -8408,58 +8573,58 @@
   swap(a.__isset, b.__isset);
 }
 
-StartOrder::StartOrder(const StartOrder& other239) {
-  generation = other239.generation;
-  endpoint = other239.endpoint;
-  born = other239.born;
-  run = other239.run;
-  input = other239.input;
-  checkpoint = other239.checkpoint;
-  ticket = other239.ticket;
-  milliCores = other239.milliCores;
-  memoryMib = other239.memoryMib;
-  accelerators = other239.accelerators;
-  __isset = other239.__isset;
-}
-StartOrder::StartOrder(StartOrder&& other240) noexcept {
-  generation = other240.generation;
-  endpoint = std::move(other240.endpoint);
-  born = other240.born;
-  run = std::move(other240.run);
-  input = std::move(other240.input);
-  checkpoint = std::move(other240.checkpoint);
-  ticket = std::move(other240.ticket);
-  milliCores = other240.milliCores;
-  memoryMib = other240.memoryMib;
-  accelerators = other240.accelerators;
-  __isset = other240.__isset;
-}
-StartOrder& StartOrder::operator=(const StartOrder& other241) {
-  generation = other241.generation;
-  endpoint = other241.endpoint;
-  born = other241.born;
-  run = other241.run;
-  input = other241.input;
-  checkpoint = other241.checkpoint;
-  ticket = other241.ticket;
-  milliCores = other241.milliCores;
-  memoryMib = other241.memoryMib;
-  accelerators = other241.accelerators;
-  __isset = other241.__isset;
+StartOrder::StartOrder(const StartOrder& other249) {
+  generation = other249.generation;
+  endpoint = other249.endpoint;
+  born = other249.born;
+  run = other249.run;
+  input = other249.input;
+  checkpoint = other249.checkpoint;
+  ticket = other249.ticket;
+  milliCores = other249.milliCores;
+  memoryMib = other249.memoryMib;
+  accelerators = other249.accelerators;
+  __isset = other249.__isset;
+}
+StartOrder::StartOrder(StartOrder&& other250) noexcept {
+  generation = other250.generation;
+  endpoint = std::move(other250.endpoint);
+  born = other250.born;
+  run = std::move(other250.run);
+  input = std::move(other250.input);
+  checkpoint = std::move(other250.checkpoint);
+  ticket = std::move(other250.ticket);
+  milliCores = other250.milliCores;
+  memoryMib = other250.memoryMib;
+  accelerators = other250.accelerators;
+  __isset = other250.__isset;
+}
+StartOrder& StartOrder::operator=(const StartOrder& other251) {
+  generation = other251.generation;
+  endpoint = other251.endpoint;
+  born = other251.born;
+  run = other251.run;
+  input = other251.input;
+  checkpoint = other251.checkpoint;
+  ticket = other251.ticket;
+  milliCores = other251.milliCores;
+  memoryMib = other251.memoryMib;
+  accelerators = other251.accelerators;
+  __isset = other251.__isset;
   return *this;
 }
-StartOrder& StartOrder::operator=(StartOrder&& other242) noexcept {
-  generation = other242.generation;
-  endpoint = std::move(other242.endpoint);
-  born = other242.born;
-  run = std::move(other242.run);
-  input = std::move(other242.input);
-  checkpoint = std::move(other242.checkpoint);
-  ticket = std::move(other242.ticket);
-  milliCores = other242.milliCores;
-  memoryMib = other242.memoryMib;
-  accelerators = other242.accelerators;
-  __isset = other242.__isset;
+StartOrder& StartOrder::operator=(StartOrder&& other252) noexcept {
+  generation = other252.generation;
+  endpoint = std::move(other252.endpoint);
+  born = other252.born;
+  run = std::move(other252.run);
+  input = std::move(other252.input);
+  checkpoint = std::move(other252.checkpoint);
+  ticket = std::move(other252.ticket);
+  milliCores = other252.milliCores;
+  memoryMib = other252.memoryMib;
+  accelerators = other252.accelerators;
+  __isset = other252.__isset;
   return *this;
 }
 void StartOrder::printTo(std::ostream& out) const {
@@ -8572,9 +8737,9 @@
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast243;
-          xfer += iprot->readI32(ecast243);
-          this->outcome = static_cast<StartOutcome::type>(ecast243);
+          int32_t ecast253;
+          xfer += iprot->readI32(ecast253);
+          this->outcome = static_cast<StartOutcome::type>(ecast253);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8658,46 +8823,46 @@
   swap(a.__isset, b.__isset);
 }
 
-StartResult::StartResult(const StartResult& other244) {
-  generation = other244.generation;
-  endpoint = other244.endpoint;
-  born = other244.born;
-  run = other244.run;
-  outcome = other244.outcome;
-  detail = other244.detail;
-  sequence = other244.sequence;
-  __isset = other244.__isset;
+StartResult::StartResult(const StartResult& other254) {
+  generation = other254.generation;
+  endpoint = other254.endpoint;
+  born = other254.born;
+  run = other254.run;
+  outcome = other254.outcome;
+  detail = other254.detail;
+  sequence = other254.sequence;
+  __isset = other254.__isset;
 }
-StartResult::StartResult(StartResult&& other245) noexcept {
-  generation = other245.generation;
-  endpoint = std::move(other245.endpoint);
-  born = other245.born;
-  run = std::move(other245.run);
-  outcome = other245.outcome;
-  detail = std::move(other245.detail);
-  sequence = other245.sequence;
-  __isset = other245.__isset;
+StartResult::StartResult(StartResult&& other255) noexcept {
+  generation = other255.generation;
+  endpoint = std::move(other255.endpoint);
+  born = other255.born;
+  run = std::move(other255.run);
+  outcome = other255.outcome;
+  detail = std::move(other255.detail);
+  sequence = other255.sequence;
+  __isset = other255.__isset;
 }
-StartResult& StartResult::operator=(const StartResult& other246) {
-  generation = other246.generation;
-  endpoint = other246.endpoint;
-  born = other246.born;
-  run = other246.run;
-  outcome = other246.outcome;
-  detail = other246.detail;
-  sequence = other246.sequence;
-  __isset = other246.__isset;
+StartResult& StartResult::operator=(const StartResult& other256) {
+  generation = other256.generation;
+  endpoint = other256.endpoint;
+  born = other256.born;
+  run = other256.run;
+  outcome = other256.outcome;
+  detail = other256.detail;
+  sequence = other256.sequence;
+  __isset = other256.__isset;
   return *this;
 }
-StartResult& StartResult::operator=(StartResult&& other247) noexcept {
-  generation = other247.generation;
-  endpoint = std::move(other247.endpoint);
-  born = other247.born;
-  run = std::move(other247.run);
-  outcome = other247.outcome;
-  detail = std::move(other247.detail);
-  sequence = other247.sequence;
-  __isset = other247.__isset;
+StartResult& StartResult::operator=(StartResult&& other257) noexcept {
+  generation = other257.generation;
+  endpoint = std::move(other257.endpoint);
+  born = other257.born;
+  run = std::move(other257.run);
+  outcome = other257.outcome;
+  detail = std::move(other257.detail);
+  sequence = other257.sequence;
+  __isset = other257.__isset;
   return *this;
 }
 void StartResult::printTo(std::ostream& out) const {
@@ -8840,34 +9005,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StopOrder::StopOrder(const StopOrder& other248) {
-  generation = other248.generation;
-  endpoint = other248.endpoint;
-  born = other248.born;
-  run = other248.run;
-  __isset = other248.__isset;
+StopOrder::StopOrder(const StopOrder& other258) {
+  generation = other258.generation;
+  endpoint = other258.endpoint;
+  born = other258.born;
+  run = other258.run;
+  __isset = other258.__isset;
 }
-StopOrder::StopOrder(StopOrder&& other249) noexcept {
-  generation = other249.generation;
-  endpoint = std::move(other249.endpoint);
-  born = other249.born;
-  run = std::move(other249.run);
-  __isset = other249.__isset;
+StopOrder::StopOrder(StopOrder&& other259) noexcept {
+  generation = other259.generation;
+  endpoint = std::move(other259.endpoint);
+  born = other259.born;
+  run = std::move(other259.run);
+  __isset = other259.__isset;
 }
-StopOrder& StopOrder::operator=(const StopOrder& other250) {
-  generation = other250.generation;
-  endpoint = other250.endpoint;
-  born = other250.born;
-  run = other250.run;
-  __isset = other250.__isset;
+StopOrder& StopOrder::operator=(const StopOrder& other260) {
+  generation = other260.generation;
+  endpoint = other260.endpoint;
+  born = other260.born;
+  run = other260.run;
+  __isset = other260.__isset;
   return *this;
 }
-StopOrder& StopOrder::operator=(StopOrder&& other251) noexcept {
-  generation = other251.generation;
-  endpoint = std::move(other251.endpoint);
-  born = other251.born;
-  run = std::move(other251.run);
-  __isset = other251.__isset;
+StopOrder& StopOrder::operator=(StopOrder&& other261) noexcept {
+  generation = other261.generation;
+  endpoint = std::move(other261.endpoint);
+  born = other261.born;
+  run = std::move(other261.run);
+  __isset = other261.__isset;
   return *this;
 }
 void StopOrder::printTo(std::ostream& out) const {
@@ -9007,34 +9172,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RunAbsent::RunAbsent(const RunAbsent& other252) {
-  generation = other252.generation;
-  endpoint = other252.endpoint;
-  born = other252.born;
-  run = other252.run;
-  __isset = other252.__isset;
+RunAbsent::RunAbsent(const RunAbsent& other262) {
+  generation = other262.generation;
+  endpoint = other262.endpoint;
+  born = other262.born;
+  run = other262.run;
+  __isset = other262.__isset;
 }
-RunAbsent::RunAbsent(RunAbsent&& other253) noexcept {
-  generation = other253.generation;
-  endpoint = std::move(other253.endpoint);
-  born = other253.born;
-  run = std::move(other253.run);
-  __isset = other253.__isset;
+RunAbsent::RunAbsent(RunAbsent&& other263) noexcept {
+  generation = other263.generation;
+  endpoint = std::move(other263.endpoint);
+  born = other263.born;
+  run = std::move(other263.run);
+  __isset = other263.__isset;
 }
-RunAbsent& RunAbsent::operator=(const RunAbsent& other254) {
-  generation = other254.generation;
-  endpoint = other254.endpoint;
-  born = other254.born;
-  run = other254.run;
-  __isset = other254.__isset;
+RunAbsent& RunAbsent::operator=(const RunAbsent& other264) {
+  generation = other264.generation;
+  endpoint = other264.endpoint;
+  born = other264.born;
+  run = other264.run;
+  __isset = other264.__isset;
   return *this;
 }
-RunAbsent& RunAbsent::operator=(RunAbsent&& other255) noexcept {
-  generation = other255.generation;
-  endpoint = std::move(other255.endpoint);
-  born = other255.born;
-  run = std::move(other255.run);
-  __isset = other255.__isset;
+RunAbsent& RunAbsent::operator=(RunAbsent&& other265) noexcept {
+  generation = other265.generation;
+  endpoint = std::move(other265.endpoint);
+  born = other265.born;
+  run = std::move(other265.run);
+  __isset = other265.__isset;
   return *this;
 }
 void RunAbsent::printTo(std::ostream& out) const {
@@ -9157,30 +9322,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SchedulerNotice::SchedulerNotice(const SchedulerNotice& other256) {
-  generation = other256.generation;
-  address = other256.address;
-  isLeaving = other256.isLeaving;
-  __isset = other256.__isset;
+SchedulerNotice::SchedulerNotice(const SchedulerNotice& other266) {
+  generation = other266.generation;
+  address = other266.address;
+  isLeaving = other266.isLeaving;
+  __isset = other266.__isset;
 }
-SchedulerNotice::SchedulerNotice(SchedulerNotice&& other257) noexcept {
-  generation = other257.generation;
-  address = std::move(other257.address);
-  isLeaving = other257.isLeaving;
-  __isset = other257.__isset;
+SchedulerNotice::SchedulerNotice(SchedulerNotice&& other267) noexcept {
+  generation = other267.generation;
+  address = std::move(other267.address);
+  isLeaving = other267.isLeaving;
+  __isset = other267.__isset;
 }
-SchedulerNotice& SchedulerNotice::operator=(const SchedulerNotice& other258) {
-  generation = other258.generation;
-  address = other258.address;
-  isLeaving = other258.isLeaving;
-  __isset = other258.__isset;
+SchedulerNotice& SchedulerNotice::operator=(const SchedulerNotice& other268) {
+  generation = other268.generation;
+  address = other268.address;
+  isLeaving = other268.isLeaving;
+  __isset = other268.__isset;
   return *this;
 }
-SchedulerNotice& SchedulerNotice::operator=(SchedulerNotice&& other259) noexcept {
-  generation = other259.generation;
-  address = std::move(other259.address);
-  isLeaving = other259.isLeaving;
-  __isset = other259.__isset;
+SchedulerNotice& SchedulerNotice::operator=(SchedulerNotice&& other269) noexcept {
+  generation = other269.generation;
+  address = std::move(other269.address);
+  isLeaving = other269.isLeaving;
+  __isset = other269.__isset;
   return *this;
 }
 void SchedulerNotice::printTo(std::ostream& out) const {
@@ -9258,9 +9423,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast260;
-          xfer += iprot->readI32(ecast260);
-          this->kind = static_cast<CallKind::type>(ecast260);
+          int32_t ecast270;
+          xfer += iprot->readI32(ecast270);
+          this->kind = static_cast<CallKind::type>(ecast270);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9355,42 +9520,42 @@
   swap(a.__isset, b.__isset);
 }
 
-JobCall::JobCall(const JobCall& other261) {
-  call = other261.call;
-  kind = other261.kind;
-  queue = other261.queue;
-  job = other261.job;
-  account = other261.account;
-  spec = other261.spec;
-  __isset = other261.__isset;
+JobCall::JobCall(const JobCall& other271) {
+  call = other271.call;
+  kind = other271.kind;
+  queue = other271.queue;
+  job = other271.job;
+  account = other271.account;
+  spec = other271.spec;
+  __isset = other271.__isset;
 }
-JobCall::JobCall(JobCall&& other262) noexcept {
-  call = other262.call;
-  kind = other262.kind;
-  queue = std::move(other262.queue);
-  job = std::move(other262.job);
-  account = std::move(other262.account);
-  spec = std::move(other262.spec);
-  __isset = other262.__isset;
+JobCall::JobCall(JobCall&& other272) noexcept {
+  call = other272.call;
+  kind = other272.kind;
+  queue = std::move(other272.queue);
+  job = std::move(other272.job);
+  account = std::move(other272.account);
+  spec = std::move(other272.spec);
+  __isset = other272.__isset;
 }
-JobCall& JobCall::operator=(const JobCall& other263) {
-  call = other263.call;
-  kind = other263.kind;
-  queue = other263.queue;
-  job = other263.job;
-  account = other263.account;
-  spec = other263.spec;
-  __isset = other263.__isset;
+JobCall& JobCall::operator=(const JobCall& other273) {
+  call = other273.call;
+  kind = other273.kind;
+  queue = other273.queue;
+  job = other273.job;
+  account = other273.account;
+  spec = other273.spec;
+  __isset = other273.__isset;
   return *this;
 }
-JobCall& JobCall::operator=(JobCall&& other264) noexcept {
-  call = other264.call;
-  kind = other264.kind;
-  queue = std::move(other264.queue);
-  job = std::move(other264.job);
-  account = std::move(other264.account);
-  spec = std::move(other264.spec);
-  __isset = other264.__isset;
+JobCall& JobCall::operator=(JobCall&& other274) noexcept {
+  call = other274.call;
+  kind = other274.kind;
+  queue = std::move(other274.queue);
+  job = std::move(other274.job);
+  account = std::move(other274.account);
+  spec = std::move(other274.spec);
+  __isset = other274.__isset;
   return *this;
 }
 void JobCall::printTo(std::ostream& out) const {
@@ -9467,9 +9632,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast265;
-          xfer += iprot->readI32(ecast265);
-          this->outcome = static_cast<CallOutcome::type>(ecast265);
+          int32_t ecast275;
+          xfer += iprot->readI32(ecast275);
+          this->outcome = static_cast<CallOutcome::type>(ecast275);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9551,38 +9716,38 @@
   swap(a.__isset, b.__isset);
 }
 
-JobAnswer::JobAnswer(const JobAnswer& other266) {
-  call = other266.call;
-  outcome = other266.outcome;
-  state = other266.state;
-  waiting = other266.waiting;
-  retryAfterMs = other266.retryAfterMs;
-  __isset = other266.__isset;
-}
-JobAnswer::JobAnswer(JobAnswer&& other267) noexcept {
-  call = other267.call;
-  outcome = other267.outcome;
-  state = std::move(other267.state);
-  waiting = other267.waiting;
-  retryAfterMs = other267.retryAfterMs;
-  __isset = other267.__isset;
-}
-JobAnswer& JobAnswer::operator=(const JobAnswer& other268) {
-  call = other268.call;
-  outcome = other268.outcome;
-  state = other268.state;
-  waiting = other268.waiting;
-  retryAfterMs = other268.retryAfterMs;
-  __isset = other268.__isset;
+JobAnswer::JobAnswer(const JobAnswer& other276) {
+  call = other276.call;
+  outcome = other276.outcome;
+  state = other276.state;
+  waiting = other276.waiting;
+  retryAfterMs = other276.retryAfterMs;
+  __isset = other276.__isset;
+}
+JobAnswer::JobAnswer(JobAnswer&& other277) noexcept {
+  call = other277.call;
+  outcome = other277.outcome;
+  state = std::move(other277.state);
+  waiting = other277.waiting;
+  retryAfterMs = other277.retryAfterMs;
+  __isset = other277.__isset;
+}
+JobAnswer& JobAnswer::operator=(const JobAnswer& other278) {
+  call = other278.call;
+  outcome = other278.outcome;
+  state = other278.state;
+  waiting = other278.waiting;
+  retryAfterMs = other278.retryAfterMs;
+  __isset = other278.__isset;
   return *this;
 }
-JobAnswer& JobAnswer::operator=(JobAnswer&& other269) noexcept {
-  call = other269.call;
-  outcome = other269.outcome;
-  state = std::move(other269.state);
-  waiting = other269.waiting;
-  retryAfterMs = other269.retryAfterMs;
-  __isset = other269.__isset;
+JobAnswer& JobAnswer::operator=(JobAnswer&& other279) noexcept {
+  call = other279.call;
+  outcome = other279.outcome;
+  state = std::move(other279.state);
+  waiting = other279.waiting;
+  retryAfterMs = other279.retryAfterMs;
+  __isset = other279.__isset;
   return *this;
 }
 void JobAnswer::printTo(std::ostream& out) const {
@@ -9689,26 +9854,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CellConfigurationOffer::CellConfigurationOffer(const CellConfigurationOffer& other270) {
-  version = other270.version;
-  document = other270.document;
-  __isset = other270.__isset;
+CellConfigurationOffer::CellConfigurationOffer(const CellConfigurationOffer& other280) {
+  version = other280.version;
+  document = other280.document;
+  __isset = other280.__isset;
 }
-CellConfigurationOffer::CellConfigurationOffer(CellConfigurationOffer&& other271) noexcept {
-  version = other271.version;
-  document = std::move(other271.document);
-  __isset = other271.__isset;
+CellConfigurationOffer::CellConfigurationOffer(CellConfigurationOffer&& other281) noexcept {
+  version = other281.version;
+  document = std::move(other281.document);
+  __isset = other281.__isset;
 }
-CellConfigurationOffer& CellConfigurationOffer::operator=(const CellConfigurationOffer& other272) {
-  version = other272.version;
-  document = other272.document;
-  __isset = other272.__isset;
+CellConfigurationOffer& CellConfigurationOffer::operator=(const CellConfigurationOffer& other282) {
+  version = other282.version;
+  document = other282.document;
+  __isset = other282.__isset;
   return *this;
 }
-CellConfigurationOffer& CellConfigurationOffer::operator=(CellConfigurationOffer&& other273) noexcept {
-  version = other273.version;
-  document = std::move(other273.document);
-  __isset = other273.__isset;
+CellConfigurationOffer& CellConfigurationOffer::operator=(CellConfigurationOffer&& other283) noexcept {
+  version = other283.version;
+  document = std::move(other283.document);
+  __isset = other283.__isset;
   return *this;
 }
 void CellConfigurationOffer::printTo(std::ostream& out) const {
--- a/src/libknapweed/peers/gen/peers_types.h
+++ b/src/libknapweed/peers/gen/peers_types.h
@@ -246,6 +246,8 @@
 
 class EndRow;
 
+class LostRun;
+
 class EndpointReport;
 
 class EndpointGrant;
@@ -2954,8 +2956,59 @@
 
 std::ostream& operator<<(std::ostream& out, const EndRow& obj);
 
+typedef struct _LostRun__isset {
+  _LostRun__isset() : run(false), isSettled(false) {}
+  bool run :1;
+  bool isSettled :1;
+} _LostRun__isset;
+
+class LostRun : public virtual ::apache::thrift::TBase {
+ public:
+
+  LostRun(const LostRun&);
+  LostRun(LostRun&&) noexcept;
+  LostRun& operator=(const LostRun&);
+  LostRun& operator=(LostRun&&) noexcept;
+  LostRun() noexcept
+          : isSettled(0) {
+  }
+
+  virtual ~LostRun() noexcept;
+  RunRef run;
+  bool isSettled;
+
+  _LostRun__isset __isset;
+
+  void __set_run(const RunRef& val);
+
+  void __set_isSettled(const bool val);
+
+  bool operator == (const LostRun & rhs) const
+  {
+    if (!(run == rhs.run))
+      return false;
+    if (!(isSettled == rhs.isSettled))
+      return false;
+    return true;
+  }
+  bool operator != (const LostRun &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LostRun & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LostRun &a, LostRun &b);
+
+std::ostream& operator<<(std::ostream& out, const LostRun& obj);
+
 typedef struct _EndpointReport__isset {
-  _EndpointReport__isset() : sequence(false), sentAtMs(false), endpoint(false), born(false), serviceName(false), failureDomain(false), labels(false), milliCores(false), memoryMib(false), accelerators(false), draining(false), isListed(false), running(false), ended(false), generation(false), leavesInMs(false), rack(false), life(false) {}
+  _EndpointReport__isset() : sequence(false), sentAtMs(false), endpoint(false), born(false), serviceName(false), failureDomain(false), labels(false), milliCores(false), memoryMib(false), accelerators(false), draining(false), isListed(false), running(false), ended(false), generation(false), leavesInMs(false), rack(false), life(false), lost(false) {}
   bool sequence :1;
   bool sentAtMs :1;
   bool endpoint :1;
@@ -2974,6 +3027,7 @@
   bool leavesInMs :1;
   bool rack :1;
   bool life :1;
+  bool lost :1;
 } _EndpointReport__isset;
 
 class EndpointReport : public virtual ::apache::thrift::TBase {
@@ -3020,6 +3074,7 @@
   int64_t leavesInMs;
   std::string rack;
   int64_t life;
+  std::vector<LostRun>  lost;
 
   _EndpointReport__isset __isset;
 
@@ -3059,6 +3114,8 @@
 
   void __set_life(const int64_t val);
 
+  void __set_lost(const std::vector<LostRun> & val);
+
   bool operator == (const EndpointReport & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -3097,6 +3154,8 @@
       return false;
     if (!(life == rhs.life))
       return false;
+    if (!(lost == rhs.lost))
+      return false;
     return true;
   }
   bool operator != (const EndpointReport &rhs) const {
--- a/src/libknapweed/peers/peers.thrift
+++ b/src/libknapweed/peers/peers.thrift
@@ -101,13 +101,18 @@
 struct RunRow { 1: RunRef run, 2: string checkpoint, 3: i32 percent, 4: i64 load }
 struct EndRow { 1: i64 number, 2: RunRef run, 3: RunEnding how, 4: string checkpoint }
 
+/// A run that was on an endpoint, or may have been, when that crashed. isSettled: the endpoint had survived its start.
+struct LostRun { 1: RunRef run, 2: bool isSettled }
+
 /// Sent by an agent to the scheduler: the state of its endpoint and what runs there. sentAtMs is the agent's boot clock in milliseconds; the lease
 /// granted by the answer runs from that time. sequence increases within one incarnation (field life) of the agent's process. isListed means that the lists were
-/// read under this generation's fence, so no order of an older scheduler can take effect on the endpoint any more.
+/// read under this generation's fence, so no order of an older scheduler can take effect on the endpoint any more. lost holds the runs that ended
+/// with the incarnation of the endpoint before this one, if that crashed under the eyes of this process of the agent; it is empty if it left in order.
 struct EndpointReport {
   1: i64 sequence, 2: i64 sentAtMs, 3: string endpoint, 4: i64 born, 5: string serviceName, 6: string failureDomain, 7: list<string> labels,
   8: i64 milliCores, 9: i64 memoryMib, 10: i64 accelerators, 11: bool draining, 12: bool isListed, 13: list<RunRow> running, 14: list<EndRow> ended,
-  15: i64 generation, 16: i64 leavesInMs, 17: string rack, 18: i64 life
+  15: i64 generation, 16: i64 leavesInMs, 17: string rack, 18: i64 life,
+  19: list<LostRun> lost
 }
 struct EndpointGrant { 1: i64 generation, 2: i64 sentAtMs, 3: string endpoint, 4: i64 born, 5: i64 endsStored }
 /// milliCores, memoryMib and accelerators are the endpoint's capacity for which the start was planned; the agent refuses it if the endpoint has less by then.
--- a/tests/cell/crashtest.cpp
+++ b/tests/cell/crashtest.cpp
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -25,6 +26,7 @@
 TEST_GROUP_BASE(SchedulerCrashes, SchedulerFixture)
 {
     std::int64_t born = 100;
+    std::vector<wire::LostRun> lost; ///< runs that the agent saw end with the previous incarnation
     std::map<std::string, wire::RunRef> running; ///< by job
     int percent = 0;
 
@@ -32,10 +34,20 @@
     {
         wire::EndpointReport report = reportOf(endpoint, generation);
         report.born = born;
+        report.lost = lost;
         report.running = running;
         return report;
     }
 
+    void crashUnder(const std::vector<wire::StartOrder> &orders)
+    {
+        lost.clear();
+        for (const wire::StartOrder &order : orders) {
+            lost.emplace_back();
+            lost.back().run = order.run;
+        }
+    }
+
     /// The next incarnation of the endpoint of agent "a" reports.
     SchedulerOutput restart(Scheduler & scheduler, std::int64_t generation)
     {
@@ -44,6 +56,13 @@
         return send(scheduler, "a", report("i-" + std::to_string(born), generation));
     }
 
+    /// As above, after a crash under all that was started in @p output.
+    SchedulerOutput crash(Scheduler & scheduler, const SchedulerOutput &output, std::int64_t generation)
+    {
+        crashUnder(startsOf(output));
+        return restart(scheduler, generation);
+    }
+
     /// Plays rounds from @p output on: a start of the job "crashing" crashes the endpoint with all that runs there, everything else makes progress.
     SchedulerOutput play(Scheduler & scheduler, SchedulerOutput output, int rounds)
     {
@@ -54,6 +73,18 @@
                 crashes = crashes || order.run.job == "crashing";
             }
             if (crashes) {
+                crashUnder(startsOf(output));
+                const std::vector<wire::LostRun> starting = lost;
+                for (const auto &[job, run] : running) {
+                    const bool isStarting = std::any_of(starting.begin(), starting.end(), [&run = run](const wire::LostRun &row) {
+                        return row.run == run;
+                    });
+                    if (!isStarting) {
+                        lost.emplace_back();
+                        lost.back().run = run;
+                        lost.back().isSettled = true;
+                    }
+                }
                 running.clear();
                 output = restart(scheduler, 1);
                 continue;
@@ -74,7 +105,7 @@
         int starts = 0;
         while (!startsOf(output).empty() && starts < 4 * mostStarts) {
             ++starts;
-            output = restart(scheduler, generation);
+            output = crash(scheduler, output, generation);
         }
         return starts;
     }
@@ -106,7 +137,8 @@
             break;
         }
         ++starts;
-        restart(*scheduler, generation);
+        output = crash(*scheduler, output, generation);
+        crashUnder(startsOf(output)); // once more, before the next scheduler
         ++starts; // restarted by the same scheduler
     } while (starts < 4 * mostStarts);
     CHECK(starts <= mostStarts);
@@ -121,10 +153,12 @@
     std::unique_ptr<Scheduler> scheduler;
     do {
         scheduler = makeScheduler(++generation);
-        SchedulerOutput output = send(*scheduler, "a", report("i-" + std::to_string(++born), generation));
+        ++born;
+        SchedulerOutput output = send(*scheduler, "a", report("i-" + std::to_string(born), generation));
         if (generation == 1) {
             output = send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, small)})));
         }
+        crashUnder(startsOf(output));
         starts += static_cast<int>(startsOf(output).size());
     } while (stateOf(*scheduler, "j1") != "failed" && starts < 4 * mostStarts);
     CHECK(starts <= mostStarts);
@@ -140,7 +174,7 @@
         ++starts;
         advance(lease + Milliseconds(1000));
         settle(*scheduler);
-        output = restart(*scheduler, 1);
+        output = crash(*scheduler, output, 1);
     }
     CHECK(starts <= mostStarts);
 }
@@ -152,9 +186,12 @@
     gang.steps[0].isGang = true;
     send(*scheduler, "a", report("i-a", 1));
     send(*scheduler, "b", report("i-b", 1));
-    LONGS_EQUAL(2, startsOf(send(*scheduler, "entry", submitOf(gang))).size());
+    const std::vector<wire::StartOrder> members = startsOf(send(*scheduler, "entry", submitOf(gang)));
+    LONGS_EQUAL(2, members.size());
     ++born;
+    crashUnder({members[0]});
     send(*scheduler, "a", report("i-a2", 1));
+    crashUnder({members[1]});
     LONGS_EQUAL(2, startsOf(send(*scheduler, "b", report("i-b2", 1))).size());
     STRCMP_EQUAL("running", stateOf(*scheduler, "g1").c_str());
 }
@@ -199,3 +236,55 @@
     }
     STRCMP_EQUAL("running", stateOf(*scheduler, "j1").c_str());
 }
+
+/// Guards against LOST: each new scheduler counted the same crash again while the job waited for room.
+TEST(SchedulerCrashes, crashIsCountedOnceByAllSchedulersTogether)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", report("i-a", 1));
+    crashUnder(startsOf(send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, small)})))));
+    ++born;
+    for (std::int64_t generation = 2; generation < 8; ++generation) {
+        scheduler = makeScheduler(generation);
+        wire::EndpointReport full = report("i-b", generation);
+        full.accelerators = 0;
+        send(*scheduler, "a", full);
+        send(*scheduler, "a", full);
+        STRCMP_EQUAL("running", stateOf(*scheduler, "j1").c_str());
+    }
+}
+
+/// Guards against LOST: an endpoint that had left, or lost power with its agent, or had ended its runs before, counted as crashed if no scheduler was there.
+TEST(SchedulerCrashes, endOfAnEndpointUnderWhichNoRunWasLostIsNoCrash)
+{
+    for (std::int64_t generation = 1; generation < 8; ++generation) {
+        const std::unique_ptr<Scheduler> scheduler = makeScheduler(generation);
+        ++born;
+        const SchedulerOutput output = send(*scheduler, "a", report("i-" + std::to_string(born), generation));
+        if (generation == 1) {
+            send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, small)})));
+        } else {
+            LONGS_EQUAL(1, startsOf(output).size());
+        }
+        STRCMP_EQUAL("running", stateOf(*scheduler, "j1").c_str());
+    }
+}
+
+/// Guards against a unit that waits at each change of scheduler for the agent of a run that is over.
+TEST(SchedulerCrashes, runOfAnEndpointThatHasLeftIsNoLongerRecorded)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", report("i-a", 1));
+    const std::vector<wire::StartOrder> starts = startsOf(send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, small)}))));
+    wire::EndpointReport leaving = report("i-a", 1, {rowOf(starts.front().run)});
+    leaving.draining = true;
+    send(*scheduler, "a", leaving);
+    leaving = report("i-a", 1);
+    leaving.draining = true;
+    send(*scheduler, "a", leaving); // gone, with the run
+    const Result<JobProgress, JobRecordError> stored = decodeProgress(records.at(progressRecordKey("j1")));
+    CHECK(isOk(stored));
+    for (const auto &[key, unit] : value(stored).units) {
+        CHECK(unit.agents.empty());
+    }
+}
--- a/tests/cell/recoverytest.cpp
+++ b/tests/cell/recoverytest.cpp
@@ -103,3 +103,19 @@
     send(*scheduler, "b", reportOf("i-b", 2));
     LONGS_EQUAL(1, startsOf(send(*scheduler, "entry", submitOf(plainJob("j2", "usual", {plainStep(1, {1000, 100, 1})})))).size());
 }
+
+/// Guards against TWICE: a run that came late, after the lists had shown that it was not there, was not recorded, and the next scheduler did not wait for its
+/// agent.
+TEST(SchedulerRecovery, adoptedRunIsAwaitedByTheNextScheduler)
+{
+    std::unique_ptr<Scheduler> scheduler = changeScheduler(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})}));
+    wire::EndpointReport report = reportOf("i-a", 2);
+    report.draining = true; // no start elsewhere or here
+    send(*scheduler, "a", report);
+    report = reportOf("i-a", 2);
+    report.draining = true;
+    report.running = {rowOf(run, 1)};
+    send(*scheduler, "a", report);
+    scheduler = makeScheduler(3);
+    LONGS_EQUAL(0, startsOf(send(*scheduler, "b", reportOf("i-b", 3))).size());
+}
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -11,6 +11,7 @@
     from soak.endpoint import Boot, Run
 
 SHOWN_GRACE_S = 1.0
+CRASHES_TO_GIVE_UP = 2  # of endpoints under one task, after which its job may be shown as failed
 
 
 def clock_text(at: float | None = None) -> str:
@@ -61,6 +62,7 @@
         self.jobs: dict[str, Job] = {}
         self.active: dict[str, list[Run]] = {}  # by task
         self.done: dict[str, list[DoneEnd]] = {}  # by task
+        self.crashed: dict[str, set[int]] = {}  # by unit, a gang or a task: its runs under which an endpoint has crashed
         self.violations: list[Violation] = []
         self.findings: list[str] = []  # broken promises that are no matter of safety
         self.starts = 0
@@ -105,6 +107,8 @@
         """Also for runs that vanish with their endpoint, with how = "vanished"."""
         self.active[run.task].remove(run)
         self.note(f"end {how} {run.describe()}")
+        if how == "vanished" and run.boot.leaves_at is None:
+            self.crashed.setdefault(run.job.id if run.job.gang else run.task, set()).add(run.run)
         if how == "done":
             self.done.setdefault(run.task, []).append(DoneEnd(run, run.boot, run.boot.lapses))
 
@@ -118,7 +122,8 @@
                     self.violated("TWICE", run.task, "started after an end that was noted later", [later, run])
 
     def shown(self, job: Job, state: str) -> None:
-        if state != job.state:
+        is_new = state != job.state
+        if is_new:
             self.note(f"shown job={job.id} state={state}")
         if job.state in ("succeeded", "failed") and state != job.state:
             self.findings.append(f"STATE job={job.id} was shown as {job.state}, then as {state}")
@@ -128,8 +133,13 @@
             units = [[task for task in self.tasks(job)]] if job.gang else [[task] for task in self.tasks(job)]
             if any(all(not self.done.get(task) for task in unit) for unit in units):
                 self.violated("MIXED", self.tasks(job)[0], "shown as succeeded before all tasks were done", [])
-        if state in ("failed", "cancelled"):
-            self.findings.append(f"LOST job={job.id} shown as {state} without cause")
+        if is_new and state == "failed" and self.most_crashes(job) >= CRASHES_TO_GIVE_UP:
+            self.findings.append(f"GIVEN UP job={job.id} after {self.most_crashes(job)} crashes under one task")
+        elif is_new and state in ("failed", "cancelled"):
+            self.violated("LOST", self.tasks(job)[0], f"shown as {state} without cause, {self.most_crashes(job)} crashes under one task", [])
+
+    def most_crashes(self, job: Job) -> int:
+        return max(len(self.crashed.get(unit, ())) for unit in [job.id, *self.tasks(job)])
 
     @staticmethod
     def tasks(job: Job) -> list[str]:
