Go on ticking while runs of finished jobs may still be there

Cause: the stop order is sent once and repeated by the scheduler's time-outs. An entry gives ticks only while the scheduler is busy, and a job counts as finished as soon as it is cancelled; so a stop that was lost with a killed agent was not repeated until another job came. Evidence: the three tests of SchedulerCancel fail before: one stop in 6 s, also for the next scheduler; the lease of a lost endpoint is not looked at either. Change: the scheduler is busy while an endpoint holds a run. Who else: it comes to rest when the run is gone, or after the lease of its endpoint (tests); an idle cell costs what it did.

--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -333,9 +333,14 @@
 
 bool Scheduler::isBusy() const
 {
-    return isRecovering_ || isPlanDue_ || std::any_of(jobs_.begin(), jobs_.end(), [](const auto &job) {
+    const bool hasUnfinishedJobs = std::any_of(jobs_.begin(), jobs_.end(), [](const auto &job) {
         return !job.second.isFinished;
     });
+    // The stops of a finished job's runs may be lost, and the leases of these runs expire.
+    const bool hasRuns = std::any_of(endpoints_.begin(), endpoints_.end(), [](const auto &endpoint) {
+        return !endpoint.second.runs.empty();
+    });
+    return isRecovering_ || isPlanDue_ || hasUnfinishedJobs || hasRuns;
 }
 
 bool Scheduler::isPlanDue() const
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -89,7 +89,7 @@
     SchedulerOutput takeOutput();
 
     bool isRecovering() const;
-    /// Whether recovery, planning or an unfinished job requires calls of tick().
+    /// Whether recovery, planning, an unfinished job or a run that may still be going on requires calls of tick().
     bool isBusy() const;
     /// Whether something has changed that requires a planning round.
     bool isPlanDue() const;
--- /dev/null
+++ b/tests/cell/canceltest.cpp
@@ -0,0 +1,90 @@
+// Tests of cancelled jobs whose runs go on for a while.
+
+#include "cell/schedulerfixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <vector>
+
+using namespace knapweed;
+using namespace knapweed::cell;
+
+TEST_GROUP_BASE(SchedulerCancel, SchedulerFixture)
+{
+    std::unique_ptr<Scheduler> scheduler;
+    wire::RunRef run;
+    std::int64_t generation = 1;
+    std::size_t stops = 0;
+
+    /// Starts a job that lasts, with nothing else to do.
+    void startLastingJob()
+    {
+        scheduler = makeScheduler(1);
+        send(*scheduler, "a", reportOf("i-a", 1));
+        JobSpec job = plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})});
+        job.steps[0].isLongRunning = true;
+        const std::vector<wire::StartOrder> starts = startsOf(send(*scheduler, "entry", submitOf(job)));
+        LONGS_EQUAL(1, starts.size());
+        run = starts.front().run;
+    }
+
+    /// The run goes on, and the scheduler gets ticks only while it is busy, as an entry gives them.
+    void playWhileBusy(Milliseconds length)
+    {
+        const BootTime end = now + length;
+        while (now < end) {
+            advance(Milliseconds(100));
+            if (now.time_since_epoch().count() % 500 == 0) {
+                wire::EndpointReport report = reportOf("i-a", generation);
+                report.running = {rowOf(run)};
+                scheduler->receive("a", report, now, wall);
+            }
+            if (scheduler->isBusy()) {
+                scheduler->tick(now, wall);
+            }
+            const SchedulerOutput output = scheduler->takeOutput();
+            stops += messagesOf<wire::StopOrder>(output).size();
+            if (!output.writes.empty()) {
+                scheduler->stored(output.lastWrite, now);
+            }
+        }
+    }
+};
+
+/// Guards against UNASKED: the stop order was lost with a killed agent and not repeated while no other job was unfinished.
+TEST(SchedulerCancel, stopOfTheOnlyJobIsRepeatedUntilItsRunIsGone)
+{
+    startLastingJob();
+    playWhileBusy(Milliseconds(1000));
+    scheduler->receive("entry", callOf(wire::CallKind::Cancel, "j1"), now, wall);
+    playWhileBusy(Milliseconds(6000));
+    CHECK(stops >= 4);
+    send(*scheduler, "a", reportOf("i-a", 1)); // without the run
+    CHECK_FALSE(scheduler->isBusy());
+}
+
+/// As above, for a scheduler that finds the job cancelled and its run still there.
+TEST(SchedulerCancel, nextSchedulerRepeatsTheStopAsWell)
+{
+    startLastingJob();
+    send(*scheduler, "entry", callOf(wire::CallKind::Cancel, "j1"));
+    scheduler = makeScheduler(2);
+    generation = 2;
+    playWhileBusy(Milliseconds(6000));
+    CHECK(stops >= 4);
+}
+
+/// The lease of an endpoint that has gone away is looked at too, so that the scheduler comes to rest.
+TEST(SchedulerCancel, runOfALostEndpointIsReleasedAfterItsLease)
+{
+    startLastingJob();
+    send(*scheduler, "entry", callOf(wire::CallKind::Cancel, "j1"));
+    const BootTime end = now + 2 * lease;
+    while (now < end && scheduler->isBusy()) {
+        advance(Milliseconds(100));
+        settle(*scheduler);
+    }
+    CHECK(now < end);
+    CHECK(scheduler->endpoints().at("a").runs.empty());
+}
