Soak: replace entries, mute endpoints around a change of leader, cancel jobs that last

None of the four faults of the review had a kind of fault in the soak: it lost half of the answers for at most 5 s, never replaced an entry or changed seeds, and had no job that lasts. Links between processes aren't cut yet.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -15,6 +15,7 @@
 ATTEMPTS = 4
 POLL_S = 0.7
 HOST = "soak.example"
+LASTING_S = 1e6  # work of a job that lasts until it is cancelled
 
 
 class Callers:
@@ -51,7 +52,7 @@
 
     async def _follow(self, job: Job) -> None:
         step = {"count": job.count, **job.needs, "estMs": int(job.work_s * 1000), "gang": job.gang}
-        step |= {"rackLocality": job.one_rack, "farX": 3, "checkpointing": job.checkpoints}
+        step |= {"longRunning": job.is_lasting, "rackLocality": job.one_rack, "farX": 3, "checkpointing": job.checkpoints}
         body = json.dumps({"spec": "soak", "steps": [{name: value for name, value in step.items() if value}]}).encode()
         is_unknown = False
         for _ in range(ATTEMPTS):
@@ -70,6 +71,28 @@
             await asyncio.sleep(self.rng.uniform(2, 8))
             await self._ask(job)
 
+    async def cancel_lasting(self, rng: random.Random) -> None:
+        """Submits a job that lasts, and cancels it some time after its start."""
+        job = Job(f"{rng.getrandbits(64):016x}", 1, LASTING_S, {"cpu": 4000, "memMb": 4096, "gpu": 1}, False, False, False, is_lasting=True)
+        self.judge.jobs[job.id] = job
+        following = asyncio.create_task(self._follow(job))
+        self.tasks.add(following)
+        following.add_done_callback(self.tasks.discard)
+        while not job.is_started and not following.done():
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(rng.uniform(0.5, 4))
+        while job.is_accepted and job.cancelled_at is None:
+            answer = await self.request("DELETE", job.id)
+            if answer is not None and answer.status in (200, 410):
+                job.cancelled_at = time.time()
+                self.judge.note(f"cancelled job={job.id}")
+            await asyncio.sleep(0.3)
+
+    def is_over(self, job: Job) -> bool:
+        if job.is_lasting:
+            return job.cancelled_at is not None and not any(self.judge.active.get(task) for task in self.judge.tasks(job))
+        return job.succeeded_at is not None
+
     async def _ask(self, job: Job) -> None:
         answer = await self.request("GET", job.id)
         if answer is not None and answer.status == 200 and isinstance(answer.body, dict):
@@ -81,8 +104,9 @@
     async def settle(self, seconds: float) -> list[Job]:
         """Waits until all accepted jobs have ended, and returns the others."""
         end = time.monotonic() + seconds
-        while time.monotonic() < end and any(job.is_accepted and job.succeeded_at is None for job in self.judge.jobs.values()):
+        while time.monotonic() < end and any(job.is_accepted and not self.is_over(job) for job in self.judge.jobs.values()):
             await asyncio.sleep(0.2)
+        self.judge.check_cancelled()
         for task in list(self.tasks):
             task.cancel()
-        return [job for job in self.judge.jobs.values() if job.is_accepted and job.succeeded_at is None]
+        return [job for job in self.judge.jobs.values() if job.is_accepted and not self.is_over(job)]
--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -68,7 +68,8 @@
             self.done_work = int(run.checkpoint[:8], 16) / 1000 if run.checkpoint else 0.0
             restore = RESTORE_S if run.checkpoint else 0.0
             self.began_at = time.monotonic() + restore
-            loop.call_later(restore + max(0.0, self.job.work_s - self.done_work) / self.rate, self.finish)
+            if not self.job.is_lasting:
+                loop.call_later(restore + max(0.0, self.job.work_s - self.done_work) / self.rate, self.finish)
         else:
             loop.call_later(GANG_S, self.give_up, run)
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Awaitable, Callable
 
+from soak.callers import Callers
 from soak.cell import Process
 from soak.endpoint import Boot, Machine
 from soak.judge import Judge
@@ -25,7 +26,15 @@
 
 class Faults:
     def __init__(
-        self, seed: int, judge: Judge, store: Store, machines: list[Machine], entries: list[Process], agents: list[Process], replace_entry: ReplaceEntry
+        self,
+        seed: int,
+        judge: Judge,
+        store: Store,
+        machines: list[Machine],
+        entries: list[Process],
+        agents: list[Process],
+        replace_entry: ReplaceEntry,
+        callers: Callers,
     ) -> None:
         self.seed, self.judge, self.store, self.machines, self.entries, self.agents = seed, judge, store, machines, entries, agents
         self.replace = replace_entry
@@ -36,6 +45,7 @@
             "agent-pause": (lambda rng: self.pause(rng, self.agents), (0.5, 3)),
             "agent-throttle": (lambda rng: self.throttle(rng, self.agents), (0.1, 1)),
             "entry-kill": (self.entry_kill, (4, 10)),
+            "leader-kill": (self.leader_kill, (9, 14)),
             "entry-replace": (self.entry_replace, (0.5, 4)),
             "entry-pause": (lambda rng: self.pause(rng, self.entries), (2, 6)),
             "entry-throttle": (lambda rng: self.throttle(rng, self.entries), (1, 4)),
@@ -43,6 +53,8 @@
             "endpoint-restart": (lambda rng: self.endpoint_crash(rng, True), (1, 4)),
             "endpoint-leave": (self.endpoint_leave, (2, 6)),
             "answers-lost": (lambda rng: self.endpoint_trouble(rng, Trouble(lost=0.5)), (0.5, 3)),
+            "answers-mute": (lambda rng: self.endpoint_trouble(rng, Trouble(lost=1), (8, 16)), (0.5, 3)),
+            "mute-leader-kill": (self.mute_leader_kill, (2, 6)),
             "answers-slow": (lambda rng: self.endpoint_trouble(rng, Trouble(slow_s=1.5)), (0.5, 3)),
             "orders-late": (lambda rng: self.endpoint_trouble(rng, Trouble(late=0.5)), (0.5, 3)),
             "orders-refused": (lambda rng: self.endpoint_trouble(rng, Trouble(refused=0.6)), (0.5, 3)),
@@ -54,6 +66,7 @@
             "store-one-away": (lambda rng: self.store_trouble(rng, self.away(rng), True), (1, 4)),
             "store-one-lost": (lambda rng: self.store_trouble(rng, Trouble(lost=0.5, late=0.2, late_s=(0.5, 4)), True), (1, 4)),
             "store-reassign": (self.store_reassign, (3, 10)),
+            "lasting-cancel": (callers.cancel_lasting if callers is not None else self.config_change, (0.5, 3)),
             "config-change": (self.config_change, (2, 6)),
             "foreign-reports": (lambda rng: self.foreign_report(rng, None), FOREIGN_GAP_S),
         }
@@ -86,6 +99,21 @@
     async def entry_kill(self, rng: random.Random) -> None:
         await self._kill(rng, rng.choice(self.entries), None)
 
+    async def leader_kill(self, rng: random.Random) -> None:
+        """The entry that holds the partition by which the leader is chosen."""
+        holder = self.store.groups["scheduler"].holders.get(0, "") if "scheduler" in self.store.groups else ""
+        for entry in [entry for entry in self.entries if holder.startswith(f"{entry.place.ip}:")]:
+            await self._kill(rng, entry, rng.uniform(0.3, 2))
+
+    async def mute_leader_kill(self, rng: random.Random) -> None:
+        """The leader changes while an endpoint at work does not answer, for longer than a recovery."""
+        machine = rng.choice([machine for machine in self.machines if machine.boot is not None and machine.boot.runs] or self.machines)
+        self.note(f"no answers at {machine.name}")
+        muted = asyncio.create_task(self._trouble(machine.troubles, Trouble(lost=1), rng.uniform(9, 16)))
+        await asyncio.sleep(rng.uniform(0, 3))
+        await self.leader_kill(rng)
+        await muted
+
     async def entry_replace(self, rng: random.Random) -> None:
         """All entries, faster than news of the new ones spreads."""
         replacements = []
@@ -147,8 +175,8 @@
         if machine.boot is None:
             await machine.power_on(identity)
 
-    async def endpoint_trouble(self, rng: random.Random, trouble: Trouble) -> None:
-        machine, seconds = rng.choice(self.machines), rng.uniform(0.5, 5)
+    async def endpoint_trouble(self, rng: random.Random, trouble: Trouble, length_s: tuple[float, float] = (0.5, 5)) -> None:
+        machine, seconds = rng.choice(self.machines), rng.uniform(*length_s)
         self.note(f"{trouble} at {machine.name} {seconds:.1f}")
         await self._trouble(machine.troubles, trouble, seconds)
 
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -36,6 +36,8 @@
     accepted_at: float = 0.0
     succeeded_at: float | None = None  # when it was first shown so
     state: str = ""
+    is_lasting: bool = False  # runs until it is cancelled
+    cancelled_at: float | None = None  # when its cancel was acknowledged
 
 
 @dataclass
@@ -135,12 +137,19 @@
                 self.violated("MIXED", self.tasks(job)[0], "shown as succeeded before all tasks were done", [])
         if is_new and state == "failed" and self.most_crashes(job) >= CRASHES_TO_GIVE_UP:
             self.findings.append(f"GIVEN UP job={job.id} after {self.most_crashes(job)} crashes under one task")
-        elif is_new and state in ("failed", "cancelled"):
+        elif is_new and (state == "failed" or (state == "cancelled" and job.cancelled_at is None)):
             self.violated("LOST", self.tasks(job)[0], f"shown as {state} without cause, {self.most_crashes(job)} crashes under one task", [])
 
     def most_crashes(self, job: Job) -> int:
         return max(len(self.crashed.get(unit, ())) for unit in [job.id, *self.tasks(job)])
 
+    def check_cancelled(self) -> None:
+        """Long after the last fault, no run of a cancelled job is left."""
+        for job in self.jobs.values():
+            left = [run for task in self.tasks(job) for run in self.active.get(task, [])]
+            if job.cancelled_at is not None and left:
+                self.violated("UNASKED", left[0].task, f"still runs {time.time() - job.cancelled_at:.1f} s after its cancel was acknowledged", left)
+
     @staticmethod
     def tasks(job: Job) -> list[str]:
         return [f"{job.id}.0.0.{index}" for index in range(job.count)]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -69,7 +69,7 @@
             ip, zone = agent.place.ip, agent.place.zone
             self.machines.append(Machine(agent.place.name, (ip, APP), (ip, CONTROL), zone, f"rack-{index // RACK_SIZE}", self.shared))
         self.callers = Callers(self.judge, [entry.place.ip for entry in self.entries], TOKEN, options.seed)
-        self.faults = Faults(options.seed, self.judge, self.store, self.machines, self.entries, self.agents, self.replace_entry)
+        self.faults = Faults(options.seed, self.judge, self.store, self.machines, self.entries, self.agents, self.replace_entry, self.callers)
 
     def _place(self, role: str, word: str, index: int, host: int) -> Place:
         zone = index % len(ZONES)
@@ -205,7 +205,7 @@
     options.build = options.build.resolve()
     folder = options.logs or Path(tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
-    known = list(Faults(0, None, None, [], [], [], None).kinds)  # type: ignore[arg-type]
+    known = list(Faults(0, None, None, [], [], [], None, None).kinds)  # type: ignore[arg-type]
     if options.list:
         print(*known, sep="\n")
         return 0
