--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -18,7 +18,6 @@
 constexpr Milliseconds renewalRetryInterval {200}; ///< after a failed renewal, or while ends are not yet stored durably
 constexpr Milliseconds idleRenewalInterval {2000}; ///< without runs, only delayed orders change the lists
 constexpr Milliseconds refusalRetryInterval {400}; ///< between repeated stops of unanswered starts
-constexpr Seconds lostRunsRetention {60}; ///< several changes of scheduler
 constexpr double minClockRate = 0.98; ///< rate of the slowest endpoint clock, relative to the local clock
 
 } // namespace
@@ -116,8 +115,7 @@
 void Agent::beginIncarnation(const EndpointStatus &status)
 {
     const BootTime now = hooks_.now();
-    lostRuns_ = runsLostInCrash();
-    lostRunsExpireAt_ = now + lostRunsRetention;
+    recordLostRuns();
     incarnation_ = Incarnation();
     applyStatus(status);
     incarnation_->answeredAt = now;
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -103,7 +103,7 @@
     void verifyIncarnation();
     void handleVerification(std::uint64_t number, const EndpointStatus &status, const Result<RenewalResult, EndpointError> &result);
     void beginIncarnation(const EndpointStatus &status);
-    std::vector<wire::LostRun> runsLostInCrash() const;
+    void recordLostRuns();
     void refuseUnansweredStarts();
     void report();
     void renewLease(Milliseconds wait);
--- a/src/libknapweed/cell/agentreports.cpp
+++ b/src/libknapweed/cell/agentreports.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr Seconds silentEndpointTimeout {5}; ///< more than two renewals of an endpoint without runs
+constexpr Seconds lostRunsRetention {60}; ///< several changes of scheduler
 
 } // namespace
 
@@ -38,22 +39,22 @@
     });
 }
 
-/// The runs that end with the current incarnation. Empty if it was leaving: its end is no crash.
-std::vector<wire::LostRun> Agent::runsLostInCrash() const
+/// Records the runs that end with the current incarnation, for the reports of the next one. None if it was leaving: its end is no crash.
+void Agent::recordLostRuns()
 {
-    std::vector<wire::LostRun> lost;
+    lostRuns_.clear();
+    lostRunsExpireAt_ = hooks_.now() + lostRunsRetention;
     if (!incarnation_ || incarnation_->status.isDraining || incarnation_->isGone) {
-        return lost;
+        return;
     }
     for (const auto &[run, since] : incarnation_->ordered) {
         const auto listed = incarnation_->running.find(run);
         const bool isListed = listed != incarnation_->running.end();
-        wire::LostRun row;
-        row.run = wireRef(run);
-        row.isSettled = isListed && (listed->second.percent > 0 || hooks_.now() - since >= settleTime);
-        lost.push_back(std::move(row));
+        wire::LostRun lost;
+        lost.run = wireRef(run);
+        lost.isSettled = isListed && (listed->second.percent > 0 || hooks_.now() - since >= settleTime);
+        lostRuns_.push_back(std::move(lost));
     }
-    return lost;
 }
 
 /// Reports stopped runs that are missing from a later list: they can no longer start. How a listed run has ended is said by the reports only.
--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -87,7 +87,7 @@
             }
         }
     }
-    recoveryEnds_ = now + options_.lease + leaseMargin;
+    earlierLeasesEnd_ = now + options_.lease + leaseMargin;
 }
 
 void Scheduler::setConfiguration(const CellConfiguration &configuration)
@@ -235,7 +235,7 @@
 BootTime Scheduler::latestRunEnd(const std::string &agent) const
 {
     const auto endpoint = endpoints_.find(agent);
-    return endpoint == endpoints_.end() ? recoveryEnds_ : std::max(recoveryEnds_, endpoint->second.leaseExpiresAt);
+    return endpoint == endpoints_.end() ? earlierLeasesEnd_ : std::max(earlierLeasesEnd_, endpoint->second.leaseExpiresAt);
 }
 
 /// Stops waiting for the agents whose runs are over because no lease for them is left.
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -212,7 +212,7 @@
     std::set<std::string> awaitedAgents_; ///< recorded with a run by an earlier scheduler; the endpoint's lists are not known yet, and its lease is not over
     std::size_t lapsedAgents_ = 0; ///< agents that were awaited until no lease was left
     std::vector<PendingStart> pendingStarts_; ///< wait until their record is durable
-    BootTime recoveryEnds_; ///< all leases granted by earlier schedulers have expired
+    BootTime earlierLeasesEnd_; ///< when all leases granted by earlier schedulers have expired
 };
 
 } // namespace knapweed::cell
