--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -82,6 +82,7 @@
             await asyncio.sleep(0.1)
         await asyncio.sleep(rng.uniform(0.5, 4))
         while job.is_accepted and job.cancelled_at is None:
+            job.is_cancel_sent = True  # it may be carried out before its answer arrives
             answer = await self.request("DELETE", job.id)
             if answer is not None and answer.status in (200, 410):
                 job.cancelled_at = time.time()
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -37,6 +37,7 @@
     succeeded_at: float | None = None  # when it was first shown so
     state: str = ""
     is_lasting: bool = False  # runs until it is cancelled
+    is_cancel_sent: bool = False
     cancelled_at: float | None = None  # when its cancel was acknowledged
 
 
@@ -137,7 +138,7 @@
                 self.violated("MIXED", self.tasks(job)[0], "shown as succeeded before all tasks were done", [])
         if is_new and state == "failed" and self.most_crashes(job) >= CRASHES_TO_GIVE_UP:
             self.findings.append(f"GIVEN UP job={job.id} after {self.most_crashes(job)} crashes under one task")
-        elif is_new and (state == "failed" or (state == "cancelled" and job.cancelled_at is None)):
+        elif is_new and (state == "failed" or (state == "cancelled" and not job.is_cancel_sent)):
             self.violated("LOST", self.tasks(job)[0], f"shown as {state} without cause, {self.most_crashes(job)} crashes under one task", [])
 
     def most_crashes(self, job: Job) -> int:
