Keep one copy of a process's settings, and one rule for runs that have settled

The tasks held the settings a second time beside those of the settings file and each had the interval of its readings; the agent repeated the scheduler's rule for when a run has settled.

--- a/src/knapweedstaged/cellagenttask.cpp
+++ b/src/knapweedstaged/cellagenttask.cpp
@@ -13,7 +13,6 @@
 {
 
 constexpr Milliseconds tickInterval {100};
-constexpr Milliseconds reloadInterval {1000}; ///< the settings file may change without a signal
 constexpr std::size_t entryLinks =
     3; ///< to receive the announcements of a new scheduler; with the seeds, enough to survive the loss of several entries at once
 constexpr const char *reportPath = "/-/instances/";
@@ -22,7 +21,7 @@
 
 CellAgentTask::CellAgentTask(const cell::SettingsFile &file)
     : settingsFile_(file)
-    , settings_(file.settings)
+    , settings_(settingsFile_.settings)
     , http_(loop_)
 {
     PeerNetworkOptions options;
@@ -57,7 +56,7 @@
     loop_.callEvery(tickInterval, [this]() {
         agent_->tick();
     });
-    loop_.callEvery(reloadInterval, [this]() {
+    loop_.callEvery(cell::settingsFileInterval, [this]() {
         reload();
     });
     logEvent(LogLevel::Info, "process.started", {{"peers", self.address}, {"endpoint", toString(settings_.endpoint)}});
@@ -136,9 +135,7 @@
 
 void CellAgentTask::reload()
 {
-    const std::optional<cell::CellSettings> changed = cell::rereadSettings(settingsFile_);
-    if (changed) {
-        settings_ = *changed;
+    if (cell::rereadSettings(settingsFile_)) {
         peers_->setSeeds(settings_.seeds);
     }
 }
--- a/src/knapweedstaged/cellagenttask.h
+++ b/src/knapweedstaged/cellagenttask.h
@@ -41,7 +41,7 @@
     void handleReport(const HttpRequest &request, const HttpResponder &respond);
 
     cell::SettingsFile settingsFile_;
-    cell::CellSettings settings_;
+    const cell::CellSettings &settings_; ///< those of settingsFile_
     EventLoop loop_;
     HttpClient http_;
     std::unique_ptr<PeerNetwork> peers_;
--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -16,7 +16,6 @@
 {
 
 constexpr Milliseconds tickInterval {100};
-constexpr Milliseconds reloadInterval {1000}; ///< the settings file may change without a signal
 constexpr Milliseconds listenerDrainTime {2500}; ///< the platform routes new connections to this entry until two readiness probes have failed
 constexpr Milliseconds shutdownReserve {1000}; ///< time before the platform kills the process; requests still open then would be aborted in any case
 
@@ -35,7 +34,7 @@
 
 CellEntryTask::CellEntryTask(const cell::SettingsFile &file)
     : settingsFile_(file)
-    , settings_(file.settings)
+    , settings_(settingsFile_.settings)
     , http_(loop_)
     , store_(http_, settings_.store)
     , feed_(loop_,
@@ -69,7 +68,7 @@
     loop_.callEvery(tickInterval, [this]() {
         tick();
     });
-    loop_.callEvery(reloadInterval, [this]() {
+    loop_.callEvery(cell::settingsFileInterval, [this]() {
         reload();
     });
     maintainLeadership();
@@ -286,9 +285,7 @@
 
 void CellEntryTask::reload()
 {
-    const std::optional<cell::CellSettings> changed = cell::rereadSettings(settingsFile_);
-    if (changed) {
-        settings_ = *changed;
+    if (cell::rereadSettings(settingsFile_)) {
         peers_->setSeeds(settings_.seeds);
     }
 }
--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -78,7 +78,7 @@
     void finishDrain(MonotonicTime now);
 
     cell::SettingsFile settingsFile_;
-    cell::CellSettings settings_;
+    const cell::CellSettings &settings_; ///< those of settingsFile_
     EventLoop loop_;
     Metrics metrics_;
     HttpClient http_;
--- a/src/libknapweed/cell/agentreports.cpp
+++ b/src/libknapweed/cell/agentreports.cpp
@@ -49,10 +49,9 @@
     }
     for (const auto &[run, since] : incarnation_->ordered) {
         const auto listed = incarnation_->running.find(run);
-        const bool isListed = listed != incarnation_->running.end();
         wire::LostRun lost;
         lost.run = wireRef(run);
-        lost.isSettled = isListed && (listed->second.percent > 0 || hooks_.now() - since >= settleTime);
+        lost.isSettled = listed != incarnation_->running.end() && hasSettled(true, listed->second.percent, hooks_.now() - since);
         lostRuns_.push_back(std::move(lost));
     }
 }
--- a/src/libknapweed/cell/fleet.cpp
+++ b/src/libknapweed/cell/fleet.cpp
@@ -5,10 +5,22 @@
 namespace knapweed::cell
 {
 
+namespace
+{
+
+constexpr Seconds settleTime {6}; ///< an agent reports for an endpoint that does not answer for up to 5 s
+
+}
+
+bool hasSettled(bool isListed, int percent, Milliseconds age)
+{
+    return percent > 0 || (isListed && age >= settleTime);
+}
+
 bool hasSettled(const Allocation &allocation, BootTime now)
 {
     const bool isListed = allocation.state == Allocation::State::Listed || allocation.state == Allocation::State::Stopping;
-    return allocation.percent > 0 || (isListed && now - allocation.firstOrderedAt >= settleTime);
+    return hasSettled(isListed, allocation.percent, now - allocation.firstOrderedAt);
 }
 
 Resources freeCapacity(const Endpoint &endpoint)
--- a/src/libknapweed/cell/fleet.h
+++ b/src/libknapweed/cell/fleet.h
@@ -13,7 +13,6 @@
 {
 
 constexpr Milliseconds reportTimeout {1500}; ///< three report intervals; the runs of an endpoint without a report for longer are not checked
-constexpr Seconds settleTime {6}; ///< an agent reports for an endpoint that does not answer for up to 5 s
 constexpr Milliseconds leaseMargin {300}; ///< allowance for messages in transit when the expiry of a lease is computed
 
 /// A run that uses capacity of an endpoint, from planning until its end is listed.
@@ -67,8 +66,9 @@
     BootTime avoidUntil; ///< no starts before this time, because runs have failed or stalled on it
 };
 
-/// Whether the endpoint has shown that it survived the start of the run: by the run's progress, or by going on for longer than its agent would report for an
-/// endpoint that does not answer.
+/// Whether an endpoint has shown that it survived the start of a run @p age ago: by the run's progress, or by going on for longer than its agent would report
+/// for an endpoint that does not answer.
+bool hasSettled(bool isListed, int percent, Milliseconds age);
 bool hasSettled(const Allocation &allocation, BootTime now);
 
 /// Capacity that no run uses or may still use.
--- a/src/libknapweed/cell/settingsfile.cpp
+++ b/src/libknapweed/cell/settingsfile.cpp
@@ -28,17 +28,17 @@
 
 } // namespace
 
-std::optional<CellSettings> rereadSettings(SettingsFile &file)
+bool rereadSettings(SettingsFile &file)
 {
     const Result<std::string, SettingsError> text = readSettingsText(file.name);
     if (!isOk(text)) {
         reject(file, "unreadable", error(text).lines.front());
-        return std::nullopt;
+        return false;
     }
     const Result<CellSettings, SettingsError> read = parseCellSettings(value(text));
     if (!isOk(read)) {
         reject(file, value(text), error(read).lines.front());
-        return std::nullopt;
+        return false;
     }
     CellSettings changed = file.settings;
     changed.seeds = value(read).seeds;
@@ -46,11 +46,11 @@
         reject(file, value(text), "only the seeds can change while the process runs");
     }
     if (changed == file.settings) {
-        return std::nullopt;
+        return false;
     }
     file.settings = changed;
     logEvent(LogLevel::Info, "settings.changed", {{"seeds", joined(changed.seeds)}});
-    return changed;
+    return true;
 }
 
 } // namespace knapweed::cell
--- a/src/libknapweed/cell/settingsfile.h
+++ b/src/libknapweed/cell/settingsfile.h
@@ -3,12 +3,13 @@
 
 #include "cell/settings.h"
 
-#include <optional>
 #include <string>
 
 namespace knapweed::cell
 {
 
+constexpr Milliseconds settingsFileInterval {1000}; ///< between two readings, because the file may change without a signal
+
 struct SettingsFile
 {
     std::string name;
@@ -16,8 +17,8 @@
     std::string rejectedText; ///< content that was last rejected as invalid; logged once
 };
 
-/// Reads the file again. Returns the settings now in force if they have changed. Only the seeds can change while the process runs; a change of another setting
-/// is logged. An unreadable or invalid file changes nothing.
-std::optional<CellSettings> rereadSettings(SettingsFile &file);
+/// Reads the file again. Returns whether the settings in force have changed. Only the seeds can change while the process runs; a change of another setting is
+/// logged. An unreadable or invalid file changes nothing.
+bool rereadSettings(SettingsFile &file);
 
 } // namespace knapweed::cell
--- a/tests/settings/settingsfiletest.cpp
+++ b/tests/settings/settingsfiletest.cpp
@@ -49,21 +49,20 @@
 /// Guards against LOST: a process that knew only entries that had left ignored the entries that its changed settings named.
 TEST(SettingsFile, newSeedsAreTakenOver)
 {
-    CHECK_FALSE(rereadSettings(file).has_value());
+    CHECK_FALSE(rereadSettings(file));
     document["seeds"] = {"10.2.0.35:8526", "10.3.0.15:8526"};
     store(document.dump());
-    const std::optional<CellSettings> changed = rereadSettings(file);
-    CHECK(changed.has_value());
+    CHECK(rereadSettings(file));
     const std::vector<Address> expected {{"10.2.0.35", 7000}, {"10.3.0.15", 7000}};
-    CHECK(changed->seeds == expected);
-    CHECK_FALSE(rereadSettings(file).has_value());
+    CHECK(file.settings.seeds == expected);
+    CHECK_FALSE(rereadSettings(file));
 }
 
 TEST(SettingsFile, settingsThatNeedARestartStayAsTheyAre)
 {
     document["lease_ms"] = 9000;
     store(document.dump());
-    CHECK_FALSE(rereadSettings(file).has_value());
+    CHECK_FALSE(rereadSettings(file));
     LONGS_EQUAL(6000, file.settings.lease.count());
 }
 
@@ -73,9 +72,9 @@
     document["seeds"] = {"10.2.0.35:8526"};
     const std::string text = document.dump();
     store(text.substr(0, text.size() / 2));
-    CHECK_FALSE(rereadSettings(file).has_value());
+    CHECK_FALSE(rereadSettings(file));
     std::remove(name.c_str());
-    CHECK_FALSE(rereadSettings(file).has_value());
+    CHECK_FALSE(rereadSettings(file));
     store(text);
-    CHECK(rereadSettings(file).has_value());
+    CHECK(rereadSettings(file));
 }
