Answer renewals in one place of the agents' fixture, and lose answers in one place of the simulation

The new tests of crashes repeated the fixture's loop, and the mute endpoint the branch of lost answers.

--- a/tests/cell/agentcrashtest.cpp
+++ b/tests/cell/agentcrashtest.cpp
@@ -5,25 +5,16 @@
 using namespace knapweed;
 using namespace knapweed::cell;
 
-TEST_GROUP_BASE(AgentCrash, AgentFixture) {void startRun(std::int64_t run) {agent->receive(schedulerName, orderOf(run));
-starts.back().callback(Milliseconds(5));
-}
-
-/// Answers the renewals with one run at @p percent.
-void listRun(std::int64_t run, int percent)
+TEST_GROUP_BASE(AgentCrash, AgentFixture)
 {
-    while (!renewals.empty()) {
-        const RenewalCall call = std::move(renewals.front());
-        renewals.erase(renewals.begin());
-        RenewalResult answer;
-        answer.clock = Milliseconds(++clock);
-        answer.incarnation = 100;
-        answer.running = {{runIdOf(orderOf(run).run), "", percent, 0}};
-        call.callback(answer);
+    ListedRun listed {runIdOf(orderOf(41).run), "", 0, 0};
+
+    void listRun(int percent)
+    {
+        listed.percent = percent;
+        answerRenewalsWithLists({listed}, {});
     }
-}
-}
-;
+};
 
 TEST(AgentCrash, runsAreLostWithAnEndpointThatCrashes)
 {
@@ -37,7 +28,7 @@
 TEST(AgentCrash, runWithProgressHasSettled)
 {
     startRun(41);
-    listRun(41, 3);
+    listRun(3);
     beginIncarnation(200);
     LONGS_EQUAL(1, lastReport().lost.size());
     CHECK_TRUE(lastReport().lost[0].isSettled);
@@ -65,7 +56,7 @@
 TEST(AgentCrash, runWhoseEndIsListedIsNotLost)
 {
     startRun(41);
-    listRun(41, 50);
+    listRun(50);
     now += Milliseconds(500);
     agent->tick();
     answerRenewalsWithEnds({{1, runIdOf(orderOf(41).run), RunOutcome::Done, ""}});
--- a/tests/cell/agentfixture.h
+++ b/tests/cell/agentfixture.h
@@ -103,6 +103,12 @@
 
     /// Answers all renewals, also those that wait, with lists that hold no runs.
     void answerRenewalsWithEnds(const std::vector<ListedEnd> &ends)
+    {
+        answerRenewalsWithLists({}, ends);
+    }
+
+    /// Answers all renewals, also those that wait.
+    void answerRenewalsWithLists(const std::vector<ListedRun> &running, const std::vector<ListedEnd> &ends)
     {
         while (!renewals.empty()) {
             const RenewalCall call = std::move(renewals.front());
@@ -110,6 +116,7 @@
             RenewalResult answer;
             answer.clock = Milliseconds(++clock);
             answer.incarnation = 100;
+            answer.running = running;
             answer.ended = ends;
             call.callback(answer);
         }
@@ -196,11 +203,16 @@
         return lastReport().isListed;
     }
 
+    void startRun(std::int64_t run)
+    {
+        agent->receive(schedulerName, orderOf(run));
+        starts.back().callback(Milliseconds(5));
+    }
+
     /// Starts one run and reports that the endpoint is draining and leaves in @p remaining.
     void startAndDrain(Milliseconds remaining)
     {
-        agent->receive(schedulerName, orderOf(41));
-        starts[0].callback(Milliseconds(5));
+        startRun(41);
         starts.clear();
         EndpointStatus status = statusOf(100);
         status.sequence = 2;
--- a/tests/cell/simulationagents.cpp
+++ b/tests/cell/simulationagents.cpp
@@ -73,19 +73,13 @@
         answer(callTimeout, EndpointError {EndpointError::Kind::Unanswered, "timed out"});
         return;
     }
-    if (now_ < node.mutedUntil) {
-        after(independentBetween(1, 4) + wait, [call]() {
-            call();
-        });
-        answer(callTimeout + wait, EndpointError {EndpointError::Kind::Unanswered, "timed out"});
-        return;
-    }
-    if (injectsFaults_ && options_.lostAnswerShare > 0 && independentChance() < options_.lostAnswerShare) {
+    const bool isMuted = now_ < node.mutedUntil;
+    if (isMuted || (injectsFaults_ && options_.lostAnswerShare > 0 && independentChance() < options_.lostAnswerShare)) {
         after(independentBetween(1, 4) + wait, [call]() {
             call();
         });
         // The connection may break, also before the call is carried out, or stay silent.
-        const bool isSilent = independentChance() < 0.5;
+        const bool isSilent = isMuted || independentChance() < 0.5;
         answer(
             isSilent ? callTimeout + wait : independentBetween(1, 8), EndpointError {EndpointError::Kind::Unanswered, isSilent ? "timed out" : "read failed"});
         return;
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -66,7 +66,7 @@
             "store-one-away": (lambda rng: self.store_trouble(rng, self.away(rng), True), (1, 4)),
             "store-one-lost": (lambda rng: self.store_trouble(rng, Trouble(lost=0.5, late=0.2, late_s=(0.5, 4)), True), (1, 4)),
             "store-reassign": (self.store_reassign, (3, 10)),
-            "lasting-cancel": (callers.cancel_lasting if callers is not None else self.config_change, (0.5, 3)),
+            "lasting-cancel": (lambda rng: callers.cancel_lasting(rng), (0.5, 3)),
             "config-change": (self.config_change, (2, 6)),
             "foreign-reports": (lambda rng: self.foreign_report(rng, None), FOREIGN_GAP_S),
         }
