Log what tells the hypotheses on outdated configurations apart

What callers saw: 200 for a queue that had been dropped 30 s before, at one entry. Missing so far: a refused call left no line; the version by which a call was admitted; a read position past the end of the store's log; how late the loop of an entry runs; whether it is linked to other entries at all. Change: call.unrouted, configuration.position_ahead, loop.delayed, entries.connected and entries.disconnected, and the version in call.answered. No decision is changed. A feed can be destroyed before its loop: its one timer is cancelled, and the next read no longer waits in the loop's queue of messages. Whom it touches: every entry, by one line for each call to a queue that doesn't exist.

--- a/src/knapweedstaged/cellcallerapi.cpp
+++ b/src/knapweedstaged/cellcallerapi.cpp
@@ -88,6 +88,7 @@
     }
     const cell::Queue *queue = cell::findQueue(configuration_, hostOf(request), request.path);
     if (queue == nullptr) {
+        logEvent(LogLevel::Info, "call.unrouted", {{"host", hostOf(request)}, {"path", request.path}, {"version", std::to_string(configuration_.version)}});
         respond(errorResponse(404, "no such queue"));
         return;
     }
@@ -150,30 +151,32 @@
     // The caller can send a refused submission to another entry at once. Other calls gain nothing from an early refusal, so they wait until the deadline.
     const Milliseconds sendTimeout = call.kind == wire::CallKind::Submit ? std::min(allowed, submitSendTimeout) : allowed;
     const wire::JobCall original = call;
-    relay_.call(std::move(call), now, now + sendTimeout, now + allowed, [original, respond, now](const RelayedAnswer &relayed) {
-        HttpResponse response;
-        switch (relayed.kind) {
-        case RelayedAnswer::Kind::Answered:
-            response = responseTo(original, relayed.answer);
-            break;
-        case RelayedAnswer::Kind::NotSent:
-            response = retryLaterResponse(503, "no scheduler is reached", retryAfterSeconds);
-            break;
-        case RelayedAnswer::Kind::Unknown:
-            response = errorResponse(504, "the fate of the call is not known");
-            break;
-        }
-        const Milliseconds taken = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - now);
-        logEvent(LogLevel::Info,
-            "call.answered",
-            {{"job", original.job},
-                {"call", std::to_string(original.kind)},
-                {"queue", original.queue},
-                {"status", std::to_string(response.status)},
-                {"state", relayed.answer.state},
-                {"took_ms", std::to_string(taken.count())}});
-        respond(std::move(response));
-    });
+    relay_.call(
+        std::move(call), now, now + sendTimeout, now + allowed, [original, respond, now, version = configuration_.version](const RelayedAnswer &relayed) {
+            HttpResponse response;
+            switch (relayed.kind) {
+            case RelayedAnswer::Kind::Answered:
+                response = responseTo(original, relayed.answer);
+                break;
+            case RelayedAnswer::Kind::NotSent:
+                response = retryLaterResponse(503, "no scheduler is reached", retryAfterSeconds);
+                break;
+            case RelayedAnswer::Kind::Unknown:
+                response = errorResponse(504, "the fate of the call is not known");
+                break;
+            }
+            const Milliseconds taken = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - now);
+            logEvent(LogLevel::Info,
+                "call.answered",
+                {{"job", original.job},
+                    {"call", std::to_string(original.kind)},
+                    {"queue", original.queue},
+                    {"status", std::to_string(response.status)},
+                    {"state", relayed.answer.state},
+                    {"version", std::to_string(version)},
+                    {"took_ms", std::to_string(taken.count())}});
+            respond(std::move(response));
+        });
 }
 
 } // namespace knapweed
--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr Milliseconds tickInterval {100};
+constexpr Milliseconds reportedDelay {500}; ///< of a tick; a loop that is this late delays every answer and every time-out
 constexpr Milliseconds listenerDrainTime {2500}; ///< the platform routes new connections to this entry until two readiness probes have failed
 constexpr Milliseconds shutdownReserve {1000}; ///< time before the platform kills the process; requests still open then would be aborted in any case
 
@@ -106,12 +107,19 @@
         receive(peer, message);
     };
     events.connected = [this](const wire::RosterEntry &peer) {
+        if (peer.role == wire::Role::Entry && connectedEntries_.insert(peer.address).second && connectedEntries_.size() == 1) {
+            logEvent(LogLevel::Info, "entries.connected", {{"first", peer.address}});
+        }
         announceScheduler(peer.address);
         if (peer.address == scheduler_) {
             relay_.schedulerChanged(monotonicNow());
         }
     };
-    events.disconnected = [](const std::string &) {};
+    events.disconnected = [this](const std::string &peer) {
+        if (connectedEntries_.erase(peer) != 0 && connectedEntries_.empty()) {
+            logEvent(LogLevel::Info, "entries.disconnected", {{"last", peer}});
+        }
+    };
     events.rosterChanged = []() {};
     events.configurationSeen = [this](const std::string &peer, std::int64_t version) {
         if (version > announcedConfiguration_) {
@@ -246,9 +254,19 @@
     return static_cast<std::int32_t>(1000 * settings_.processorShare);
 }
 
+void CellEntryTask::noteDelay(MonotonicTime now)
+{
+    const Milliseconds delay = std::chrono::duration_cast<Milliseconds>(now - tickedAt_) - tickInterval;
+    tickedAt_ = now;
+    if (delay >= reportedDelay) {
+        logEvent(LogLevel::Warning, "loop.delayed", {{"delay_ms", std::to_string(delay.count())}, {"connections", std::to_string(peers_->connections())}});
+    }
+}
+
 void CellEntryTask::tick()
 {
     const MonotonicTime now = monotonicNow();
+    noteDelay(now);
     relay_.tick(now);
     if (schedulerCore_ != nullptr && schedulerCore_->isBusy()) {
         schedulerCore_->tick(BootClock::now(), std::chrono::system_clock::now());
--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -17,6 +17,7 @@
 #include "storeclient.h"
 
 #include <memory>
+#include <set>
 #include <string>
 
 namespace knapweed
@@ -75,6 +76,7 @@
     void requestAdvice(const cell::AdviceRequest &request);
     void schedulePlan();
     void tick();
+    void noteDelay(MonotonicTime now);
     void finishDrain(MonotonicTime now);
 
     cell::SettingsFile settingsFile_;
@@ -104,6 +106,8 @@
     cell::LeaderMonitor leaderMonitor_;
     cell::LeadershipLossDetector lossDetector_; ///< for the current term of this process
 
+    std::set<std::string> connectedEntries_; ///< other entries with a connection; while there is none, only the store names a new configuration
+    MonotonicTime tickedAt_ = std::chrono::steady_clock::now();
     const MonotonicTime startedAt_ = std::chrono::steady_clock::now();
     MonotonicTime termStartedAt_;
     Milliseconds handOverDelay_ {3000}; ///< minimum time from the start of a term to a hand-over; the peers are connected by then
--- a/src/knapweedstaged/configurationfeed.cpp
+++ b/src/knapweedstaged/configurationfeed.cpp
@@ -20,6 +20,11 @@
 {
 }
 
+ConfigurationFeed::~ConfigurationFeed()
+{
+    loop_.cancelTimer(timer_);
+}
+
 void ConfigurationFeed::start()
 {
     answeredAt_ = std::chrono::steady_clock::now();
@@ -35,8 +40,13 @@
         follow(*read);
     }
     const MonotonicTime now = std::chrono::steady_clock::now();
+    proceedAfter(std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(reads_.nextBegin() - now)));
+}
+
+void ConfigurationFeed::proceedAfter(Milliseconds delay)
+{
     loop_.cancelTimer(timer_);
-    timer_ = loop_.callAfter(std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(reads_.nextBegin() - now)), [this]() {
+    timer_ = loop_.callAfter(delay, [this]() {
         proceed();
     });
 }
@@ -60,6 +70,11 @@
         const bool hasGap = !isOk(result) && error(result).kind == platform::StoreError::Kind::Deleted;
         noteAnswer(isOk(result) || hasGap, "read", isOk(result) ? std::string() : error(result).detail);
         if (isOk(result)) {
+            if (value(result).end < nextOffset_) {
+                logEvent(LogLevel::Warning,
+                    "configuration.position_ahead",
+                    {{"position", std::to_string(nextOffset_)}, {"end", std::to_string(value(result).end)}, {"first", std::to_string(value(result).first)}});
+            }
             apply(value(result).records);
             nextOffset_ = std::max(nextOffset_, value(result).next);
         } else if (hasGap) {
@@ -78,10 +93,8 @@
     } else {
         reads_.failed(number, now);
     }
-    // Posted, because the connection of this answer can be used again only after this callback.
-    loop_.post([this]() {
-        proceed();
-    });
+    // Not at once, because the connection of this answer can be used again only after this callback.
+    proceedAfter(Milliseconds(0));
 }
 
 void ConfigurationFeed::apply(const std::vector<platform::KeyedRecord> &records)
--- a/src/knapweedstaged/configurationfeed.h
+++ b/src/knapweedstaged/configurationfeed.h
@@ -24,6 +24,10 @@
         std::uint32_t seed,
         std::function<void(const cell::CellConfiguration &)> changed);
 
+    ~ConfigurationFeed();
+    ConfigurationFeed(const ConfigurationFeed &) = delete;
+    ConfigurationFeed &operator=(const ConfigurationFeed &) = delete;
+
     void start();
 
     /// Applies a document from the store or a peer. Documents that cannot be read or whose version is not newer are ignored.
@@ -34,6 +38,7 @@
 
 private:
     void proceed();
+    void proceedAfter(Milliseconds delay);
     void readNewest(std::uint64_t number);
     void follow(const cell::ConfigurationRead &read);
     void finish(std::uint64_t number, bool isAnswered, bool hasGap);
--- a/tests/configuration/feedtest.cpp
+++ b/tests/configuration/feedtest.cpp
@@ -10,6 +10,7 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 // Included last, because it redefines new.
@@ -59,6 +60,13 @@
     {
     }
 
+    ~TopicStandin()
+    {
+        for (const Reader &reader : readers_) {
+            loop_.cancelTimer(reader.timer);
+        }
+    }
+
     Address address() const
     {
         return server_.address();
@@ -235,3 +243,71 @@
         },
         applyTime));
 }
+
+TEST_GROUP(ConfigurationFeedOfABusyEntry)
+{
+    LoopTask storeTask;
+    LoopTask entryTask;
+    std::unique_ptr<TopicStandin> topic;
+    std::unique_ptr<HttpClient> http;
+    std::unique_ptr<platform::StoreClient> store;
+    std::unique_ptr<ConfigurationFeed> feed;
+
+    void setup() override
+    {
+        storeTask.call([this]() {
+            topic = std::make_unique<TopicStandin>(storeTask.loop());
+            topic->append(1);
+        });
+        entryTask.call([this]() {
+            http = std::make_unique<HttpClient>(entryTask.loop());
+            store = std::make_unique<platform::StoreClient>(*http, topic->address());
+            feed = std::make_unique<ConfigurationFeed>(entryTask.loop(), *store, applyTime, 1, [](const cell::CellConfiguration &) {});
+            feed->start();
+        });
+    }
+
+    void teardown() override
+    {
+        entryTask.call([this]() {
+            feed.reset();
+            store.reset();
+            http.reset();
+        });
+        storeTask.call([this]() {
+            topic.reset();
+        });
+    }
+
+    /// Other work of the entry takes @p time in each turn of its loop.
+    void occupy(Milliseconds time)
+    {
+        entryTask.call([this, time]() {
+            entryTask.loop().callEvery(Milliseconds(1), [time]() {
+                std::this_thread::sleep_for(time);
+            });
+        });
+    }
+
+    bool follows(std::int64_t version, Milliseconds deadline)
+    {
+        return entryTask.waitFor(
+            [this, version]() {
+                return feed->configuration().version >= version;
+            },
+            deadline);
+    }
+};
+
+/// Guards against CONFIG: an entry with too little processor time that takes its own delays for those of the store would give up each read.
+TEST(ConfigurationFeedOfABusyEntry, changeIsInForceAlthoughEachTurnOfTheLoopTakesLong)
+{
+    const Milliseconds turn(900);
+    CHECK(follows(1, testDeadline));
+    occupy(turn);
+    std::this_thread::sleep_for(turn * 6);
+    storeTask.call([this]() {
+        topic->append(2);
+    });
+    CHECK(follows(2, turn * 4));
+}
