--- /dev/null
+++ b/tests/configuration/openfindingstest.cpp
@@ -0,0 +1,107 @@
+// Known faults in how an entry's configuration stays up to date. Each is listed in KNOWN-RED.txt; ctest runs them one by one.
+
+#include "cell/builders.h"
+#include "cell/configurationreads.h"
+#include "cellcallerapi.h"
+#include "configuration/topicstandin.h"
+
+#include <memory>
+#include <optional>
+
+// Included last, because it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace knapweed;
+
+TEST_GROUP(OpenFinding) {};
+
+/// Guards against CONFIG: an entry whose configuration was outdated admitted a call to a queue that had been dropped, and the scheduler, which knew better,
+/// carried it out.
+TEST(OpenFinding, callThatAnOutdatedEntryAdmitsIsNotCarriedOut)
+{
+    const BootTime now(Milliseconds(1000000));
+    const WallTime wall(Seconds(1800000000));
+    cell::CellConfiguration outdated = cell::plainConfiguration();
+    cell::CellConfiguration current = outdated;
+    outdated.version = 9;
+    current.version = 15;
+    current.queues.pop_back();
+    cell::Scheduler scheduler(cell::SchedulerOptions {1, Milliseconds(6000)});
+    scheduler.load({}, now, wall);
+    scheduler.setConfiguration(current);
+    CallRelay relay([&](const wire::JobCall &call) {
+        scheduler.receive("entry", call, now, wall);
+        return true;
+    });
+    CellCallerApi api(outdated, relay);
+    HttpRequest request;
+    request.method = "GET";
+    request.host = "host";
+    request.path = "/later/";
+    request.headers["authorization"] = "Token key";
+    std::optional<int> status;
+    api.handle(request, [&](const HttpResponse &response) {
+        status = response.status;
+    });
+    for (const auto &[peer, message] : scheduler.takeOutput().messages) {
+        relay.handleAnswer(std::get<wire::JobAnswer>(message));
+    }
+    CHECK(!status || *status != 200);
+}
+
+/// Guards against CONFIG: the records after the position had been deleted, a list that had been requested earlier was taken for newer than the deletion, and
+/// the version in between was never read.
+TEST(OpenFinding, listRequestedBeforeAGapWasReportedDoesNotCloseIt)
+{
+    cell::ConfigurationReads reads(cell::configurationReadTimes(Milliseconds(3000)), 1);
+    MonotonicTime now;
+    reads.answered(reads.begin(now)->number, false, now);
+    const cell::ConfigurationRead waiting = *reads.begin(now);
+    now = reads.nextBegin();
+    const cell::ConfigurationRead list = *reads.begin(now);
+    CHECK(list.isNewest);
+    reads.answered(waiting.number, true, now);
+    reads.answered(list.number, false, now);
+    now = std::max(now, reads.nextBegin());
+    const std::optional<cell::ConfigurationRead> next = reads.begin(now);
+    CHECK(next && next->isNewest);
+}
+
+/// Guards against CONFIG: an entry that read from a position past the end of the log was answered, without records, for as long as no other version came.
+TEST(OpenFinding, changeIsInForceAlthoughThePositionWasPastTheEndOfTheLog)
+{
+    const Milliseconds applyTime(2000);
+    LoopTask task;
+    std::unique_ptr<TopicStandin> topic;
+    std::unique_ptr<HttpClient> http;
+    std::unique_ptr<platform::StoreClient> store;
+    std::unique_ptr<ConfigurationFeed> feed;
+    task.call([&]() {
+        topic = std::make_unique<TopicStandin>(task.loop());
+        topic->append(1);
+        topic->nameOffsetsAhead(3);
+        http = std::make_unique<HttpClient>(task.loop());
+        store = std::make_unique<platform::StoreClient>(*http, topic->address());
+        feed = std::make_unique<ConfigurationFeed>(task.loop(), *store, applyTime, 1, [](const cell::CellConfiguration &) {});
+        feed->start();
+    });
+    const auto follows = [&](std::int64_t version, Milliseconds deadline) {
+        return task.waitFor(
+            [&]() {
+                return feed->configuration().version >= version;
+            },
+            deadline);
+    };
+    CHECK(follows(1, testDeadline));
+    task.call([&]() {
+        topic->nameOffsetsAhead(0);
+        topic->append(2);
+    });
+    CHECK(follows(2, applyTime));
+    task.call([&]() {
+        feed.reset();
+        store.reset();
+        http.reset();
+        topic.reset();
+    });
+}
