Close a gap of the configuration's log only by a list that was requested after it

Cause: the end of a gap moves the position on at once, but the answer of a list that had been requested before was taken to close it. What was written and deleted in between was never read by this entry. Evidence: ConfigurationReads listRequestedBeforeAGapWasReportedDoesNotCloseIt failed before, 1 of 1, and passes now. Class: a position is believed for ever. Change: a gap is closed by a read that begins after it was reported, whichever read reports it. Whom it touches: an entry that falls behind the log's history reads the list once more; a gap can't be reported again before the log is trimmed again.

--- a/src/libknapweed/cell/configurationreads.cpp
+++ b/src/libknapweed/cell/configurationreads.cpp
@@ -53,9 +53,14 @@
 
 void ConfigurationReads::answered(std::uint64_t number, bool hasGap, MonotonicTime now)
 {
-    if (number == awaited_) {
+    if (hasGap) {
+        // A list that is on its way was requested before the gap was known, and may not show what fell into it.
+        awaited_ = 0;
+        readsNewest_ = true;
+        nextBegin_ = now;
+    } else if (number == awaited_) {
         awaited_ = 0;
-        readsNewest_ = hasGap;
+        readsNewest_ = false;
         nextBegin_ = now;
     }
 }
--- a/src/libknapweed/cell/configurationreads.h
+++ b/src/libknapweed/cell/configurationreads.h
@@ -41,7 +41,8 @@
     /// When to call begin() again, if no answer or failure comes before.
     MonotonicTime nextBegin() const;
 
-    /// @p hasGap: the records after the position reached have been deleted, so the newest one has to be read.
+    /// @p hasGap: records may be missing between the position reached and those that the store holds, so the newest one has to be read, by a read that
+    /// begins after this answer.
     void answered(std::uint64_t number, bool hasGap, MonotonicTime now);
     void failed(std::uint64_t number, MonotonicTime now);
 
--- a/tests/cell/configurationreadstest.cpp
+++ b/tests/cell/configurationreadstest.cpp
@@ -167,3 +167,21 @@
     reads.answered(2, true, now);
     CHECK(reads.begin(now)->isNewest);
 }
+
+/// Guards against CONFIG: the records after the position had been deleted, a list that had been requested earlier was taken for newer than the deletion, and
+/// the version in between was never read.
+TEST(ConfigurationReads, listRequestedBeforeAGapWasReportedDoesNotCloseIt)
+{
+    ConfigurationReads reads(configurationReadTimes(Milliseconds(3000)), 1);
+    MonotonicTime now;
+    reads.answered(reads.begin(now)->number, false, now);
+    const ConfigurationRead waiting = *reads.begin(now);
+    now = reads.nextBegin();
+    const ConfigurationRead list = *reads.begin(now);
+    CHECK(list.isNewest);
+    reads.answered(waiting.number, true, now);
+    reads.answered(list.number, false, now);
+    now = std::max(now, reads.nextBegin());
+    const std::optional<ConfigurationRead> next = reads.begin(now);
+    CHECK(next && next->isNewest);
+}
--- a/tests/configuration/openfindingstest.cpp
+++ b/tests/configuration/openfindingstest.cpp
@@ -49,24 +49,6 @@
     CHECK(!status || *status != 200);
 }
 
-/// Guards against CONFIG: the records after the position had been deleted, a list that had been requested earlier was taken for newer than the deletion, and
-/// the version in between was never read.
-TEST(OpenFinding, listRequestedBeforeAGapWasReportedDoesNotCloseIt)
-{
-    cell::ConfigurationReads reads(cell::configurationReadTimes(Milliseconds(3000)), 1);
-    MonotonicTime now;
-    reads.answered(reads.begin(now)->number, false, now);
-    const cell::ConfigurationRead waiting = *reads.begin(now);
-    now = reads.nextBegin();
-    const cell::ConfigurationRead list = *reads.begin(now);
-    CHECK(list.isNewest);
-    reads.answered(waiting.number, true, now);
-    reads.answered(list.number, false, now);
-    now = std::max(now, reads.nextBegin());
-    const std::optional<cell::ConfigurationRead> next = reads.begin(now);
-    CHECK(next && next->isNewest);
-}
-
 /// Guards against CONFIG: an entry that read from a position past the end of the log was answered, without records, for as long as no other version came.
 TEST(OpenFinding, changeIsInForceAlthoughThePositionWasPastTheEndOfTheLog)
 {
