Take a position past the end of the configuration's log for a gap

What callers would see: an outdated configuration for as long as no other version comes, at this entry. Cause: a read from past the end waits and is answered without records, like one to which nothing new has come. Nothing is overdue, so the newest record is not read. Evidence: the test of a list that names offsets that are too high failed before (not in force after 2 s), passes now, as ConfigurationFeedOfOneEntry changeIsInForceAlthoughThePositionWasPastTheEndOfTheLog. Change: a page whose end lies before the position moves the position back, and the newest record is read. Whom it touches: nobody while the store's answers agree with each other. A late answer may cost a list more.

--- a/src/knapweedstaged/configurationfeed.cpp
+++ b/src/knapweedstaged/configurationfeed.cpp
@@ -65,26 +65,35 @@
 
 void ConfigurationFeed::follow(const cell::ConfigurationRead &read)
 {
-    const auto received = [this, number = read.number](const Result<platform::ReadPage, platform::StoreError> &result) {
+    const auto received = [this, number = read.number, from = nextOffset_](const Result<platform::ReadPage, platform::StoreError> &result) {
         // The records at this offset may have been deleted, but the store always keeps the newest record of the key.
-        const bool hasGap = !isOk(result) && error(result).kind == platform::StoreError::Kind::Deleted;
-        noteAnswer(isOk(result) || hasGap, "read", isOk(result) ? std::string() : error(result).detail);
+        const bool isDeleted = !isOk(result) && error(result).kind == platform::StoreError::Kind::Deleted;
+        noteAnswer(isOk(result) || isDeleted, "read", isOk(result) ? std::string() : error(result).detail);
+        bool hasGap = isDeleted;
         if (isOk(result)) {
-            if (value(result).end < nextOffset_) {
-                logEvent(LogLevel::Warning,
-                    "configuration.position_ahead",
-                    {{"position", std::to_string(nextOffset_)}, {"end", std::to_string(value(result).end)}, {"first", std::to_string(value(result).first)}});
-            }
             apply(value(result).records);
-            nextOffset_ = std::max(nextOffset_, value(result).next);
-        } else if (hasGap) {
+            hasGap = isPastEnd(from, value(result));
+            nextOffset_ = hasGap ? value(result).end : std::max(nextOffset_, value(result).next);
+        } else if (isDeleted) {
             nextOffset_ = std::max(nextOffset_, error(result).expected);
         }
-        finish(number, isOk(result) || hasGap, hasGap);
+        finish(number, isOk(result) || isDeleted, hasGap);
     };
     store_.read(platform::operatorTopic, nextOffset_, read.wait, read.wait + times_.giveUp, received);
 }
 
+/// Whether a read from @p from could only wait. Its answer looks like that of a read to which nothing new has come.
+bool ConfigurationFeed::isPastEnd(std::int64_t from, const platform::ReadPage &page)
+{
+    if (page.end >= from) {
+        return false;
+    }
+    logEvent(LogLevel::Warning,
+        "configuration.position_ahead",
+        {{"position", std::to_string(from)}, {"end", std::to_string(page.end)}, {"first", std::to_string(page.first)}});
+    return true;
+}
+
 void ConfigurationFeed::finish(std::uint64_t number, bool isAnswered, bool hasGap)
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
--- a/src/knapweedstaged/configurationfeed.h
+++ b/src/knapweedstaged/configurationfeed.h
@@ -41,6 +41,7 @@
     void proceedAfter(Milliseconds delay);
     void readNewest(std::uint64_t number);
     void follow(const cell::ConfigurationRead &read);
+    static bool isPastEnd(std::int64_t from, const platform::ReadPage &page);
     void finish(std::uint64_t number, bool isAnswered, bool hasGap);
     void apply(const std::vector<platform::KeyedRecord> &records);
     Milliseconds unansweredTime() const;
@@ -54,7 +55,7 @@
     std::function<void(const cell::CellConfiguration &)> changed_;
     cell::CellConfiguration configuration_; ///< its version never decreases
     std::string document_;
-    std::int64_t nextOffset_ = 0; ///< offset of the next record to read; never decreases
+    std::int64_t nextOffset_ = 0; ///< offset of the next record to read; at most the end of the log, as far as an answer has shown it
     MonotonicTime answeredAt_; ///< when the store last answered a read
     bool isReachable_ = true; ///< whether it answered the last one
 };
--- a/tests/configuration/feedtest.cpp
+++ b/tests/configuration/feedtest.cpp
@@ -118,7 +118,7 @@
         applyTime));
 }
 
-TEST_GROUP(ConfigurationFeedOfABusyEntry)
+TEST_GROUP(ConfigurationFeedOfOneEntry)
 {
     LoopTask storeTask;
     LoopTask entryTask;
@@ -137,6 +137,12 @@
             http = std::make_unique<HttpClient>(entryTask.loop());
             store = std::make_unique<platform::StoreClient>(*http, topic->address());
             feed = std::make_unique<ConfigurationFeed>(entryTask.loop(), *store, applyTime, 1, [](const cell::CellConfiguration &) {});
+        });
+    }
+
+    void start()
+    {
+        entryTask.call([this]() {
             feed->start();
         });
     }
@@ -174,9 +180,10 @@
 };
 
 /// Guards against CONFIG: an entry with too little processor time that takes its own delays for those of the store would give up each read.
-TEST(ConfigurationFeedOfABusyEntry, changeIsInForceAlthoughEachTurnOfTheLoopTakesLong)
+TEST(ConfigurationFeedOfOneEntry, changeIsInForceAlthoughEachTurnOfTheLoopTakesLong)
 {
     const Milliseconds turn(900);
+    start();
     CHECK(follows(1, testDeadline));
     occupy(turn);
     std::this_thread::sleep_for(turn * 6);
@@ -185,3 +192,18 @@
     });
     CHECK(follows(2, turn * 4));
 }
+
+/// Guards against CONFIG: an entry that read from a position past the end of the log was answered, without records, for as long as no other version came.
+TEST(ConfigurationFeedOfOneEntry, changeIsInForceAlthoughThePositionWasPastTheEndOfTheLog)
+{
+    storeTask.call([this]() {
+        topic->nameOffsetsAhead(3);
+    });
+    start();
+    CHECK(follows(1, testDeadline));
+    storeTask.call([this]() {
+        topic->nameOffsetsAhead(0);
+        topic->append(2);
+    });
+    CHECK(follows(2, applyTime));
+}
