Check the configuration by which a call was admitted where the call is carried out

Cause and class: nothing behind an entry notices that its copy of the configuration is outdated, whatever made it so; a permission is used without a check of its age. Change: a call names the version that admitted it. A scheduler with a later one doesn't carry it out; the entry asks that scheduler for the document and admits the call anew. Calls that have not been sent when the configuration changes are admitted anew too. A 404 or 401 goes out at once only if the store has confirmed the configuration within 0.6 of the bound; otherwise the scheduler is asked whether it is outdated, and without an answer within 0.8 s the caller gets 503. Whom it touches: other entries: a call in flight during a change takes one more round trip. Next scheduler: calls sent again to it are checked again; one that was sent twice and refused once is of unknown fate, as before. An entry that is alone: as the scheduler it answers its own check; without any scheduler and store a 404 becomes a 503 after 0.4 s. A machine that can't keep up: its reads are answered late, so that it asks the scheduler more often. Processes of the version before name no configuration and are not checked.

--- a/src/knapweedstaged/callrelay.cpp
+++ b/src/knapweedstaged/callrelay.cpp
@@ -22,8 +22,9 @@
 
 void CallRelay::trySend(PendingCall &pending, MonotonicTime now)
 {
-    if (send_(pending.call)) {
+    if (pending.awaitedVersion == 0 && send_(pending.call)) {
         pending.isSent = true;
+        ++pending.unanswered;
         pending.sentAt = now;
     }
 }
@@ -47,9 +48,35 @@
     if (found == pendingCalls_.end() || answer.outcome == wire::CallOutcome::NotScheduler) {
         return;
     }
-    const std::function<void(const RelayedAnswer &)> callback = std::move(found->second.callback);
+    PendingCall &pending = found->second;
+    const bool isOutdated = answer.outcome == wire::CallOutcome::Outdated;
+    if (isOutdated && answer.configurationVersion > configurationVersion_) {
+        pending.awaitedVersion = answer.configurationVersion;
+        // This answer speaks for one sending only. An earlier one without an answer may have been executed.
+        pending.isSent = --pending.unanswered > 0;
+        return;
+    }
+    const std::function<void(const RelayedAnswer &)> callback = std::move(pending.callback);
     pendingCalls_.erase(found);
-    callback({RelayedAnswer::Kind::Answered, answer});
+    callback({isOutdated ? RelayedAnswer::Kind::Outdated : RelayedAnswer::Kind::Answered, answer});
+}
+
+void CallRelay::configurationChanged(std::int64_t version)
+{
+    configurationVersion_ = version;
+    std::vector<std::function<void(const RelayedAnswer &)>> returned;
+    for (auto pending = pendingCalls_.begin(); pending != pendingCalls_.end();) {
+        const std::int64_t awaited = pending->second.awaitedVersion;
+        if (awaited == 0 ? pending->second.isSent : awaited > version) {
+            ++pending;
+            continue;
+        }
+        returned.push_back(std::move(pending->second.callback));
+        pending = pendingCalls_.erase(pending);
+    }
+    for (const std::function<void(const RelayedAnswer &)> &callback : returned) {
+        callback({RelayedAnswer::Kind::Outdated, {}});
+    }
 }
 
 void CallRelay::schedulerChanged(MonotonicTime now)
--- a/src/knapweedstaged/callrelay.h
+++ b/src/knapweedstaged/callrelay.h
@@ -18,6 +18,7 @@
         Answered, ///< the scheduler answered; see answer
         NotSent, ///< not sent to any scheduler, so confirmed not executed
         Unknown, ///< sent and not answered in time; the outcome is unknown
+        Outdated, ///< not executed, and the configuration has changed since the call was admitted: it has to be admitted anew
     };
     Kind kind = Kind::NotSent;
     wire::JobAnswer answer;
@@ -34,6 +35,9 @@
 
     void handleAnswer(const wire::JobAnswer &answer);
 
+    /// To be called when @p version has come into force. Returns the calls that have not been sent, and those that the scheduler refused as outdated.
+    void configurationChanged(std::int64_t version);
+
     /// To be called after a change of the scheduler and for each new connection to it. Sends all pending calls again.
     void schedulerChanged(MonotonicTime now);
 
@@ -49,6 +53,8 @@
         MonotonicTime sendDeadline;
         MonotonicTime deadline;
         bool isSent = false; ///< to some scheduler, which may have executed it
+        int unanswered = 0; ///< times that it was sent since the last answer
+        std::int64_t awaitedVersion = 0; ///< of the configuration; not 0 while the call waits for it
         std::function<void(const RelayedAnswer &)> callback;
     };
 
@@ -57,6 +63,7 @@
     std::function<bool(const wire::JobCall &)> send_;
     std::map<std::int64_t, PendingCall> pendingCalls_; ///< by call number
     std::int64_t lastCall_ = 0;
+    std::int64_t configurationVersion_ = 0; ///< in force at this process
 };
 
 } // namespace knapweed
--- a/src/knapweedstaged/cellcallerapi.cpp
+++ b/src/knapweedstaged/cellcallerapi.cpp
@@ -18,6 +18,7 @@
 constexpr Milliseconds defaultDeadline {3000}; ///< for requests without a valid x-deadline-ms header
 constexpr Milliseconds answerMargin {120}; ///< reserved for returning the answer before the caller's deadline
 constexpr Milliseconds submitSendTimeout {400}; ///< how long a submission waits for a scheduler; longer than a planned hand-over takes
+constexpr Milliseconds checkTimeout {800}; ///< for the scheduler's answer on the configuration; lets one lost message be sent again
 constexpr std::size_t jobIdLength = 16;
 constexpr int retryAfterSeconds = 1; ///< a fail-over takes about two seconds
 
@@ -74,8 +75,9 @@
 
 } // namespace
 
-CellCallerApi::CellCallerApi(const cell::CellConfiguration &configuration, CallRelay &relay)
+CellCallerApi::CellCallerApi(const cell::CellConfiguration &configuration, CallRelay &relay, std::function<bool()> isConfirmed)
     : configuration_(configuration)
+    , isConfirmed_(std::move(isConfirmed))
     , relay_(relay)
 {
 }
@@ -86,16 +88,22 @@
         respond(retryLaterResponse(503, "no configuration yet", retryAfterSeconds));
         return;
     }
+    admit(std::make_shared<const OpenCall>(OpenCall {request, respond, std::chrono::steady_clock::now()}));
+}
+
+void CellCallerApi::admit(const OpenCallPointer &open)
+{
+    const HttpRequest &request = open->request;
     const cell::Queue *queue = cell::findQueue(configuration_, hostOf(request), request.path);
     if (queue == nullptr) {
         logEvent(LogLevel::Info, "call.unrouted", {{"host", hostOf(request)}, {"path", request.path}, {"version", std::to_string(configuration_.version)}});
-        respond(errorResponse(404, "no such queue"));
+        refuse(open, errorResponse(404, "no such queue"));
         return;
     }
     const auto account = configuration_.accountByKey.find(platform::accessKey(headerOf(request, "authorization")));
     if (!queue->isPublic && account == configuration_.accountByKey.end()) {
         logEvent(LogLevel::Info, "call.unauthorized", {{"queue", queue->name}, {"version", std::to_string(configuration_.version)}});
-        respond(errorResponse(401, "unknown key"));
+        refuse(open, errorResponse(401, "unknown key"));
         return;
     }
     const std::string accountName = account == configuration_.accountByKey.end() ? std::string() : account->second;
@@ -107,28 +115,28 @@
     if (request.method == "GET" && job.empty()) {
         call.kind = wire::CallKind::CountWaiting;
     } else if (!isJobId(job)) {
-        respond(errorResponse(request.method == "POST" ? 400 : 410, "not a job's id"));
+        open->respond(errorResponse(request.method == "POST" ? 400 : 410, "not a job's id"));
         return;
     } else if (request.method == "POST") {
-        submit(*queue, accountName, job, request, respond);
+        submit(*queue, accountName, job, open);
         return;
     } else if (request.method == "GET" || request.method == "DELETE") {
         call.kind = request.method == "GET" ? wire::CallKind::Query : wire::CallKind::Cancel;
     } else {
-        respond(errorResponse(405, "the methods are GET, POST and DELETE"));
+        open->respond(errorResponse(405, "the methods are GET, POST and DELETE"));
         return;
     }
-    relay(std::move(call), request, respond);
+    relay(std::move(call), open);
 }
 
-void CellCallerApi::submit(
-    const cell::Queue &queue, const std::string &account, const std::string &job, const HttpRequest &request, const HttpResponder &respond)
+void CellCallerApi::submit(const cell::Queue &queue, const std::string &account, const std::string &job, const OpenCallPointer &open)
 {
+    const HttpRequest &request = open->request;
     Result<cell::JobSpec, platform::DocumentError> decoded = platform::decodeSubmission(request.body);
     if (!isOk(decoded) || request.body.size() > configuration_.maximumBodyBytes) {
         logEvent(
             LogLevel::Info, "job.refused", {{"job", job}, {"reason", isOk(decoded) ? "the body exceeds the configured maximum size" : error(decoded).detail}});
-        respond(errorResponse(400, "not a job"));
+        open->respond(errorResponse(400, "not a job"));
         return;
     }
     cell::JobSpec &spec = value(decoded);
@@ -141,42 +149,73 @@
     call.job = job;
     call.account = account;
     call.spec = cell::encodeSpec(spec);
-    relay(std::move(call), request, respond);
+    relay(std::move(call), open);
 }
 
-void CellCallerApi::relay(wire::JobCall call, const HttpRequest &request, const HttpResponder &respond)
+/// A refusal rests on this process's configuration alone. If the store has not confirmed that lately, the scheduler is asked first.
+void CellCallerApi::refuse(const OpenCallPointer &open, HttpResponse response)
 {
+    if (isConfirmed_()) {
+        open->respond(std::move(response));
+        return;
+    }
+    wire::JobCall call;
+    call.kind = wire::CallKind::CheckConfiguration;
+    call.configurationVersion = configuration_.version;
     const MonotonicTime now = std::chrono::steady_clock::now();
-    const Milliseconds allowed = std::max(Milliseconds(50), deadlineOf(request) - answerMargin);
+    relay_.call(std::move(call), now, now + submitSendTimeout, now + checkTimeout, [this, open, response](const RelayedAnswer &relayed) {
+        switch (relayed.kind) {
+        case RelayedAnswer::Kind::Answered:
+            open->respond(response);
+            break;
+        case RelayedAnswer::Kind::Outdated:
+            admit(open);
+            break;
+        case RelayedAnswer::Kind::NotSent:
+        case RelayedAnswer::Kind::Unknown:
+            open->respond(retryLaterResponse(503, "the configuration is not confirmed", retryAfterSeconds));
+            break;
+        }
+    });
+}
+
+void CellCallerApi::relay(wire::JobCall call, const OpenCallPointer &open)
+{
+    const Milliseconds allowed = std::max(Milliseconds(50), deadlineOf(open->request) - answerMargin);
     // The caller can send a refused submission to another entry at once. Other calls gain nothing from an early refusal, so they wait until the deadline.
     const Milliseconds sendTimeout = call.kind == wire::CallKind::Submit ? std::min(allowed, submitSendTimeout) : allowed;
-    const wire::JobCall original = call;
-    relay_.call(
-        std::move(call), now, now + sendTimeout, now + allowed, [original, respond, now, version = configuration_.version](const RelayedAnswer &relayed) {
-            HttpResponse response;
-            switch (relayed.kind) {
-            case RelayedAnswer::Kind::Answered:
-                response = responseTo(original, relayed.answer);
-                break;
-            case RelayedAnswer::Kind::NotSent:
-                response = retryLaterResponse(503, "no scheduler is reached", retryAfterSeconds);
-                break;
-            case RelayedAnswer::Kind::Unknown:
-                response = errorResponse(504, "the fate of the call is not known");
-                break;
-            }
-            const Milliseconds taken = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - now);
-            logEvent(LogLevel::Info,
-                "call.answered",
-                {{"job", original.job},
-                    {"call", std::to_string(original.kind)},
-                    {"queue", original.queue},
-                    {"status", std::to_string(response.status)},
-                    {"state", relayed.answer.state},
-                    {"version", std::to_string(version)},
-                    {"took_ms", std::to_string(taken.count())}});
-            respond(std::move(response));
-        });
+    call.configurationVersion = configuration_.version;
+    wire::JobCall original = call;
+    original.spec.clear();
+    const auto answered = [this, original, open](const RelayedAnswer &relayed) {
+        HttpResponse response;
+        switch (relayed.kind) {
+        case RelayedAnswer::Kind::Answered:
+            response = responseTo(original, relayed.answer);
+            break;
+        case RelayedAnswer::Kind::NotSent:
+            response = retryLaterResponse(503, "no scheduler is reached", retryAfterSeconds);
+            break;
+        case RelayedAnswer::Kind::Unknown:
+            response = errorResponse(504, "the fate of the call is not known");
+            break;
+        case RelayedAnswer::Kind::Outdated:
+            admit(open);
+            return;
+        }
+        const Milliseconds taken = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - open->arrivedAt);
+        logEvent(LogLevel::Info,
+            "call.answered",
+            {{"job", original.job},
+                {"call", std::to_string(original.kind)},
+                {"queue", original.queue},
+                {"status", std::to_string(response.status)},
+                {"state", relayed.answer.state},
+                {"version", std::to_string(original.configurationVersion)},
+                {"took_ms", std::to_string(taken.count())}});
+        open->respond(std::move(response));
+    };
+    relay_.call(std::move(call), std::chrono::steady_clock::now(), open->arrivedAt + sendTimeout, open->arrivedAt + allowed, answered);
 }
 
 } // namespace knapweed
--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -48,7 +48,9 @@
     , relay_([this](const wire::JobCall &call) {
         return sendToScheduler(call);
     })
-    , callerApi_(feed_.configuration(), relay_)
+    , callerApi_(feed_.configuration(), relay_, [this]() {
+        return feed_.isConfirmed();
+    })
 {
     peers_ = std::make_unique<PeerNetwork>(loop_, PeerNetworkOptions {}, networkEvents());
     startServers();
@@ -122,22 +124,32 @@
     };
     events.rosterChanged = []() {};
     events.configurationSeen = [this](const std::string &peer, std::int64_t version) {
-        if (version > announcedConfiguration_) {
-            announcedConfiguration_ = version;
-            logEvent(LogLevel::Info,
-                "configuration.announced",
-                {{"peer", peer}, {"version", std::to_string(version)}, {"known", std::to_string(feed_.configuration().version)}});
-        }
-        wire::CellConfigurationOffer request;
-        request.version = feed_.configuration().version;
-        peers_->send(peer, request);
+        requestConfiguration(peer, version);
     };
     return events;
 }
 
+/// @p version: the one that @p peer is known to have.
+void CellEntryTask::requestConfiguration(const std::string &peer, std::int64_t version)
+{
+    if (version <= feed_.configuration().version) {
+        return;
+    }
+    if (version > announcedConfiguration_) {
+        announcedConfiguration_ = version;
+        logEvent(LogLevel::Info,
+            "configuration.announced",
+            {{"peer", peer}, {"version", std::to_string(version)}, {"known", std::to_string(feed_.configuration().version)}});
+    }
+    wire::CellConfigurationOffer request;
+    request.version = feed_.configuration().version;
+    peers_->send(peer, request);
+}
+
 void CellEntryTask::configurationChanged(const cell::CellConfiguration &configuration)
 {
     peers_->setConfigurationVersion(configuration.version);
+    relay_.configurationChanged(configuration.version);
     metrics_.set("configuration_version", double(configuration.version));
     wire::CellConfigurationOffer offer;
     offer.version = configuration.version;
@@ -209,6 +221,9 @@
     if (const wire::SchedulerNotice *notice = std::get_if<wire::SchedulerNotice>(&message)) {
         receiveNotice(peer, *notice);
     } else if (const wire::JobAnswer *answer = std::get_if<wire::JobAnswer>(&message)) {
+        if (answer->outcome == wire::CallOutcome::Outdated) {
+            requestConfiguration(peer, answer->configurationVersion);
+        }
         relay_.handleAnswer(*answer);
     } else if (const wire::CellConfigurationOffer *offer = std::get_if<wire::CellConfigurationOffer>(&message)) {
         if (!offer->document.empty()) {
--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -50,6 +50,7 @@
     void startServers();
     void receive(const std::string &peer, const PeerMessage &message);
     void receiveNotice(const std::string &peer, const wire::SchedulerNotice &notice);
+    void requestConfiguration(const std::string &peer, std::int64_t version);
     void configurationChanged(const cell::CellConfiguration &configuration);
     void updateScheduler(std::int64_t generation, const std::string &address, const char *source);
     bool sendToScheduler(const wire::JobCall &call);
--- a/src/knapweedstaged/configurationfeed.cpp
+++ b/src/knapweedstaged/configurationfeed.cpp
@@ -53,10 +53,11 @@
 
 void ConfigurationFeed::readNewest(std::uint64_t number)
 {
-    const auto received = [this, number](const Result<platform::NewestPage, platform::StoreError> &result) {
+    const auto received = [this, number, sentAt = BootClock::now()](const Result<platform::NewestPage, platform::StoreError> &result) {
         noteAnswer(isOk(result), "newest", isOk(result) ? std::string() : error(result).detail);
         if (isOk(result)) {
             apply(value(result).records);
+            confirmedAt_ = std::max(confirmedAt_, sentAt);
         }
         finish(number, isOk(result), false);
     };
@@ -65,7 +66,8 @@
 
 void ConfigurationFeed::follow(const cell::ConfigurationRead &read)
 {
-    const auto received = [this, number = read.number, from = nextOffset_](const Result<platform::ReadPage, platform::StoreError> &result) {
+    const auto received = [this, number = read.number, from = nextOffset_, sentAt = BootClock::now(), wait = read.wait](
+                              const Result<platform::ReadPage, platform::StoreError> &result) {
         // The records at this offset may have been deleted, but the store always keeps the newest record of the key.
         const bool isDeleted = !isOk(result) && error(result).kind == platform::StoreError::Kind::Deleted;
         noteAnswer(isOk(result) || isDeleted, "read", isOk(result) ? std::string() : error(result).detail);
@@ -74,6 +76,11 @@
             apply(value(result).records);
             hasGap = isPastEnd(from, value(result));
             nextOffset_ = hasGap ? value(result).end : std::max(nextOffset_, value(result).next);
+            if (value(result).next == value(result).end) {
+                // Without records, the store answers when the wait is over.
+                const BootTime readAt = value(result).records.empty() ? std::min(BootClock::now(), sentAt + wait) : sentAt;
+                confirmedAt_ = std::max(confirmedAt_, readAt);
+            }
         } else if (isDeleted) {
             nextOffset_ = std::max(nextOffset_, error(result).expected);
         }
@@ -158,6 +165,11 @@
     changed_(configuration_);
 }
 
+bool ConfigurationFeed::isConfirmed() const
+{
+    return BootClock::now() - confirmedAt_ < times_.confirmed;
+}
+
 const cell::CellConfiguration &ConfigurationFeed::configuration() const
 {
     return configuration_;
--- a/src/knapweedstaged/configurationfeed.h
+++ b/src/knapweedstaged/configurationfeed.h
@@ -33,6 +33,9 @@
     /// Applies a document from the store or a peer. Documents that cannot be read or whose version is not newer are ignored.
     void offer(const std::string &document, const char *source);
 
+    /// Whether the store has lately answered that it holds nothing newer than what this process has read.
+    bool isConfirmed() const;
+
     const cell::CellConfiguration &configuration() const;
     const std::string &document() const;
 
@@ -57,6 +60,7 @@
     std::string document_;
     std::int64_t nextOffset_ = 0; ///< offset of the next record to read; at most the end of the log, as far as an answer has shown it
     MonotonicTime answeredAt_; ///< when the store last answered a read
+    BootTime confirmedAt_; ///< what was stored by then has been read; includes pauses of the machine
     bool isReachable_ = true; ///< whether it answered the last one
 };
 
--- a/src/libknapweed/cell/configurationreads.cpp
+++ b/src/libknapweed/cell/configurationreads.cpp
@@ -11,12 +11,13 @@
 constexpr int waitPercent = 30;
 constexpr int answerPercent = 15;
 constexpr int giveUpPercent = 60;
+constexpr int confirmedPercent = 60;
 
 } // namespace
 
 ConfigurationReadTimes configurationReadTimes(Milliseconds applyTime)
 {
-    return {applyTime * waitPercent / 100, applyTime * answerPercent / 100, applyTime * giveUpPercent / 100};
+    return {applyTime * waitPercent / 100, applyTime * answerPercent / 100, applyTime * giveUpPercent / 100, applyTime * confirmedPercent / 100};
 }
 
 ConfigurationReads::ConfigurationReads(ConfigurationReadTimes times, std::uint32_t seed)
--- a/src/libknapweed/cell/configurationreads.h
+++ b/src/libknapweed/cell/configurationreads.h
@@ -18,6 +18,7 @@
     Milliseconds wait {0}; ///< longest time that the store may hold a read
     Milliseconds answer {0}; ///< in addition to the wait; a read without an answer by then is overdue. Also the delay after a failed read
     Milliseconds giveUp {0}; ///< in addition to the wait; a slow store's answer is still used until then
+    Milliseconds confirmed {0}; ///< how long an answer that nothing newer is stored may be relied on; the rest of the time is for asking another process
 };
 
 ConfigurationReadTimes configurationReadTimes(Milliseconds applyTime);
--- a/src/libknapweed/cell/schedulercalls.cpp
+++ b/src/libknapweed/cell/schedulercalls.cpp
@@ -33,6 +33,13 @@
 {
     std::uint64_t awaitedWrite = 0;
     wire::JobAnswer reply;
+    reply.call = call.call;
+    if (call.configurationVersion != 0 && call.configurationVersion < configuration_.version) {
+        reply.outcome = wire::CallOutcome::Outdated;
+        reply.configurationVersion = configuration_.version;
+        answer(peer, call, reply, awaitedWrite);
+        return;
+    }
     switch (call.kind) {
     case wire::CallKind::Submit:
         reply = submit(call, awaitedWrite, now, wall);
@@ -46,6 +53,9 @@
     case wire::CallKind::CountWaiting:
         reply = countWaiting(call);
         break;
+    case wire::CallKind::CheckConfiguration:
+        reply.outcome = wire::CallOutcome::Ok;
+        break;
     }
     reply.call = call.call;
     answer(peer, call, reply, awaitedWrite);
--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -243,15 +243,17 @@
   CallKind::Submit,
   CallKind::Query,
   CallKind::Cancel,
-  CallKind::CountWaiting
+  CallKind::CountWaiting,
+  CallKind::CheckConfiguration
 };
 const char* _kCallKindNames[] = {
   "Submit",
   "Query",
   "Cancel",
-  "CountWaiting"
+  "CountWaiting",
+  "CheckConfiguration"
 };
-const std::map<int, const char*> _CallKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kCallKindValues, _kCallKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _CallKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kCallKindValues, _kCallKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const CallKind::type& val) {
   std::map<int, const char*>::const_iterator it = _CallKind_VALUES_TO_NAMES.find(val);
@@ -277,16 +279,18 @@
   CallOutcome::Refused,
   CallOutcome::Missing,
   CallOutcome::Unknown,
-  CallOutcome::NotScheduler
+  CallOutcome::NotScheduler,
+  CallOutcome::Outdated
 };
 const char* _kCallOutcomeNames[] = {
   "Ok",
   "Refused",
   "Missing",
   "Unknown",
-  "NotScheduler"
+  "NotScheduler",
+  "Outdated"
 };
-const std::map<int, const char*> _CallOutcome_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kCallOutcomeValues, _kCallOutcomeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _CallOutcome_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(6, _kCallOutcomeValues, _kCallOutcomeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const CallOutcome::type& val) {
   std::map<int, const char*>::const_iterator it = _CallOutcome_VALUES_TO_NAMES.find(val);
@@ -9385,6 +9389,10 @@
 void JobCall::__set_spec(const std::string& val) {
   this->spec = val;
 }
+
+void JobCall::__set_configurationVersion(const int64_t val) {
+  this->configurationVersion = val;
+}
 std::ostream& operator<<(std::ostream& out, const JobCall& obj)
 {
   obj.printTo(out);
@@ -9463,6 +9471,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configurationVersion);
+          this->__isset.configurationVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9504,6 +9520,10 @@
   xfer += oprot->writeString(this->spec);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("configurationVersion", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->configurationVersion);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9517,6 +9537,7 @@
   swap(a.job, b.job);
   swap(a.account, b.account);
   swap(a.spec, b.spec);
+  swap(a.configurationVersion, b.configurationVersion);
   swap(a.__isset, b.__isset);
 }
 
@@ -9527,6 +9548,7 @@
   job = other271.job;
   account = other271.account;
   spec = other271.spec;
+  configurationVersion = other271.configurationVersion;
   __isset = other271.__isset;
 }
 JobCall::JobCall(JobCall&& other272) noexcept {
@@ -9536,6 +9558,7 @@
   job = std::move(other272.job);
   account = std::move(other272.account);
   spec = std::move(other272.spec);
+  configurationVersion = other272.configurationVersion;
   __isset = other272.__isset;
 }
 JobCall& JobCall::operator=(const JobCall& other273) {
@@ -9545,6 +9568,7 @@
   job = other273.job;
   account = other273.account;
   spec = other273.spec;
+  configurationVersion = other273.configurationVersion;
   __isset = other273.__isset;
   return *this;
 }
@@ -9555,6 +9579,7 @@
   job = std::move(other274.job);
   account = std::move(other274.account);
   spec = std::move(other274.spec);
+  configurationVersion = other274.configurationVersion;
   __isset = other274.__isset;
   return *this;
 }
@@ -9567,6 +9592,7 @@
   out << ", " << "job=" << to_string(job);
   out << ", " << "account=" << to_string(account);
   out << ", " << "spec=" << to_string(spec);
+  out << ", " << "configurationVersion=" << to_string(configurationVersion);
   out << ")";
 }
 
@@ -9594,6 +9620,10 @@
 void JobAnswer::__set_retryAfterMs(const int64_t val) {
   this->retryAfterMs = val;
 }
+
+void JobAnswer::__set_configurationVersion(const int64_t val) {
+  this->configurationVersion = val;
+}
 std::ostream& operator<<(std::ostream& out, const JobAnswer& obj)
 {
   obj.printTo(out);
@@ -9664,6 +9694,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configurationVersion);
+          this->__isset.configurationVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9701,6 +9739,10 @@
   xfer += oprot->writeI64(this->retryAfterMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("configurationVersion", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->configurationVersion);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9713,6 +9755,7 @@
   swap(a.state, b.state);
   swap(a.waiting, b.waiting);
   swap(a.retryAfterMs, b.retryAfterMs);
+  swap(a.configurationVersion, b.configurationVersion);
   swap(a.__isset, b.__isset);
 }
 
@@ -9722,6 +9765,7 @@
   state = other276.state;
   waiting = other276.waiting;
   retryAfterMs = other276.retryAfterMs;
+  configurationVersion = other276.configurationVersion;
   __isset = other276.__isset;
 }
 JobAnswer::JobAnswer(JobAnswer&& other277) noexcept {
@@ -9730,6 +9774,7 @@
   state = std::move(other277.state);
   waiting = other277.waiting;
   retryAfterMs = other277.retryAfterMs;
+  configurationVersion = other277.configurationVersion;
   __isset = other277.__isset;
 }
 JobAnswer& JobAnswer::operator=(const JobAnswer& other278) {
@@ -9738,6 +9783,7 @@
   state = other278.state;
   waiting = other278.waiting;
   retryAfterMs = other278.retryAfterMs;
+  configurationVersion = other278.configurationVersion;
   __isset = other278.__isset;
   return *this;
 }
@@ -9747,6 +9793,7 @@
   state = std::move(other279.state);
   waiting = other279.waiting;
   retryAfterMs = other279.retryAfterMs;
+  configurationVersion = other279.configurationVersion;
   __isset = other279.__isset;
   return *this;
 }
@@ -9758,6 +9805,7 @@
   out << ", " << "state=" << to_string(state);
   out << ", " << "waiting=" << to_string(waiting);
   out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
+  out << ", " << "configurationVersion=" << to_string(configurationVersion);
   out << ")";
 }
 
--- a/src/libknapweed/peers/gen/peers_types.h
+++ b/src/libknapweed/peers/gen/peers_types.h
@@ -130,7 +130,8 @@
     Submit = 1,
     Query = 2,
     Cancel = 3,
-    CountWaiting = 4
+    CountWaiting = 4,
+    CheckConfiguration = 5
   };
 };
 
@@ -146,7 +147,8 @@
     Refused = 2,
     Missing = 3,
     Unknown = 4,
-    NotScheduler = 5
+    NotScheduler = 5,
+    Outdated = 6
   };
 };
 
@@ -3634,13 +3636,14 @@
 std::ostream& operator<<(std::ostream& out, const SchedulerNotice& obj);
 
 typedef struct _JobCall__isset {
-  _JobCall__isset() : call(false), kind(false), queue(false), job(false), account(false), spec(false) {}
+  _JobCall__isset() : call(false), kind(false), queue(false), job(false), account(false), spec(false), configurationVersion(false) {}
   bool call :1;
   bool kind :1;
   bool queue :1;
   bool job :1;
   bool account :1;
   bool spec :1;
+  bool configurationVersion :1;
 } _JobCall__isset;
 
 class JobCall : public virtual ::apache::thrift::TBase {
@@ -3656,7 +3659,8 @@
             queue(),
             job(),
             account(),
-            spec() {
+            spec(),
+            configurationVersion(0) {
   }
 
   virtual ~JobCall() noexcept;
@@ -3670,6 +3674,7 @@
   std::string job;
   std::string account;
   std::string spec;
+  int64_t configurationVersion;
 
   _JobCall__isset __isset;
 
@@ -3685,6 +3690,8 @@
 
   void __set_spec(const std::string& val);
 
+  void __set_configurationVersion(const int64_t val);
+
   bool operator == (const JobCall & rhs) const
   {
     if (!(call == rhs.call))
@@ -3699,6 +3706,8 @@
       return false;
     if (!(spec == rhs.spec))
       return false;
+    if (!(configurationVersion == rhs.configurationVersion))
+      return false;
     return true;
   }
   bool operator != (const JobCall &rhs) const {
@@ -3718,12 +3727,13 @@
 std::ostream& operator<<(std::ostream& out, const JobCall& obj);
 
 typedef struct _JobAnswer__isset {
-  _JobAnswer__isset() : call(false), outcome(false), state(false), waiting(false), retryAfterMs(false) {}
+  _JobAnswer__isset() : call(false), outcome(false), state(false), waiting(false), retryAfterMs(false), configurationVersion(false) {}
   bool call :1;
   bool outcome :1;
   bool state :1;
   bool waiting :1;
   bool retryAfterMs :1;
+  bool configurationVersion :1;
 } _JobAnswer__isset;
 
 class JobAnswer : public virtual ::apache::thrift::TBase {
@@ -3738,7 +3748,8 @@
               outcome(static_cast<CallOutcome::type>(0)),
               state(),
               waiting(0),
-              retryAfterMs(0) {
+              retryAfterMs(0),
+              configurationVersion(0) {
   }
 
   virtual ~JobAnswer() noexcept;
@@ -3751,6 +3762,7 @@
   std::string state;
   int64_t waiting;
   int64_t retryAfterMs;
+  int64_t configurationVersion;
 
   _JobAnswer__isset __isset;
 
@@ -3764,6 +3776,8 @@
 
   void __set_retryAfterMs(const int64_t val);
 
+  void __set_configurationVersion(const int64_t val);
+
   bool operator == (const JobAnswer & rhs) const
   {
     if (!(call == rhs.call))
@@ -3776,6 +3790,8 @@
       return false;
     if (!(retryAfterMs == rhs.retryAfterMs))
       return false;
+    if (!(configurationVersion == rhs.configurationVersion))
+      return false;
     return true;
   }
   bool operator != (const JobAnswer &rhs) const {
--- /dev/null
+++ b/tests/configuration/callerapitest.cpp
@@ -0,0 +1,175 @@
+// The admission of callers' calls against a scheduler whose configuration may be newer than the entry's.
+
+#include "cell/builders.h"
+#include "cellcallerapi.h"
+
+#include <memory>
+#include <optional>
+
+// Included last, because it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace knapweed;
+
+TEST_GROUP(CellCallerApi)
+{
+    const BootTime now = BootTime(Milliseconds(1000000));
+    const WallTime wall = WallTime(Seconds(1800000000));
+    const cell::CellConfiguration earlier = cell::plainConfiguration(); ///< without the queue "added"; with "later"
+    cell::CellConfiguration later; ///< with "added"; without "later"
+    cell::CellConfiguration configuration; ///< of the entry
+    std::unique_ptr<cell::Scheduler> scheduler;
+    std::unique_ptr<CallRelay> relay;
+    std::unique_ptr<CellCallerApi> api;
+    bool isConfirmed = true;
+    bool isSchedulerReached = true;
+    int sendings = 0;
+    std::optional<int> status;
+
+    void setup() override
+    {
+        later = earlier;
+        later.version = earlier.version + 6;
+        later.queues.back().name = "added";
+        later.queues.back().pathPrefix = "/added/";
+        configuration = earlier;
+        scheduler = std::make_unique<cell::Scheduler>(cell::SchedulerOptions {1, Milliseconds(6000)});
+        scheduler->load({}, now, wall);
+        scheduler->setConfiguration(later);
+        relay = std::make_unique<CallRelay>([this](const wire::JobCall &call) {
+            sendings += isSchedulerReached ? 1 : 0;
+            if (isSchedulerReached) {
+                scheduler->receive("entry", call, now, wall);
+            }
+            return isSchedulerReached;
+        });
+        relay->configurationChanged(configuration.version);
+        api = std::make_unique<CellCallerApi>(configuration, *relay, [this]() {
+            return isConfirmed;
+        });
+    }
+
+    void deliverAnswers()
+    {
+        for (const auto &[peer, message] : scheduler->takeOutput().messages) {
+            relay->handleAnswer(std::get<wire::JobAnswer>(message));
+        }
+    }
+
+    /// The status of the count of the queue at @p path, as far as it has been answered.
+    void count(const std::string &path)
+    {
+        HttpRequest request;
+        request.method = "GET";
+        request.host = "host";
+        request.path = path;
+        request.headers["authorization"] = "Token key";
+        api->handle(request, [this](const HttpResponse &response) {
+            status = response.status;
+        });
+        deliverAnswers();
+    }
+
+    /// The later configuration arrives at the entry.
+    void update()
+    {
+        configuration = later;
+        relay->configurationChanged(configuration.version);
+        deliverAnswers();
+    }
+
+    void expire()
+    {
+        relay->tick(std::chrono::steady_clock::now() + Seconds(10));
+    }
+};
+
+/// Guards against CONFIG: an entry whose configuration was outdated admitted a call to a queue that had been dropped, and the scheduler, which knew better,
+/// carried it out.
+TEST(CellCallerApi, callThatAnOutdatedEntryAdmitsIsNotCarriedOut)
+{
+    count("/later/");
+    CHECK(!status);
+    update();
+    LONGS_EQUAL(404, status.value_or(0));
+}
+
+/// Guards against CONFIG: an entry whose configuration was outdated refused a call to a queue that had been added.
+TEST(CellCallerApi, refusalOfAnEntryThatTheStoreHasNotConfirmedIsCheckedWithTheScheduler)
+{
+    isConfirmed = false;
+    count("/added/");
+    CHECK(!status);
+    update();
+    LONGS_EQUAL(200, status.value_or(0));
+}
+
+/// Guards against CONFIG: a call that waited for a scheduler was carried out by the configuration of its arrival.
+TEST(CellCallerApi, callThatWaitsForASchedulerIsAdmittedAnewWhenTheConfigurationChanges)
+{
+    isSchedulerReached = false;
+    count("/later/");
+    update();
+    LONGS_EQUAL(404, status.value_or(0));
+}
+
+TEST(CellCallerApi, callToAQueueThatStaysIsCarriedOutAfterTheChange)
+{
+    count("/usual/");
+    CHECK(!status);
+    update();
+    LONGS_EQUAL(200, status.value_or(0));
+    LONGS_EQUAL(2, sendings);
+}
+
+TEST(CellCallerApi, outdatedCallIsReportedAsNotRunWhenTheNewerConfigurationDoesNotArrive)
+{
+    count("/usual/");
+    expire();
+    LONGS_EQUAL(503, status.value_or(0));
+}
+
+/// The scheduler's refusal says nothing about an earlier sending that was not answered.
+TEST(CellCallerApi, fateOfACallThatWasSentTwiceIsNotKnownAfterOneRefusal)
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.host = "host";
+    request.path = "/usual/";
+    request.headers["authorization"] = "Token key";
+    api->handle(request, [this](const HttpResponse &response) {
+        status = response.status;
+    });
+    scheduler->takeOutput();
+    relay->schedulerChanged(std::chrono::steady_clock::now());
+    deliverAnswers();
+    expire();
+    LONGS_EQUAL(504, status.value_or(0));
+}
+
+TEST(CellCallerApi, refusalIsAnsweredAtOnceWhileTheStoreConfirmsTheConfiguration)
+{
+    count("/unknown/");
+    LONGS_EQUAL(404, status.value_or(0));
+    LONGS_EQUAL(0, sendings);
+}
+
+TEST(CellCallerApi, unconfirmedEntryWithoutASchedulerAsksCallersToComeAgain)
+{
+    isConfirmed = false;
+    isSchedulerReached = false;
+    count("/unknown/");
+    CHECK(!status);
+    expire();
+    LONGS_EQUAL(503, status.value_or(0));
+}
+
+TEST(CellCallerApi, schedulerWithAnOlderConfigurationCarriesOutTheCall)
+{
+    update();
+    scheduler = std::make_unique<cell::Scheduler>(cell::SchedulerOptions {2, Milliseconds(6000)});
+    scheduler->load({}, now, wall);
+    scheduler->setConfiguration(earlier);
+    count("/added/");
+    LONGS_EQUAL(200, status.value_or(0));
+}
