--- a/tests/base/httpfaulttest.cpp
+++ b/tests/base/httpfaulttest.cpp
@@ -216,6 +216,19 @@
     CHECK(second != std::string::npos);
 }
 
+TEST_GROUP(OpenFinding) {};
+
+/// Guards against jobs that are refused or taken with another body: libwebsockets reads the body of a pipelined request from the start of its head.
+TEST(OpenFinding, bodyOfAPipelinedRequestIsItsOwn)
+{
+    HttpFixture http;
+    const std::string answer = sendRaw(http.server().address(),
+        "GET /first HTTP/1.1\r\nHost: a\r\n\r\n"
+        "POST /second HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody",
+        false);
+    STRCMP_CONTAINS("POST /second body", answer.c_str());
+}
+
 TEST(HttpFaults, survivesBytesAfterABody)
 {
     HttpFixture http;
