Answer the repeat of an accepted submission although its configuration is outdated

What callers would see: 404 for a job that runs (REFUSED), if the answer to its submission was lost and its queue was dropped before the repeat. Change: the scheduler looks for the job first. An answer that a call is outdated then means that no sending of it was executed, so the relay no longer counts sendings. Whom it touches: repeats only; the next scheduler knows what was stored and answers the same.

--- a/src/knapweedstaged/callrelay.cpp
+++ b/src/knapweedstaged/callrelay.cpp
@@ -24,7 +24,6 @@
 {
     if (pending.awaitedVersion == 0 && send_(pending.call)) {
         pending.isSent = true;
-        ++pending.unanswered;
         pending.sentAt = now;
     }
 }
@@ -52,8 +51,7 @@
     const bool isOutdated = answer.outcome == wire::CallOutcome::Outdated;
     if (isOutdated && answer.configurationVersion > configurationVersion_) {
         pending.awaitedVersion = answer.configurationVersion;
-        // This answer speaks for one sending only. An earlier one without an answer may have been executed.
-        pending.isSent = --pending.unanswered > 0;
+        pending.isSent = false; // an earlier sending was not executed either: the scheduler would have known the job
         return;
     }
     const std::function<void(const RelayedAnswer &)> callback = std::move(pending.callback);
--- a/src/knapweedstaged/callrelay.h
+++ b/src/knapweedstaged/callrelay.h
@@ -53,7 +53,6 @@
         MonotonicTime sendDeadline;
         MonotonicTime deadline;
         bool isSent = false; ///< to some scheduler, which may have executed it
-        int unanswered = 0; ///< times that it was sent since the last answer
         std::int64_t awaitedVersion = 0; ///< of the configuration; not 0 while the call waits for it
         std::function<void(const RelayedAnswer &)> callback;
     };
--- a/src/libknapweed/cell/schedulercalls.cpp
+++ b/src/libknapweed/cell/schedulercalls.cpp
@@ -34,7 +34,9 @@
     std::uint64_t awaitedWrite = 0;
     wire::JobAnswer reply;
     reply.call = call.call;
-    if (call.configurationVersion != 0 && call.configurationVersion < configuration_.version) {
+    // What has been accepted stays so, and the repeat of an accepted submission has to learn that.
+    const bool isAccepted = call.kind == wire::CallKind::Submit && jobs_.count(call.job) != 0;
+    if (!isAccepted && call.configurationVersion != 0 && call.configurationVersion < configuration_.version) {
         reply.outcome = wire::CallOutcome::Outdated;
         reply.configurationVersion = configuration_.version;
         answer(peer, call, reply, awaitedWrite);
