Build requests and schedulers in one place of the callers' tests

The request and the scheduler were each written out two to four times. The same 13 tests and 23 checks of test-configuration pass; no assertion is changed.

--- a/tests/configuration/callerapitest.cpp
+++ b/tests/configuration/callerapitest.cpp
@@ -33,9 +33,7 @@
         later.queues.back().name = "added";
         later.queues.back().pathPrefix = "/added/";
         configuration = earlier;
-        scheduler = std::make_unique<cell::Scheduler>(cell::SchedulerOptions {1, Milliseconds(6000)});
-        scheduler->load({}, now, wall);
-        scheduler->setConfiguration(later);
+        startScheduler(1, later);
         relay = std::make_unique<CallRelay>([this](const wire::JobCall &call) {
             sendings += isSchedulerReached ? 1 : 0;
             if (isSchedulerReached) {
@@ -49,6 +47,13 @@
         });
     }
 
+    void startScheduler(std::int64_t generation, const cell::CellConfiguration &known)
+    {
+        scheduler = std::make_unique<cell::Scheduler>(cell::SchedulerOptions {generation, Milliseconds(6000)});
+        scheduler->load({}, now, wall);
+        scheduler->setConfiguration(known);
+    }
+
     void deliverAnswers()
     {
         for (const auto &[peer, message] : scheduler->takeOutput().messages) {
@@ -56,17 +61,24 @@
         }
     }
 
-    /// The status of the count of the queue at @p path, as far as it has been answered.
-    void count(const std::string &path)
+    /// Sends a request with a valid key to the entry. The answers of the scheduler are not delivered yet.
+    void send(const std::string &method, const std::string &path, const std::string &body = {})
     {
         HttpRequest request;
-        request.method = "GET";
+        request.method = method;
         request.host = "host";
         request.path = path;
         request.headers["authorization"] = "Token key";
+        request.body = body;
         api->handle(request, [this](const HttpResponse &response) {
             status = response.status;
         });
+    }
+
+    /// Asks for the count of the queue at @p path.
+    void count(const std::string &path)
+    {
+        send("GET", path);
         deliverAnswers();
     }
 
@@ -132,18 +144,8 @@
 /// Guards against REFUSED: the repeat of a submission whose answer was lost was refused because its queue had been dropped since, and the job ran.
 TEST(CellCallerApi, acceptedSubmissionIsNotRefusedWhenItsQueueHasBeenDropped)
 {
-    scheduler = std::make_unique<cell::Scheduler>(cell::SchedulerOptions {2, Milliseconds(6000)});
-    scheduler->load({}, now, wall);
-    scheduler->setConfiguration(earlier);
-    HttpRequest request;
-    request.method = "POST";
-    request.host = "host";
-    request.path = "/later/00000000000000aa";
-    request.headers["authorization"] = "Token key";
-    request.body = R"({"spec":"text","steps":[{"count":1,"cpu":100,"memMb":10}]})";
-    api->handle(request, [this](const HttpResponse &response) {
-        status = response.status;
-    });
+    startScheduler(2, earlier);
+    send("POST", "/later/00000000000000aa", R"({"spec":"text","steps":[{"count":1,"cpu":100,"memMb":10}]})");
     scheduler->stored(scheduler->takeOutput().lastWrite, now);
     scheduler->takeOutput(); // the answer, which is lost
     scheduler->setConfiguration(later);
@@ -172,9 +174,7 @@
 TEST(CellCallerApi, schedulerWithAnOlderConfigurationCarriesOutTheCall)
 {
     update();
-    scheduler = std::make_unique<cell::Scheduler>(cell::SchedulerOptions {2, Milliseconds(6000)});
-    scheduler->load({}, now, wall);
-    scheduler->setConfiguration(earlier);
+    startScheduler(2, earlier);
     count("/added/");
     LONGS_EQUAL(200, status.value_or(0));
 }
