Log which scheduler answered a call, and on what the answer rests

Callers saw a cancelled job run. The record doesn't tell whether the cancel was answered by the scheduler in office, by one whose term was over, or with the answer to another call: call.answered named neither the scheduler nor its generation, a cancel of an unknown job left no line at the scheduler, a new submission left none either, and a 410 for a path whose rest is no id left none anywhere.

call.answered now has the generation and the basis of the answer (a record in the store or memory), and there are job.submitted, job.cancelled_unknown and call.malformed. The answer between processes gets two fields; an older process reads and sends answers without them.

No decision changes.

--- a/src/knapweedstaged/cellcallerapi.cpp
+++ b/src/knapweedstaged/cellcallerapi.cpp
@@ -115,6 +115,7 @@
     if (request.method == "GET" && job.empty()) {
         call.kind = wire::CallKind::CountWaiting;
     } else if (!isJobId(job)) {
+        logEvent(LogLevel::Info, "call.malformed", {{"method", request.method}, {"path", request.path}, {"queue", queue->name}});
         open->respond(errorResponse(request.method == "POST" ? 400 : 410, "not a job's id"));
         return;
     } else if (request.method == "POST") {
@@ -212,6 +213,8 @@
                 {"status", std::to_string(response.status)},
                 {"state", relayed.answer.state},
                 {"version", std::to_string(original.configurationVersion)},
+                {"generation", std::to_string(relayed.answer.generation)},
+                {"basis", relayed.answer.basis == wire::AnswerBasis::Record ? "record" : "memory"},
                 {"took_ms", std::to_string(taken.count())}});
         open->respond(std::move(response));
     };
--- a/src/libknapweed/cell/schedulercalls.cpp
+++ b/src/libknapweed/cell/schedulercalls.cpp
@@ -60,6 +60,7 @@
         break;
     }
     reply.call = call.call;
+    reply.generation = options_.generation;
     answer(peer, call, reply, awaitedWrite);
 }
 
@@ -70,6 +71,7 @@
     if (known != jobs_.end()) {
         write = known->second.acceptedWrite;
         reply.outcome = wire::CallOutcome::Ok;
+        reply.basis = wire::AnswerBasis::Record;
         return reply;
     }
     const Result<JobSpec, JobRecordError> spec = decodeSpec(call.spec);
@@ -96,7 +98,9 @@
     declareRunTimes(job.spec);
     jobs_[call.job] = std::move(job);
     isPlanDue_ = true;
+    logEvent(LogLevel::Info, "job.submitted", {{"job", call.job}, {"queue", call.queue}, {"generation", std::to_string(options_.generation)}});
     reply.outcome = wire::CallOutcome::Ok;
+    reply.basis = wire::AnswerBasis::Record;
     return reply;
 }
 
@@ -114,6 +118,8 @@
     // A final state is reported only once it is durable; until then the job is reported as running.
     if (isFinal(job) && job.finalWrite > storedWrite_) {
         reply.state = "running";
+    } else if (isFinal(job)) {
+        reply.basis = wire::AnswerBasis::Record;
     }
     write = job.acceptedWrite;
     return reply;
@@ -124,6 +130,7 @@
     wire::JobAnswer reply;
     const auto known = jobs_.find(call.job);
     if (known == jobs_.end()) {
+        logEvent(LogLevel::Info, "job.cancelled_unknown", {{"job", call.job}, {"generation", std::to_string(options_.generation)}});
         reply.outcome = wire::CallOutcome::Missing;
         return reply;
     }
@@ -136,6 +143,7 @@
         logEvent(LogLevel::Info, "job.cancelled", {{"job", call.job}});
     }
     reply.outcome = wire::CallOutcome::Ok;
+    reply.basis = wire::AnswerBasis::Record;
     write = job.lastWrite;
     return reply;
 }
--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -311,6 +311,35 @@
   }
 }
 
+int _kAnswerBasisValues[] = {
+  AnswerBasis::Memory,
+  AnswerBasis::Record
+};
+const char* _kAnswerBasisNames[] = {
+  "Memory",
+  "Record"
+};
+const std::map<int, const char*> _AnswerBasis_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(2, _kAnswerBasisValues, _kAnswerBasisNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const AnswerBasis::type& val) {
+  std::map<int, const char*>::const_iterator it = _AnswerBasis_VALUES_TO_NAMES.find(val);
+  if (it != _AnswerBasis_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const AnswerBasis::type& val) {
+  std::map<int, const char*>::const_iterator it = _AnswerBasis_VALUES_TO_NAMES.find(val);
+  if (it != _AnswerBasis_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 int _kStartOutcomeValues[] = {
   StartOutcome::Started,
   StartOutcome::Rejected,
@@ -9624,6 +9653,14 @@
 void JobAnswer::__set_configurationVersion(const int64_t val) {
   this->configurationVersion = val;
 }
+
+void JobAnswer::__set_generation(const int64_t val) {
+  this->generation = val;
+}
+
+void JobAnswer::__set_basis(const AnswerBasis::type val) {
+  this->basis = val;
+}
 std::ostream& operator<<(std::ostream& out, const JobAnswer& obj)
 {
   obj.printTo(out);
@@ -9702,6 +9739,24 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->generation);
+          this->__isset.generation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast276;
+          xfer += iprot->readI32(ecast276);
+          this->basis = static_cast<AnswerBasis::type>(ecast276);
+          this->__isset.basis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9743,6 +9798,14 @@
   xfer += oprot->writeI64(this->configurationVersion);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->generation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("basis", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->basis));
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9756,47 +9819,57 @@
   swap(a.waiting, b.waiting);
   swap(a.retryAfterMs, b.retryAfterMs);
   swap(a.configurationVersion, b.configurationVersion);
+  swap(a.generation, b.generation);
+  swap(a.basis, b.basis);
   swap(a.__isset, b.__isset);
 }
 
-JobAnswer::JobAnswer(const JobAnswer& other276) {
-  call = other276.call;
-  outcome = other276.outcome;
-  state = other276.state;
-  waiting = other276.waiting;
-  retryAfterMs = other276.retryAfterMs;
-  configurationVersion = other276.configurationVersion;
-  __isset = other276.__isset;
-}
-JobAnswer::JobAnswer(JobAnswer&& other277) noexcept {
+JobAnswer::JobAnswer(const JobAnswer& other277) {
   call = other277.call;
   outcome = other277.outcome;
-  state = std::move(other277.state);
+  state = other277.state;
   waiting = other277.waiting;
   retryAfterMs = other277.retryAfterMs;
   configurationVersion = other277.configurationVersion;
+  generation = other277.generation;
+  basis = other277.basis;
   __isset = other277.__isset;
 }
-JobAnswer& JobAnswer::operator=(const JobAnswer& other278) {
+JobAnswer::JobAnswer(JobAnswer&& other278) noexcept {
   call = other278.call;
   outcome = other278.outcome;
-  state = other278.state;
+  state = std::move(other278.state);
   waiting = other278.waiting;
   retryAfterMs = other278.retryAfterMs;
   configurationVersion = other278.configurationVersion;
+  generation = other278.generation;
+  basis = other278.basis;
   __isset = other278.__isset;
-  return *this;
 }
-JobAnswer& JobAnswer::operator=(JobAnswer&& other279) noexcept {
+JobAnswer& JobAnswer::operator=(const JobAnswer& other279) {
   call = other279.call;
   outcome = other279.outcome;
-  state = std::move(other279.state);
+  state = other279.state;
   waiting = other279.waiting;
   retryAfterMs = other279.retryAfterMs;
   configurationVersion = other279.configurationVersion;
+  generation = other279.generation;
+  basis = other279.basis;
   __isset = other279.__isset;
   return *this;
 }
+JobAnswer& JobAnswer::operator=(JobAnswer&& other280) noexcept {
+  call = other280.call;
+  outcome = other280.outcome;
+  state = std::move(other280.state);
+  waiting = other280.waiting;
+  retryAfterMs = other280.retryAfterMs;
+  configurationVersion = other280.configurationVersion;
+  generation = other280.generation;
+  basis = other280.basis;
+  __isset = other280.__isset;
+  return *this;
+}
 void JobAnswer::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "JobAnswer(";
@@ -9806,6 +9879,8 @@
   out << ", " << "waiting=" << to_string(waiting);
   out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
   out << ", " << "configurationVersion=" << to_string(configurationVersion);
+  out << ", " << "generation=" << to_string(generation);
+  out << ", " << "basis=" << to_string(basis);
   out << ")";
 }
 
@@ -9902,28 +9977,28 @@
   swap(a.__isset, b.__isset);
 }
 
-CellConfigurationOffer::CellConfigurationOffer(const CellConfigurationOffer& other280) {
-  version = other280.version;
-  document = other280.document;
-  __isset = other280.__isset;
-}
-CellConfigurationOffer::CellConfigurationOffer(CellConfigurationOffer&& other281) noexcept {
+CellConfigurationOffer::CellConfigurationOffer(const CellConfigurationOffer& other281) {
   version = other281.version;
-  document = std::move(other281.document);
+  document = other281.document;
   __isset = other281.__isset;
 }
-CellConfigurationOffer& CellConfigurationOffer::operator=(const CellConfigurationOffer& other282) {
+CellConfigurationOffer::CellConfigurationOffer(CellConfigurationOffer&& other282) noexcept {
   version = other282.version;
-  document = other282.document;
+  document = std::move(other282.document);
   __isset = other282.__isset;
-  return *this;
 }
-CellConfigurationOffer& CellConfigurationOffer::operator=(CellConfigurationOffer&& other283) noexcept {
+CellConfigurationOffer& CellConfigurationOffer::operator=(const CellConfigurationOffer& other283) {
   version = other283.version;
-  document = std::move(other283.document);
+  document = other283.document;
   __isset = other283.__isset;
   return *this;
 }
+CellConfigurationOffer& CellConfigurationOffer::operator=(CellConfigurationOffer&& other284) noexcept {
+  version = other284.version;
+  document = std::move(other284.document);
+  __isset = other284.__isset;
+  return *this;
+}
 void CellConfigurationOffer::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "CellConfigurationOffer(";
--- a/src/libknapweed/peers/gen/peers_types.h
+++ b/src/libknapweed/peers/gen/peers_types.h
@@ -158,6 +158,19 @@
 
 std::string to_string(const CallOutcome::type& val);
 
+struct AnswerBasis {
+  enum type {
+    Memory = 1,
+    Record = 2
+  };
+};
+
+extern const std::map<int, const char*> _AnswerBasis_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const AnswerBasis::type& val);
+
+std::string to_string(const AnswerBasis::type& val);
+
 struct StartOutcome {
   enum type {
     Started = 1,
@@ -3727,13 +3740,15 @@
 std::ostream& operator<<(std::ostream& out, const JobCall& obj);
 
 typedef struct _JobAnswer__isset {
-  _JobAnswer__isset() : call(false), outcome(false), state(false), waiting(false), retryAfterMs(false), configurationVersion(false) {}
+  _JobAnswer__isset() : call(false), outcome(false), state(false), waiting(false), retryAfterMs(false), configurationVersion(false), generation(false), basis(true) {}
   bool call :1;
   bool outcome :1;
   bool state :1;
   bool waiting :1;
   bool retryAfterMs :1;
   bool configurationVersion :1;
+  bool generation :1;
+  bool basis :1;
 } _JobAnswer__isset;
 
 class JobAnswer : public virtual ::apache::thrift::TBase {
@@ -3749,7 +3764,9 @@
               state(),
               waiting(0),
               retryAfterMs(0),
-              configurationVersion(0) {
+              configurationVersion(0),
+              generation(0),
+              basis(static_cast<AnswerBasis::type>(1)) {
   }
 
   virtual ~JobAnswer() noexcept;
@@ -3763,6 +3780,12 @@
   int64_t waiting;
   int64_t retryAfterMs;
   int64_t configurationVersion;
+  int64_t generation;
+  /**
+   * 
+   * @see AnswerBasis
+   */
+  AnswerBasis::type basis;
 
   _JobAnswer__isset __isset;
 
@@ -3778,6 +3801,10 @@
 
   void __set_configurationVersion(const int64_t val);
 
+  void __set_generation(const int64_t val);
+
+  void __set_basis(const AnswerBasis::type val);
+
   bool operator == (const JobAnswer & rhs) const
   {
     if (!(call == rhs.call))
@@ -3792,6 +3819,10 @@
       return false;
     if (!(configurationVersion == rhs.configurationVersion))
       return false;
+    if (!(generation == rhs.generation))
+      return false;
+    if (!(basis == rhs.basis))
+      return false;
     return true;
   }
   bool operator != (const JobAnswer &rhs) const {
--- a/src/libknapweed/peers/peers.thrift
+++ b/src/libknapweed/peers/peers.thrift
@@ -95,6 +95,8 @@
 enum RunEnding { Done = 1, Failed = 2, Stopped = 3, Lapsed = 4, Broken = 5, Alone = 6 }
 enum CallKind { Submit = 1, Query = 2, Cancel = 3, CountWaiting = 4, CheckConfiguration = 5 }
 enum CallOutcome { Ok = 1, Refused = 2, Missing = 3, Unknown = 4, NotScheduler = 5, Outdated = 6 }
+/// What an answer rests on: a record in the store, or the memory of the scheduler alone.
+enum AnswerBasis { Memory = 1, Record = 2 }
 enum StartOutcome { Started = 1, Rejected = 2, Unanswered = 3, NoRoom = 4, BadTicket = 5 }
 
 struct RunRef { 1: string job, 2: i32 occurrence, 3: i32 step, 4: i32 index, 5: i64 run }
@@ -131,6 +133,10 @@
 /// configurationVersion is the one by which the entry admitted the call; 0: not stated. CheckConfiguration only asks whether it is outdated.
 struct JobCall { 1: i64 call, 2: CallKind kind, 3: string queue, 4: string job, 5: string account, 6: string spec, 7: i64 configurationVersion }
 /// Outdated: the scheduler knows a later configuration, configurationVersion, and has not carried out the call; the entry has to admit it by that one.
-struct JobAnswer { 1: i64 call, 2: CallOutcome outcome, 3: string state, 4: i64 waiting, 5: i64 retryAfterMs, 6: i64 configurationVersion }
+/// generation: of the scheduler that answers; 0 if the process isn't the scheduler.
+struct JobAnswer {
+  1: i64 call, 2: CallOutcome outcome, 3: string state, 4: i64 waiting, 5: i64 retryAfterMs, 6: i64 configurationVersion, 7: i64 generation,
+  8: AnswerBasis basis = AnswerBasis.Memory
+}
 /// A configuration document as written by the operators, forwarded to peers that have an older version.
 struct CellConfigurationOffer { 1: i64 version, 2: string document }
