Record the cancel of an unknown job before it is acknowledged

Cause: Scheduler::cancel answered 410 for an id that it doesn't hold, and kept nothing. A submission that was still on its way, for instance in the socket of a paused entry, was accepted afterwards. The same 410 was given by a scheduler whose term was over, without any contact to the store.

Class: an answer that promises something for later, given from memory, with nothing that holds the later to it.

Change: such a cancel is written as the progress record of the job (p.ID, cancelled) and answered 410 once it is durable; a scheduler that is fenced can't make it durable. A submission that arrives later is accepted as a job that is cancelled. The record is removed after the time for which a finished job can be queried (150 s), or with its job.

Whom it touches: the next scheduler loads progress without a job as an early cancel (tested, also the removal there); a scheduler of earlier code ignores such a record, and honours it once the job is there. A caller that submits an id again within 150 s of its cancel gets 2xx and a cancelled job. Lone instance: no difference. Slow entries: theirs is the case.

--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -59,7 +59,23 @@
         jobs_[job.spec.id] = std::move(job);
     }
     restoreOrder();
-    logEvent(LogLevel::Info, "scheduler.loaded", {{"records", std::to_string(records.size())}, {"jobs", std::to_string(jobs_.size())}});
+    loadEarlyCancels(records, now);
+    logEvent(LogLevel::Info,
+        "scheduler.loaded",
+        {{"records", std::to_string(records.size())}, {"jobs", std::to_string(jobs_.size())}, {"early_cancels", std::to_string(earlyCancels_.size())}});
+}
+
+/// Progress that belongs to no job is that of a job whose cancel arrived before its submission.
+void Scheduler::loadEarlyCancels(const std::map<std::string, std::string> &records, BootTime now)
+{
+    const std::string prefix = progressRecordKey("");
+    for (auto record = records.lower_bound(prefix); record != records.end() && record->first.compare(0, prefix.size(), prefix) == 0; ++record) {
+        const std::string job = record->first.substr(prefix.size());
+        const Result<JobProgress, JobRecordError> progress = decodeProgress(record->second);
+        if (jobs_.count(job) == 0 && isOk(progress) && value(progress).isCancelled) {
+            earlyCancels_[job] = {now, 0};
+        }
+    }
 }
 
 /// Numbers the loaded jobs in the order of acceptance.
@@ -187,6 +203,7 @@
         plan(now);
     }
     removeOldJobs(now);
+    removeOldEarlyCancels(now);
     removeLostEndpoints(now);
 }
 
@@ -282,6 +299,7 @@
         if (isOld && !isAllocated) {
             write({jobRecordKey(job->first), ""});
             write({progressRecordKey(job->first), ""});
+            earlyCancels_.erase(job->first);
             advice_.erase(advice_.lower_bound({job->first, 0, 0}), advice_.lower_bound({job->first + '\0', 0, 0}));
             job = jobs_.erase(job);
         } else {
@@ -290,6 +308,19 @@
     }
 }
 
+/// Those of jobs that are known are removed with them.
+void Scheduler::removeOldEarlyCancels(BootTime now)
+{
+    for (auto early = earlyCancels_.begin(); early != earlyCancels_.end();) {
+        if (now - early->second.recordedAt <= statusRetention || jobs_.count(early->first) != 0) {
+            ++early;
+            continue;
+        }
+        write({progressRecordKey(early->first), ""});
+        early = earlyCancels_.erase(early);
+    }
+}
+
 std::uint64_t Scheduler::write(StoreWrite record)
 {
     output_.writes.push_back(std::move(record));
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -105,6 +105,13 @@
         bool isSubmission = false;
     };
 
+    /// A cancel that was recorded while its job was unknown.
+    struct EarlyCancel
+    {
+        BootTime recordedAt;
+        std::uint64_t write = 0; ///< makes it durable
+    };
+
     struct PendingStart
     {
         std::uint64_t write = 0;
@@ -128,6 +135,7 @@
     wire::JobAnswer submit(const wire::JobCall &call, std::uint64_t &write, BootTime now, WallTime wall);
     wire::JobAnswer query(const wire::JobCall &call, std::uint64_t &write) const;
     wire::JobAnswer cancel(const wire::JobCall &call, std::uint64_t &write, BootTime now);
+    std::uint64_t recordEarlyCancel(const std::string &job, BootTime now);
     wire::JobAnswer countWaiting(const wire::JobCall &call) const;
     void answer(const std::string &peer, const wire::JobCall &call, const wire::JobAnswer &answer, std::uint64_t write);
 
@@ -164,6 +172,7 @@
     std::uint64_t write(StoreWrite record);
 
     void restoreOrder();
+    void loadEarlyCancels(const std::map<std::string, std::string> &records, BootTime now);
     void removeLostEndpoints(BootTime now);
     BootTime latestRunEnd(const std::string &agent) const;
     void removeLapsedAgents(BootTime now);
@@ -177,6 +186,7 @@
     void checkRuns(Endpoint &endpoint, BootTime now);
     void addDueOccurrences(BootTime now, WallTime wall);
     void removeOldJobs(BootTime now);
+    void removeOldEarlyCancels(BootTime now);
 
     void plan(BootTime now);
     std::set<std::string> guaranteedJobs() const;
@@ -192,6 +202,8 @@
     SchedulerOptions options_;
     CellConfiguration configuration_;
     std::map<std::string, Job> jobs_;
+    /// By job. The submission may still be on its way; when it arrives, its job is accepted as a cancelled one.
+    std::map<std::string, EarlyCancel> earlyCancels_;
     std::map<std::string, Endpoint> endpoints_; ///< by agent
     planning::RunEstimates runTimes_; ///< by client account and queue
     EndpointSpeeds speeds_;
--- a/src/libknapweed/cell/schedulercalls.cpp
+++ b/src/libknapweed/cell/schedulercalls.cpp
@@ -92,11 +92,17 @@
         job.spec.attempts = queue->attempts;
     }
     job.spec.acceptedAt = wall;
+    const auto early = earlyCancels_.find(call.job);
+    if (early != earlyCancels_.end()) {
+        job.isCancelled = true;
+        job.lastWrite = early->second.write;
+    }
     addDueUnits(job, now, wall);
     job.acceptedWrite = this->write({jobRecordKey(job.spec.id), encodeSpec(job.spec)});
     write = job.acceptedWrite;
     declareRunTimes(job.spec);
     jobs_[call.job] = std::move(job);
+    updateJobState(jobs_.at(call.job), now);
     isPlanDue_ = true;
     logEvent(LogLevel::Info, "job.submitted", {{"job", call.job}, {"queue", call.queue}, {"generation", std::to_string(options_.generation)}});
     reply.outcome = wire::CallOutcome::Ok;
@@ -130,8 +136,9 @@
     wire::JobAnswer reply;
     const auto known = jobs_.find(call.job);
     if (known == jobs_.end()) {
-        logEvent(LogLevel::Info, "job.cancelled_unknown", {{"job", call.job}, {"generation", std::to_string(options_.generation)}});
         reply.outcome = wire::CallOutcome::Missing;
+        reply.basis = wire::AnswerBasis::Record;
+        write = recordEarlyCancel(call.job, now);
         return reply;
     }
     Job &job = known->second;
@@ -148,6 +155,20 @@
     return reply;
 }
 
+/// The submission may be read later, from the connection of a slow entry. Without a record it would then be accepted, and its job started.
+std::uint64_t Scheduler::recordEarlyCancel(const std::string &job, BootTime now)
+{
+    const auto [early, isNew] = earlyCancels_.try_emplace(job);
+    early->second.recordedAt = now;
+    if (isNew) {
+        JobProgress progress;
+        progress.isCancelled = true;
+        early->second.write = write({progressRecordKey(job), encodeProgress(progress)});
+        logEvent(LogLevel::Info, "job.cancelled_early", {{"job", job}, {"generation", std::to_string(options_.generation)}});
+    }
+    return early->second.write;
+}
+
 wire::JobAnswer Scheduler::countWaiting(const wire::JobCall &call) const
 {
     wire::JobAnswer reply;
--- a/tests/cell/canceltest.cpp
+++ b/tests/cell/canceltest.cpp
@@ -88,3 +88,71 @@
     CHECK(now < end);
     CHECK(scheduler->endpoints().at("a").runs.empty());
 }
+
+/// Guards against UNASKED: a cancel is acknowledged although its job is unknown, and the submission, which arrives later, is accepted and started.
+TEST(SchedulerCancel, submissionThatArrivesAfterItsCancelIsNotStarted)
+{
+    scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    const auto answers = messagesOf<wire::JobAnswer>(send(*scheduler, "entry", callOf(wire::CallKind::Cancel, "j1")));
+    LONGS_EQUAL(1, answers.size());
+    CHECK(answers.front().second.outcome == wire::CallOutcome::Missing);
+    const PeerMessage late = submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})}));
+    LONGS_EQUAL(0, startsOf(send(*scheduler, "entry", late)).size());
+    STRCMP_EQUAL("cancelled", stateOf(*scheduler, "j1").c_str());
+}
+
+/// As above, with a change of scheduler in between.
+TEST(SchedulerCancel, submissionThatArrivesAfterItsCancelIsNotStartedByTheNextScheduler)
+{
+    scheduler = makeScheduler(1);
+    send(*scheduler, "entry", callOf(wire::CallKind::Cancel, "j1"));
+    scheduler = makeScheduler(2);
+    send(*scheduler, "a", reportOf("i-a", 2));
+    const PeerMessage late = submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})}));
+    LONGS_EQUAL(0, startsOf(send(*scheduler, "entry", late)).size());
+    STRCMP_EQUAL("cancelled", stateOf(*scheduler, "j1").c_str());
+}
+
+/// Guards against UNASKED: a scheduler whose term is over acknowledges the cancel of a job that its successor has accepted. Only a write shows that it isn't.
+TEST(SchedulerCancel, cancelOfAnUnknownJobIsAcknowledgedOnceItIsRecorded)
+{
+    scheduler = makeScheduler(1);
+    settle(*scheduler);
+    scheduler->receive("entry", callOf(wire::CallKind::Cancel, "j1"), now, wall);
+    const SchedulerOutput output = scheduler->takeOutput();
+    LONGS_EQUAL(0, messagesOf<wire::JobAnswer>(output).size());
+    CHECK(!output.writes.empty());
+    scheduler->stored(output.lastWrite, now);
+    LONGS_EQUAL(1, messagesOf<wire::JobAnswer>(scheduler->takeOutput()).size());
+}
+
+/// A cancel that came first is as final as one that came later: it is answered again without a record of its own, and forgotten after a while.
+TEST(SchedulerCancel, earlyCancelIsRecordedOnceAndRemovedAfterTheTimeOfAFinishedJob)
+{
+    scheduler = makeScheduler(1);
+    send(*scheduler, "entry", callOf(wire::CallKind::Cancel, "j1"));
+    LONGS_EQUAL(1, records.size());
+    scheduler->receive("entry", callOf(wire::CallKind::Cancel, "j1"), now, wall);
+    const SchedulerOutput again = scheduler->takeOutput();
+    LONGS_EQUAL(1, messagesOf<wire::JobAnswer>(again).size());
+    LONGS_EQUAL(0, again.writes.size());
+    scheduler = makeScheduler(2);
+    advance(Seconds(151));
+    settle(*scheduler);
+    LONGS_EQUAL(0, records.size());
+}
+
+/// The record of an early cancel and that of its job are removed together.
+TEST(SchedulerCancel, recordsOfAJobThatWasCancelledEarlyAreRemoved)
+{
+    scheduler = makeScheduler(1);
+    send(*scheduler, "entry", callOf(wire::CallKind::Cancel, "j1"));
+    send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})})));
+    LONGS_EQUAL(2, records.size());
+    scheduler = makeScheduler(2);
+    STRCMP_EQUAL("cancelled", stateOf(*scheduler, "j1").c_str());
+    advance(Seconds(151));
+    settle(*scheduler);
+    LONGS_EQUAL(0, records.size());
+}
--- a/tests/cell/openfindingstest.cpp
+++ b/tests/cell/openfindingstest.cpp
@@ -53,44 +53,6 @@
     STRCMP_EQUAL("i-b", starts[0].endpoint.c_str());
 }
 
-// Guards against UNASKED: a cancel is acknowledged although its job is unknown, and the submission, which arrives later, is accepted and started.
-TEST(OpenFinding, submissionThatArrivesAfterItsCancelIsNotStarted)
-{
-    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
-    send(*scheduler, "a", reportOf("i-a", 1));
-    const auto answers = messagesOf<wire::JobAnswer>(send(*scheduler, "entry", callOf(wire::CallKind::Cancel, "j1")));
-    LONGS_EQUAL(1, answers.size());
-    CHECK(answers.front().second.outcome == wire::CallOutcome::Missing);
-    const PeerMessage late = submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})}));
-    LONGS_EQUAL(0, startsOf(send(*scheduler, "entry", late)).size());
-    STRCMP_EQUAL("cancelled", stateOf(*scheduler, "j1").c_str());
-}
-
-// As above, with a change of scheduler in between.
-TEST(OpenFinding, submissionThatArrivesAfterItsCancelIsNotStartedByTheNextScheduler)
-{
-    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
-    send(*scheduler, "entry", callOf(wire::CallKind::Cancel, "j1"));
-    scheduler = makeScheduler(2);
-    send(*scheduler, "a", reportOf("i-a", 2));
-    const PeerMessage late = submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})}));
-    LONGS_EQUAL(0, startsOf(send(*scheduler, "entry", late)).size());
-    STRCMP_EQUAL("cancelled", stateOf(*scheduler, "j1").c_str());
-}
-
-// Guards against UNASKED: a scheduler whose term is over acknowledges the cancel of a job that its successor has accepted. Only a write shows that it isn't.
-TEST(OpenFinding, cancelOfAnUnknownJobIsAcknowledgedOnceItIsRecorded)
-{
-    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
-    settle(*scheduler);
-    scheduler->receive("entry", callOf(wire::CallKind::Cancel, "j1"), now, wall);
-    const SchedulerOutput output = scheduler->takeOutput();
-    LONGS_EQUAL(0, messagesOf<wire::JobAnswer>(output).size());
-    CHECK(!output.writes.empty());
-    scheduler->stored(output.lastWrite, now);
-    LONGS_EQUAL(1, messagesOf<wire::JobAnswer>(scheduler->takeOutput()).size());
-}
-
 // Guards against LOST: a scheduler that was paused tells the callers of a job that its successor has accepted that there is no such job.
 TEST(OpenFinding, schedulerWithoutRecentContactToTheStoreDoesNotSayThatAJobIsMissing)
 {
