Number relayed calls from a random start in each process

What callers could see: the answer to another call. An entry that starts again at its address within milliseconds numbered its calls from 1 like its predecessor; an answer that the scheduler kept until its record was stored, or that was still queued for the address, was taken for that to the new process's call of the same number: 200 to a cancel that nobody carried out (UNASKED), or the state of another job.

Cause: a number that is only unique within a process, and an answer that is sent to an address.

Change: the first number of a process is random among 2^62.

Whom it touches: entries and schedulers of any version, which only send the number back.

Not seen on running processes.

--- a/src/knapweedstaged/callrelay.cpp
+++ b/src/knapweedstaged/callrelay.cpp
@@ -2,6 +2,7 @@
 
 #include "callrelay.h"
 
+#include <random>
 #include <utility>
 #include <vector>
 
@@ -13,10 +14,18 @@
 
 constexpr Milliseconds resendInterval {700}; ///< a scheduler that has not answered by then may not have received the call
 
+/// A process that starts again at the address of its predecessor must not take the answers to the predecessor's calls for those to its own.
+std::int64_t randomCallNumber()
+{
+    std::random_device device;
+    return std::uniform_int_distribution<std::int64_t>(1, std::int64_t(1) << 62)(device);
+}
+
 } // namespace
 
 CallRelay::CallRelay(std::function<bool(const wire::JobCall &)> send)
     : send_(std::move(send))
+    , lastCall_(randomCallNumber())
 {
 }
 
--- a/src/knapweedstaged/callrelay.h
+++ b/src/knapweedstaged/callrelay.h
@@ -61,7 +61,7 @@
 
     std::function<bool(const wire::JobCall &)> send_;
     std::map<std::int64_t, PendingCall> pendingCalls_; ///< by call number
-    std::int64_t lastCall_ = 0;
+    std::int64_t lastCall_; ///< number of the newest call; begins at random, so that no two processes number their calls alike
     std::int64_t configurationVersion_ = 0; ///< in force at this process
 };
 
--- a/tests/configuration/callrelaytest.cpp
+++ b/tests/configuration/callrelaytest.cpp
@@ -9,7 +9,7 @@
 
 using namespace knapweed;
 
-TEST_GROUP(OpenFinding)
+TEST_GROUP(CallRelay)
 {
     std::set<std::int64_t> sent;
 
@@ -25,8 +25,8 @@
     }
 };
 
-// Guards against UNASKED: an entry that starts again at its address takes the answer to a call of its predecessor for that to a cancel of the same number.
-TEST(OpenFinding, callsOfTheNextProcessAtTheSameAddressHaveOtherNumbers)
+/// Guards against UNASKED: an entry that starts again at its address takes the answer to a call of its predecessor for that to a cancel of the same number.
+TEST(CallRelay, callsOfTheNextProcessAtTheSameAddressHaveOtherNumbers)
 {
     relayOneCall();
     relayOneCall();
