Wait for the server's loop before counting its open requests in a test

The test read the count from its own thread as soon as it had the last answer; the server's loop removes the request after the answer has been written.

The schedulers of the cell's fixture have their term confirmed when their jobs are loaded, as those of the program have.

--- a/tests/base/httpfaulttest.cpp
+++ b/tests/base/httpfaulttest.cpp
@@ -283,5 +283,9 @@
         RC_ASSERT(http.fetch(plainRequest("GET", "/n")).has_value());
     });
     CHECK(isRandomHandled);
-    LONGS_EQUAL(0, http.server().openRequests());
+    // The last answer may arrive before the server's loop has removed its request.
+    const bool isNoneLeft = http.serverTask().waitFor([&]() {
+        return http.server().openRequests() == 0;
+    });
+    CHECK(isNoneLeft);
 }
--- a/tests/cell/schedulerfixture.h
+++ b/tests/cell/schedulerfixture.h
@@ -26,6 +26,7 @@
         std::unique_ptr<Scheduler> scheduler = std::make_unique<Scheduler>(SchedulerOptions {generation, lease});
         scheduler->load(records, now, wall);
         scheduler->setConfiguration(plainConfiguration());
+        scheduler->confirmTerm(now + Seconds(1), now, wall);
         scheduler->beginRecovery(now);
         scheduler->tick(now, wall);
         return scheduler;
