Listen for peers at another address than the one that they use

Every process listens for its peers at ip:peer_port and names the same address to them, so nothing can stand between two processes of a cell, and the soak can interrupt no link: what happens to a scheduler that is cut off from the others could not be seen there.

peer_listen, optional, is the address to bind; the address in Hello and in the roster stays ip:peer_port. Without it nothing changes.

test-settings passes (20 tests), among them a new one that fails to compile without the setting.

--- a/src/knapweedstaged/cellagenttask.cpp
+++ b/src/knapweedstaged/cellagenttask.cpp
@@ -30,7 +30,7 @@
     const HttpHandler notFound = [](const HttpRequest &, const HttpResponder &respond) {
         respond(jsonResponse(404, "{}"));
     };
-    peerServer_ = std::make_unique<HttpServer>(loop_, settings_.peers, notFound, HttpServerOptions {}, peers_->hooks());
+    peerServer_ = std::make_unique<HttpServer>(loop_, settings_.peerListen, notFound, HttpServerOptions {}, peers_->hooks());
     reportServer_ = std::make_unique<HttpServer>(loop_, settings_.endpointReports, [this](const HttpRequest &request, const HttpResponder &respond) {
         handleReport(request, respond);
     });
@@ -46,7 +46,7 @@
         return BootClock::now();
     };
     wire::RosterEntry self;
-    self.address = toString(peerServer_->address());
+    self.address = toString(settings_.peers);
     self.role = wire::Role::Agent;
     self.incarnation = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
     self.region = settings_.region;
--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -57,7 +57,7 @@
     if (!isListening()) {
         return;
     }
-    self_ = toString(peerServer_->address());
+    self_ = toString(settings_.peers);
     wire::RosterEntry self;
     self.address = self_;
     self.role = wire::Role::Entry;
@@ -85,7 +85,7 @@
     const HttpHandler notFound = [](const HttpRequest &, const HttpResponder &respond) {
         respond(jsonResponse(404, "{}"));
     };
-    peerServer_ = std::make_unique<HttpServer>(loop_, settings_.peers, notFound, HttpServerOptions {}, peers_->hooks());
+    peerServer_ = std::make_unique<HttpServer>(loop_, settings_.peerListen, notFound, HttpServerOptions {}, peers_->hooks());
     callerServer_ = std::make_unique<HttpServer>(loop_, settings_.callers, [this](const HttpRequest &request, const HttpResponder &respond) {
         callerApi_.handle(request, respond);
     });
--- a/src/libknapweed/cell/settings.cpp
+++ b/src/libknapweed/cell/settings.cpp
@@ -81,6 +81,8 @@
     settings.failureDomain = root.text("failure_domain", nameRule);
     settings.peers.ip = root.text("ip", {TextRule::Form::IpAddress, 7, 15, std::nullopt});
     settings.peers.port = static_cast<std::uint16_t>(root.integer("peer_port", {1, 65535, std::nullopt}));
+    const nlohmann::json *peerListen = root.member("peer_listen");
+    settings.peerListen = peerListen == nullptr || peerListen->is_null() ? settings.peers : readAddress(root, "peer_listen");
     settings.metricsPort = static_cast<std::uint16_t>(root.integer("metrics_port", {1, 65535, std::nullopt}));
     settings.seeds = readSeeds(root, settings.peers.port);
     settings.store = readAddress(root, "store");
--- a/src/libknapweed/cell/settings.h
+++ b/src/libknapweed/cell/settings.h
@@ -20,7 +20,8 @@
     std::string name; ///< name of this process in log lines
     std::string region;
     std::string failureDomain;
-    Address peers; ///< listen address for other cell processes
+    Address peers; ///< address that other cell processes connect to
+    Address peerListen; ///< listen address for them; equals peers unless connections are forwarded
     std::vector<Address> seeds; ///< the first peers to contact; some may be down or gone
     std::uint16_t metricsPort = 0;
     Address store;
--- a/tests/settings/cellsettingstest.cpp
+++ b/tests/settings/cellsettingstest.cpp
@@ -95,6 +95,18 @@
     LONGS_EQUAL(6000, value(parsed).grace.count());
 }
 
+TEST(CellSettings, listensForPeersAtTheAddressThatTheyUseUnlessAnotherOneIsSet)
+{
+    nlohmann::json settings = entryCell();
+    STRCMP_EQUAL("10.1.0.19:7000", toString(value(parseCellSettings(settings.dump())).peerListen).c_str());
+    settings["peer_listen"] = nullptr;
+    STRCMP_EQUAL("10.1.0.19:7000", toString(value(parseCellSettings(settings.dump())).peerListen).c_str());
+    settings["peer_listen"] = "10.1.0.20:7100";
+    const CellSettings forwarded = value(parseCellSettings(settings.dump()));
+    STRCMP_EQUAL("10.1.0.20:7100", toString(forwarded.peerListen).c_str());
+    STRCMP_EQUAL("10.1.0.19:7000", toString(forwarded.peers).c_str());
+}
+
 TEST(CellSettings, eachFaultIsOneLine)
 {
     struct Case
@@ -105,6 +117,8 @@
     const Case cases[] = {{"role", "\"other\""},
         {"ip", "\"host\""},
         {"peer_port", "0"},
+        {"peer_listen", "\"10.1.0.19\""},
+        {"peer_listen", "7"},
         {"store", "\"10.200.1.7\""},
         {"lease_ms", "10"},
         {"configuration_apply_ms", "499"},
