Soak: interrupt links between processes

A proxy at the address that a process names to its peers forwards their connections and learns from the first message who opened one. A link is interrupted silently (what is sent arrives afterwards), one way only, or with a reset. New kinds: links-cut, agent-cut, entry-cut, leader-cut and leader-partition (the leader with some agents, apart from the store and all others). The proxies are in the path only when one of these kinds is played; 'all' and 'all-but:' stand for the earlier kinds, so commands on record mean the same as before.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -14,6 +14,7 @@
 from soak.cell import Process
 from soak.endpoint import Boot, Machine
 from soak.judge import Judge
+from soak.links import Cuts, Links
 from soak.store import Store
 from soak.trouble import Trouble
 
@@ -35,6 +36,7 @@
         agents: list[Process],
         replace_entry: ReplaceEntry,
         callers: Callers,
+        links: Links,
     ) -> None:
         self.seed, self.judge, self.store, self.machines, self.entries, self.agents = seed, judge, store, machines, entries, agents
         self.replace = replace_entry
@@ -70,6 +72,9 @@
             "config-change": (self.config_change, (2, 6)),
             "foreign-reports": (lambda rng: self.foreign_report(rng, None), FOREIGN_GAP_S),
         }
+        cuts = Cuts(links, store, entries, agents, self.note)
+        self.cut_kinds = list(cuts.kinds)
+        self.kinds |= cuts.kinds
         for name in FOREIGN:
             self.kinds[f"foreign-{name}"] = (lambda rng, name=name: self.foreign_report(rng, name), FOREIGN_GAP_S)  # type: ignore[misc]
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import json
 import random
 import signal
 import socket
@@ -18,6 +19,7 @@
 from soak.endpoint import Machine, Shared
 from soak.faults import Faults
 from soak.judge import Job, Judge, Violation, clock_text
+from soak.links import LISTEN, Links
 from soak.store import Store
 
 TOKEN = "soak-token"
@@ -54,6 +56,7 @@
     def __init__(self, options: argparse.Namespace, folder: Path, net: int) -> None:
         self.options, self.net = options, net
         self.judge = Judge(folder)
+        self.links = Links()
         self.store = Store(random.Random(f"{options.seed}-store"))
         self.shared = Shared(SERVICE, options.lease_ms, options.seed, self.judge)
         self.entries: list[Process] = []
@@ -69,7 +72,7 @@
             ip, zone = agent.place.ip, agent.place.zone
             self.machines.append(Machine(agent.place.name, (ip, APP), (ip, CONTROL), zone, f"rack-{index // RACK_SIZE}", self.shared))
         self.callers = Callers(self.judge, [entry.place.ip for entry in self.entries], TOKEN, options.seed)
-        self.faults = Faults(options.seed, self.judge, self.store, self.machines, self.entries, self.agents, self.replace_entry, self.callers)
+        self.faults = Faults(options.seed, self.judge, self.store, self.machines, self.entries, self.agents, self.replace_entry, self.callers, self.links)
 
     def _place(self, role: str, word: str, index: int, host: int) -> Place:
         zone = index % len(ZONES)
@@ -81,9 +84,13 @@
         return Process(self.options.build / "src" / "knapweedstaged", place, self.folder, self._settings(place), self.judge.findings)
 
     def _settings(self, place: Place) -> str:
-        return settings_of(place, self.seeds, self.options.lease_ms, SERVICE)
+        text = settings_of(place, self.seeds, self.options.lease_ms, SERVICE)
+        return json.dumps(json.loads(text) | {"peer_listen": f"{place.ip}:{LISTEN}"}) if self.options.has_proxies else text
 
-    async def _open_store(self, process: Process) -> None:
+    async def _open_ports(self, process: Process) -> None:
+        """Of the stand-ins that the process and its peers connect to."""
+        if self.options.has_proxies:
+            await self.links.open_for(process.place.ip)
         ip, _, port = process.place.store.partition(":")
         await self.store.open_for(process.place.name, (ip, int(port)))
 
@@ -91,7 +98,7 @@
         """An entry leaves for good, and another one comes at another address. The seeds in the settings of all processes follow after a time."""
         successor = self._process(self._place("entry", "front", self.entries_made, 1 + self.entries_made))
         self.entries_made += 1
-        await self._open_store(successor)
+        await self._open_ports(successor)
         if is_planned:
             successor.start()
             await asyncio.sleep(1)
@@ -113,7 +120,7 @@
     async def start(self) -> None:
         self.store.configuration(1, SERVICE, TOKEN)
         for process in self.entries + self.agents:
-            await self._open_store(process)
+            await self._open_ports(process)
         for process in self.entries + self.agents:
             process.start()
         for machine in self.machines:
@@ -132,6 +139,7 @@
         await asyncio.gather(*(process.stop() for process in self.entries + self.agents))
         for server in self.store.servers + [machine.server for machine in self.machines]:
             server.close()
+        self.links.close()
 
 
 def trace(folder: Path, violation: Violation) -> list[str]:
@@ -193,7 +201,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=30, help="time with callers and faults")
     parser.add_argument("--settle", type=float, default=30, help="time after the last fault for accepted jobs to end")
-    parser.add_argument("--faults", default="", help="kinds separated by commas, or 'all', or 'all-but:KIND+KIND'; see --list")
+    parser.add_argument("--faults", default="", help="kinds separated by commas; 'all' or 'all-but:KIND+KIND' stands for those without cut links; see --list")
     parser.add_argument("--list", action="store_true", help="print the kinds of faults")
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--agents", type=int, default=9)
@@ -205,18 +213,23 @@
     options.build = options.build.resolve()
     folder = options.logs or Path(tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
-    known = list(Faults(0, None, None, [], [], [], None, None).kinds)  # type: ignore[arg-type]
+    faults = Faults(0, None, None, [], [], [], None, None, Links())  # type: ignore[arg-type]
+    known = list(faults.kinds)
     if options.list:
         print(*known, sep="\n")
         return 0
-    if options.faults.startswith("all"):
-        left_out = options.faults.partition(":")[2].split("+")
-        options.faults = [kind for kind in known if kind not in left_out and (kind == "foreign-reports" or not kind.startswith("foreign-"))]
-    else:
-        options.faults = [kind for kind in options.faults.split(",") if kind]
+    kinds: list[str] = []
+    for item in options.faults.split(","):
+        if item.startswith("all"):
+            left_out = faults.cut_kinds + item.partition(":")[2].split("+")
+            kinds += [kind for kind in known if kind not in left_out and (kind == "foreign-reports" or not kind.startswith("foreign-"))]
+        elif item:
+            kinds.append(item)
+    options.faults = kinds
     unknown = [kind for kind in options.faults if kind not in known]
     if unknown:
         parser.error(f"unknown kinds of faults: {', '.join(unknown)}")
+    options.has_proxies = any(kind in faults.cut_kinds for kind in options.faults)
     net, keeper = free_net()
     with keeper:
         return asyncio.run(run(options, folder, net))
