Give an append that only confirms the term no number that a batch could share

What callers could see: a lost submission or cancel. Since the confirmation of the term, an append without records had the number of the batch that follows. The platform's page says that it appends nothing and sets the epoch, and that a repeat of one of the last five appends gets its first answer; it doesn't say whether an append without records has a number. A store that counts it would answer the next batch as a repeat and store nothing.

Change: as before the opening append and a batch whose records were retracted count, which at worst is corrected by the store's answer; a confirmation repeats the last number. Whom it touches: the store only.

--- a/src/knapweedstaged/journalwriter.cpp
+++ b/src/knapweedstaged/journalwriter.cpp
@@ -63,20 +63,24 @@
     if (isSending_ || isFenced_ || opened_ || (queue_.isEmpty() && awaitedConfirmations_.empty())) {
         return;
     }
+    isConfirmationOnly_ = queue_.isEmpty();
     queue_.beginBatch();
     sentConfirmations_ = std::exchange(awaitedConfirmations_, {});
     isSending_ = true;
     send();
 }
 
-/// A batch without records is sent as well: its answer shows whether the store is reachable and whether the term goes on. The store counts no number for it.
+/// A batch whose records have all been retracted is sent as well, because its answer shows whether the store is reachable again. An append that only confirms
+/// the term repeats the last number: the next batch has a number of its own whether the store counts appends without records or not.
 void JournalWriter::send()
 {
+    platform::Producer producer = producer_;
+    producer.sequence -= isConfirmationOnly_ ? 1 : 0;
     std::vector<platform::KeyedRecord> records;
     for (const cell::StoreWrite &write : queue_.batch()) {
         records.push_back({write.key, write.value, 0});
     }
-    store_.append(jobTopic, records, producer_, appendTimeout, [this, alive = isAlive_](const Result<platform::Appended, platform::StoreError> &result) {
+    store_.append(jobTopic, records, producer, appendTimeout, [this, alive = isAlive_](const Result<platform::Appended, platform::StoreError> &result) {
         if (*alive) {
             handle(result);
         }
@@ -98,7 +102,7 @@
         failures_ = 0;
         setReachable(true);
         isSending_ = false;
-        producer_.sequence += queue_.batch().empty() ? 0 : 1;
+        producer_.sequence += isConfirmationOnly_ ? 0 : 1;
         const std::vector<std::function<void()>> confirmations = std::exchange(sentConfirmations_, {});
         if (opened_) {
             const std::function<void()> opened = std::move(opened_);
--- a/src/knapweedstaged/journalwriter.h
+++ b/src/knapweedstaged/journalwriter.h
@@ -55,6 +55,7 @@
     std::vector<std::function<void()>> sentConfirmations_; ///< wait for the append in progress
     cell::WriteQueue queue_;
     bool isSending_ = false;
+    bool isConfirmationOnly_ = false; ///< the append in progress has no records and no number of its own
     bool isFenced_ = false;
     bool isReachable_ = true;
     int failures_ = 0; ///< consecutive failed appends
