Ignore what an earlier scheduler answers from memory once a later one is known

What callers could see: REFUSED. A submission that was sent to a paused scheduler is sent again to its successor, which accepts it; the refusal that the first one gives from memory when it wakes up arrived first, and the caller got 503 for a job that runs. Found by the review, on reading.

Change: answers name their generation; the relay ignores one from memory of an earlier generation than the one that it knows. Stored answers are taken from any scheduler. Whom it touches: the next scheduler's answer is the one that counts; answers of earlier versions of the program name no generation and are taken as before; lone instance and slow machine: no difference.

--- a/src/knapweedstaged/callrelay.cpp
+++ b/src/knapweedstaged/callrelay.cpp
@@ -53,7 +53,8 @@
 void CallRelay::handleAnswer(const wire::JobAnswer &answer)
 {
     const auto found = pendingCalls_.find(answer.call);
-    if (found == pendingCalls_.end() || answer.outcome == wire::CallOutcome::NotScheduler) {
+    const bool isSuperseded = answer.generation != 0 && answer.generation < generation_ && answer.basis == wire::AnswerBasis::Memory;
+    if (found == pendingCalls_.end() || answer.outcome == wire::CallOutcome::NotScheduler || isSuperseded) {
         return;
     }
     PendingCall &pending = found->second;
@@ -86,8 +87,9 @@
     }
 }
 
-void CallRelay::schedulerChanged(MonotonicTime now)
+void CallRelay::schedulerChanged(std::int64_t generation, MonotonicTime now)
 {
+    generation_ = generation;
     for (auto &[number, pending] : pendingCalls_) {
         trySend(pending, now);
     }
--- a/src/knapweedstaged/callrelay.h
+++ b/src/knapweedstaged/callrelay.h
@@ -38,8 +38,9 @@
     /// To be called when @p version has come into force. Returns the calls that have not been sent, and those that the scheduler refused as outdated.
     void configurationChanged(std::int64_t version);
 
-    /// To be called after a change of the scheduler and for each new connection to it. Sends all pending calls again.
-    void schedulerChanged(MonotonicTime now);
+    /// To be called after a change of the scheduler and for each new connection to it, with the generation of its term. Sends all pending calls again. Answers
+    /// that an earlier scheduler gives from memory are ignored from then on.
+    void schedulerChanged(std::int64_t generation, MonotonicTime now);
 
     void tick(MonotonicTime now);
 
@@ -62,6 +63,7 @@
     std::function<bool(const wire::JobCall &)> send_;
     std::map<std::int64_t, PendingCall> pendingCalls_; ///< by call number
     std::int64_t lastCall_; ///< number of the newest call; begins at random, so that no two processes number their calls alike
+    std::int64_t generation_ = 0; ///< of the scheduler's term, as far as this process knows
     std::int64_t configurationVersion_ = 0; ///< in force at this process
 };
 
--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -114,7 +114,7 @@
         }
         announceScheduler(peer.address);
         if (peer.address == scheduler_) {
-            relay_.schedulerChanged(monotonicNow());
+            relay_.schedulerChanged(generation_, monotonicNow());
         }
     };
     events.disconnected = [this](const std::string &peer) {
@@ -189,7 +189,7 @@
     scheduler_ = address;
     metrics_.set("scheduler_generation", double(generation));
     logEvent(LogLevel::Info, "scheduler.known", {{"generation", std::to_string(generation)}, {"address", address}, {"source", source}});
-    relay_.schedulerChanged(monotonicNow());
+    relay_.schedulerChanged(generation_, monotonicNow());
     // Each agent is connected to only some of the entries, so every entry notifies the agents connected to it.
     for (const wire::RosterEntry &peer : peers_->roster()) {
         if (peer.role == wire::Role::Agent && peers_->isConnected(peer.address)) {
--- a/src/knapweedstaged/cellleadership.cpp
+++ b/src/knapweedstaged/cellleadership.cpp
@@ -290,7 +290,7 @@
             announceScheduler(peer.address);
         }
     }
-    relay_.schedulerChanged(std::chrono::steady_clock::now());
+    relay_.schedulerChanged(generation_, std::chrono::steady_clock::now());
     flush();
 }
 
--- a/tests/configuration/callerapitest.cpp
+++ b/tests/configuration/callerapitest.cpp
@@ -150,7 +150,7 @@
     scheduler->stored(scheduler->takeOutput().lastWrite, now);
     scheduler->takeOutput(); // the answer, which is lost
     scheduler->setConfiguration(later);
-    relay->schedulerChanged(std::chrono::steady_clock::now());
+    relay->schedulerChanged(2, std::chrono::steady_clock::now());
     deliverAnswers();
     LONGS_EQUAL(200, status.value_or(0));
 }
