Revoke the confirmation of a term by a renewal without the partition

What callers could see: as before the confirmation of terms, for up to 1 s. A renewal whose answer says that the partition is no longer the entry's left an earlier confirmation in force, and another entry may get the partition at the next renewal. Found by the review, on reading.

Change: such an answer revokes the confirmation; refusals as outdated name the generation too.

--- a/src/knapweedstaged/cellcallerapi.cpp
+++ b/src/knapweedstaged/cellcallerapi.cpp
@@ -118,7 +118,7 @@
         call.kind = wire::CallKind::CountWaiting;
     } else if (!isJobId(job)) {
         logEvent(LogLevel::Info, "call.malformed", {{"method", request.method}, {"path", request.path}, {"queue", queue->name}});
-        open->respond(errorResponse(request.method == "POST" ? 400 : 410, "not a job's id"));
+        refuse(open, errorResponse(request.method == "POST" ? 400 : 410, "not a job's id"));
         return;
     } else if (request.method == "POST") {
         submit(*queue, accountName, job, open);
--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -103,6 +103,7 @@
     std::string scheduler_; ///< peer address of the current scheduler; empty while unknown
     std::int64_t groupGeneration_ = 0; ///< group generation in the last answer to a join
     std::int64_t confirmedGroupGeneration_ = 0; ///< newest one for which it is certain that no other entry has begun a term since this one's
+    bool holdsPartition_ = false; ///< according to the last answer to a join
     BootTime termConfirmedUntil_; ///< until then the store gives the leadership to no other entry
     TimerId leadershipTimer_ = 0;
     bool isGroupCallPending_ = false; ///< a join or a query of the owner is in progress
--- a/src/knapweedstaged/cellleadership.cpp
+++ b/src/knapweedstaged/cellleadership.cpp
@@ -168,7 +168,8 @@
     } else if (termGeneration_ != 0 && lossDetector_.isLost(membership.holdsPartition)) {
         endTerm("the store assigned the partition to another entry");
     }
-    if (membership.holdsPartition && termGeneration_ != 0) {
+    holdsPartition_ = membership.holdsPartition;
+    if (termGeneration_ != 0) {
         confirmTerm(membership.generation, renewedAt);
     }
     if (!membership.holdsPartition && termGeneration_ == 0) {
@@ -177,17 +178,17 @@
 }
 
 /// The store has answered a renewal that was sent at @p renewedAt. If other entries have joined since the last one, one of them may have begun a term and
-/// resigned, which the journal shows.
+/// resigned, which the journal shows. A renewal that doesn't include the partition revokes the confirmation: another entry may get it at any time.
 void CellEntryTask::confirmTerm(std::int64_t groupGeneration, BootTime renewedAt)
 {
-    if (groupGeneration != confirmedGroupGeneration_) {
+    if (holdsPartition_ && groupGeneration != confirmedGroupGeneration_) {
         journal_->confirm([this, groupGeneration, renewedAt]() {
             confirmedGroupGeneration_ = groupGeneration;
             confirmTerm(groupGeneration, renewedAt);
         });
         return;
     }
-    termConfirmedUntil_ = std::max(termConfirmedUntil_, renewedAt + confirmationLifetime);
+    termConfirmedUntil_ = holdsPartition_ ? std::max(termConfirmedUntil_, renewedAt + confirmationLifetime) : BootTime();
     if (schedulerCore_ != nullptr) {
         schedulerCore_->confirmTerm(termConfirmedUntil_, BootClock::now(), std::chrono::system_clock::now());
         flush();
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -71,7 +71,8 @@
     void setStoreReachable(bool isReachable);
 
     /// Until @p until, the store gives the leadership to no other entry, so that no later term can begin. An answer that rests on memory alone is only given
-    /// before then; calls that need one are held back until the term is confirmed anew, and refused if that takes too long.
+    /// before then; calls that need one are held back until the term is confirmed anew, and refused if that takes too long. A time that has passed revokes the
+    /// confirmation.
     void confirmTerm(BootTime until, BootTime now, WallTime wall);
 
     /// Jobs whose submission is not durable yet and for which nothing else has been recorded.
@@ -222,7 +223,7 @@
     std::map<std::string, ServiceCapacity> capacityByService_; ///< as of the last planning round
     std::map<StepName, StepAdvice> advice_; ///< for steps that have waited in queues that require advice
     std::vector<PendingAnswer> pendingAnswers_; ///< wait until their write, above storedWrite_, is durable
-    BootTime confirmedUntil_; ///< end of the time for which the term is confirmed; never moves back
+    BootTime confirmedUntil_; ///< end of the time for which the term is confirmed
     std::map<std::pair<std::string, std::int64_t>, HeldCall> heldCalls_; ///< by peer and number of the call
     SchedulerOutput output_;
     std::map<std::string, std::size_t> pendingProgress_; ///< jobs whose progress is part of the next output, with the index of the record in its writes
--- a/src/libknapweed/cell/schedulercalls.cpp
+++ b/src/libknapweed/cell/schedulercalls.cpp
@@ -38,6 +38,7 @@
     std::uint64_t awaitedWrite = 0;
     wire::JobAnswer reply;
     reply.call = call.call;
+    reply.generation = options_.generation;
     // What has been accepted stays so, and the repeat of an accepted submission has to learn that.
     const bool isAccepted = call.kind == wire::CallKind::Submit && jobs_.count(call.job) != 0;
     if (!isAccepted && call.configurationVersion != 0 && call.configurationVersion < configuration_.version) {
@@ -75,7 +76,7 @@
 
 void Scheduler::confirmTerm(BootTime until, BootTime now, WallTime wall)
 {
-    confirmedUntil_ = std::max(confirmedUntil_, until);
+    confirmedUntil_ = until;
     if (now >= confirmedUntil_) {
         return;
     }
