Soak: judge each start against the cancel of its job

A start more than 3 s after the acknowledgement is a violation now, unless the endpoint carried the order out late. Its text and runs.log name the status, the entry and the time of the acknowledgement. Traces also show the answers to submissions and cancels; only those to queries are left out.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,7 +7,7 @@
 import random
 import time
 
-from soak.cell import FRONT
+from soak.cell import FRONT, Place
 from soak.httplite import Response, call
 from soak.judge import Job, Judge
 
@@ -19,18 +19,20 @@
 
 
 class Callers:
-    def __init__(self, judge: Judge, entries: list[str], token: str, seed: int) -> None:
+    def __init__(self, judge: Judge, entries: list[Place], token: str, seed: int) -> None:
         self.judge, self.entries, self.token = judge, entries, token
         self.rng = random.Random(f"{seed}-callers")
         self.draws = random.Random(f"{seed}-jobs")  # of its own, so that a seed gives the same jobs
         self.tasks: set[asyncio.Task[None]] = set()
 
-    async def request(self, method: str, job: str, body: bytes = b"", timeout: float = DEADLINE_S) -> Response | None:
+    async def request(self, method: str, job: str, body: bytes = b"", timeout: float = DEADLINE_S) -> tuple[str, Response | None]:
+        """Returns the name of the entry that was called, and its answer."""
+        entry = self.rng.choice(self.entries)
         headers = {"host": HOST, "authorization": f"Token {self.token}", "x-deadline-ms": str(int(timeout * 1000))}
-        return await call((self.rng.choice(self.entries), FRONT), method, f"/q/{job}", body, headers, timeout)
+        return entry.name, await call((entry.ip, FRONT), method, f"/q/{job}", body, headers, timeout)
 
     async def is_serving(self) -> bool:
-        answer = await self.request("GET", "00000000000000ff", timeout=1.0)
+        _, answer = await self.request("GET", "00000000000000ff", timeout=1.0)
         return answer is not None and answer.status == 410
 
     async def submit_for(self, seconds: float, per_second: float) -> None:
@@ -56,7 +58,7 @@
         body = json.dumps({"spec": "soak", "steps": [{name: value for name, value in step.items() if value}]}).encode()
         is_unknown = False
         for _ in range(ATTEMPTS):
-            answer = await self.request("POST", job.id, body)
+            _, answer = await self.request("POST", job.id, body)
             if answer is not None and 200 <= answer.status < 300:
                 job.is_accepted, job.accepted_at = True, time.time()
                 self.judge.note(f"accepted job={job.id} count={job.count} gang={job.gang} work={job.work_s:.2f}")
@@ -83,10 +85,9 @@
         await asyncio.sleep(rng.uniform(0.5, 4))
         while job.is_accepted and job.cancelled_at is None:
             job.is_cancel_sent = True  # it may be carried out before its answer arrives
-            answer = await self.request("DELETE", job.id)
-            if answer is not None and answer.status in (200, 410):
-                job.cancelled_at = time.time()
-                self.judge.note(f"cancelled job={job.id}")
+            entry, answer = await self.request("DELETE", job.id)
+            if answer is not None and (200 <= answer.status < 300 or answer.status == 410):
+                self.judge.cancelled(job, answer.status, entry)
             await asyncio.sleep(0.3)
 
     def is_over(self, job: Job) -> bool:
@@ -95,7 +96,7 @@
         return job.succeeded_at is not None
 
     async def _ask(self, job: Job) -> None:
-        answer = await self.request("GET", job.id)
+        _, answer = await self.request("GET", job.id)
         if answer is not None and answer.status == 200 and isinstance(answer.body, dict):
             self.judge.shown(job, str(answer.body.get("state", "")))
         elif answer is not None and answer.status == 410 and time.time() - job.accepted_at > DEADLINE_S:
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -11,6 +11,7 @@
     from soak.endpoint import Boot, Run
 
 SHOWN_GRACE_S = 1.0
+CANCEL_S = 3.0  # after the acknowledgement of a cancel, the time in which tasks may still start
 CRASHES_TO_GIVE_UP = 2  # of endpoints under one task, after which its job may be shown as failed
 
 
@@ -39,6 +40,7 @@
     is_lasting: bool = False  # runs until it is cancelled
     is_cancel_sent: bool = False
     cancelled_at: float | None = None  # when its cancel was acknowledged
+    cancel_answer: str = ""  # the acknowledgement, with the entry that sent it
 
 
 @dataclass
@@ -100,6 +102,10 @@
         shown = run.job.succeeded_at
         if shown is not None and time.time() - shown > SHOWN_GRACE_S and not run.is_late:
             self.violated("TWICE", run.task, "started after the job was shown as succeeded", [run])
+        cancelled = run.job.cancelled_at
+        if cancelled is not None and time.time() - cancelled > CANCEL_S and not run.is_late:
+            text = f"started {time.time() - cancelled:.1f} s after its cancel was acknowledged ({run.job.cancel_answer})"
+            self.violated("UNASKED", run.task, text, [run])
         if run.job.is_refused:
             self.violated("REFUSED", run.task, "all attempts to submit the job were refused", [run])
         used = {name: sum(other.job.needs[name] for other in run.boot.runs.values()) + run.job.needs[name] for name in run.job.needs}
@@ -124,6 +130,13 @@
                 for later in end.later:
                     self.violated("TWICE", run.task, "started after an end that was noted later", [later, run])
 
+    def cancelled(self, job: Job, status: int, entry: str) -> None:
+        """The cancel of a job has been acknowledged."""
+        if job.cancelled_at is None:
+            job.cancelled_at = time.time()
+            job.cancel_answer = f"{status} by {entry} at {clock_text(job.cancelled_at)}"
+            self.note(f"cancelled job={job.id} acknowledged with {job.cancel_answer}")
+
     def shown(self, job: Job, state: str) -> None:
         is_new = state != job.state
         if is_new:
@@ -149,7 +162,7 @@
         for job in self.jobs.values():
             left = [run for task in self.tasks(job) for run in self.active.get(task, [])]
             if job.cancelled_at is not None and left:
-                self.violated("UNASKED", left[0].task, f"still runs {time.time() - job.cancelled_at:.1f} s after its cancel was acknowledged", left)
+                self.violated("UNASKED", left[0].task, f"still runs {time.time() - job.cancelled_at:.1f} s after its cancel was acknowledged ({job.cancel_answer})", left)
 
     @staticmethod
     def tasks(job: Job) -> list[str]:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -71,7 +71,7 @@
         for index, agent in enumerate(self.agents):
             ip, zone = agent.place.ip, agent.place.zone
             self.machines.append(Machine(agent.place.name, (ip, APP), (ip, CONTROL), zone, f"rack-{index // RACK_SIZE}", self.shared))
-        self.callers = Callers(self.judge, [entry.place.ip for entry in self.entries], TOKEN, options.seed)
+        self.callers = Callers(self.judge, [entry.place for entry in self.entries], TOKEN, options.seed)
         self.faults = Faults(options.seed, self.judge, self.store, self.machines, self.entries, self.agents, self.replace_entry, self.callers, self.links)
 
     def _place(self, role: str, word: str, index: int, host: int) -> Place:
@@ -108,7 +108,7 @@
             await asyncio.sleep(2)
             successor.start()
         self.entries[self.entries.index(process)] = successor
-        self.callers.entries[:] = [entry.place.ip for entry in self.entries]
+        self.callers.entries[:] = [entry.place for entry in self.entries]
         await leaving
         await asyncio.sleep(seed_lag_s)
         self.seeds = seeds_of([entry.place for entry in self.entries])
@@ -150,7 +150,7 @@
     for log in folder.glob("*.log"):
         for line in log.read_text(errors="replace").splitlines():
             line = line.split("T", 1)[1] if line[4:5] == "-" else line
-            is_of_task = violation.task in line or (f"job={job} " in line and (f"task={task} " in line or "task=" not in line) and "call.answered" not in line)
+            is_of_task = violation.task in line or (f"job={job} " in line and (f"task={task} " in line or "task=" not in line) and "call=2 " not in line)
             is_of_place = any(name in line for name in names) and (" fault " in line or any(event in line for event in TRACE_EVENTS))
             if (is_of_task or is_of_place) and line[:12] <= clock_text(violation.at + TRACE_AFTER_S) and "VIOLATION" not in line:
                 lines.add(f"{line[:12]} {log.stem}: {line[12:].removeprefix('Z').strip()[:260]}")
