Soak: callers cancel jobs at any time

--cancels SHARE (0.2) of the jobs are cancelled from the first submission up to after their end, drawn from a generator of their own, also when the submission has no answer or was given up. Cancels are repeated until they are acknowledged with 2xx or 410; after that the caller submits the job no more. A cancelled job is over when nothing of it runs and, if it was accepted, it is shown in a final state or answered 410. The run also waits for cancelled jobs that were not known to be accepted.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers that submit gangs and plain tasks through any entry, repeat what got no answer, and ask for the state of their jobs."""
+"""Callers that submit gangs and plain tasks through any entry, repeat what got no answer, ask for the state of their jobs, and cancel some of them."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 import json
 import random
 import time
+from collections.abc import Coroutine
 
 from soak.cell import FRONT, Place
 from soak.httplite import Response, call
@@ -16,13 +17,20 @@
 POLL_S = 0.7
 HOST = "soak.example"
 LASTING_S = 1e6  # work of a job that lasts until it is cancelled
+FINAL_STATES = ("succeeded", "failed", "cancelled")
+# Seconds from the first submission to the cancel: within the caller's deadline and repetitions, or at any time up to after the end.
+CANCEL_AFTER_S = ((0.0, 4.0), (0.0, 15.0))
+EARLY_SHARE = 0.7
 
 
 class Callers:
-    def __init__(self, judge: Judge, entries: list[Place], token: str, seed: int) -> None:
+    def __init__(self, judge: Judge, entries: list[Place], token: str, seed: int, cancelled_share: float) -> None:
         self.judge, self.entries, self.token = judge, entries, token
         self.rng = random.Random(f"{seed}-callers")
         self.draws = random.Random(f"{seed}-jobs")  # of its own, so that a seed gives the same jobs
+        self.cancel_draws = random.Random(f"{seed}-cancels")
+        self.cancelled_share = cancelled_share
+        self.end = 0.0  # of the time in which cancels are begun
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def request(self, method: str, job: str, body: bytes = b"", timeout: float = DEADLINE_S) -> tuple[str, Response | None]:
@@ -36,13 +44,27 @@
         return answer is not None and answer.status == 410
 
     async def submit_for(self, seconds: float, per_second: float) -> None:
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            task = asyncio.create_task(self._follow(self._draw()))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+        self.end = time.monotonic() + seconds
+        while time.monotonic() < self.end:
+            job = self._draw()
+            cancel_after_s = self._draw_cancel()
+            self._run(self._follow(job))
+            if cancel_after_s is not None:
+                self._run(self._cancel_after(job, cancel_after_s))
             await asyncio.sleep(self.draws.expovariate(per_second))
 
+    def _run(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def _draw_cancel(self) -> float | None:
+        is_cancelled = self.cancel_draws.random() < self.cancelled_share
+        bounds = CANCEL_AFTER_S[0 if self.cancel_draws.random() < EARLY_SHARE else 1]
+        after_s = self.cancel_draws.uniform(*bounds)
+        return after_s if is_cancelled else None
+
     def _draw(self) -> Job:
         count = self.draws.choice((2, 2, 3, 3, 3, 9))
         cpu, gpu = {2: (52_000, self.draws.choice((1, 2, 4, 8))), 3: (15_000, self.draws.choice((1, 2, 4))), 9: (11_000, 1)}[count]
@@ -58,6 +80,8 @@
         body = json.dumps({"spec": "soak", "steps": [{name: value for name, value in step.items() if value}]}).encode()
         is_unknown = False
         for _ in range(ATTEMPTS):
+            if job.cancelled_at is not None:
+                break
             _, answer = await self.request("POST", job.id, body)
             if answer is not None and 200 <= answer.status < 300:
                 job.is_accepted, job.accepted_at = True, time.time()
@@ -66,7 +90,7 @@
             is_unknown = is_unknown or answer is None or answer.status not in (429, 503)
             await asyncio.sleep(self.rng.uniform(0.2, 1.0))
         job.is_refused = not job.is_accepted and not is_unknown
-        while job.is_accepted and job.state not in ("succeeded", "failed", "cancelled"):
+        while job.is_accepted and not job.is_gone and job.state not in FINAL_STATES:
             await asyncio.sleep(POLL_S * self.rng.uniform(0.5, 1.5))
             await self._ask(job)
         if job.is_accepted:  # asked again long after its end
@@ -77,13 +101,21 @@
         """Submits a job that lasts, and cancels it some time after its start."""
         job = Job(f"{rng.getrandbits(64):016x}", 1, LASTING_S, {"cpu": 4000, "memMb": 4096, "gpu": 1}, False, False, False, is_lasting=True)
         self.judge.jobs[job.id] = job
-        following = asyncio.create_task(self._follow(job))
-        self.tasks.add(following)
-        following.add_done_callback(self.tasks.discard)
+        following = self._run(self._follow(job))
         while not job.is_started and not following.done():
             await asyncio.sleep(0.1)
         await asyncio.sleep(rng.uniform(0.5, 4))
-        while job.is_accepted and job.cancelled_at is None:
+        if job.is_accepted:
+            await self._cancel(job)
+
+    async def _cancel_after(self, job: Job, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        if time.monotonic() < self.end:
+            await self._cancel(job)
+
+    async def _cancel(self, job: Job) -> None:
+        """Repeats the cancel until it is acknowledged."""
+        while job.cancelled_at is None:
             job.is_cancel_sent = True  # it may be carried out before its answer arrives
             entry, answer = await self.request("DELETE", job.id)
             if answer is not None and (200 <= answer.status < 300 or answer.status == 410):
@@ -91,24 +123,30 @@
             await asyncio.sleep(0.3)
 
     def is_over(self, job: Job) -> bool:
-        if job.is_lasting:
-            return job.cancelled_at is not None and not any(self.judge.active.get(task) for task in self.judge.tasks(job))
+        """An accepted job has ended, and nothing runs of a job whose cancel was acknowledged, accepted or not."""
+        if job.cancelled_at is not None:
+            is_ended = not job.is_accepted or job.is_gone or job.state in FINAL_STATES
+            return is_ended and not any(self.judge.active.get(task) for task in self.judge.tasks(job))
+        if not job.is_accepted:
+            return True
         return job.succeeded_at is not None
 
     async def _ask(self, job: Job) -> None:
         _, answer = await self.request("GET", job.id)
         if answer is not None and answer.status == 200 and isinstance(answer.body, dict):
             self.judge.shown(job, str(answer.body.get("state", "")))
+        elif answer is not None and answer.status == 410 and job.is_cancel_sent:
+            job.is_gone = True
         elif answer is not None and answer.status == 410 and time.time() - job.accepted_at > DEADLINE_S:
             self.judge.findings.append(f"LOST job={job.id} accepted, then answered 410")
             await asyncio.sleep(1)
 
     async def settle(self, seconds: float) -> list[Job]:
-        """Waits until all accepted jobs have ended, and returns the others."""
+        """Waits until all jobs are over, and returns the others."""
         end = time.monotonic() + seconds
-        while time.monotonic() < end and any(job.is_accepted and not self.is_over(job) for job in self.judge.jobs.values()):
+        while time.monotonic() < end and not all(self.is_over(job) for job in self.judge.jobs.values()):
             await asyncio.sleep(0.2)
         self.judge.check_cancelled()
         for task in list(self.tasks):
             task.cancel()
-        return [job for job in self.judge.jobs.values() if job.is_accepted and not self.is_over(job)]
+        return [job for job in self.judge.jobs.values() if not self.is_over(job)]
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -37,6 +37,7 @@
     accepted_at: float = 0.0
     succeeded_at: float | None = None  # when it was first shown so
     state: str = ""
+    is_gone: bool = False  # answered 410 after its caller had cancelled it
     is_lasting: bool = False  # runs until it is cancelled
     is_cancel_sent: bool = False
     cancelled_at: float | None = None  # when its cancel was acknowledged
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -71,7 +71,7 @@
         for index, agent in enumerate(self.agents):
             ip, zone = agent.place.ip, agent.place.zone
             self.machines.append(Machine(agent.place.name, (ip, APP), (ip, CONTROL), zone, f"rack-{index // RACK_SIZE}", self.shared))
-        self.callers = Callers(self.judge, [entry.place for entry in self.entries], TOKEN, options.seed)
+        self.callers = Callers(self.judge, [entry.place for entry in self.entries], TOKEN, options.seed, options.cancels)
         self.faults = Faults(options.seed, self.judge, self.store, self.machines, self.entries, self.agents, self.replace_entry, self.callers, self.links)
 
     def _place(self, role: str, word: str, index: int, host: int) -> Place:
@@ -130,7 +130,7 @@
                 await asyncio.sleep(0.1)
 
     async def play(self) -> list[Job]:
-        """Returns the accepted jobs that did not end in time."""
+        """Returns the jobs that did not end in time."""
         seconds = self.options.seconds
         await asyncio.gather(self.callers.submit_for(seconds, self.options.rate), self.faults.run(self.options.faults, seconds))
         return await self.callers.settle(self.options.settle)
@@ -184,12 +184,13 @@
     jobs = judge.jobs.values()
     served = sum(job.succeeded_at is not None for job in jobs)
     accepted = sum(job.is_accepted for job in jobs)
+    cancelled = sum(job.cancelled_at is not None for job in jobs)
     faults = ",".join(options.faults) or "none"
     rules: dict[str, str] = {}
     for rule in sorted({violation.rule for violation in judge.violations}):
         tasks = [violation.task for violation in judge.violations if violation.rule == rule]
         rules[rule] = f"{len(tasks)} in {len({task.partition('.')[0] for task in tasks})} jobs"
-    print(f"seed {options.seed} faults {faults}: jobs {len(jobs)} accepted {accepted} succeeded {served} starts {judge.starts}", end=" ")
+    print(f"seed {options.seed} faults {faults}: jobs {len(jobs)} accepted {accepted} succeeded {served} cancelled {cancelled} starts {judge.starts}", end=" ")
     print(f"violations {rules or 0} logs {folder}")
     is_finished = not stuck or not options.must_finish
     return 0 if served > 0 and not judge.violations and is_finished else 1
@@ -206,6 +207,7 @@
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--agents", type=int, default=9)
     parser.add_argument("--rate", type=float, default=1.2, help="jobs a second")
+    parser.add_argument("--cancels", type=float, default=0.2, help="share of the jobs that their callers cancel, at any time")
     parser.add_argument("--lease-ms", type=int, default=6000)
     parser.add_argument("--must-finish", action="store_true", help="fail if an accepted job has not ended when the time to settle is over")
     parser.add_argument("--logs", type=Path, help="directory for the logs; by default a new one")
