Soak: restart agents, entries and the leader at their addresses within 30 ms

What could not be seen: a process that is gone for a few milliseconds only. The soak's restarts took 0.3 s or more, and agent-away 4 s or more; on machines of their own, processes start again at once, before their peers notice the lost connection.

Change: kinds agent-restart, entry-restart and leader-restart, killed or terminated, back after 1 to 30 ms. Series are seeded by kind, so the histories of the other kinds stay the same; all and all-but play the new ones as well.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -19,6 +19,7 @@
 from soak.trouble import Trouble
 
 FOREIGN_GAP_S = (0.1, 0.5)  # about 2.6 s for each of 9 agents
+QUICK_RESTART_S = (0.001, 0.03)
 
 
 # process, whether it is planned, seconds until the settings name the new seeds, whether SIGHUP says so
@@ -46,8 +47,11 @@
             "agent-away": (self.agent_away, (5, 12)),
             "agent-pause": (lambda rng: self.pause(rng, self.agents), (0.5, 3)),
             "agent-throttle": (lambda rng: self.throttle(rng, self.agents), (0.1, 1)),
+            "agent-restart": (lambda rng: self.restart(rng, self.agents), (0.5, 3)),
             "entry-kill": (self.entry_kill, (4, 10)),
+            "entry-restart": (lambda rng: self.restart(rng, self.entries), (2, 6)),
             "leader-kill": (self.leader_kill, (9, 14)),
+            "leader-restart": (lambda rng: self.leader_kill(rng, QUICK_RESTART_S), (5, 10)),
             "entry-replace": (self.entry_replace, (0.5, 4)),
             "entry-pause": (lambda rng: self.pause(rng, self.entries), (2, 6)),
             "entry-throttle": (lambda rng: self.throttle(rng, self.entries), (1, 4)),
@@ -104,11 +108,18 @@
     async def entry_kill(self, rng: random.Random) -> None:
         await self._kill(rng, rng.choice(self.entries), None)
 
-    async def leader_kill(self, rng: random.Random) -> None:
+    async def restart(self, rng: random.Random, processes: list[Process]) -> None:
+        """At the same address, before its peers miss it."""
+        await self._kill(rng, rng.choice(processes), rng.uniform(*QUICK_RESTART_S))
+
+    async def leader_kill(self, rng: random.Random, away_s: tuple[float, float] = (0.3, 2)) -> None:
         """The entry that holds the partition by which the leader is chosen."""
+        for entry in self._leaders():
+            await self._kill(rng, entry, rng.uniform(*away_s))
+
+    def _leaders(self) -> list[Process]:
         holder = self.store.groups["scheduler"].holders.get(0, "") if "scheduler" in self.store.groups else ""
-        for entry in [entry for entry in self.entries if holder.startswith(f"{entry.place.ip}:")]:
-            await self._kill(rng, entry, rng.uniform(0.3, 2))
+        return [entry for entry in self.entries if holder.startswith(f"{entry.place.ip}:")]
 
     async def mute_leader_kill(self, rng: random.Random) -> None:
         """The leader changes while an endpoint at work does not answer, for longer than a recovery."""
@@ -131,7 +142,7 @@
 
     async def _kill(self, rng: random.Random, process: Process, away_s: float | None) -> None:
         number = rng.choice((signal.SIGKILL, signal.SIGKILL, signal.SIGTERM))
-        self.note(f"{number.name} {process.place.name} away {away_s or 0:.1f}")
+        self.note(f"{number.name} {process.place.name} away {away_s or 0:.3f}")
         await process.kill(number, away_s)
 
     async def pause(self, rng: random.Random, processes: list[Process]) -> None:
