Soak: a store whose memberships pause while it is away

What could not be seen: the platform says that the times of group memberships pause or expire while the store is down. The soak's always expired.

Change: kind store-away-pause. Memberships run by a clock of the store that stands still meanwhile.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -67,6 +67,7 @@
             "endpoint-reset": (lambda rng: self.endpoint_trouble(rng, Trouble(reset=0.5)), (0.5, 3)),
             "endpoint-closes": (self.endpoint_closes, (0.1, 2)),
             "store-away": (lambda rng: self.store_trouble(rng, self.away(rng), False), (4, 10)),
+            "store-away-pause": (self.store_away_pause, (4, 10)),
             "store-slow": (lambda rng: self.store_trouble(rng, Trouble(slow_s=0.8), False), (4, 10)),
             "store-lost": (lambda rng: self.store_trouble(rng, Trouble(lost=0.3, late=0.1, late_s=(0.5, 4)), False), (3, 8)),
             "store-one-away": (lambda rng: self.store_trouble(rng, self.away(rng), True), (1, 4)),
@@ -210,6 +211,15 @@
         self.note(f"{trouble} at the store for {whom or 'all'} {seconds:.1f}")
         await self._trouble(self.store.own_troubles[whom] if is_one else self.store.troubles, trouble, seconds)
 
+    async def store_away_pause(self, rng: random.Random) -> None:
+        """No membership expires while the store is away."""
+        self.note("memberships pause")
+        self.store.pause_memberships()
+        try:
+            await self.store_trouble(rng, self.away(rng), False)
+        finally:
+            self.store.resume_memberships()
+
     async def _trouble(self, troubles: list[Trouble], trouble: Trouble, seconds: float) -> None:
         troubles.append(trouble)
         try:
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -58,6 +58,8 @@
         self.troubles: list[Trouble] = []  # of all callers
         self.own_troubles: dict[str, list[Trouble]] = {}  # by caller
         self.servers: list[Server] = []
+        self.paused_at: float | None = None
+        self.paused_s = 0.0
 
     async def open_for(self, caller: str, address: Address) -> None:
         own = self.own_troubles.setdefault(caller, [])
@@ -167,9 +169,20 @@
             items.append({"key": key, "value": base64.b64encode(value).decode(), "offset": offset})
         return Response(200, {"items": items, "truncated": len(items) < len(keys), "end": len(partition.records)})
 
+    def membership_time(self) -> float:
+        return (time.monotonic() if self.paused_at is None else self.paused_at) - self.paused_s
+
+    def pause_memberships(self) -> None:
+        self.paused_at = self.paused_at or time.monotonic()
+
+    def resume_memberships(self) -> None:
+        if self.paused_at is not None:
+            self.paused_s += time.monotonic() - self.paused_at
+            self.paused_at = None
+
     def _group(self, name: str) -> Group:
         group = self.groups.setdefault(name, Group())
-        now = time.monotonic()
+        now = self.membership_time()
         for member in [name for name, member in group.members.items() if member.expires <= now]:
             self._drop(group, member)
         return group
@@ -191,7 +204,7 @@
     def _log_join(self, request: Request) -> Response:
         body = request.json()
         group, name = self._group(body["group"]), str(body["member"])
-        expires = time.monotonic() + body["ttlMs"] / 1000
+        expires = self.membership_time() + body["ttlMs"] / 1000
         if name in group.members:
             group.members[name].expires = expires
         else:
