Soak: a store that assigns all partitions anew at once

What could not be seen: the platform says that at times all partitions are reassigned at once without any request. The soak's kind store-reassign left each partition to its holder until that joined again.

Change: kind store-reassign-at-once.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -73,6 +73,7 @@
             "store-one-away": (lambda rng: self.store_trouble(rng, self.away(rng), True), (1, 4)),
             "store-one-lost": (lambda rng: self.store_trouble(rng, Trouble(lost=0.5, late=0.2, late_s=(0.5, 4)), True), (1, 4)),
             "store-reassign": (self.store_reassign, (3, 10)),
+            "store-reassign-at-once": (self.store_reassign_at_once, (3, 10)),
             "lasting-cancel": (lambda rng: callers.cancel_lasting(rng), (0.5, 3)),
             "config-change": (self.config_change, (2, 6)),
             "foreign-reports": (lambda rng: self.foreign_report(rng, None), FOREIGN_GAP_S),
@@ -232,6 +233,11 @@
         for group in self.store.groups.values():
             self.store.rebalance(group, shift=True)
 
+    async def store_reassign_at_once(self, rng: random.Random) -> None:
+        self.note("reassign at once")
+        for group in self.store.groups.values():
+            self.store.reassign_at_once(group)
+
     async def config_change(self, rng: random.Random) -> None:
         self.version += rng.randrange(1, 4)
         self.store.configuration(self.version, self.machines[0].service, "soak-token")
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -201,6 +201,11 @@
         for number, member in group.target.items():
             group.holders.setdefault(number, member)
 
+    def reassign_at_once(self, group: Group) -> None:
+        """Assigns all partitions anew without waiting for their holders."""
+        self.rebalance(group, shift=True)
+        group.holders = dict(group.target)
+
     def _log_join(self, request: Request) -> Response:
         body = request.json()
         group, name = self._group(body["group"]), str(body["member"])
