Soak: a store that rejects the leader and ends its membership at once

What could not be seen: a scheduler that is cut off from the store alone while another one takes office within 0.3 s. store-one-away hits any process, mostly agents, which don't use the store's group, and the membership ended 1.2 s later.

Change: kind store-leader-away.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -71,6 +71,7 @@
             "store-slow": (lambda rng: self.store_trouble(rng, Trouble(slow_s=0.8), False), (4, 10)),
             "store-lost": (lambda rng: self.store_trouble(rng, Trouble(lost=0.3, late=0.1, late_s=(0.5, 4)), False), (3, 8)),
             "store-one-away": (lambda rng: self.store_trouble(rng, self.away(rng), True), (1, 4)),
+            "store-leader-away": (self.store_leader_away, (3, 8)),
             "store-one-lost": (lambda rng: self.store_trouble(rng, Trouble(lost=0.5, late=0.2, late_s=(0.5, 4)), True), (1, 4)),
             "store-reassign": (self.store_reassign, (3, 10)),
             "store-reassign-at-once": (self.store_reassign_at_once, (3, 10)),
@@ -221,6 +222,14 @@
         finally:
             self.store.resume_memberships()
 
+    async def store_leader_away(self, rng: random.Random) -> None:
+        """The store rejects the leader alone, and ends its membership at once."""
+        trouble, seconds = self.away(rng), rng.uniform(2, 9)
+        for entry in self._leaders():
+            self.note(f"{trouble} at the store for {entry.place.name} {seconds:.1f}, leadership revoked")
+            self.store.revoke(self.store.groups["scheduler"], 0)
+            await self._trouble(self.store.own_troubles[entry.place.name], trouble, seconds)
+
     async def _trouble(self, troubles: list[Trouble], trouble: Trouble, seconds: float) -> None:
         troubles.append(trouble)
         try:
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -206,6 +206,11 @@
         self.rebalance(group, shift=True)
         group.holders = dict(group.target)
 
+    def revoke(self, group: Group, number: int) -> None:
+        """Ends the membership of the partition's holder, if there is one."""
+        if group.holders.get(number) in group.members:
+            self._drop(group, group.holders[number])
+
     def _log_join(self, request: Request) -> Response:
         body = request.json()
         group, name = self._group(body["group"]), str(body["member"])
