--- a/tests/cell/randomtest.cpp
+++ b/tests/cell/randomtest.cpp
@@ -1,14 +1,11 @@
-// Random histories of schedulers, agents and endpoints with injected faults. A failure prints its seed. KNAPWEED_CELL_SEEDS sets the number of seeds,
-// KNAPWEED_CELL_SEED the first seed, and KNAPWEED_CELL_LOG prints the decisions.
+// Random histories of schedulers, agents and endpoints with injected faults. A failure prints its seed.
 
-#include "base/logging.h"
-#include "cell/builders.h"
+#include "cell/history.h"
 #include "cell/simulation.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include <cstdio>
-#include <cstdlib>
 
 using namespace knapweed;
 using namespace knapweed::cell;
@@ -16,36 +13,10 @@
 namespace
 {
 
-constexpr int defaultSeeds = 12; ///< for each test, in CI
 constexpr int jobsPerHistory = 14;
 constexpr Milliseconds calmTime {60000}; ///< for all jobs to finish; finished jobs are forgotten after 150 s
 constexpr Milliseconds calmTimePerWork {20000};
 
-int integerFromEnvironment(const char *variable, int fallback)
-{
-    const char *text = std::getenv(variable);
-    return text == nullptr ? fallback : std::atoi(text);
-}
-
-JobSpec randomJob(pcg32 &random, int number)
-{
-    const char *queues[] = {"urgent", "usual", "later"};
-    // One draw per statement: the order in which arguments are evaluated differs between machines.
-    const std::int64_t accelerators = std::int64_t(1) << random(4);
-    const int tasks = 1 + static_cast<int>(random(4));
-    Step step = plainStep(tasks, {1000, 1000, accelerators});
-    step.estimate = Milliseconds(300 + random(3000));
-    step.isGang = random(2) == 0;
-    std::vector<Step> steps {step};
-    if (random(3) == 0) {
-        Step second = plainStep(2, {1000, 1000, 1});
-        second.estimate = Milliseconds(500);
-        second.after = {0};
-        steps.push_back(second);
-    }
-    return plainJob("job" + std::to_string(number), queues[random(3)], steps);
-}
-
 /// Runs one history: first with injected faults, then without them until all jobs must be finished.
 void runHistory(SimulationOptions options)
 {
@@ -88,16 +59,11 @@
 
 void runSeeds(const SimulationOptions &options)
 {
-    if (std::getenv("KNAPWEED_CELL_LOG") != nullptr) {
-        initializeLogging("history", LogLevel::Info);
-    }
-    const int first = integerFromEnvironment("KNAPWEED_CELL_SEED", 1);
-    const int seeds = integerFromEnvironment("KNAPWEED_CELL_SEEDS", defaultSeeds);
-    for (int seed = first; seed < first + seeds; ++seed) {
+    forEachSeed([&options](std::uint64_t seed) {
         SimulationOptions chosen = options;
-        chosen.seed = static_cast<std::uint64_t>(seed);
+        chosen.seed = seed;
         runHistory(chosen);
-    }
+    });
 }
 
 /// The troubles of connections, processes, ids and answers together, without those of allTroublesOverlap except changes of the scheduler.
--- a/tests/cell/simulation.cpp
+++ b/tests/cell/simulation.cpp
@@ -235,32 +235,11 @@
         }
         if (now_ >= nextCalls) {
             nextCalls = now_ + Milliseconds(500);
-            for (const auto &[job, spec] : submitted_) {
-                wire::JobCall call = callOf(accepted_.count(job) != 0 ? wire::CallKind::Query : wire::CallKind::Submit, job);
-                call.call = ++lastCall_;
-                call.queue = spec.queue;
-                call.spec = encodeSpec(spec);
-                calls_[call.call] = {call.kind, job};
-                deliver("caller", schedulers_.back()->name, call);
-            }
+            callForSubmittedJobs();
         }
     }
 }
 
-void Simulation::submit(const JobSpec &spec)
-{
-    shared_.jobs[spec.id] = spec;
-    submitted_[spec.id] = spec;
-}
-
-void Simulation::cancel(const std::string &job)
-{
-    wire::JobCall call = callOf(wire::CallKind::Cancel, job);
-    call.call = ++lastCall_;
-    calls_[call.call] = {call.kind, job};
-    deliver("caller", schedulers_.back()->name, call);
-}
-
 const std::vector<std::string> &Simulation::violations() const
 {
     return shared_.violations;
--- a/tests/cell/simulation.h
+++ b/tests/cell/simulation.h
@@ -116,6 +116,8 @@
     void callEndpoint(AgentNode &node, std::function<Answer()> call, std::function<void(Answer)> callback, Milliseconds wait);
     void deliver(const std::string &from, const std::string &to, const PeerMessage &message);
     void receive(const std::string &from, const std::string &to, const PeerMessage &message);
+    void callForSubmittedJobs();
+    void receiveAnswer(const wire::JobAnswer &answer);
     bool isDown(const std::string &process) const;
     bool isDisconnected(const std::string &process) const;
     bool isPaused(const std::string &process) const;
--- a/tests/cell/simulationmessages.cpp
+++ b/tests/cell/simulationmessages.cpp
@@ -9,7 +9,6 @@
 {
 
 constexpr Milliseconds connectionWait {10000}; ///< messages without a connection are dropped after this time, as in PeerNetwork
-constexpr Milliseconds longestDelay {4000}; ///< of orders that are carried out: later ones are refused
 
 } // namespace
 
@@ -135,30 +134,7 @@
         return;
     }
     if (to == "caller") {
-        const wire::JobAnswer &answer = std::get<wire::JobAnswer>(message);
-        const auto &[kind, job] = calls_[answer.call];
-        // The answers of an earlier scheduler may arrive after those of its successor.
-        const bool mayOvertake = options_.pausesSchedulers || (options_.delaysMessages && options_.changesSchedulers);
-        if (kind == wire::CallKind::Submit && answer.outcome == wire::CallOutcome::Ok) {
-            accepted_.insert(job);
-        } else if (kind == wire::CallKind::Cancel && answer.outcome == wire::CallOutcome::Ok && reportedSucceeded_.count(job) == 0) {
-            // Until then, orders that were sent before the cancel may still be carried out.
-            after(longestDelay, [this, job = job]() {
-                cancelled_.insert(job);
-            });
-        } else if (kind == wire::CallKind::Query) {
-            if (answer.outcome == wire::CallOutcome::Missing && accepted_.count(job) != 0) {
-                shared_.violations.push_back("an accepted job is missing: " + job);
-            }
-            const bool isEarlier = mayOvertake && lastCallBeforeSuccess_.count(job) != 0 && answer.call <= lastCallBeforeSuccess_[job];
-            if (!isEarlier && reportedSucceeded_.count(job) != 0 && answer.outcome == wire::CallOutcome::Ok && answer.state != "succeeded") {
-                shared_.violations.push_back("a job that was reported as succeeded is " + answer.state + ": " + job);
-            }
-            if (answer.state == "succeeded") {
-                reportedSucceeded_.insert(job);
-                lastCallBeforeSuccess_.insert({job, lastCall_});
-            }
-        }
+        receiveAnswer(std::get<wire::JobAnswer>(message));
         return;
     }
     for (const std::shared_ptr<SchedulerNode> &node : schedulers_) {
