Random histories in which callers cancel jobs whose submissions are still on the way

Change: submissions can take seconds to arrive; callers give jobs up at any time, and repeat the cancel until it is acknowledged, by Ok or by Missing. No task may start later than 3 s after that.

--- a/tests/cell/simulation.h
+++ b/tests/cell/simulation.h
@@ -52,6 +52,11 @@
 
     void submit(const JobSpec &spec);
     void cancel(const std::string &job);
+    /// Submits a job whose calls take @p delay to arrive, as through a slow entry.
+    void submitSlowly(const JobSpec &spec, Milliseconds delay);
+    /// The caller gives the job up after @p delay: it does not submit it again, and repeats the cancel until it is acknowledged. No task of the job may start
+    /// once the acknowledgement is older than the time that a cancel may take.
+    void giveUp(const std::string &job, Milliseconds delay);
     /// Advances the simulation by @p span; faults are injected only if @p injectsFaults is set.
     void run(Milliseconds span, bool injectsFaults);
 
@@ -60,9 +65,12 @@
     /// Jobs of the current scheduler that are not finished.
     std::size_t unfinishedJobs() const;
     std::size_t acceptedJobs() const;
+    bool isAccepted(const std::string &job) const;
     std::size_t succeededJobs() const;
     /// Jobs that were shown as failed although their tasks crash no endpoint.
     std::size_t wronglyFailedJobs() const;
+    /// Submissions that arrived after the cancel of their job had been acknowledged.
+    std::size_t lateSubmissions() const;
     std::int64_t generation() const;
 
 private:
@@ -117,6 +125,8 @@
     void deliver(const std::string &from, const std::string &to, const PeerMessage &message);
     void receive(const std::string &from, const std::string &to, const PeerMessage &message);
     void callForSubmittedJobs();
+    void call(wire::CallKind::type kind, const std::string &job, Milliseconds delay);
+    void checkStart(const std::string &job);
     void receiveAnswer(const wire::JobAnswer &answer);
     bool isDown(const std::string &process) const;
     bool isDisconnected(const std::string &process) const;
@@ -156,6 +166,10 @@
     std::map<std::string, JobSpec> submitted_;
     std::set<std::string> accepted_;
     std::set<std::string> cancelled_;
+    std::map<std::string, Milliseconds> submissionDelays_; ///< of jobs whose submissions arrive late
+    std::set<std::string> givenUp_;
+    std::map<std::string, BootTime> cancelsAcknowledgedAt_; ///< of jobs that were given up; the first acknowledgement counts
+    std::size_t lateSubmissions_ = 0;
     std::set<std::string> reportedSucceeded_;
     std::map<std::string, std::int64_t> lastCallBeforeSuccess_; ///< for each job that was reported as succeeded; later answers to earlier calls may differ
     std::map<std::int64_t, std::pair<wire::CallKind::type, std::string>> calls_;
--- a/tests/cell/simulationagents.cpp
+++ b/tests/cell/simulationagents.cpp
@@ -113,6 +113,9 @@
                 Answer answer = target->endpoint->start(request);
                 // Orders that wait may arrive that late, and are then refused; in the other histories none may arrive.
                 const bool maySendLate = options_.delaysMessages || options_.pausesAgents;
+                if (target->endpoint->runs() > runsBefore) {
+                    checkStart(request.run.task.job);
+                }
                 const bool isCounted = !maySendLate || target->endpoint->runs() > runsBefore;
                 if (isCounted && cancelled_.count(request.run.task.job) != 0) {
                     shared_.violations.push_back("started after its cancel was acknowledged: " + request.run.task.job);
--- a/tests/cell/simulationcallers.cpp
+++ b/tests/cell/simulationcallers.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr Milliseconds longestDelay {4000}; ///< of orders that are carried out: later ones are refused
+constexpr Milliseconds cancelTime {3000}; ///< the platform's time from the acknowledgement of a cancel until no task of the job may start
+constexpr Milliseconds cancelRepeat {500};
 
 } // namespace
 
@@ -28,22 +30,71 @@
     deliver("caller", schedulers_.back()->name, call);
 }
 
-/// Callers repeat each submission until it is accepted, and then ask for the state of the job.
+void Simulation::submitSlowly(const JobSpec &spec, Milliseconds delay)
+{
+    submissionDelays_[spec.id] = delay;
+    submit(spec);
+}
+
+void Simulation::giveUp(const std::string &job, Milliseconds delay)
+{
+    after(delay, [this, job]() {
+        givenUp_.insert(job);
+        if (cancelsAcknowledgedAt_.count(job) == 0) {
+            call(wire::CallKind::Cancel, job, Milliseconds(0));
+            giveUp(job, cancelRepeat);
+        }
+    });
+}
+
+/// Sends a call to the scheduler that is the newest after @p delay.
+void Simulation::call(wire::CallKind::type kind, const std::string &job, Milliseconds delay)
+{
+    const JobSpec &spec = submitted_.at(job);
+    wire::JobCall call = callOf(kind, job);
+    call.call = ++lastCall_;
+    call.queue = spec.queue;
+    call.spec = encodeSpec(spec);
+    calls_[call.call] = {kind, job};
+    if (delay == Milliseconds(0)) {
+        deliver("caller", schedulers_.back()->name, call);
+        return;
+    }
+    after(delay, [this, call]() {
+        lateSubmissions_ += call.kind == wire::CallKind::Submit && cancelsAcknowledgedAt_.count(call.job) != 0 ? 1 : 0;
+        deliver("caller", schedulers_.back()->name, call);
+    });
+}
+
+/// Callers repeat each submission until it is accepted or given up, and ask for the states of accepted jobs.
 void Simulation::callForSubmittedJobs()
 {
     for (const auto &[job, spec] : submitted_) {
-        wire::JobCall call = callOf(accepted_.count(job) != 0 ? wire::CallKind::Query : wire::CallKind::Submit, job);
-        call.call = ++lastCall_;
-        call.queue = spec.queue;
-        call.spec = encodeSpec(spec);
-        calls_[call.call] = {call.kind, job};
-        deliver("caller", schedulers_.back()->name, call);
+        if (accepted_.count(job) != 0) {
+            call(wire::CallKind::Query, job, Milliseconds(0));
+        } else if (givenUp_.count(job) == 0) {
+            const auto delay = submissionDelays_.find(job);
+            call(wire::CallKind::Submit, job, delay == submissionDelays_.end() ? Milliseconds(0) : delay->second);
+        }
+    }
+}
+
+/// To be called when an endpoint has started a task of the job.
+void Simulation::checkStart(const std::string &job)
+{
+    const auto acknowledged = cancelsAcknowledgedAt_.find(job);
+    if (acknowledged != cancelsAcknowledgedAt_.end() && now_ - acknowledged->second > cancelTime) {
+        shared_.violations.push_back("started " + std::to_string((now_ - acknowledged->second).count()) + " ms after its cancel was acknowledged: " + job);
     }
 }
 
 void Simulation::receiveAnswer(const wire::JobAnswer &answer)
 {
     const auto &[kind, job] = calls_[answer.call];
+    const bool isAcknowledged = answer.outcome == wire::CallOutcome::Ok || answer.outcome == wire::CallOutcome::Missing;
+    if (kind == wire::CallKind::Cancel && isAcknowledged && givenUp_.count(job) != 0) {
+        cancelsAcknowledgedAt_.try_emplace(job, now_);
+    }
     // The answers of an earlier scheduler may arrive after those of its successor.
     const bool mayOvertake = options_.pausesSchedulers || (options_.delaysMessages && options_.changesSchedulers);
     if (kind == wire::CallKind::Submit && answer.outcome == wire::CallOutcome::Ok) {
@@ -68,4 +119,14 @@
     }
 }
 
+bool Simulation::isAccepted(const std::string &job) const
+{
+    return accepted_.count(job) != 0;
+}
+
+std::size_t Simulation::lateSubmissions() const
+{
+    return lateSubmissions_;
+}
+
 } // namespace knapweed::cell
