Record that a job has begun when no unit of it shows that

What callers saw: a job that was shown as running is shown as pending by the next scheduler, and counts as waiting again.

Cause: whether a job has begun is derived from the progress of its units when the records are loaded. A unit whose run was preempted has none, so a job whose only runs were preempted loads as one that has not begun.

The test fails before: "expected <running> but was <pending>".

Change: the progress record has a mark for it, only where no unit shows it.

--- a/src/libknapweed/cell/jobtable.cpp
+++ b/src/libknapweed/cell/jobtable.cpp
@@ -132,6 +132,7 @@
             progress.units[key] = unit.progress;
         }
     }
+    progress.hasBegun = job.hasBegun && progress.units.empty();
     return progress;
 }
 
@@ -139,6 +140,7 @@
 {
     job.isCancelled = progress.isCancelled;
     job.hasFailed = progress.hasFailed;
+    job.hasBegun = progress.hasBegun;
     if (!progress.units.empty() && job.spec.occurrences > 0) {
         // Occurrences with progress have been due, even if this machine's clock is behind.
         addDueUnits(job, now, job.spec.firstDue + job.spec.interval * progress.units.rbegin()->first.occurrence);
--- a/src/libknapweed/jobs/jobrecord.cpp
+++ b/src/libknapweed/jobs/jobrecord.cpp
@@ -127,6 +127,9 @@
     if (progress.hasFailed) {
         out["f"] = true;
     }
+    if (progress.hasBegun) {
+        out["b"] = true;
+    }
     json units = json::array();
     for (const auto &[key, unit] : progress.units) {
         json row = json::array({key.occurrence, key.step, key.index, unit.isDone ? 1 : 0, unit.failures, unit.lastFailedRun});
@@ -152,6 +155,7 @@
         JobProgress progress;
         progress.isCancelled = in.value("x", false);
         progress.hasFailed = in.value("f", false);
+        progress.hasBegun = in.value("b", false);
         for (const json &row : in.at("u")) {
             const UnitKey key {row.at(0).get<int>(), row.at(1).get<int>(), row.at(2).get<int>()};
             UnitProgress unit;
--- a/src/libknapweed/jobs/jobrecord.h
+++ b/src/libknapweed/jobs/jobrecord.h
@@ -50,6 +50,7 @@
 {
     bool isCancelled = false;
     bool hasFailed = false; ///< a unit has used up its attempts
+    bool hasBegun = false; ///< a unit has been started; not set if the units show it
     std::map<UnitKey, UnitProgress> units; ///< units without an entry have not finished yet
 
     bool operator==(const JobProgress &) const = default;
--- /dev/null
+++ b/tests/cell/statetest.cpp
@@ -0,0 +1,34 @@
+// Tests of the states of jobs that callers are told, across changes of the scheduler.
+
+#include "cell/schedulerfixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <vector>
+
+using namespace knapweed;
+using namespace knapweed::cell;
+
+TEST_GROUP_BASE(SchedulerState, SchedulerFixture) {};
+
+/// Guards against a state that goes back: the record of a job whose only run was preempted did not show that the job had begun.
+TEST(SchedulerState, preemptedJobIsRunningForTheNextSchedulerToo)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    const std::vector<wire::StartOrder> starts = startsOf(send(*scheduler, "entry", submitOf(plainJob("j1", "later", {plainStep(1, {1000, 100, 8})}))));
+    LONGS_EQUAL(1, starts.size());
+    wire::EndpointReport report = reportOf("i-a", 1);
+    report.running = {rowOf(starts.front().run)};
+    send(*scheduler, "a", report);
+    send(*scheduler, "entry", submitOf(plainJob("j2", "urgent", {plainStep(1, {1000, 100, 8})})));
+    report = reportOf("i-a", 1);
+    report.ended = {endOf(1, starts.front().run, wire::RunEnding::Stopped)};
+    const std::vector<wire::StartOrder> next = startsOf(send(*scheduler, "a", report));
+    LONGS_EQUAL(1, next.size());
+    STRCMP_EQUAL("j2", next.front().run.job.c_str());
+    STRCMP_EQUAL("running", stateOf(*scheduler, "j1").c_str());
+    scheduler = makeScheduler(2);
+    STRCMP_EQUAL("running", stateOf(*scheduler, "j1").c_str());
+}
