Extend leases only while no later term is known to have begun

Cause: a scheduler that reaches neither the store nor another entry goes on to extend the leases of the agents that it reaches, without limit; the next scheduler takes the silence of these agents for the end of their leases and starts their tasks again. Class: as with the answers from memory, a process acts on an office that nothing confirms.

Change: a scheduler extends leases only while its term is confirmed, or while another entry has said within 1 s that it knows of no later term. It asks all connected entries when a renewal of its membership fails (SchedulerNotice.askedAtMs, sent back). All entries now pass on news of a scheduler to all that they are connected to, not only to agents. An endpoint first seen without a confirmation is given the longest lease that it may have.

Whom it touches: next scheduler: its wait of one lease is enough now; it needn't wait longer. Lone instance (no other entry known and no other seed): extends as before. A store that is away for everybody: runs go on while another entry answers; an entry of earlier code doesn't answer, so that in a rolling update runs may lapse when the store is away for longer than a lease. Slow machine: a gap in the confirmations is harmless below one lease. Two or more entries that are cut off together still confirm each other: open. One message for each pair of connected processes and change of scheduler.

--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -190,9 +190,9 @@
     metrics_.set("scheduler_generation", double(generation));
     logEvent(LogLevel::Info, "scheduler.known", {{"generation", std::to_string(generation)}, {"address", address}, {"source", source}});
     relay_.schedulerChanged(generation_, monotonicNow());
-    // Each agent is connected to only some of the entries, so every entry notifies the agents connected to it.
+    // Not every process is connected to the scheduler, so every entry notifies those connected to it.
     for (const wire::RosterEntry &peer : peers_->roster()) {
-        if (peer.role == wire::Role::Agent && peers_->isConnected(peer.address)) {
+        if (peer.address != self_ && peers_->isConnected(peer.address)) {
             announceScheduler(peer.address);
         }
     }
@@ -213,7 +213,42 @@
         }
         return;
     }
+    if (notice.askedAtMs != 0 && notice.address == self_) {
+        if (schedulerCore_ != nullptr) {
+            schedulerCore_->confirmLeases(BootTime(Milliseconds(notice.askedAtMs)) + confirmationLifetime);
+        }
+        return;
+    }
     updateScheduler(notice.generation, notice.address, "peer");
+    if (notice.askedAtMs != 0) {
+        peers_->send(peer, notice);
+    }
+}
+
+/// Asks the other entries whether they know of a later term, for as long as the store doesn't say so.
+void CellEntryTask::askForLaterTerm()
+{
+    if (schedulerCore_ == nullptr) {
+        return;
+    }
+    wire::SchedulerNotice question;
+    question.generation = termGeneration_;
+    question.address = self_;
+    question.askedAtMs = BootClock::now().time_since_epoch().count();
+    for (const wire::RosterEntry &peer : otherEntries()) {
+        if (peers_->isConnected(peer.address)) {
+            peers_->send(peer.address, question);
+        }
+    }
+}
+
+/// Whether there is no other entry that could become the scheduler, as far as this process can know.
+bool CellEntryTask::isOnlyEntry() const
+{
+    const bool hasOtherSeeds = std::any_of(settings_.seeds.begin(), settings_.seeds.end(), [this](const Address &seed) {
+        return toString(seed) != self_;
+    });
+    return !hasOtherSeeds && otherEntries().empty();
 }
 
 void CellEntryTask::receive(const std::string &peer, const PeerMessage &message)
@@ -283,6 +318,9 @@
     const MonotonicTime now = monotonicNow();
     noteDelay(now);
     relay_.tick(now);
+    if (schedulerCore_ != nullptr && isOnlyEntry()) {
+        schedulerCore_->confirmLeases(BootClock::now() + confirmationLifetime);
+    }
     if (schedulerCore_ != nullptr && schedulerCore_->isBusy()) {
         schedulerCore_->tick(BootClock::now(), std::chrono::system_clock::now());
         flush();
--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -23,6 +23,9 @@
 namespace knapweed
 {
 
+/// How long a confirmation of the term counts, from when it was asked for. Short of the lifetime of a membership at the store.
+constexpr Milliseconds confirmationLifetime {1000};
+
 class CellEntryTask
 {
 public:
@@ -50,6 +53,8 @@
     void startServers();
     void receive(const std::string &peer, const PeerMessage &message);
     void receiveNotice(const std::string &peer, const wire::SchedulerNotice &notice);
+    void askForLaterTerm();
+    bool isOnlyEntry() const;
     void requestConfiguration(const std::string &peer, std::int64_t version);
     void configurationChanged(const cell::CellConfiguration &configuration);
     void updateScheduler(std::int64_t generation, const std::string &address, const char *source);
--- a/src/knapweedstaged/cellleadership.cpp
+++ b/src/knapweedstaged/cellleadership.cpp
@@ -17,7 +17,6 @@
 constexpr const char *group = "scheduler";
 constexpr const char *leadershipTopic = "turn"; ///< the owner of its partition 0 is the leader; the topic has no records
 constexpr Milliseconds membershipLifetime {1200}; ///< a leader that does not renew its membership in time loses leadership; the platform's minimum is 1 s
-constexpr Milliseconds confirmationLifetime {1000}; ///< of a membership, counted from when its renewal was sent; short of its lifetime at the store
 constexpr Milliseconds joinInterval {300}; ///< allows three renewals, or three queries of the owner, within a membership lifetime
 constexpr Milliseconds discoveryQueryInterval {100}; ///< between queries of the owner while the leadership is free and the entries discover each other
 constexpr Milliseconds lossCheckInterval {60}; ///< until the next join of a leader whose last join found that it does not hold the partition
@@ -159,6 +158,7 @@
 {
     if (!isOk(result)) {
         logEvent(LogLevel::Warning, "store.join", {{"reason", error(result).detail}});
+        askForLaterTerm();
         return;
     }
     const platform::Membership &membership = value(result);
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -75,6 +75,9 @@
     /// confirmation.
     void confirmTerm(BootTime until, BootTime now, WallTime wall);
 
+    /// Until @p until, leases are extended although the term may not be confirmed: another entry has said that it knows of no later term, or there is none.
+    void confirmLeases(BootTime until);
+
     /// Jobs whose submission is not durable yet and for which nothing else has been recorded.
     std::vector<std::string> pendingSubmissions() const;
     /// Refuses a submission that is confirmed not stored and will not be stored later, and removes its job.
@@ -224,6 +227,7 @@
     std::map<StepName, StepAdvice> advice_; ///< for steps that have waited in queues that require advice
     std::vector<PendingAnswer> pendingAnswers_; ///< wait until their write, above storedWrite_, is durable
     BootTime confirmedUntil_; ///< end of the time for which the term is confirmed
+    BootTime leasesConfirmedUntil_; ///< end of the time for which leases may be extended without a confirmed term
     std::map<std::pair<std::string, std::int64_t>, HeldCall> heldCalls_; ///< by peer and number of the call
     SchedulerOutput output_;
     std::map<std::string, std::size_t> pendingProgress_; ///< jobs whose progress is part of the next output, with the index of the record in its writes
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -121,12 +121,17 @@
 }
 
 /// Extends the lease of the endpoint. The lease counts from when the agent sent the report, which was before @p now, so it expires no later than recorded here.
+/// A scheduler that reaches neither the store nor another entry extends none, because a later one may take the leases to have run out.
 void Scheduler::grant(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now)
 {
-    endpoint.leaseExpiresAt = now + options_.lease + leaseMargin;
     wire::EndpointGrant grant;
     grant.generation = options_.generation;
-    grant.sentAtMs = report.sentAtMs;
+    if (now < std::max(confirmedUntil_, leasesConfirmedUntil_)) {
+        endpoint.leaseExpiresAt = now + options_.lease + leaseMargin;
+        grant.sentAtMs = report.sentAtMs;
+    } else if (endpoint.leaseExpiresAt == BootTime()) {
+        endpoint.leaseExpiresAt = std::max(earlierLeasesEnd_, now + options_.lease + leaseMargin); // one that was granted before is not known
+    }
     grant.endpoint = endpoint.id;
     grant.born = endpoint.incarnation;
     grant.endsStored = endpoint.endsStored;
--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -9261,6 +9261,10 @@
 void SchedulerNotice::__set_isLeaving(const bool val) {
   this->isLeaving = val;
 }
+
+void SchedulerNotice::__set_askedAtMs(const int64_t val) {
+  this->askedAtMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const SchedulerNotice& obj)
 {
   obj.printTo(out);
@@ -9313,6 +9317,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->askedAtMs);
+          this->__isset.askedAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9342,6 +9354,10 @@
   xfer += oprot->writeBool(this->isLeaving);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("askedAtMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->askedAtMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9352,6 +9368,7 @@
   swap(a.generation, b.generation);
   swap(a.address, b.address);
   swap(a.isLeaving, b.isLeaving);
+  swap(a.askedAtMs, b.askedAtMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -9359,18 +9376,21 @@
   generation = other266.generation;
   address = other266.address;
   isLeaving = other266.isLeaving;
+  askedAtMs = other266.askedAtMs;
   __isset = other266.__isset;
 }
 SchedulerNotice::SchedulerNotice(SchedulerNotice&& other267) noexcept {
   generation = other267.generation;
   address = std::move(other267.address);
   isLeaving = other267.isLeaving;
+  askedAtMs = other267.askedAtMs;
   __isset = other267.__isset;
 }
 SchedulerNotice& SchedulerNotice::operator=(const SchedulerNotice& other268) {
   generation = other268.generation;
   address = other268.address;
   isLeaving = other268.isLeaving;
+  askedAtMs = other268.askedAtMs;
   __isset = other268.__isset;
   return *this;
 }
@@ -9378,6 +9398,7 @@
   generation = other269.generation;
   address = std::move(other269.address);
   isLeaving = other269.isLeaving;
+  askedAtMs = other269.askedAtMs;
   __isset = other269.__isset;
   return *this;
 }
@@ -9387,6 +9408,7 @@
   out << "generation=" << to_string(generation);
   out << ", " << "address=" << to_string(address);
   out << ", " << "isLeaving=" << to_string(isLeaving);
+  out << ", " << "askedAtMs=" << to_string(askedAtMs);
   out << ")";
 }
 
--- a/src/libknapweed/peers/gen/peers_types.h
+++ b/src/libknapweed/peers/gen/peers_types.h
@@ -3590,10 +3590,11 @@
 std::ostream& operator<<(std::ostream& out, const RunAbsent& obj);
 
 typedef struct _SchedulerNotice__isset {
-  _SchedulerNotice__isset() : generation(false), address(false), isLeaving(false) {}
+  _SchedulerNotice__isset() : generation(false), address(false), isLeaving(false), askedAtMs(false) {}
   bool generation :1;
   bool address :1;
   bool isLeaving :1;
+  bool askedAtMs :1;
 } _SchedulerNotice__isset;
 
 class SchedulerNotice : public virtual ::apache::thrift::TBase {
@@ -3606,13 +3607,15 @@
   SchedulerNotice() noexcept
                   : generation(0),
                     address(),
-                    isLeaving(0) {
+                    isLeaving(0),
+                    askedAtMs(0) {
   }
 
   virtual ~SchedulerNotice() noexcept;
   int64_t generation;
   std::string address;
   bool isLeaving;
+  int64_t askedAtMs;
 
   _SchedulerNotice__isset __isset;
 
@@ -3622,6 +3625,8 @@
 
   void __set_isLeaving(const bool val);
 
+  void __set_askedAtMs(const int64_t val);
+
   bool operator == (const SchedulerNotice & rhs) const
   {
     if (!(generation == rhs.generation))
@@ -3630,6 +3635,8 @@
       return false;
     if (!(isLeaving == rhs.isLeaving))
       return false;
+    if (!(askedAtMs == rhs.askedAtMs))
+      return false;
     return true;
   }
   bool operator != (const SchedulerNotice &rhs) const {
--- a/tests/cell/schedulerfixture.h
+++ b/tests/cell/schedulerfixture.h
@@ -27,6 +27,7 @@
         scheduler->load(records, now, wall);
         scheduler->setConfiguration(plainConfiguration());
         scheduler->confirmTerm(now + Seconds(1), now, wall);
+        scheduler->confirmLeases(BootTime::max()); // as the only entry
         scheduler->beginRecovery(now);
         scheduler->tick(now, wall);
         return scheduler;
--- a/tests/cell/simulation.cpp
+++ b/tests/cell/simulation.cpp
@@ -76,6 +76,7 @@
     node->scheduler = std::make_unique<Scheduler>(SchedulerOptions {node->generation, simulatedLease});
     node->scheduler->load(records_, now_, WallTime(now_.time_since_epoch()));
     node->scheduler->setConfiguration(plainConfiguration());
+    node->scheduler->confirmLeases(BootTime::max());
     node->scheduler->beginRecovery(now_);
     // The previous scheduler may go on for a while before it notices that it has lost leadership.
     if (!schedulers_.empty()) {
--- a/tests/cell/termtest.cpp
+++ b/tests/cell/termtest.cpp
@@ -120,3 +120,65 @@
     LONGS_EQUAL(1, answers.size());
     STRCMP_EQUAL("succeeded", answers.front().state.c_str());
 }
+
+/// Guards against a task that runs twice: an entry that is cut off from the store and from the other entries goes on to extend the leases of the agents that
+/// it reaches, and the next scheduler takes them to have run out.
+TEST(SchedulerTerm, leasesThatAnEarlierSchedulerExtendsAreNotTakenToBeOver)
+{
+    std::unique_ptr<Scheduler> first = makeScheduler(1);
+    send(*first, "a", reportOf("i-a", 1));
+    const std::vector<wire::StartOrder> starts = startsOf(send(*first, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})}))));
+    LONGS_EQUAL(1, starts.size());
+    first->setStoreReachable(false);
+    first->confirmLeases(now);
+    advance(Seconds(2)); // the first entry's membership has expired, and the second one holds the partition
+    std::unique_ptr<Scheduler> second = makeScheduler(2);
+    BootTime leaseEnd;
+    for (int round = 0; round < 40; ++round) {
+        advance(Milliseconds(500));
+        wire::EndpointReport report = reportOf("i-a", 1);
+        report.sentAtMs = now.time_since_epoch().count();
+        report.running = {rowOf(starts[0].run, round)};
+        first->receive("a", report, now, wall);
+        first->tick(now, wall);
+        for (const auto &[peer, grant] : messagesOf<wire::EndpointGrant>(first->takeOutput())) {
+            leaseEnd = std::max(leaseEnd, BootTime(Milliseconds(grant.sentAtMs)) + lease);
+        }
+        if (!startsOf(send(*second, "b", reportOf("i-b", 2))).empty()) {
+            CHECK_TEXT(leaseEnd <= now, "started again under a lease that is not over");
+            return;
+        }
+    }
+    FAIL("not started again when all leases are over");
+}
+
+/// While the store is away for everybody, what runs goes on as long as another entry knows of no later term.
+TEST(SchedulerTerm, leasesAreExtendedWithoutTheStoreWhileAnotherEntryConfirms)
+{
+    scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    scheduler->confirmLeases(now);
+    advance(Seconds(8));
+    scheduler->receive("a", reportOf("i-a", 1), now, wall);
+    LONGS_EQUAL(0, messagesOf<wire::EndpointGrant>(scheduler->takeOutput()).front().second.sentAtMs);
+    scheduler->confirmLeases(now + Seconds(1));
+    scheduler->receive("a", reportOf("i-a", 1), now, wall);
+    CHECK(messagesOf<wire::EndpointGrant>(scheduler->takeOutput()).front().second.sentAtMs != 0);
+}
+
+/// The lease of a run that was granted before is not known to a scheduler that may not extend it: the run is not taken to be over.
+TEST(SchedulerTerm, runsOfAnEndpointThatIsSeenFirstWithoutAConfirmationAreKept)
+{
+    scheduler = makeScheduler(1);
+    send(*scheduler, "a", reportOf("i-a", 1));
+    const std::vector<wire::StartOrder> starts = startsOf(send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})}))));
+    LONGS_EQUAL(1, starts.size());
+    scheduler = makeScheduler(2);
+    scheduler->confirmLeases(now);
+    advance(Seconds(3));
+    wire::EndpointReport report = reportOf("i-a", 2);
+    report.running = {rowOf(starts.front().run, 10)};
+    scheduler->receive("a", report, now, wall);
+    scheduler->tick(now, wall);
+    LONGS_EQUAL(1, scheduler->endpoints().at("a").runs.size());
+}
--- a/tests/configuration/callerapitest.cpp
+++ b/tests/configuration/callerapitest.cpp
@@ -162,6 +162,18 @@
     LONGS_EQUAL(0, sendings);
 }
 
+/// Guards against UNASKED: an entry whose configuration was outdated acknowledged the cancel of a job although it had taken another queue's path for its id.
+TEST(CellCallerApi, cancelWhosePathNamesNoJobIsCheckedWithTheScheduler)
+{
+    isConfirmed = false;
+    configuration = later;
+    relay->configurationChanged(configuration.version);
+    send("DELETE", "/usual/not-a-job");
+    CHECK(!status);
+    deliverAnswers();
+    LONGS_EQUAL(410, status.value_or(0));
+}
+
 TEST(CellCallerApi, unconfirmedEntryWithoutASchedulerAsksCallersToComeAgain)
 {
     isConfirmed = false;
