Soak: a lost job and a state that goes back end the run with status 1

An accepted job that is answered 410, or shown in an earlier state than before, was only a finding.

An accepted job that its caller has not cancelled and that is answered 410 more than 3 s after its acknowledgement is LOST. A final state that changes, and running followed by pending, are STATE. The logs name the entry that answered.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,14 +10,13 @@
 
 from soak.cell import FRONT, Place
 from soak.httplite import Response, call
-from soak.judge import Job, Judge
+from soak.judge import FINAL_STATES, Job, Judge
 
 DEADLINE_S = 3.0
 ATTEMPTS = 4
 POLL_S = 0.7
 HOST = "soak.example"
 LASTING_S = 1e6  # work of a job that lasts until it is cancelled
-FINAL_STATES = ("succeeded", "failed", "cancelled")
 # Seconds from the first submission to the cancel: within the caller's deadline and repetitions, or at any time up to after the end.
 CANCEL_AFTER_S = ((0.0, 4.0), (0.0, 15.0))
 EARLY_SHARE = 0.7
@@ -132,14 +131,11 @@
         return job.succeeded_at is not None
 
     async def _ask(self, job: Job) -> None:
-        _, answer = await self.request("GET", job.id)
+        entry, answer = await self.request("GET", job.id)
         if answer is not None and answer.status == 200 and isinstance(answer.body, dict):
-            self.judge.shown(job, str(answer.body.get("state", "")))
-        elif answer is not None and answer.status == 410 and job.is_cancel_sent:
-            job.is_gone = True
-        elif answer is not None and answer.status == 410 and time.time() - job.accepted_at > DEADLINE_S:
-            self.judge.findings.append(f"LOST job={job.id} accepted, then answered 410")
-            await asyncio.sleep(1)
+            self.judge.shown(job, str(answer.body.get("state", "")), entry)
+        elif answer is not None and answer.status == 410:
+            self.judge.missing(job, entry)
 
     async def settle(self, seconds: float) -> list[Job]:
         """Waits until all jobs are over, and returns the others."""
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -11,7 +11,9 @@
     from soak.endpoint import Boot, Run
 
 SHOWN_GRACE_S = 1.0
+VISIBLE_S = 3.0  # after the acknowledgement of a submission, the time in which its job may be unknown
 CANCEL_S = 3.0  # after the acknowledgement of a cancel, the time in which tasks may still start
+FINAL_STATES = ("succeeded", "failed", "cancelled")
 CRASHES_TO_GIVE_UP = 2  # of endpoints under one task, after which its job may be shown as failed
 
 
@@ -138,12 +140,20 @@
             job.cancel_answer = f"{status} by {entry} at {clock_text(job.cancelled_at)}"
             self.note(f"cancelled job={job.id} acknowledged with {job.cancel_answer}")
 
-    def shown(self, job: Job, state: str) -> None:
+    def missing(self, job: Job, entry: str) -> None:
+        """A query for an accepted job was answered 410."""
+        self.note(f"missing job={job.id} by {entry}")
+        if job.is_cancel_sent:
+            job.is_gone = True
+        elif time.time() - job.accepted_at > VISIBLE_S:
+            self.violated("LOST", self.tasks(job)[0], f"answered 410 by {entry} {time.time() - job.accepted_at:.1f} s after it was accepted", [])
+
+    def shown(self, job: Job, state: str, entry: str) -> None:
         is_new = state != job.state
         if is_new:
-            self.note(f"shown job={job.id} state={state}")
-        if job.state in ("succeeded", "failed") and state != job.state:
-            self.findings.append(f"STATE job={job.id} was shown as {job.state}, then as {state}")
+            self.note(f"shown job={job.id} state={state} by {entry}")
+        if is_new and (job.state in FINAL_STATES or (job.state, state) == ("running", "pending")):
+            self.violated("STATE", self.tasks(job)[0], f"was shown as {job.state}, then as {state} by {entry}", [])
         job.state = state
         if state == "succeeded" and job.succeeded_at is None:
             job.succeeded_at = time.time()
