Soak: kill all entries and agents at once, and all entries for about a lease

What could not be seen: a scheduler that recovers while the agents have no memory of the scheduler before, and leases that run out because no entry is there.

Change: kinds cell-kill and entries-away. The endpoints run on.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -52,6 +52,8 @@
             "entry-restart": (lambda rng: self.restart(rng, self.entries), (2, 6)),
             "leader-kill": (self.leader_kill, (9, 14)),
             "leader-restart": (lambda rng: self.leader_kill(rng, QUICK_RESTART_S), (5, 10)),
+            "entries-away": (self.entries_away, (6, 12)),
+            "cell-kill": (self.cell_kill, (6, 12)),
             "entry-replace": (self.entry_replace, (0.5, 4)),
             "entry-pause": (lambda rng: self.pause(rng, self.entries), (2, 6)),
             "entry-throttle": (lambda rng: self.throttle(rng, self.entries), (1, 4)),
@@ -120,6 +122,15 @@
         for entry in self._leaders():
             await self._kill(rng, entry, rng.uniform(*away_s))
 
+    async def entries_away(self, rng: random.Random) -> None:
+        """All of them, for about the length of a lease."""
+        seconds = rng.uniform(2, 12)
+        await asyncio.gather(*(self._kill(rng, entry, seconds) for entry in self.entries))
+
+    async def cell_kill(self, rng: random.Random) -> None:
+        """All entries and agents; the endpoints run on."""
+        await asyncio.gather(*(self._kill(rng, process, None) for process in self.entries + self.agents))
+
     def _leaders(self) -> list[Process]:
         holder = self.store.groups["scheduler"].holders.get(0, "") if "scheduler" in self.store.groups else ""
         return [entry for entry in self.entries if holder.startswith(f"{entry.place.ip}:")]
