Show a job as running only once the start is durable

What callers saw: a job that was shown as running is shown as pending by the next scheduler.

Cause: a job counted as begun from the moment its first start was planned. A scheduler that is cut off from the store can't record the start, and sends no order, but showed the job as running; its successor knows nothing of the start. In the same way a job that was cancelled before it had begun was shown as running until its cancel was durable.

Change: a job is shown as running once the write that records its first start is durable. No order is sent before that write, so "pending" is true until then.

The test fails before: "expected <pending> but was <running>".

--- a/src/libknapweed/cell/jobtable.h
+++ b/src/libknapweed/cell/jobtable.h
@@ -43,6 +43,7 @@
     int dueOccurrences = 0;
     std::vector<BootTime> dueSince; ///< for each occurrence that is due
     bool hasBegun = false;
+    std::uint64_t begunWrite = 0; ///< makes it durable that it has begun
     bool hasSucceededOnce = false; ///< at least one of its tasks has succeeded
     std::set<std::string> failedOn; ///< agents of the endpoints where its tasks failed
     bool isFinished = false; ///< no further unit will be started
--- a/src/libknapweed/cell/schedulercalls.cpp
+++ b/src/libknapweed/cell/schedulercalls.cpp
@@ -17,18 +17,19 @@
 constexpr Milliseconds storeRetry {1000}; ///< Retry-After while the store is unreachable; about as long as its shortest outages
 constexpr Milliseconds confirmationTimeout {700}; ///< until a held call is refused; lets a renewal of the membership fail once
 
-std::string stateName(const Job &job)
+/// The state of a job as far as it is durable.
+std::string stateName(const Job &job, std::uint64_t storedWrite)
 {
+    if (!isFinal(job) || job.finalWrite > storedWrite) {
+        return job.hasBegun && job.begunWrite <= storedWrite ? "running" : "pending";
+    }
     if (job.isCancelled) {
         return "cancelled";
     }
     if (job.hasFailed) {
         return "failed";
     }
-    if (haveAllSucceeded(job)) {
-        return "succeeded";
-    }
-    return job.hasBegun ? "running" : "pending";
+    return "succeeded";
 }
 
 } // namespace
@@ -157,11 +158,8 @@
     }
     const Job &job = known->second;
     reply.outcome = wire::CallOutcome::Ok;
-    reply.state = stateName(job);
-    // A final state is reported only once it is durable; until then the job is reported as running.
-    if (isFinal(job) && job.finalWrite > storedWrite_) {
-        reply.state = "running";
-    } else if (isFinal(job)) {
+    reply.state = stateName(job, storedWrite_);
+    if (isFinal(job) && job.finalWrite <= storedWrite_) {
         reply.basis = wire::AnswerBasis::Record;
     }
     write = job.acceptedWrite;
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -183,7 +183,10 @@
         release(endpoint, run, ReleaseReason::Ended, now);
         return 0;
     }
-    job->hasBegun = true;
+    if (!job->hasBegun) {
+        job->hasBegun = true;
+        job->begunWrite = writeProgress(*job);
+    }
     const UnitProgress before = unit->progress;
     const UnitKey key = unitKeyOf(job->spec, run.task);
     const bool isLongRunning = job->spec.steps[key.step].isLongRunning;
@@ -268,7 +271,10 @@
         return;
     }
     allocation.needs = countedNeeds(job->spec.steps[run.task.step]);
-    job->hasBegun = true;
+    if (!job->hasBegun) {
+        job->hasBegun = true;
+        job->begunWrite = writeProgress(*job);
+    }
     std::vector<std::string> &agents = unit->progress.agents;
     if (!unit->progress.isDone && std::find(agents.begin(), agents.end(), endpoint.agent) == agents.end()) {
         // The next scheduler must not start the unit either before it knows what runs here.
--- a/src/libknapweed/cell/schedulerstarts.cpp
+++ b/src/libknapweed/cell/schedulerstarts.cpp
@@ -32,9 +32,12 @@
     unit.phase = Unit::Phase::Active;
     unit.isStopping = false;
     unit.run = options_.generation * runsPerGeneration + ++startedRuns_;
-    job.hasBegun = true;
     unit.progress.agents = agents;
     const std::uint64_t write = writeProgress(job);
+    if (!job.hasBegun) {
+        job.hasBegun = true;
+        job.begunWrite = write;
+    }
     const Step &step = job.spec.steps[key.step];
     std::vector<std::string> racks;
     for (std::size_t i = 0; i < agents.size(); ++i) {
--- a/tests/cell/statetest.cpp
+++ b/tests/cell/statetest.cpp
@@ -32,3 +32,21 @@
     scheduler = makeScheduler(2);
     STRCMP_EQUAL("running", stateOf(*scheduler, "j1").c_str());
 }
+
+/// Guards against a state that goes back: a scheduler that is cut off from the store shows a job as running whose start it can't record, and its successor
+/// knows nothing of it.
+TEST(SchedulerState, jobIsPendingUntilItsStartIsRecorded)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})})));
+    scheduler->receive("a", reportOf("i-a", 1), now, wall);
+    scheduler->tick(now, wall);
+    const SchedulerOutput planned = scheduler->takeOutput();
+    CHECK(!planned.writes.empty());
+    scheduler->receive("entry", callOf(wire::CallKind::Query, "j1"), now, wall);
+    const auto answers = messagesOf<wire::JobAnswer>(scheduler->takeOutput());
+    LONGS_EQUAL(1, answers.size());
+    STRCMP_EQUAL("pending", answers.front().second.state.c_str());
+    scheduler->stored(planned.lastWrite, now);
+    STRCMP_EQUAL("running", stateOf(*scheduler, "j1").c_str());
+}
