Random histories of schedulers that answer after their terms have ended

What could not be seen: in the simulation the term of a scheduler was confirmed until its successor began, callers knew only the newest scheduler, and a state that goes back was seen only after "succeeded".

Change: in new histories a scheduler renews a membership at the store, and a successor begins as soon as it has run out, or when the scheduler resigns. The former one, which was paused or is cut off from the store alone, goes on for up to 8 s, or until the store refuses its write. Checks: no accepted job is missing, neither for a query nor for a cancel; the state of a job goes from pending to running to one final state, for each call that was sent after a state was told. A history fails if no former scheduler answered.

--- a/tests/cell/simulation.cpp
+++ b/tests/cell/simulation.cpp
@@ -80,13 +80,15 @@
     node->scheduler->beginRecovery(now_);
     // The previous scheduler may go on for a while before it notices that it has lost leadership.
     if (!schedulers_.empty()) {
-        after(between(0, 2500), [this, old = schedulers_.back()]() {
+        const Milliseconds noticeTime = options_.hasMemberships ? independentBetween(0, 8000) : between(0, 2500);
+        after(noticeTime, [this, old = schedulers_.back()]() {
             whenAwake(old->name, [old]() {
                 old->isGone = true;
             });
         });
     }
     schedulers_.push_back(node);
+    membershipUntil_ = now_ + membershipLifetime;
 }
 
 void Simulation::flush(SchedulerNode &node)
@@ -110,7 +112,7 @@
     if (node->isWriting || node->isGone || node->unwritten.empty()) {
         return;
     }
-    if (now_ < storeDownUntil_) {
+    if (isCutOff(*node)) {
         after(Milliseconds(50), [this, node]() {
             whenAwake(node->name, [this, node]() {
                 writeNext(node);
@@ -166,6 +168,7 @@
         events_.erase(events_.begin());
         event();
     }
+    checkMembership();
     deliverWaiting();
     wake();
     for (auto &[name, node] : agents_) {
@@ -204,7 +207,9 @@
     }
     for (const std::shared_ptr<SchedulerNode> &node : std::vector<std::shared_ptr<SchedulerNode>>(schedulers_)) {
         if (node->name == process && !node->isGone) {
-            if (node->generation == epoch_) {
+            if (options_.hasMemberships) {
+                renewMembership(node);
+            } else if (node->generation == epoch_) {
                 node->scheduler->confirmTerm(now_ + confirmationLifetime, now_, WallTime(now_.time_since_epoch()));
             }
             node->scheduler->tick(now_, WallTime(now_.time_since_epoch()));
--- a/tests/cell/simulation.h
+++ b/tests/cell/simulation.h
@@ -17,6 +17,7 @@
 {
 
 constexpr Milliseconds simulatedLease {5000};
+constexpr Milliseconds membershipLifetime {1200}; ///< at the store
 
 struct SimulationOptions
 {
@@ -42,6 +43,8 @@
     bool resizesEndpoints = false; ///< their capacity shrinks and grows while they run
     bool mutesEndpoints = false; ///< for up to fourteen seconds, an endpoint carries out its calls and all answers are lost
     bool renamesEndpoints = false; ///< endpoints start again under another id, and at times under their first one
+    bool hasMemberships = false; ///< a term ends when the scheduler's membership at the store has run out, or when it resigns; it may not notice for long
+    bool cutsOffSchedulers = false; ///< the scheduler loses its connection to the store, and no other one
 };
 
 class Simulation
@@ -71,6 +74,8 @@
     std::size_t wronglyFailedJobs() const;
     /// Submissions that arrived after the cancel of their job had been acknowledged.
     std::size_t lateSubmissions() const;
+    /// Answers of schedulers whose successors had begun their terms.
+    std::size_t formerAnswers() const;
     std::int64_t generation() const;
 
 private:
@@ -82,6 +87,8 @@
         std::vector<std::pair<std::uint64_t, std::vector<StoreWrite>>> unwritten; ///< with the number of the last write
         bool isWriting = false;
         bool isGone = false;
+        BootTime cutOffUntil; ///< no connection to the store until then
+        BootTime nextRenewal; ///< of the membership
     };
 
     struct AgentNode
@@ -105,6 +112,13 @@
         std::vector<std::function<void()>> arrived;
     };
 
+    /// The furthest state that callers were told of a job. Later answers to earlier calls may differ.
+    struct ToldState
+    {
+        std::string state;
+        std::int64_t lastCall = 0; ///< the newest when it was told
+    };
+
     /// Messages from one process to another that have no connection yet.
     struct WaitingMessages
     {
@@ -127,6 +141,12 @@
     void callForSubmittedJobs();
     void call(wire::CallKind::type kind, const std::string &job, Milliseconds delay);
     void checkStart(const std::string &job);
+    void checkState(const std::string &job, const wire::JobAnswer &answer);
+    std::string schedulerOfCaller();
+    bool isCutOff(const SchedulerNode &node) const;
+    void renewMembership(const std::shared_ptr<SchedulerNode> &node);
+    void checkMembership();
+    void resign();
     void receiveAnswer(const wire::JobAnswer &answer);
     bool isDown(const std::string &process) const;
     bool isDisconnected(const std::string &process) const;
@@ -161,6 +181,7 @@
     bool injectsFaults_ = true; ///< messages and calls are lost only while this is set
     std::int64_t epoch_ = 0; ///< epoch of the store's fence
     BootTime storeDownUntil_;
+    BootTime membershipUntil_; ///< of the newest scheduler, at the store; used with hasMemberships
     BootTime nextIndependentFault_;
     std::int64_t incarnation_ = 1;
     std::map<std::string, JobSpec> submitted_;
@@ -170,6 +191,9 @@
     std::set<std::string> givenUp_;
     std::map<std::string, BootTime> cancelsAcknowledgedAt_; ///< of jobs that were given up; the first acknowledgement counts
     std::size_t lateSubmissions_ = 0;
+    std::size_t formerAnswers_ = 0;
+    std::map<std::string, std::int64_t> lastCallBeforeAcceptance_; ///< for each job whose acceptance was answered
+    std::map<std::string, ToldState> toldStates_;
     std::set<std::string> reportedSucceeded_;
     std::map<std::string, std::int64_t> lastCallBeforeSuccess_; ///< for each job that was reported as succeeded; later answers to earlier calls may differ
     std::map<std::int64_t, std::pair<wire::CallKind::type, std::string>> calls_;
--- a/tests/cell/simulationcallers.cpp
+++ b/tests/cell/simulationcallers.cpp
@@ -47,7 +47,7 @@
     });
 }
 
-/// Sends a call to the scheduler that is the newest after @p delay.
+/// Sends a call to the scheduler that is known after @p delay.
 void Simulation::call(wire::CallKind::type kind, const std::string &job, Milliseconds delay)
 {
     const JobSpec &spec = submitted_.at(job);
@@ -57,12 +57,12 @@
     call.spec = encodeSpec(spec);
     calls_[call.call] = {kind, job};
     if (delay == Milliseconds(0)) {
-        deliver("caller", schedulers_.back()->name, call);
+        deliver("caller", schedulerOfCaller(), call);
         return;
     }
     after(delay, [this, call]() {
         lateSubmissions_ += call.kind == wire::CallKind::Submit && cancelsAcknowledgedAt_.count(call.job) != 0 ? 1 : 0;
-        deliver("caller", schedulers_.back()->name, call);
+        deliver("caller", schedulerOfCaller(), call);
     });
 }
 
@@ -79,6 +79,24 @@
     }
 }
 
+/// The state of a job goes from pending to running and then to one final state.
+void Simulation::checkState(const std::string &job, const wire::JobAnswer &answer)
+{
+    const auto rankOf = [](const std::string &state) {
+        return state == "pending" ? 0 : state == "running" ? 1 : 2;
+    };
+    const auto [found, isFirst] = toldStates_.try_emplace(job, ToldState {answer.state, lastCall_});
+    ToldState &told = found->second;
+    if (isFirst || answer.state == told.state) {
+        return;
+    }
+    if (rankOf(answer.state) > rankOf(told.state)) {
+        told = {answer.state, lastCall_};
+    } else if (answer.call > told.lastCall || rankOf(answer.state) == rankOf(told.state)) {
+        shared_.violations.push_back("a job that was shown as " + told.state + " is " + answer.state + ": " + job);
+    }
+}
+
 /// To be called when an endpoint has started a task of the job.
 void Simulation::checkStart(const std::string &job)
 {
@@ -95,10 +113,20 @@
     if (kind == wire::CallKind::Cancel && isAcknowledged && givenUp_.count(job) != 0) {
         cancelsAcknowledgedAt_.try_emplace(job, now_);
     }
+    formerAnswers_ += answer.generation != 0 && answer.generation < epoch_ ? 1 : 0;
+    if (options_.hasMemberships && kind == wire::CallKind::Query && answer.outcome == wire::CallOutcome::Ok) {
+        checkState(job, answer);
+    }
+    const auto accepted = lastCallBeforeAcceptance_.find(job);
+    const bool isSentLater = accepted != lastCallBeforeAcceptance_.end() && answer.call > accepted->second;
+    if (options_.hasMemberships && kind == wire::CallKind::Cancel && answer.outcome == wire::CallOutcome::Missing && isSentLater) {
+        shared_.violations.push_back("an accepted job was missing when it was cancelled: " + job);
+    }
     // The answers of an earlier scheduler may arrive after those of its successor.
-    const bool mayOvertake = options_.pausesSchedulers || (options_.delaysMessages && options_.changesSchedulers);
+    const bool mayOvertake = options_.pausesSchedulers || options_.hasMemberships || (options_.delaysMessages && options_.changesSchedulers);
     if (kind == wire::CallKind::Submit && answer.outcome == wire::CallOutcome::Ok) {
         accepted_.insert(job);
+        lastCallBeforeAcceptance_.try_emplace(job, lastCall_);
     } else if (kind == wire::CallKind::Cancel && answer.outcome == wire::CallOutcome::Ok && reportedSucceeded_.count(job) == 0) {
         // Until then, orders that were sent before the cancel may still be carried out.
         after(longestDelay, [this, job = job]() {
@@ -124,6 +152,11 @@
     return accepted_.count(job) != 0;
 }
 
+std::size_t Simulation::formerAnswers() const
+{
+    return formerAnswers_;
+}
+
 std::size_t Simulation::lateSubmissions() const
 {
     return lateSubmissions_;
--- a/tests/cell/simulationfaults.cpp
+++ b/tests/cell/simulationfaults.cpp
@@ -84,6 +84,16 @@
             processes_[scheduler].pausedUntil = now_ + independentBetween(50, 7000);
         });
     }
+    if (options_.cutsOffSchedulers) {
+        faults.emplace_back([this]() {
+            schedulers_.back()->cutOffUntil = now_ + independentBetween(200, 8000);
+        });
+    }
+    if (options_.hasMemberships) {
+        faults.emplace_back([this]() {
+            resign();
+        });
+    }
     if (options_.mutesEndpoints) {
         faults.emplace_back([this, &node]() {
             node.mutedUntil = now_ + independentBetween(1000, 14000);
