Soak: mute an endpoint for longer than a recovery with any lease

What could not be seen: TWICE with leases of 10 s. mute-leader-kill mutes the endpoint for 9 to 16 s, which is longer than a recovery only with leases of 6 s.

Change: the lease and 3 to 10 s more. With leases of 6 s nothing changes, nor what is drawn.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -141,7 +141,8 @@
         """The leader changes while an endpoint at work does not answer, for longer than a recovery."""
         machine = rng.choice([machine for machine in self.machines if machine.boot is not None and machine.boot.runs] or self.machines)
         self.note(f"no answers at {machine.name}")
-        muted = asyncio.create_task(self._trouble(machine.troubles, Trouble(lost=1), rng.uniform(9, 16)))
+        seconds = machine.lease_ms / 1000 + rng.uniform(3, 10)
+        muted = asyncio.create_task(self._trouble(machine.troubles, Trouble(lost=1), seconds))
         await asyncio.sleep(rng.uniform(0, 3))
         await self.leader_kill(rng)
         await muted
