Prepare the change before the first lists of the entries in a test of the configuration's feed

TEST(ConfigurationFeed, changeDuringTheFirstReadIsInForceInTime) failed once in a whole ctest run at load 22. The entries were started in one turn of the loop and the change was prepared in a later one, after a switch of threads; if the first lists had been answered by then, no list followed and the change was never stored, so that no code could have applied it.

--- a/tests/configuration/feedtest.cpp
+++ b/tests/configuration/feedtest.cpp
@@ -47,11 +47,8 @@
     void setup() override
     {
         task.call([this]() {
-            topic = std::make_unique<TopicStandin>(task.loop());
-            topic->append(1);
-            for (int index = 0; index < entryCount; ++index) {
-                entries.push_back(std::make_unique<Entry>(task.loop(), topic->address(), index));
-            }
+            openTopic();
+            startEntries();
         });
     }
 
@@ -63,6 +60,19 @@
         });
     }
 
+    void openTopic()
+    {
+        topic = std::make_unique<TopicStandin>(task.loop());
+        topic->append(1);
+    }
+
+    void startEntries()
+    {
+        for (int index = 0; index < entryCount; ++index) {
+            entries.push_back(std::make_unique<Entry>(task.loop(), topic->address(), index));
+        }
+    }
+
     bool haveAll(std::int64_t version)
     {
         return std::all_of(entries.begin(), entries.end(), [version](const std::unique_ptr<Entry> &entry) {
@@ -108,8 +118,12 @@
 /// Guards against CONFIG: a list of newest records is not a snapshot, and a version that was stored while it was made was never read.
 TEST(ConfigurationFeed, changeDuringTheFirstReadIsInForceInTime)
 {
+    // In one turn of the loop: a list that is answered before the change is prepared would not be the next one.
     task.call([this]() {
+        entries.clear();
+        openTopic();
         topic->appendDuringNextList(2);
+        startEntries();
     });
     CHECK(task.waitFor(
         [this]() {
