Log what an agent takes to be lost with its endpoint

endpoint.crashed says that a run is held responsible, but not on what that rests. The agent now logs each run that it reports as lost, and how the endpoint had shown it. No change of logic; one line for each run on an endpoint that crashed.

--- a/src/libknapweed/cell/agentreports.cpp
+++ b/src/libknapweed/cell/agentreports.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/agent.h"
 
+#include "base/logging.h"
 #include "cell/fleet.h"
 #include "cell/runwire.h"
 
@@ -52,6 +53,16 @@
         wire::LostRun lost;
         lost.run = wireRef(run);
         lost.isSettled = listed != incarnation_->running.end() && hasSettled(true, listed->second.percent, hooks_.now() - since);
+        const bool isAnswered = incarnation_->started.count(run) != 0;
+        const char *shown = listed != incarnation_->running.end() ? "listed" : isAnswered ? "answered" : "no";
+        logEvent(LogLevel::Info,
+            "run.lost",
+            {{"job", run.task.job},
+                {"task", nameOf(run.task)},
+                {"run", std::to_string(run.run)},
+                {"endpoint", incarnation_->status.id},
+                {"shown", shown},
+                {"settled", lost.isSettled ? "yes" : "no"}});
         lostRuns_.push_back(std::move(lost));
     }
 }
