--- a/tests/cell/agentfixture.h
+++ b/tests/cell/agentfixture.h
@@ -108,14 +108,14 @@
     }
 
     /// Answers all renewals, also those that wait.
-    void answerRenewalsWithLists(const std::vector<ListedRun> &running, const std::vector<ListedEnd> &ends)
+    void answerRenewalsWithLists(const std::vector<ListedRun> &running, const std::vector<ListedEnd> &ends, std::int64_t incarnation = 100)
     {
         while (!renewals.empty()) {
             const RenewalCall call = std::move(renewals.front());
             renewals.erase(renewals.begin());
             RenewalResult answer;
             answer.clock = Milliseconds(++clock);
-            answer.incarnation = 100;
+            answer.incarnation = incarnation;
             answer.running = running;
             answer.ended = ends;
             call.callback(answer);
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -70,7 +70,7 @@
         self.jobs: dict[str, Job] = {}
         self.active: dict[str, list[Run]] = {}  # by task
         self.done: dict[str, list[DoneEnd]] = {}  # by task
-        self.crashed: dict[str, set[int]] = {}  # by unit, a gang or a task: its runs under which an endpoint has crashed
+        self.crashed: dict[str, set[int]] = {}  # by task: its runs under which an endpoint has crashed
         self.violations: list[Violation] = []
         self.findings: list[str] = []  # broken promises that are no matter of safety
         self.starts = 0
@@ -120,7 +120,7 @@
         self.active[run.task].remove(run)
         self.note(f"end {how} {run.describe()}")
         if how == "vanished" and run.boot.leaves_at is None:
-            self.crashed.setdefault(run.job.id if run.job.gang else run.task, set()).add(run.run)
+            self.crashed.setdefault(run.task, set()).add(run.run)
         if how == "done":
             self.done.setdefault(run.task, []).append(DoneEnd(run, run.boot, run.boot.lapses))
 
@@ -166,7 +166,7 @@
             self.violated("LOST", self.tasks(job)[0], f"shown as {state} without cause, {self.most_crashes(job)} crashes under one task", [])
 
     def most_crashes(self, job: Job) -> int:
-        return max(len(self.crashed.get(unit, ())) for unit in [job.id, *self.tasks(job)])
+        return max(len(self.crashed.get(task, ())) for task in self.tasks(job))
 
     def check_cancelled(self) -> None:
         """Long after the last fault, no run of a cancelled job is left."""
