Count crashes for each task of a gang by itself

What callers see: the job of a gang is shown as failed although none of its tasks met two crashes (LOST). A wide gang on most of the endpoints meets two by bad luck alone. Cause: the scheduler had one count for a unit, and a gang is one unit. Change: the count and the newest counted run are kept for each task, in memory and in the record of progress. Who else is touched: a scheduler of the earlier version reads the highest count of the tasks as that of the unit; this one reads an earlier record for single tasks, and begins anew for gangs, whose count names no task.

--- a/src/libknapweed/cell/schedulercrashes.cpp
+++ b/src/libknapweed/cell/schedulercrashes.cpp
@@ -39,28 +39,34 @@
     }
 }
 
-/// Several members of a gang may crash their endpoints in one run; it is counted once. @p isCertain: no other unit can be the cause.
+/// Each task of a gang has a count of its own: endpoints that crash under different members show no task that crashes its endpoints. @p isCertain: no other
+/// unit can be the cause.
 void Scheduler::countCrash(const RunId &run, const std::string &endpoint, bool isCertain, BootTime now)
 {
     const auto found = jobs_.find(run.task.job);
     Unit *unit = found == jobs_.end() ? nullptr : unitOf(found->second, run.task);
-    if (unit == nullptr || unit->progress.isDone || run.run <= unit->progress.lastCrashedRun) {
+    if (unit == nullptr || unit->progress.isDone) {
+        return;
+    }
+    const auto counted = unit->progress.crashes.find(run.task.index);
+    if (counted != unit->progress.crashes.end() && run.run <= counted->second.lastRun) {
         return;
     }
     Job &job = found->second;
-    unit->progress.lastCrashedRun = run.run;
-    ++unit->progress.crashes;
+    TaskCrashes &crashes = unit->progress.crashes[run.task.index];
+    crashes.lastRun = run.run;
+    ++crashes.count;
     logEvent(LogLevel::Warning,
         "endpoint.crashed",
         {{"endpoint", endpoint},
             {"job", run.task.job},
             {"task", nameOf(run.task)},
             {"run", std::to_string(run.run)},
-            {"crashes", std::to_string(unit->progress.crashes)},
+            {"crashes", std::to_string(crashes.count)},
             {"certain", isCertain ? "yes" : "no"}});
-    if (unit->progress.crashes >= (isCertain ? certainCrashesUntilFailed : crashesUntilFailed) && !job.isFinished) {
+    if (crashes.count >= (isCertain ? certainCrashesUntilFailed : crashesUntilFailed) && !job.isFinished) {
         job.hasFailed = true;
-        logEvent(LogLevel::Info, "job.failed", {{"job", job.spec.id}, {"crashes", std::to_string(unit->progress.crashes)}});
+        logEvent(LogLevel::Info, "job.failed", {{"job", job.spec.id}, {"task", nameOf(run.task)}, {"crashes", std::to_string(crashes.count)}});
     }
     writeProgress(job);
     updateJobState(job, now);
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -138,7 +138,7 @@
     waiting.tasksPerEndpoint = static_cast<std::size_t>(step.tasksPerEndpoint);
     waiting.avoided = unit.failedOn;
     waiting.mayUseSuspects = waiting.rank > Rank::First || now - unit.readySince > suspectWait;
-    waiting.startsAlone = unit.progress.crashes > 0;
+    waiting.startsAlone = !unit.progress.crashes.empty();
     waiting.preemptionBudget = preemptionBudget(waiting.rank, step, waiting.tasks, runTime);
     if (step.tasksPerEndpoint > 0) {
         waiting.stepName = job.spec.id + '.' + std::to_string(key.occurrence) + '.' + std::to_string(key.step);
@@ -267,7 +267,7 @@
             part.isStopping = unit == job->second.units.end() || unit->second.isStopping || unit->second.progress.isDone;
             if (!hasSettled(allocation, now)) {
                 row.hasStartingRuns = true;
-                row.isReserved = row.isReserved || (unit != job->second.units.end() && unit->second.progress.crashes > 0);
+                row.isReserved = row.isReserved || (unit != job->second.units.end() && !unit->second.progress.crashes.empty());
             }
             lost[part.unit] += lostWork(job->second.spec.steps[key.step], allocation, now);
             row.parts.push_back(part);
--- a/src/libknapweed/jobs/jobrecord.cpp
+++ b/src/libknapweed/jobs/jobrecord.cpp
@@ -2,6 +2,7 @@
 
 #include "jobs/jobrecord.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace knapweed::cell
@@ -67,6 +68,36 @@
     return step;
 }
 
+/// Earlier versions read one count for the whole unit, before the rows of its tasks.
+void encodeCrashes(const std::map<int, TaskCrashes> &crashes, json &row)
+{
+    int most = 0;
+    std::int64_t newest = 0;
+    json rows = json::array();
+    for (const auto &[index, task] : crashes) {
+        most = std::max(most, task.count);
+        newest = std::max(newest, task.lastRun);
+        rows.push_back(json::array({index, task.count, task.lastRun}));
+    }
+    row.push_back(most);
+    row.push_back(newest);
+    row.push_back(std::move(rows));
+}
+
+/// Records of earlier versions hold one count for the unit, which says nothing about the single members of a gang.
+std::map<int, TaskCrashes> decodeCrashes(const json &row, int unitIndex)
+{
+    std::map<int, TaskCrashes> crashes;
+    if (row.size() > 11) {
+        for (const json &task : row.at(11)) {
+            crashes[task.at(0).get<int>()] = {task.at(1).get<int>(), task.at(2).get<std::int64_t>()};
+        }
+    } else if (row.size() > 10 && unitIndex >= 0) {
+        crashes[unitIndex] = {row.at(9).get<int>(), row.at(10).get<std::int64_t>()};
+    }
+    return crashes;
+}
+
 } // namespace
 
 std::string encodeSpec(const JobSpec &spec)
@@ -133,14 +164,13 @@
     json units = json::array();
     for (const auto &[key, unit] : progress.units) {
         json row = json::array({key.occurrence, key.step, key.index, unit.isDone ? 1 : 0, unit.failures, unit.lastFailedRun});
-        if (!unit.checkpoint.empty() || !unit.agents.empty() || unit.crashes > 0) {
+        if (!unit.checkpoint.empty() || !unit.agents.empty() || !unit.crashes.empty()) {
             row.push_back(unit.checkpoint);
             row.push_back(unit.agents);
             row.push_back(json::array()); // records of earlier versions hold tags of incarnations here
         }
-        if (unit.crashes > 0) {
-            row.push_back(unit.crashes);
-            row.push_back(unit.lastCrashedRun);
+        if (!unit.crashes.empty()) {
+            encodeCrashes(unit.crashes, row);
         }
         units.push_back(std::move(row));
     }
@@ -164,8 +194,7 @@
             unit.lastFailedRun = row.at(5).get<std::int64_t>();
             unit.checkpoint = row.size() > 6 ? row.at(6).get<std::string>() : std::string();
             unit.agents = row.size() > 7 ? row.at(7).get<std::vector<std::string>>() : std::vector<std::string>();
-            unit.crashes = row.size() > 9 ? row.at(9).get<int>() : 0;
-            unit.lastCrashedRun = row.size() > 10 ? row.at(10).get<std::int64_t>() : 0;
+            unit.crashes = decodeCrashes(row, key.index);
             progress.units[key] = unit;
         }
         return progress;
--- a/src/libknapweed/jobs/jobrecord.h
+++ b/src/libknapweed/jobs/jobrecord.h
@@ -17,6 +17,15 @@
     std::string detail;
 };
 
+/// Crashes of endpoints that are counted against one task.
+struct TaskCrashes
+{
+    int count = 0;
+    std::int64_t lastRun = 0; ///< the newest run of the task that was counted
+
+    bool operator==(const TaskCrashes &) const = default;
+};
+
 /// Stored progress of a unit (a gang or a single task) that has been started.
 struct UnitProgress
 {
@@ -25,8 +34,7 @@
     std::int64_t lastFailedRun = 0; ///< the newest run counted in failures
     std::string checkpoint; ///< checkpoint that the next run resumes from; empty: it starts from the beginning
     std::vector<std::string> agents; ///< those where a run may be going on or may still start; no part of the unit can be running elsewhere
-    int crashes = 0; ///< number of runs held responsible for the crash of an endpoint
-    std::int64_t lastCrashedRun = 0; ///< the newest run counted in crashes
+    std::map<int, TaskCrashes> crashes; ///< by index of the task; only tasks that are held responsible for a crash
 
     bool operator==(const UnitProgress &) const = default;
 };
--- a/tests/jobs/jobrecordtest.cpp
+++ b/tests/jobs/jobrecordtest.cpp
@@ -60,6 +60,30 @@
     CHECK(value(decoded) == progress);
 }
 
+TEST(JobRecord, crashesOfEachMemberOfAGangSurviveARoundTrip)
+{
+    JobProgress progress;
+    UnitProgress &gang = progress.units[{0, 1, -1}];
+    gang.crashes[2].count = 1;
+    gang.crashes[2].lastRun = 7;
+    gang.crashes[5].count = 2;
+    gang.crashes[5].lastRun = 9;
+    const Result<JobProgress, JobRecordError> read = decodeProgress(encodeProgress(progress));
+    CHECK(isOk(read));
+    CHECK(value(read) == progress);
+}
+
+/// Records of earlier versions count the crashes of a whole unit. Those of a gang say nothing about any one of its tasks.
+TEST(JobRecord, crashesInRecordsOfEarlierVersionsAreReadForSingleTasks)
+{
+    const Result<JobProgress, JobRecordError> read = decodeProgress(R"({"u":[[0,0,3,0,0,0,"",["a"],[],2,11],[0,1,-1,0,0,0,"",["a"],[],2,11]]})");
+    CHECK(isOk(read));
+    const JobProgress &progress = value(read);
+    LONGS_EQUAL(2, progress.units.at({0, 0, 3}).crashes.at(3).count);
+    LONGS_EQUAL(11, progress.units.at({0, 0, 3}).crashes.at(3).lastRun);
+    CHECK(progress.units.at({0, 1, -1}).crashes.empty());
+}
+
 TEST(JobRecord, unreadableRecordsAreErrors)
 {
     CHECK(!isOk(decodeSpec("")));
