--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -30,6 +30,7 @@
 };
 
 constexpr Milliseconds longPollTimeout {500}; ///< maximum wait of a lease renewal for an end of a run; progress is read at this interval
+constexpr Milliseconds idleRenewalInterval {2000}; ///< without runs, only delayed orders change the lists
 
 class Agent
 {
--- /dev/null
+++ b/src/libknapweed/cell/agentrenewal.cpp
@@ -0,0 +1,154 @@
+// Renewal of the lease of an endpoint's runs. The answers carry the endpoint's lists.
+
+#include "cell/agent.h"
+
+#include "base/logging.h"
+
+namespace knapweed::cell
+{
+
+namespace
+{
+
+constexpr Milliseconds renewalRetryInterval {200}; ///< after a failed renewal, or while ends are not yet stored durably
+constexpr double minClockRate = 0.98; ///< rate of the slowest endpoint clock, relative to the local clock
+
+} // namespace
+
+/// Expiry of the lease on the endpoint's clock, computed so that the lease expires there no later than here.
+std::optional<Milliseconds> Agent::leaseUntil() const
+{
+    if (!incarnation_ || !incarnation_->isClockKnown || leaseExpiresAt_ <= std::max(incarnation_->clockReadAt, hooks_.now())) {
+        return std::nullopt;
+    }
+    const double remaining = double((leaseExpiresAt_ - incarnation_->clockReadAt).count()) * minClockRate;
+    return incarnation_->clock + Milliseconds(static_cast<std::int64_t>(remaining));
+}
+
+void Agent::renewLease(Milliseconds wait)
+{
+    if (!incarnation_) {
+        return;
+    }
+    RenewalRequest request;
+    request.endpoint = incarnation_->status.id;
+    request.fence = generation_;
+    request.endsStored = incarnation_->endsStored > incarnation_->endsDiscarded ? incarnation_->endsStored : 0;
+    request.leaseUntil = leaseUntil();
+    request.wait = wait;
+    const std::uint64_t number = ++renewalNumber_;
+    const bool isLongPoll = wait.count() > 0;
+    isLongPollPending_ = isLongPollPending_ || isLongPoll;
+    hooks_.driver.renewLease(request,
+        [this, number, isLongPoll, fence = request.fence, incarnation = incarnation_->status.incarnation, endsStored = request.endsStored](
+            Result<RenewalResult, EndpointError> result) {
+            if (isLongPoll) {
+                isLongPollPending_ = false;
+                nextRenewal_ = hooks_.now();
+            }
+            if (isOk(result)) {
+                renewalSucceeded(number, fence, incarnation, endsStored, value(result));
+            } else {
+                nextRenewal_ = hooks_.now() + renewalRetryInterval;
+                if (incarnation_ && incarnation_->status.incarnation == incarnation) {
+                    renewalFailed(error(result));
+                }
+            }
+        });
+}
+
+/// An endpoint that has left or whose notice period is over runs nothing if it refuses connections, so no scheduler has to wait for its lease to expire.
+void Agent::renewalFailed(const EndpointError &failure)
+{
+    if (failure.kind == EndpointError::Kind::DifferentIncarnation) {
+        incarnation_->listedGeneration = -1; // the endpoint itself says that it is another one
+    }
+    const bool isDueToLeave = incarnation_->hasLeft || (incarnation_->status.isDraining && hooks_.now() >= incarnation_->leavesAt);
+    if (!isDueToLeave || failure.kind != EndpointError::Kind::ConnectionFailed) {
+        logEvent(LogLevel::Warning, "hold.failed", {{"endpoint", incarnation_->status.id}, {"reason", failure.detail}});
+        return;
+    }
+    nextRenewal_ = hooks_.now() + idleRenewalInterval;
+    if (incarnation_->isGone) {
+        return;
+    }
+    logEvent(LogLevel::Info,
+        "endpoint.gone",
+        {{"endpoint", incarnation_->status.id}, {"running", std::to_string(incarnation_->running.size())}, {"said_so", incarnation_->hasLeft ? "yes" : "no"}});
+    incarnation_->isGone = true;
+    incarnation_->running.clear();
+    incarnation_->started.clear();
+    report();
+}
+
+void Agent::renewalSucceeded(std::uint64_t number, std::int64_t fence, std::int64_t incarnation, std::int64_t endsStored, const RenewalResult &answer)
+{
+    if (!incarnation_ || incarnation_->status.incarnation != incarnation) {
+        return;
+    }
+    if (answer.incarnation != 0 && answer.incarnation != incarnation) {
+        // The next incarnation already answers under the same id. It is not used before it has reported.
+        logEvent(LogLevel::Info, "endpoint.otherboot", {{"endpoint", incarnation_->status.id}, {"born", std::to_string(answer.incarnation)}});
+        incarnation_->listedGeneration = -1;
+        incarnation_->isClockKnown = false;
+        incarnation_->endsDiscarded = incarnation_->endsStored;
+        return;
+    }
+    incarnation_->answeredAt = hooks_.now();
+    if (!incarnation_->pendingRefusals.empty() || number <= incarnation_->renewalAtRefusal) {
+        return;
+    }
+    // Responses may arrive out of order. The endpoint's clock shows which lists are newer, except for two responses within one millisecond.
+    if (incarnation_->isClockKnown && answer.clock <= incarnation_->clock) {
+        nextRenewal_ = hooks_.now();
+        return;
+    }
+    incarnation_->isGone = false;
+    incarnation_->appliedRenewal = std::max(incarnation_->appliedRenewal, number);
+    incarnation_->endsDiscarded = std::max(incarnation_->endsDiscarded, endsStored);
+    incarnation_->clock = answer.clock;
+    incarnation_->clockReadAt = hooks_.now();
+    incarnation_->isClockKnown = true;
+    const bool isFirstOfGeneration = incarnation_->listedGeneration != fence;
+    incarnation_->listedGeneration = std::max(incarnation_->listedGeneration, fence);
+    std::map<RunId, ListedRun> before;
+    before.swap(incarnation_->running);
+    const std::size_t runsBefore = before.size();
+    for (const ListedRun &run : answer.running) {
+        incarnation_->running[run.run] = run;
+        incarnation_->ordered.try_emplace(run.run, hooks_.now());
+        before.erase(run.run);
+    }
+    const std::size_t endsBefore = incarnation_->ended.size();
+    for (const ListedEnd &end : answer.ended) {
+        incarnation_->started.erase(end.run);
+        incarnation_->ordered.erase(end.run);
+        if (end.number > incarnation_->endsStored) {
+            incarnation_->ended[end.number] = end;
+        }
+    }
+    if (answer.ended.size() < maxListedEnds) {
+        std::erase_if(incarnation_->started, [number](const auto &started) {
+            return started.second < number;
+        });
+        for (const auto &[run, listed] : before) {
+            incarnation_->ordered.erase(run);
+        }
+    } else {
+        // A run that is in neither list may have ended, with an end that did not fit.
+        std::erase_if(before, [this](const auto &run) {
+            return hasListedEnd(run.first);
+        });
+        incarnation_->running.merge(before);
+    }
+    if (isFirstOfGeneration || incarnation_->ended.size() != endsBefore || incarnation_->running.size() != runsBefore) {
+        report();
+    }
+    reportAbsentRuns();
+    nextRenewal_ = hooks_.now()
+        + (!incarnation_->ended.empty()                                          ? renewalRetryInterval
+                : incarnation_->running.empty() && incarnation_->started.empty() ? idleRenewalInterval
+                                                                                 : Milliseconds(0));
+}
+
+} // namespace knapweed::cell
