Count a crash only against runs that the crashed endpoint had shown

What callers see: a job is shown as failed although no endpoint crashed under its task, or only one did (LOST). Cause: the agent reported as lost with a crashed incarnation every run whose start it had sent there and whose end it had not read. Such a run may have been carried out by the next incarnation under the same id (the agent didn't know of it yet), never (the call got no answer), or may have ended while answers were lost. Class: blame by what was sent, instead of by what the endpoint has shown. Change: the agent keeps when the endpoint last showed each run, in its lists or in the answer to its start. A run counts as running at the crash if it was shown within three long polls before the first sign of it, nothing since can have hidden its end (a time-out, connections that break one after another, a refusal), and it wasn't being stopped. A start that the next incarnation lists was carried out there; until its lists can tell, nothing is reported as lost. The scheduler counts a crash just after a start that was shown; all others are suspicions. A job fails at the second crash that is counted if no other unit can be the cause, or at the third with the suspicions, so that a task is stopped, too, that crashes its endpoints before they can show it. Who else is touched: an agent of the earlier version states nothing, so its losses are suspicions; an earlier scheduler counts all that is reported. A slow or paused agent shows older runs, which are suspicions then.

--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -103,16 +103,17 @@
     if (!isConfirmed || isServed(status) || hasAnsweredLaterCall) {
         return;
     }
-    beginIncarnation(newest);
+    beginIncarnation(newest, number, value(result));
     incarnation_->appliedRenewal = number;
     renewLease(Milliseconds(0));
     report();
 }
 
-void Agent::beginIncarnation(const EndpointStatus &status)
+/// @p lists: those that the incarnation sent when it was asked which it is.
+void Agent::beginIncarnation(const EndpointStatus &status, std::uint64_t verification, const RenewalResult &lists)
 {
     const BootTime now = hooks_.now();
-    recordLostRuns();
+    recordLostRuns(verification, lists);
     incarnation_ = Incarnation();
     applyStatus(status);
     incarnation_->answeredAt = now;
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -53,6 +53,24 @@
     std::size_t runningTasks() const;
 
 private:
+    /// A run whose start was sent to an incarnation, or which that has listed, and whose end is not known.
+    struct OrderedRun
+    {
+        BootTime since; ///< when its start was first sent, or when it was first listed
+        BootTime shownAt; ///< when the newest call was sent whose answer shows it: its start, or a renewal of the lease; the epoch before that
+        bool isListed = false;
+        std::uint64_t renewalAtAnswer = 0; ///< newest renewal sent before the start was answered; the lists of later ones hold the run or its end
+    };
+
+    /// A run that may have been lost with the incarnation before this one.
+    struct LostRun
+    {
+        RunId run;
+        OrderedRun ordered;
+        bool isSettled = false;
+        bool wasRunning = false; ///< it was shown so shortly before the crash that its end would have been read
+    };
+
     struct Incarnation
     {
         EndpointStatus status;
@@ -68,7 +86,10 @@
         /// The endpoint has confirmed that it discarded ends up to this number. The request is not repeated after that, because the next incarnation
         /// numbers its ends from 1 again.
         std::int64_t endsDiscarded = 0;
-        std::map<RunId, BootTime> ordered; ///< runs whose start was sent, or which were listed, with the first time; none whose end is known
+        std::map<RunId, OrderedRun> ordered; ///< runs whose start was sent, or which were listed; none whose end is known
+        std::optional<BootTime> silentSince; ///< when a renewal failed first since the newest lists: the endpoint may have crashed then
+        std::uint64_t renewalAtSilence = 0; ///< the newest one sent by then
+        bool mayHaveEndedRuns = false; ///< an answer with the end of a run may have been missed since the newest lists
         std::map<RunId, std::uint64_t> started; ///< started but maybe not listed yet; with the newest renewal sent before the answer
         bool hasLeft = false; ///< announced since the newest report; its runs end with it
         BootTime leavesAt; ///< earliest time at which the endpoint may be gone; meaningful while draining
@@ -87,6 +108,14 @@
         BootTime until; ///< the start cannot be carried out after this time
     };
 
+    struct SentRenewal
+    {
+        std::uint64_t number = 0;
+        BootTime sentAt;
+        std::int64_t fence = 0;
+        std::int64_t endsStored = 0;
+    };
+
     void updateScheduler(std::int64_t generation, const std::string &address, bool isLeaving);
     void handle(const std::string &peer, const wire::EndpointGrant &grant);
     void handle(const std::string &peer, const wire::StartOrder &order);
@@ -94,7 +123,7 @@
     bool isCurrent(const std::string &peer, std::int64_t generation, std::int64_t incarnation, const std::string &endpoint) const;
     void attemptStart(const std::string &peer, const wire::StartOrder &order, BootTime validUntil, int attempt);
     bool hasShrunkSince(const wire::StartOrder &order) const;
-    void startSucceeded(const std::string &peer, const wire::StartOrder &order);
+    void startSucceeded(const std::string &peer, const wire::StartOrder &order, BootTime sentAt);
     void recordStopOrder(const RunId &run);
     std::optional<RunId> newestUnansweredStartOf(const TaskId &task) const;
     void answerStart(const std::string &peer, const wire::StartOrder &order, wire::StartOutcome::type outcome, const std::string &detail);
@@ -103,21 +132,25 @@
     void applyStatus(const EndpointStatus &status);
     void verifyIncarnation();
     void handleVerification(std::uint64_t number, const EndpointStatus &status, const Result<RenewalResult, EndpointError> &result);
-    void beginIncarnation(const EndpointStatus &status);
-    void recordLostRuns();
+    void beginIncarnation(const EndpointStatus &status, std::uint64_t verification, const RenewalResult &lists);
+    void recordLostRuns(std::uint64_t verification, const RenewalResult &lists);
+    void removeCarriedOutStarts(const RenewalResult &lists);
+    bool wasRunningUntilCrash(const RunId &run, const OrderedRun &ordered) const;
     void refuseUnansweredStarts();
     void report();
     void renewLease(Milliseconds wait);
-    void renewalSucceeded(std::uint64_t number, std::int64_t fence, std::int64_t incarnation, std::int64_t endsStored, const RenewalResult &answer);
+    void renewalSucceeded(const SentRenewal &renewal, std::int64_t incarnation, const RenewalResult &answer);
     std::optional<Milliseconds> leaseUntil() const;
-    void renewalFailed(const EndpointError &failure);
+    void renewalFailed(std::uint64_t number, const EndpointError &failure);
+    void noteSilence(std::uint64_t number, const EndpointError &failure);
     bool hasListedEnd(const RunId &run) const;
     void reportAbsentRuns();
 
     AgentOptions options_;
     AgentHooks hooks_;
     std::optional<Incarnation> incarnation_; ///< the endpoint itself has answered as this incarnation
-    std::vector<wire::LostRun> lostRuns_; ///< of the incarnation before this one, if it crashed
+    std::vector<LostRun> lostRuns_; ///< of the incarnation before this one, if it crashed
+    bool areLostRunsKnown_ = false; ///< this incarnation's lists have shown which starts it carried out itself
     BootTime lostRunsExpireAt_; ///< they are reported until then
     std::optional<EndpointStatus> unverified_; ///< newest report of another incarnation that the endpoint has neither confirmed nor denied
     std::map<RunId, UnansweredStart> unansweredStarts_;
--- /dev/null
+++ b/src/libknapweed/cell/agentlosses.cpp
@@ -0,0 +1,98 @@
+// What an endpoint that crashed is known to have run. An order that was sent shows nothing: it may be carried out by the next incarnation or never, and a run
+// may have ended before the crash without its end being read.
+
+#include "cell/agent.h"
+
+#include "base/logging.h"
+#include "cell/fleet.h"
+#include "cell/runwire.h"
+
+#include <algorithm>
+
+namespace knapweed::cell
+{
+
+namespace
+{
+
+constexpr Seconds lostRunsRetention {60}; ///< several changes of scheduler
+constexpr Milliseconds shownRunValidity = 3 * longPollTimeout; ///< covers one answered long poll, the next one until the crash, and the time between them
+
+} // namespace
+
+/// A crash closes all connections at once, and new ones are refused until the next incarnation answers. Whatever else keeps an answer away may hide the end of
+/// a run.
+void Agent::noteSilence(std::uint64_t number, const EndpointError &failure)
+{
+    if (number < incarnation_->appliedRenewal) {
+        return;
+    }
+    using Kind = EndpointError::Kind;
+    const bool isFirst = !incarnation_->silentSince || number <= incarnation_->renewalAtSilence;
+    const bool isClosed = failure.kind == Kind::Unanswered && !failure.isTimeout;
+    const bool isCrash = failure.kind == Kind::ConnectionFailed || failure.kind == Kind::DifferentIncarnation || (isClosed && isFirst);
+    incarnation_->mayHaveEndedRuns = incarnation_->mayHaveEndedRuns || !isCrash;
+    if (!incarnation_->silentSince) {
+        incarnation_->silentSince = hooks_.now();
+        incarnation_->renewalAtSilence = renewalNumber_;
+    }
+}
+
+/// Whether the endpoint has shown the run so shortly before it crashed that an end in between would have been read. A run that was being stopped may have ended
+/// at any moment.
+bool Agent::wasRunningUntilCrash(const RunId &run, const OrderedRun &ordered) const
+{
+    const BootTime crashedBy = incarnation_->silentSince.value_or(hooks_.now());
+    const bool isShown = ordered.shownAt != BootTime() && crashedBy - ordered.shownAt <= shownRunValidity;
+    return isShown && !incarnation_->mayHaveEndedRuns && stopOrders_.count(run) == 0;
+}
+
+/// Records the runs that end with the current incarnation, for the reports of the next one. None if it was leaving: its end is no crash. @p lists: the first
+/// ones of the next incarnation, read by the renewal @p verification.
+void Agent::recordLostRuns(std::uint64_t verification, const RenewalResult &lists)
+{
+    lostRuns_.clear();
+    areLostRunsKnown_ = true;
+    lostRunsExpireAt_ = hooks_.now() + lostRunsRetention;
+    if (!incarnation_ || incarnation_->status.isDraining || incarnation_->isGone) {
+        return;
+    }
+    for (const auto &[run, ordered] : incarnation_->ordered) {
+        const auto listed = incarnation_->running.find(run);
+        LostRun lost {run, ordered};
+        lost.isSettled = listed != incarnation_->running.end() && hasSettled(true, listed->second.percent, hooks_.now() - ordered.since);
+        lost.wasRunning = wasRunningUntilCrash(run, ordered);
+        areLostRunsKnown_ = areLostRunsKnown_ && (ordered.isListed || ordered.renewalAtAnswer < verification);
+        lostRuns_.push_back(std::move(lost));
+    }
+    removeCarriedOutStarts(lists);
+    for (const LostRun &lost : lostRuns_) {
+        logEvent(LogLevel::Info,
+            "run.lost",
+            {{"job", lost.run.task.job},
+                {"task", nameOf(lost.run.task)},
+                {"run", std::to_string(lost.run.run)},
+                {"endpoint", incarnation_->status.id},
+                {"shown",
+                    lost.ordered.isListed                    ? "listed"
+                        : lost.ordered.shownAt != BootTime() ? "answered"
+                                                             : "no"},
+                {"settled", lost.isSettled ? "yes" : "no"},
+                {"was_running", lost.wasRunning ? "yes" : "no"}});
+    }
+}
+
+/// A start that was sent to the former incarnation may have been carried out by this one, which then lists the run or its end.
+void Agent::removeCarriedOutStarts(const RenewalResult &lists)
+{
+    std::erase_if(lostRuns_, [&lists](const LostRun &lost) {
+        const bool isHere = std::any_of(lists.running.begin(), lists.running.end(), [&lost](const ListedRun &run) {
+            return run.run == lost.run;
+        }) || std::any_of(lists.ended.begin(), lists.ended.end(), [&lost](const ListedEnd &end) {
+            return end.run == lost.run;
+        });
+        return isHere && !lost.ordered.isListed;
+    });
+}
+
+} // namespace knapweed::cell
--- a/src/libknapweed/cell/agentrenewal.cpp
+++ b/src/libknapweed/cell/agentrenewal.cpp
@@ -38,28 +38,30 @@
     request.wait = wait;
     const std::uint64_t number = ++renewalNumber_;
     const bool isLongPoll = wait.count() > 0;
+    const BootTime sentAt = hooks_.now();
     isLongPollPending_ = isLongPollPending_ || isLongPoll;
     hooks_.driver.renewLease(request,
-        [this, number, isLongPoll, fence = request.fence, incarnation = incarnation_->status.incarnation, endsStored = request.endsStored](
+        [this, number, sentAt, isLongPoll, fence = request.fence, incarnation = incarnation_->status.incarnation, endsStored = request.endsStored](
             Result<RenewalResult, EndpointError> result) {
             if (isLongPoll) {
                 isLongPollPending_ = false;
                 nextRenewal_ = hooks_.now();
             }
             if (isOk(result)) {
-                renewalSucceeded(number, fence, incarnation, endsStored, value(result));
+                renewalSucceeded({number, sentAt, fence, endsStored}, incarnation, value(result));
             } else {
                 nextRenewal_ = hooks_.now() + renewalRetryInterval;
                 if (incarnation_ && incarnation_->status.incarnation == incarnation) {
-                    renewalFailed(error(result));
+                    renewalFailed(number, error(result));
                 }
             }
         });
 }
 
 /// An endpoint that has left or whose notice period is over runs nothing if it refuses connections, so no scheduler has to wait for its lease to expire.
-void Agent::renewalFailed(const EndpointError &failure)
+void Agent::renewalFailed(std::uint64_t number, const EndpointError &failure)
 {
+    noteSilence(number, failure);
     if (failure.kind == EndpointError::Kind::DifferentIncarnation) {
         incarnation_->listedGeneration = -1; // the endpoint itself says that it is another one
     }
@@ -81,14 +83,16 @@
     report();
 }
 
-void Agent::renewalSucceeded(std::uint64_t number, std::int64_t fence, std::int64_t incarnation, std::int64_t endsStored, const RenewalResult &answer)
+void Agent::renewalSucceeded(const SentRenewal &renewal, std::int64_t incarnation, const RenewalResult &answer)
 {
+    const std::uint64_t number = renewal.number;
     if (!incarnation_ || incarnation_->status.incarnation != incarnation) {
         return;
     }
     if (answer.incarnation != 0 && answer.incarnation != incarnation) {
         // The next incarnation already answers under the same id. It is not used before it has reported.
         logEvent(LogLevel::Info, "endpoint.otherboot", {{"endpoint", incarnation_->status.id}, {"born", std::to_string(answer.incarnation)}});
+        noteSilence(number, {EndpointError::Kind::DifferentIncarnation, {}});
         incarnation_->listedGeneration = -1;
         incarnation_->isClockKnown = false;
         incarnation_->endsDiscarded = incarnation_->endsStored;
@@ -105,18 +109,24 @@
     }
     incarnation_->isGone = false;
     incarnation_->appliedRenewal = std::max(incarnation_->appliedRenewal, number);
-    incarnation_->endsDiscarded = std::max(incarnation_->endsDiscarded, endsStored);
+    incarnation_->endsDiscarded = std::max(incarnation_->endsDiscarded, renewal.endsStored);
     incarnation_->clock = answer.clock;
     incarnation_->clockReadAt = hooks_.now();
     incarnation_->isClockKnown = true;
-    const bool isFirstOfGeneration = incarnation_->listedGeneration != fence;
-    incarnation_->listedGeneration = std::max(incarnation_->listedGeneration, fence);
+    incarnation_->silentSince.reset();
+    incarnation_->mayHaveEndedRuns = false;
+    removeCarriedOutStarts(answer);
+    areLostRunsKnown_ = true;
+    const bool isFirstOfGeneration = incarnation_->listedGeneration != renewal.fence;
+    incarnation_->listedGeneration = std::max(incarnation_->listedGeneration, renewal.fence);
     std::map<RunId, ListedRun> before;
     before.swap(incarnation_->running);
     const std::size_t runsBefore = before.size();
     for (const ListedRun &run : answer.running) {
         incarnation_->running[run.run] = run;
-        incarnation_->ordered.try_emplace(run.run, hooks_.now());
+        OrderedRun &ordered = incarnation_->ordered.try_emplace(run.run, OrderedRun {hooks_.now()}).first->second;
+        ordered.shownAt = std::max(ordered.shownAt, renewal.sentAt);
+        ordered.isListed = true;
         before.erase(run.run);
     }
     const std::size_t endsBefore = incarnation_->ended.size();
--- a/src/libknapweed/cell/agentreports.cpp
+++ b/src/libknapweed/cell/agentreports.cpp
@@ -2,8 +2,6 @@
 
 #include "cell/agent.h"
 
-#include "base/logging.h"
-#include "cell/fleet.h"
 #include "cell/runwire.h"
 
 #include <algorithm>
@@ -15,7 +13,6 @@
 {
 
 constexpr Seconds silentEndpointTimeout {5}; ///< more than two renewals of an endpoint without runs
-constexpr Seconds lostRunsRetention {60}; ///< several changes of scheduler
 
 } // namespace
 
@@ -40,33 +37,6 @@
     });
 }
 
-/// Records the runs that end with the current incarnation, for the reports of the next one. None if it was leaving: its end is no crash.
-void Agent::recordLostRuns()
-{
-    lostRuns_.clear();
-    lostRunsExpireAt_ = hooks_.now() + lostRunsRetention;
-    if (!incarnation_ || incarnation_->status.isDraining || incarnation_->isGone) {
-        return;
-    }
-    for (const auto &[run, since] : incarnation_->ordered) {
-        const auto listed = incarnation_->running.find(run);
-        wire::LostRun lost;
-        lost.run = wireRef(run);
-        lost.isSettled = listed != incarnation_->running.end() && hasSettled(true, listed->second.percent, hooks_.now() - since);
-        const bool isAnswered = incarnation_->started.count(run) != 0;
-        const char *shown = listed != incarnation_->running.end() ? "listed" : isAnswered ? "answered" : "no";
-        logEvent(LogLevel::Info,
-            "run.lost",
-            {{"job", run.task.job},
-                {"task", nameOf(run.task)},
-                {"run", std::to_string(run.run)},
-                {"endpoint", incarnation_->status.id},
-                {"shown", shown},
-                {"settled", lost.isSettled ? "yes" : "no"}});
-        lostRuns_.push_back(std::move(lost));
-    }
-}
-
 /// Reports stopped runs that are missing from a later list: they can no longer start. How a listed run has ended is said by the reports only.
 void Agent::reportAbsentRuns()
 {
@@ -116,8 +86,14 @@
     report.draining = incarnation_->status.isDraining;
     report.leavesInMs = incarnation_->status.remaining.count();
     report.generation = generation_;
-    if (now < lostRunsExpireAt_) {
-        report.lost = lostRuns_;
+    if (areLostRunsKnown_ && now < lostRunsExpireAt_) {
+        for (const LostRun &lost : lostRuns_) {
+            wire::LostRun row;
+            row.run = wireRef(lost.run);
+            row.isSettled = lost.isSettled;
+            row.wasRunning = lost.wasRunning;
+            report.lost.push_back(std::move(row));
+        }
     }
     report.isListed = incarnation_->isGone || incarnation_->listedGeneration == generation_;
     for (const auto &[id, run] : incarnation_->running) {
--- a/src/libknapweed/cell/agentstarts.cpp
+++ b/src/libknapweed/cell/agentstarts.cpp
@@ -113,10 +113,10 @@
     request.checkpoint = order.checkpoint;
     request.ticket = order.ticket;
     request.leaseUntil = *until;
-    incarnation_->ordered.try_emplace(request.run, hooks_.now());
-    hooks_.driver.start(request, [this, peer, order, validUntil, attempt](const Result<Milliseconds, EndpointError> &result) {
+    incarnation_->ordered.try_emplace(request.run, OrderedRun {hooks_.now()});
+    hooks_.driver.start(request, [this, peer, order, validUntil, attempt, sentAt = hooks_.now()](const Result<Milliseconds, EndpointError> &result) {
         if (isOk(result)) {
-            startSucceeded(peer, order);
+            startSucceeded(peer, order, sentAt);
             return;
         }
         if (error(result).kind == EndpointError::Kind::Unanswered) {
@@ -130,11 +130,16 @@
     });
 }
 
-void Agent::startSucceeded(const std::string &peer, const wire::StartOrder &order)
+void Agent::startSucceeded(const std::string &peer, const wire::StartOrder &order, BootTime sentAt)
 {
     const RunId run = runIdOf(order.run);
     if (incarnation_ && incarnation_->status.incarnation == order.born && incarnation_->appliedRenewal <= renewalNumber_) {
         incarnation_->started[run] = renewalNumber_;
+        const auto ordered = incarnation_->ordered.find(run);
+        if (ordered != incarnation_->ordered.end()) {
+            ordered->second.shownAt = std::max(ordered->second.shownAt, sentAt);
+            ordered->second.renewalAtAnswer = renewalNumber_;
+        }
     }
     logEvent(
         LogLevel::Info, "run.started", {{"job", run.task.job}, {"task", nameOf(run.task)}, {"run", std::to_string(run.run)}, {"endpoint", order.endpoint}});
--- a/src/libknapweed/cell/endpointstatus.h
+++ b/src/libknapweed/cell/endpointstatus.h
@@ -95,6 +95,7 @@
     };
     Kind kind = Kind::Unanswered;
     std::string detail;
+    bool isTimeout = false; ///< the connection stayed open without an answer
 };
 
 using RenewalCallback = std::function<void(Result<RenewalResult, EndpointError>)>;
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -167,7 +167,7 @@
     Milliseconds runTimeOf(const Job &job, const Step &step) const;
     std::vector<BootTime> latestStartsOf(const Job &job, int occurrence) const;
     void countCrashes(const wire::EndpointReport &report, BootTime now);
-    void countCrash(const RunId &run, const std::string &endpoint, bool isCertain, BootTime now);
+    void countCrash(const wire::LostRun &lost, const std::string &endpoint, bool isCertain, BootTime now);
     void removeFromRecords(const Endpoint &endpoint);
     void updateHealth(Endpoint &endpoint, Job *job, RunOutcome outcome, BootTime now);
     void grant(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now);
--- a/src/libknapweed/cell/schedulercrashes.cpp
+++ b/src/libknapweed/cell/schedulercrashes.cpp
@@ -16,33 +16,45 @@
 {
 
 constexpr int certainCrashesUntilFailed = 2; ///< when the last crash has one possible cause only
-constexpr int crashesUntilFailed = 3;
+constexpr int crashesUntilFailed = 3; ///< with those that it may not have met: a task may crash each endpoint before that shows it
+
+bool isGivenUp(const TaskCrashes &crashes, bool isCertain)
+{
+    return (isCertain && crashes.count >= certainCrashesUntilFailed) || crashes.count + crashes.suspected >= crashesUntilFailed;
+}
 
 } // namespace
 
 /// Counts the runs held responsible for the crash that the report tells of. Each run is counted once, whichever scheduler hears of it first: the record holds
-/// the newest run that was counted.
+/// the newest run that was counted. A crash is held as a suspicion only against a run that the endpoint may not have had any more, and against one that had
+/// settled: it may have ended in the moment before.
 void Scheduler::countCrashes(const wire::EndpointReport &report, BootTime now)
 {
-    std::vector<RunId> starting;
-    std::vector<RunId> settled;
+    std::vector<wire::LostRun> starting;
+    std::vector<wire::LostRun> settled;
     for (const wire::LostRun &lost : report.lost) {
-        (lost.isSettled ? settled : starting).push_back(runIdOf(lost.run));
+        if (!lost.isSettled) {
+            starting.push_back(lost);
+        } else if (lost.wasRunning) {
+            settled.push_back(lost);
+        }
     }
-    const bool isOneUnit = !starting.empty() && std::all_of(starting.begin(), starting.end(), [&](const RunId &run) {
-        const auto job = jobs_.find(run.task.job);
-        return job != jobs_.end() && run.task.job == starting.front().task.job
-            && unitKeyOf(job->second.spec, run.task) == unitKeyOf(job->second.spec, starting.front().task);
+    const bool isOneUnit = !starting.empty() && std::all_of(starting.begin(), starting.end(), [&](const wire::LostRun &lost) {
+        const TaskId task = runIdOf(lost.run).task;
+        const TaskId first = runIdOf(starting.front().run).task;
+        const auto job = jobs_.find(task.job);
+        return job != jobs_.end() && task.job == first.job && unitKeyOf(job->second.spec, task) == unitKeyOf(job->second.spec, first);
     });
-    for (const RunId &run : starting.empty() ? settled : starting) {
-        countCrash(run, report.endpoint, isOneUnit, now);
+    for (const wire::LostRun &lost : starting.empty() ? settled : starting) {
+        countCrash(lost, report.endpoint, isOneUnit, now);
     }
 }
 
 /// Each task of a gang has a count of its own: endpoints that crash under different members show no task that crashes its endpoints. @p isCertain: no other
 /// unit can be the cause.
-void Scheduler::countCrash(const RunId &run, const std::string &endpoint, bool isCertain, BootTime now)
+void Scheduler::countCrash(const wire::LostRun &lost, const std::string &endpoint, bool isCertain, BootTime now)
 {
+    const RunId run = runIdOf(lost.run);
     const auto found = jobs_.find(run.task.job);
     Unit *unit = found == jobs_.end() ? nullptr : unitOf(found->second, run.task);
     if (unit == nullptr || unit->progress.isDone) {
@@ -55,7 +67,7 @@
     Job &job = found->second;
     TaskCrashes &crashes = unit->progress.crashes[run.task.index];
     crashes.lastRun = run.run;
-    ++crashes.count;
+    ++(lost.wasRunning && !lost.isSettled ? crashes.count : crashes.suspected);
     logEvent(LogLevel::Warning,
         "endpoint.crashed",
         {{"endpoint", endpoint},
@@ -63,10 +75,15 @@
             {"task", nameOf(run.task)},
             {"run", std::to_string(run.run)},
             {"crashes", std::to_string(crashes.count)},
+            {"suspected", std::to_string(crashes.suspected)},
+            {"was_running", lost.wasRunning ? "yes" : "no"},
+            {"settled", lost.isSettled ? "yes" : "no"},
             {"certain", isCertain ? "yes" : "no"}});
-    if (crashes.count >= (isCertain ? certainCrashesUntilFailed : crashesUntilFailed) && !job.isFinished) {
+    if (isGivenUp(crashes, isCertain) && !job.isFinished) {
         job.hasFailed = true;
-        logEvent(LogLevel::Info, "job.failed", {{"job", job.spec.id}, {"task", nameOf(run.task)}, {"crashes", std::to_string(crashes.count)}});
+        logEvent(LogLevel::Info,
+            "job.failed",
+            {{"job", job.spec.id}, {"task", nameOf(run.task)}, {"crashes", std::to_string(crashes.count)}, {"suspected", std::to_string(crashes.suspected)}});
     }
     writeProgress(job);
     updateJobState(job, now);
--- a/src/libknapweed/jobs/jobrecord.cpp
+++ b/src/libknapweed/jobs/jobrecord.cpp
@@ -77,7 +77,7 @@
     for (const auto &[index, task] : crashes) {
         most = std::max(most, task.count);
         newest = std::max(newest, task.lastRun);
-        rows.push_back(json::array({index, task.count, task.lastRun}));
+        rows.push_back(json::array({index, task.count, task.suspected, task.lastRun}));
     }
     row.push_back(most);
     row.push_back(newest);
@@ -90,10 +90,10 @@
     std::map<int, TaskCrashes> crashes;
     if (row.size() > 11) {
         for (const json &task : row.at(11)) {
-            crashes[task.at(0).get<int>()] = {task.at(1).get<int>(), task.at(2).get<std::int64_t>()};
+            crashes[task.at(0).get<int>()] = {task.at(1).get<int>(), task.at(2).get<int>(), task.at(3).get<std::int64_t>()};
         }
     } else if (row.size() > 10 && unitIndex >= 0) {
-        crashes[unitIndex] = {row.at(9).get<int>(), row.at(10).get<std::int64_t>()};
+        crashes[unitIndex] = {row.at(9).get<int>(), 0, row.at(10).get<std::int64_t>()};
     }
     return crashes;
 }
--- a/src/libknapweed/jobs/jobrecord.h
+++ b/src/libknapweed/jobs/jobrecord.h
@@ -20,8 +20,9 @@
 /// Crashes of endpoints that are counted against one task.
 struct TaskCrashes
 {
-    int count = 0;
-    std::int64_t lastRun = 0; ///< the newest run of the task that was counted
+    int count = 0; ///< of endpoints that had just started the task when they crashed
+    int suspected = 0; ///< of endpoints that may have run it then, or had run it for a while
+    std::int64_t lastRun = 0; ///< the newest run of the task that was counted in either
 
     bool operator==(const TaskCrashes &) const = default;
 };
--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -7500,6 +7500,10 @@
 void LostRun::__set_isSettled(const bool val) {
   this->isSettled = val;
 }
+
+void LostRun::__set_wasRunning(const bool val) {
+  this->wasRunning = val;
+}
 std::ostream& operator<<(std::ostream& out, const LostRun& obj)
 {
   obj.printTo(out);
@@ -7544,6 +7548,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wasRunning);
+          this->__isset.wasRunning = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7569,6 +7581,10 @@
   xfer += oprot->writeBool(this->isSettled);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("wasRunning", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->wasRunning);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7578,28 +7594,33 @@
   using ::std::swap;
   swap(a.run, b.run);
   swap(a.isSettled, b.isSettled);
+  swap(a.wasRunning, b.wasRunning);
   swap(a.__isset, b.__isset);
 }
 
 LostRun::LostRun(const LostRun& other213) {
   run = other213.run;
   isSettled = other213.isSettled;
+  wasRunning = other213.wasRunning;
   __isset = other213.__isset;
 }
 LostRun::LostRun(LostRun&& other214) noexcept {
   run = std::move(other214.run);
   isSettled = other214.isSettled;
+  wasRunning = other214.wasRunning;
   __isset = other214.__isset;
 }
 LostRun& LostRun::operator=(const LostRun& other215) {
   run = other215.run;
   isSettled = other215.isSettled;
+  wasRunning = other215.wasRunning;
   __isset = other215.__isset;
   return *this;
 }
 LostRun& LostRun::operator=(LostRun&& other216) noexcept {
   run = std::move(other216.run);
   isSettled = other216.isSettled;
+  wasRunning = other216.wasRunning;
   __isset = other216.__isset;
   return *this;
 }
@@ -7608,6 +7629,7 @@
   out << "LostRun(";
   out << "run=" << to_string(run);
   out << ", " << "isSettled=" << to_string(isSettled);
+  out << ", " << "wasRunning=" << to_string(wasRunning);
   out << ")";
 }
 
--- a/src/libknapweed/peers/gen/peers_types.h
+++ b/src/libknapweed/peers/gen/peers_types.h
@@ -2972,9 +2972,10 @@
 std::ostream& operator<<(std::ostream& out, const EndRow& obj);
 
 typedef struct _LostRun__isset {
-  _LostRun__isset() : run(false), isSettled(false) {}
+  _LostRun__isset() : run(false), isSettled(false), wasRunning(false) {}
   bool run :1;
   bool isSettled :1;
+  bool wasRunning :1;
 } _LostRun__isset;
 
 class LostRun : public virtual ::apache::thrift::TBase {
@@ -2985,12 +2986,14 @@
   LostRun& operator=(const LostRun&);
   LostRun& operator=(LostRun&&) noexcept;
   LostRun() noexcept
-          : isSettled(0) {
+          : isSettled(0),
+            wasRunning(0) {
   }
 
   virtual ~LostRun() noexcept;
   RunRef run;
   bool isSettled;
+  bool wasRunning;
 
   _LostRun__isset __isset;
 
@@ -2998,12 +3001,16 @@
 
   void __set_isSettled(const bool val);
 
+  void __set_wasRunning(const bool val);
+
   bool operator == (const LostRun & rhs) const
   {
     if (!(run == rhs.run))
       return false;
     if (!(isSettled == rhs.isSettled))
       return false;
+    if (!(wasRunning == rhs.wasRunning))
+      return false;
     return true;
   }
   bool operator != (const LostRun &rhs) const {
--- a/src/libknapweed/peers/peers.thrift
+++ b/src/libknapweed/peers/peers.thrift
@@ -103,8 +103,9 @@
 struct RunRow { 1: RunRef run, 2: string checkpoint, 3: i32 percent, 4: i64 load }
 struct EndRow { 1: i64 number, 2: RunRef run, 3: RunEnding how, 4: string checkpoint }
 
-/// A run that was on an endpoint, or may have been, when that crashed. isSettled: the endpoint had survived its start.
-struct LostRun { 1: RunRef run, 2: bool isSettled }
+/// A run that was on an endpoint, or may have been, when that crashed. isSettled: the endpoint had survived its start. wasRunning: the endpoint itself had
+/// shown the run shortly before; otherwise the run may never have begun there, or may have ended before.
+struct LostRun { 1: RunRef run, 2: bool isSettled, 3: bool wasRunning }
 
 /// Sent by an agent to the scheduler: the state of its endpoint and what runs there. sentAtMs is the agent's boot clock in milliseconds; the lease
 /// granted by the answer runs from that time. sequence increases within one incarnation (field life) of the agent's process. isListed means that the lists were
--- a/tests/cell/agentfixture.h
+++ b/tests/cell/agentfixture.h
@@ -221,12 +221,12 @@
         agent->endpointReported(status);
     }
 
-    void failRenewals(EndpointError::Kind kind)
+    void failRenewals(EndpointError::Kind kind, bool isTimeout = false)
     {
         std::vector<RenewalCall> failing = std::move(renewals);
         renewals.clear();
         for (const RenewalCall &call : failing) {
-            call.callback(EndpointError {kind, "failed"});
+            call.callback(EndpointError {kind, "failed", isTimeout});
         }
     }
 
--- a/tests/cell/crashtest.cpp
+++ b/tests/cell/crashtest.cpp
@@ -29,6 +29,7 @@
     std::vector<wire::LostRun> lost; ///< runs that the agent saw end with the previous incarnation
     std::map<std::string, wire::RunRef> running; ///< by job
     int percent = 0;
+    bool isShown = true; ///< the endpoint shows its runs before it crashes under them
 
     wire::EndpointReport report(const std::string &endpoint, std::int64_t generation, const std::vector<wire::RunRow> &running = {})
     {
@@ -45,6 +46,7 @@
         for (const wire::StartOrder &order : orders) {
             lost.emplace_back();
             lost.back().run = order.run;
+            lost.back().wasRunning = isShown;
         }
     }
 
@@ -83,6 +85,7 @@
                         lost.emplace_back();
                         lost.back().run = run;
                         lost.back().isSettled = true;
+                        lost.back().wasRunning = true;
                     }
                 }
                 running.clear();
@@ -121,6 +124,29 @@
     STRCMP_EQUAL("failed", stateOf(*scheduler, "j1").c_str());
 }
 
+/// Guards against BUDGET: the endpoint crashes before it can show what it has started.
+TEST(SchedulerCrashes, taskThatCrashesItsEndpointsBeforeItIsShownIsGivenUp)
+{
+    isShown = false;
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", report("i-a", 1));
+    const SchedulerOutput output = send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, small)})));
+    CHECK(crashAtEachStart(*scheduler, output, 1) <= mostStarts);
+    STRCMP_EQUAL("failed", stateOf(*scheduler, "j1").c_str());
+}
+
+/// Guards against LOST: a run that an endpoint may not have had was taken for the cause of its crash.
+TEST(SchedulerCrashes, crashesThatATaskMayNotHaveMetDoNotAddUpToTwo)
+{
+    std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a", report("i-a", 1));
+    SchedulerOutput output = send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, small)})));
+    output = crash(*scheduler, output, 1);
+    isShown = false;
+    crash(*scheduler, output, 1);
+    STRCMP_EQUAL("running", stateOf(*scheduler, "j1").c_str());
+}
+
 /// Guards against BUDGET: the count was lost with its scheduler.
 TEST(SchedulerCrashes, nextSchedulerKnowsTheCrashesBeforeIt)
 {
--- a/tests/cell/fakeendpoint.cpp
+++ b/tests/cell/fakeendpoint.cpp
@@ -12,6 +12,7 @@
 
 constexpr Milliseconds stopDuration {200};
 constexpr Milliseconds timeToCrash {20};
+constexpr Milliseconds unreadEndTime {300}; ///< a simulated renewal waits for half its maximum, also if a run ends meanwhile
 constexpr Milliseconds resizeSlack {4500}; ///< the platform's time for a machine to be in touch again, and one report
 constexpr Milliseconds gangStartTimeout {3000};
 constexpr Milliseconds maxLease {6000};
@@ -70,6 +71,7 @@
 void FakeEndpoint::finish(const RunId &run, RunOutcome outcome)
 {
     running_.erase(run);
+    endedAt_[run] = now_;
     --shared_.runCounts[run.task];
     shared_.runningMembers[gangOf(run)].erase(run.task.index);
     highestFinished_[run.task] = std::max(highestFinished_[run.task], run.run);
@@ -265,7 +267,14 @@
     for (const auto &[run, state] : running_) {
         --shared_.runCounts[run.task];
         shared_.runningMembers[gangOf(run)].erase(run.task.index);
+        shared_.crashedRuns[run.task].insert(run.run);
     }
+    for (const auto &[run, endedAt] : endedAt_) {
+        if (now_ - endedAt <= unreadEndTime) {
+            shared_.crashedRuns[run.task].insert(run.run);
+        }
+    }
+    endedAt_.clear();
     running_.clear();
     ended_.clear();
     highestFinished_.clear();
--- a/tests/cell/fakeendpoint.h
+++ b/tests/cell/fakeendpoint.h
@@ -29,6 +29,8 @@
     std::set<GangName> completedGangs; ///< gangs of which at least one member has ended with the outcome done
     std::map<std::string, JobSpec> jobs; ///< submitted jobs
     std::map<TaskId, int> crashes; ///< of endpoints, by the task that caused them
+    std::map<TaskId, std::set<std::int64_t>>
+        crashedRuns; ///< runs that were at work, or had just ended unread, when their endpoint crashed or restarted; by task
     std::map<TaskId, int> startsAfterCrashes; ///< of tasks that have caused three
     std::function<Milliseconds()> gangEndDelay; ///< from the end of a member of a gang to the end of another one; unset: none
     std::vector<std::string> violations; ///< violations of the invariants
@@ -94,6 +96,7 @@
     BootTime resizedAt_;
     std::int64_t fence_ = 0;
     std::map<RunId, Running> running_;
+    std::map<RunId, BootTime> endedAt_; ///< of the runs that this incarnation has ended
     std::map<std::int64_t, ListedEnd> ended_;
     std::int64_t lastEnd_ = 0;
     std::int64_t expiredUpTo_ = 0; ///< ends up to this number were not acknowledged before the lease expired; the platform never counts them as acknowledged
--- a/tests/cell/gangcrashtest.cpp
+++ b/tests/cell/gangcrashtest.cpp
@@ -44,6 +44,7 @@
         report.born = born;
         report.lost.emplace_back();
         report.lost.back().run = order.run;
+        report.lost.back().wasRunning = true;
         send(scheduler, agent, report);
         const auto &[otherAgent, other] = members.at(1 - member);
         wire::EndpointReport otherReport = reportOf(other.endpoint, 1);
--- a/tests/cell/randomtest.cpp
+++ b/tests/cell/randomtest.cpp
@@ -38,7 +38,8 @@
     }
     simulation.run(Milliseconds(4000), true);
     simulation.run(calmTime + calmTimePerWork * (options.workFactor - 1), false);
-    if (!simulation.violations().empty() || simulation.unfinishedJobs() != 0 || simulation.acceptedJobs() != jobsPerHistory) {
+    const std::vector<std::string> givenUp = simulation.jobsGivenUpWithoutCause();
+    if (!simulation.violations().empty() || !givenUp.empty() || simulation.unfinishedJobs() != 0 || simulation.acceptedJobs() != jobsPerHistory) {
         std::printf("seed %llu: %zu accepted, %zu unfinished, %zu reported as succeeded, %lld generations\n",
             static_cast<unsigned long long>(options.seed),
             simulation.acceptedJobs(),
@@ -48,8 +49,12 @@
         for (const std::string &violation : simulation.violations()) {
             std::printf("  %s\n", violation.c_str());
         }
+        for (const std::string &job : givenUp) {
+            std::printf("  given up without two crashes under one task: %s\n", job.c_str());
+        }
     }
     CHECK(simulation.violations().empty());
+    CHECK(givenUp.empty());
     LONGS_EQUAL(0, simulation.unfinishedJobs());
     LONGS_EQUAL(jobsPerHistory, simulation.acceptedJobs());
     if (!options.restartsEndpoints && !options.renamesEndpoints) {
--- a/tests/cell/simulation.cpp
+++ b/tests/cell/simulation.cpp
@@ -277,6 +277,24 @@
     }));
 }
 
+std::vector<std::string> Simulation::jobsGivenUpWithoutCause() const
+{
+    constexpr std::size_t crashesToGiveUp = 2;
+    std::set<std::string> withCause;
+    for (const auto &[task, runs] : shared_.crashedRuns) {
+        if (runs.size() >= crashesToGiveUp) {
+            withCause.insert(task.job);
+        }
+    }
+    std::vector<std::string> found;
+    for (const auto &[id, job] : schedulers_.back()->scheduler->jobs()) {
+        if (job.hasFailed && withCause.count(id) == 0) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
 std::int64_t Simulation::generation() const
 {
     return schedulers_.back()->generation;
--- a/tests/cell/simulation.h
+++ b/tests/cell/simulation.h
@@ -74,6 +74,8 @@
     std::size_t succeededJobs() const;
     /// Jobs that were shown as failed although their tasks crash no endpoint.
     std::size_t wronglyFailedJobs() const;
+    /// Jobs that were given up although fewer than two endpoints have crashed under any one of their tasks.
+    std::vector<std::string> jobsGivenUpWithoutCause() const;
     /// Submissions that arrived after the cancel of their job had been acknowledged.
     std::size_t lateSubmissions() const;
     /// Answers of schedulers whose successors had begun their terms.
--- a/tests/cell/simulationagents.cpp
+++ b/tests/cell/simulationagents.cpp
@@ -62,7 +62,7 @@
                 }
                 // A process that goes on may notice the time-out first.
                 const bool isTimedOut = hasWaited && now_ >= timesOutAt && independentChance() < 0.5;
-                callback(isTimedOut ? Answer(EndpointError {EndpointError::Kind::Unanswered, "timed out"}) : value);
+                callback(isTimedOut ? Answer(EndpointError {EndpointError::Kind::Unanswered, "timed out", true}) : value);
             });
         });
     };
@@ -70,7 +70,7 @@
         after(between(900, 3000), [call]() {
             call();
         });
-        answer(callTimeout, EndpointError {EndpointError::Kind::Unanswered, "timed out"});
+        answer(callTimeout, EndpointError {EndpointError::Kind::Unanswered, "timed out", true});
         return;
     }
     const bool isMuted = now_ < node.mutedUntil;
@@ -80,8 +80,8 @@
         });
         // The connection may break, also before the call is carried out, or stay silent.
         const bool isSilent = isMuted || independentChance() < 0.5;
-        answer(
-            isSilent ? callTimeout + wait : independentBetween(1, 8), EndpointError {EndpointError::Kind::Unanswered, isSilent ? "timed out" : "read failed"});
+        answer(isSilent ? callTimeout + wait : independentBetween(1, 8),
+            EndpointError {EndpointError::Kind::Unanswered, isSilent ? "timed out" : "read failed", isSilent});
         return;
     }
     after(between(1, 4) + wait, [call, answer, this]() {
