A start order is valid for a short time

What callers see: a task starts more than 3 s after the acknowledged cancel of its job (UNASKED). Cause: the agent took an order to be good for one lease from its arrival, however long it had been on its way. Change: an order names the time on the agent's clock until which it is valid, 2.5 s from the agent's newest report that the scheduler has; the agent refuses it afterwards, and the unit is planned again. Evidence: Agent orderIsNotCarriedOutOnceItsOwnTimeIsOver and SchedulerCancel startOrderIsValidForAShortTime... fail before (no such field). Who else is touched: orders of an earlier scheduler state no time and are good for the lease as before. On a slow machine an order that takes 1.5 s and more from plan to call is refused and planned again.

--- a/src/libknapweed/cell/agentstarts.cpp
+++ b/src/libknapweed/cell/agentstarts.cpp
@@ -5,6 +5,8 @@
 #include "base/logging.h"
 #include "cell/runwire.h"
 
+#include <algorithm>
+
 namespace knapweed::cell
 {
 
@@ -44,7 +46,8 @@
         return;
     }
     const RunId run = runIdOf(order.run);
-    const BootTime validUntil = leaseExpiresAt_;
+    const BootTime orderExpiresAt = order.validUntilMs > 0 ? BootTime(Milliseconds(order.validUntilMs)) : leaseExpiresAt_;
+    const BootTime validUntil = std::min(leaseExpiresAt_, orderExpiresAt);
     const std::optional<RunId> unanswered = newestUnansweredStartOf(run.task);
     if (!unanswered || unanswered->run >= run.run) {
         attemptStart(peer, order, validUntil, 1);
@@ -91,8 +94,8 @@
     return !fits({order.milliCores, order.memoryMib, order.accelerators}, incarnation_->status.capacity);
 }
 
-/// Repeats a start that gets no answer. This is safe because an endpoint carries out each run number at most once. The order holds until the end of the lease
-/// under which it arrived, at @p validUntil: once that is over, the scheduler may have started the task elsewhere.
+/// Repeats a start that gets no answer. This is safe because an endpoint carries out each run number at most once. The order holds until @p validUntil, at most
+/// until the end of the lease under which it arrived: once that is over, the scheduler may have started the task elsewhere.
 void Agent::attemptStart(const std::string &peer, const wire::StartOrder &order, BootTime validUntil, int attempt)
 {
     const std::optional<Milliseconds> until = leaseUntil();
--- a/src/libknapweed/cell/fleet.h
+++ b/src/libknapweed/cell/fleet.h
@@ -56,6 +56,7 @@
     std::int64_t agentIncarnation = 0; ///< incarnation of the agent process that reports
     std::int64_t sequence = 0; ///< sequence number of its newest report; older reports that arrive late are ignored
     BootTime lastReport;
+    BootTime lastReportSentAt; ///< on the agent's clock
     BootTime leaseExpiresAt; ///< no run on the endpoint continues beyond this time without a new grant
     std::map<RunId, Allocation> runs;
     std::int64_t endsApplied = 0; ///< ends up to this number have been applied to the jobs
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -118,6 +118,7 @@
         }
     }
     endpoint.lastReport = now;
+    endpoint.lastReportSentAt = BootTime(Milliseconds(report.sentAtMs));
 }
 
 /// Extends the lease of the endpoint. The lease counts from when the agent sent the report, which was before @p now, so it expires no later than recorded here.
--- a/src/libknapweed/cell/schedulerstarts.cpp
+++ b/src/libknapweed/cell/schedulerstarts.cpp
@@ -12,6 +12,10 @@
 namespace
 {
 
+/// Counted from the agent's newest report. An order that waits for a connection must not start a task more than 3 s after the acknowledgement of its cancel;
+/// the rest of that time is left for the call to the endpoint.
+constexpr Milliseconds startOrderValidity {2500};
+
 std::string joined(const std::vector<std::string> &words)
 {
     std::string text;
@@ -111,7 +115,9 @@
     allocation->second.orderedAt = now;
     allocation->second.firstOrderedAt = now;
     allocation->second.progressAt = now;
-    output_.messages.emplace_back(start.agent, start.order);
+    wire::StartOrder order = start.order;
+    order.validUntilMs = (endpoint->lastReportSentAt + startOrderValidity).time_since_epoch().count();
+    output_.messages.emplace_back(start.agent, std::move(order));
 }
 
 } // namespace knapweed::cell
--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -8443,6 +8443,10 @@
 void StartOrder::__set_accelerators(const int64_t val) {
   this->accelerators = val;
 }
+
+void StartOrder::__set_validUntilMs(const int64_t val) {
+  this->validUntilMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const StartOrder& obj)
 {
   obj.printTo(out);
@@ -8551,6 +8555,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->validUntilMs);
+          this->__isset.validUntilMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8608,6 +8620,10 @@
   xfer += oprot->writeI64(this->accelerators);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("validUntilMs", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->validUntilMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8625,6 +8641,7 @@
   swap(a.milliCores, b.milliCores);
   swap(a.memoryMib, b.memoryMib);
   swap(a.accelerators, b.accelerators);
+  swap(a.validUntilMs, b.validUntilMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -8639,6 +8656,7 @@
   milliCores = other249.milliCores;
   memoryMib = other249.memoryMib;
   accelerators = other249.accelerators;
+  validUntilMs = other249.validUntilMs;
   __isset = other249.__isset;
 }
 StartOrder::StartOrder(StartOrder&& other250) noexcept {
@@ -8652,6 +8670,7 @@
   milliCores = other250.milliCores;
   memoryMib = other250.memoryMib;
   accelerators = other250.accelerators;
+  validUntilMs = other250.validUntilMs;
   __isset = other250.__isset;
 }
 StartOrder& StartOrder::operator=(const StartOrder& other251) {
@@ -8665,6 +8684,7 @@
   milliCores = other251.milliCores;
   memoryMib = other251.memoryMib;
   accelerators = other251.accelerators;
+  validUntilMs = other251.validUntilMs;
   __isset = other251.__isset;
   return *this;
 }
@@ -8679,6 +8699,7 @@
   milliCores = other252.milliCores;
   memoryMib = other252.memoryMib;
   accelerators = other252.accelerators;
+  validUntilMs = other252.validUntilMs;
   __isset = other252.__isset;
   return *this;
 }
@@ -8695,6 +8716,7 @@
   out << ", " << "milliCores=" << to_string(milliCores);
   out << ", " << "memoryMib=" << to_string(memoryMib);
   out << ", " << "accelerators=" << to_string(accelerators);
+  out << ", " << "validUntilMs=" << to_string(validUntilMs);
   out << ")";
 }
 
--- a/src/libknapweed/peers/gen/peers_types.h
+++ b/src/libknapweed/peers/gen/peers_types.h
@@ -3270,7 +3270,7 @@
 std::ostream& operator<<(std::ostream& out, const EndpointGrant& obj);
 
 typedef struct _StartOrder__isset {
-  _StartOrder__isset() : generation(false), endpoint(false), born(false), run(false), input(false), checkpoint(false), ticket(false), milliCores(false), memoryMib(false), accelerators(false) {}
+  _StartOrder__isset() : generation(false), endpoint(false), born(false), run(false), input(false), checkpoint(false), ticket(false), milliCores(false), memoryMib(false), accelerators(false), validUntilMs(false) {}
   bool generation :1;
   bool endpoint :1;
   bool born :1;
@@ -3281,6 +3281,7 @@
   bool milliCores :1;
   bool memoryMib :1;
   bool accelerators :1;
+  bool validUntilMs :1;
 } _StartOrder__isset;
 
 class StartOrder : public virtual ::apache::thrift::TBase {
@@ -3299,7 +3300,8 @@
                ticket(),
                milliCores(0),
                memoryMib(0),
-               accelerators(0) {
+               accelerators(0),
+               validUntilMs(0) {
   }
 
   virtual ~StartOrder() noexcept;
@@ -3313,6 +3315,7 @@
   int64_t milliCores;
   int64_t memoryMib;
   int64_t accelerators;
+  int64_t validUntilMs;
 
   _StartOrder__isset __isset;
 
@@ -3336,6 +3339,8 @@
 
   void __set_accelerators(const int64_t val);
 
+  void __set_validUntilMs(const int64_t val);
+
   bool operator == (const StartOrder & rhs) const
   {
     if (!(generation == rhs.generation))
@@ -3358,6 +3363,8 @@
       return false;
     if (!(accelerators == rhs.accelerators))
       return false;
+    if (!(validUntilMs == rhs.validUntilMs))
+      return false;
     return true;
   }
   bool operator != (const StartOrder &rhs) const {
--- a/src/libknapweed/peers/peers.thrift
+++ b/src/libknapweed/peers/peers.thrift
@@ -119,9 +119,10 @@
 }
 struct EndpointGrant { 1: i64 generation, 2: i64 sentAtMs, 3: string endpoint, 4: i64 born, 5: i64 endsStored }
 /// milliCores, memoryMib and accelerators are the endpoint's capacity for which the start was planned; the agent refuses it if the endpoint has less by then.
+/// validUntilMs is on the agent's boot clock, as sentAtMs of its reports; 0: not stated. The agent carries out no order after it.
 struct StartOrder {
   1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run, 5: string input, 6: string checkpoint, 7: string ticket,
-  8: i64 milliCores, 9: i64 memoryMib, 10: i64 accelerators
+  8: i64 milliCores, 9: i64 memoryMib, 10: i64 accelerators, 11: i64 validUntilMs
 }
 /// sequence is that of the agent's newest report. Only later reports can be expected to hold the run.
 struct StartResult { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run, 5: StartOutcome outcome, 6: string detail, 7: i64 sequence }
--- a/tests/cell/agenttest.cpp
+++ b/tests/cell/agenttest.cpp
@@ -222,6 +222,20 @@
     LONGS_EQUAL(wire::StartOutcome::Rejected, results()[0].outcome);
 }
 
+/// Guards against UNASKED: an order that had waited for a connection was carried out although its job had been cancelled seconds ago.
+TEST(Agent, orderIsNotCarriedOutOnceItsOwnTimeIsOver)
+{
+    wire::StartOrder order = orderOf(41);
+    order.validUntilMs = (now + Milliseconds(2500)).time_since_epoch().count();
+    now += Milliseconds(2600);
+    answerRenewals(100);
+    grantLease(100);
+    agent->receive(schedulerName, order);
+    CHECK(starts.empty());
+    LONGS_EQUAL(1, results().size());
+    LONGS_EQUAL(wire::StartOutcome::Rejected, results()[0].outcome);
+}
+
 // As above, for the repetition of an order whose answer was lost: a later lease says nothing about the order.
 TEST(Agent, unansweredStartIsNotRepeatedUnderALaterLease)
 {
--- a/tests/cell/canceltest.cpp
+++ b/tests/cell/canceltest.cpp
@@ -52,6 +52,19 @@
     }
 };
 
+/// Guards against UNASKED: a start order that waits for a connection outlasts the cancel of its job.
+TEST(SchedulerCancel, startOrderIsValidForAShortTimeAfterTheNewestReportOfItsAgent)
+{
+    scheduler = makeScheduler(1);
+    wire::EndpointReport report = reportOf("i-a", 1);
+    report.sentAtMs = 5000;
+    send(*scheduler, "a", report);
+    const std::vector<wire::StartOrder> starts = startsOf(send(*scheduler, "entry", submitOf(plainJob("j1", "usual", {plainStep(1, {1000, 100, 1})}))));
+    LONGS_EQUAL(1, starts.size());
+    CHECK(starts[0].validUntilMs > 5000);
+    CHECK(starts[0].validUntilMs < 5000 + 3000);
+}
+
 /// Guards against UNASKED: the stop order was lost with a killed agent and not repeated while no other job was unfinished.
 TEST(SchedulerCancel, stopOfTheOnlyJobIsRepeatedUntilItsRunIsGone)
 {
