--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -29,6 +29,7 @@
     std::function<BootTime()> now;
 };
 
+constexpr Seconds lateOrderWindow {15}; ///< an unanswered order may be carried out up to 12 s later
 constexpr Milliseconds longPollTimeout {500}; ///< maximum wait of a lease renewal for an end of a run; progress is read at this interval
 constexpr Milliseconds idleRenewalInterval {2000}; ///< without runs, only delayed orders change the lists
 
@@ -89,7 +90,8 @@
         std::map<RunId, OrderedRun> ordered; ///< runs whose start was sent, or which were listed; none whose end is known
         std::optional<BootTime> silentSince; ///< when a renewal failed first since the newest lists: the endpoint may have crashed then
         std::uint64_t renewalAtSilence = 0; ///< the newest one sent by then
-        bool mayHaveEndedRuns = false; ///< an answer with the end of a run may have been missed since the newest lists
+        bool mayHaveMissedEnds = false; ///< an answer with the end of a run may have been missed since the newest lists
+        bool isReplaced = false; ///< the next incarnation answers, so that nothing since hides an end of this one
         std::map<RunId, std::uint64_t> started; ///< started but maybe not listed yet; with the newest renewal sent before the answer
         bool hasLeft = false; ///< announced since the newest report; its runs end with it
         BootTime leavesAt; ///< earliest time at which the endpoint may be gone; meaningful while draining
--- a/src/libknapweed/cell/agentlosses.cpp
+++ b/src/libknapweed/cell/agentlosses.cpp
@@ -24,14 +24,15 @@
 /// a run.
 void Agent::noteSilence(std::uint64_t number, const EndpointError &failure)
 {
-    if (number < incarnation_->appliedRenewal) {
+    if (number < incarnation_->appliedRenewal || incarnation_->isReplaced) {
         return;
     }
     using Kind = EndpointError::Kind;
     const bool isFirst = !incarnation_->silentSince || number <= incarnation_->renewalAtSilence;
     const bool isClosed = failure.kind == Kind::Unanswered && !failure.isTimeout;
     const bool isCrash = failure.kind == Kind::ConnectionFailed || failure.kind == Kind::DifferentIncarnation || (isClosed && isFirst);
-    incarnation_->mayHaveEndedRuns = incarnation_->mayHaveEndedRuns || !isCrash;
+    incarnation_->mayHaveMissedEnds = incarnation_->mayHaveMissedEnds || !isCrash;
+    incarnation_->isReplaced = failure.kind == Kind::DifferentIncarnation;
     if (!incarnation_->silentSince) {
         incarnation_->silentSince = hooks_.now();
         incarnation_->renewalAtSilence = renewalNumber_;
@@ -39,19 +40,23 @@
 }
 
 /// Whether the endpoint has shown the run so shortly before it crashed that an end in between would have been read. A run that was being stopped may have ended
-/// at any moment.
+/// at any moment; one that was ordered to stop since may not.
 bool Agent::wasRunningUntilCrash(const RunId &run, const OrderedRun &ordered) const
 {
     const BootTime crashedBy = incarnation_->silentSince.value_or(hooks_.now());
     const bool isShown = ordered.shownAt != BootTime() && crashedBy - ordered.shownAt <= shownRunValidity;
-    return isShown && !incarnation_->mayHaveEndedRuns && stopOrders_.count(run) == 0;
+    const auto stop = stopOrders_.find(run);
+    const bool wasStopping = stop != stopOrders_.end() && stop->second <= crashedBy;
+    return isShown && !incarnation_->mayHaveMissedEnds && !wasStopping;
 }
 
 /// Records the runs that end with the current incarnation, for the reports of the next one. None if it was leaving: its end is no crash. @p lists: the first
 /// ones of the next incarnation, read by the renewal @p verification.
 void Agent::recordLostRuns(std::uint64_t verification, const RenewalResult &lists)
 {
-    lostRuns_.clear();
+    if (areLostRunsKnown_) {
+        lostRuns_.clear();
+    }
     areLostRunsKnown_ = true;
     lostRunsExpireAt_ = hooks_.now() + lostRunsRetention;
     if (!incarnation_ || incarnation_->status.isDraining || incarnation_->isGone) {
@@ -62,7 +67,11 @@
         LostRun lost {run, ordered};
         lost.isSettled = listed != incarnation_->running.end() && hasSettled(true, listed->second.percent, hooks_.now() - ordered.since);
         lost.wasRunning = wasRunningUntilCrash(run, ordered);
-        areLostRunsKnown_ = areLostRunsKnown_ && (ordered.isListed || ordered.renewalAtAnswer < verification);
+        const bool isAnswered = ordered.shownAt != BootTime();
+        if (!isAnswered && hooks_.now() - ordered.since >= lateOrderWindow) {
+            continue;
+        }
+        areLostRunsKnown_ = areLostRunsKnown_ && (ordered.isListed || (isAnswered && ordered.renewalAtAnswer < verification));
         lostRuns_.push_back(std::move(lost));
     }
     removeCarriedOutStarts(lists);
@@ -86,12 +95,10 @@
 void Agent::removeCarriedOutStarts(const RenewalResult &lists)
 {
     std::erase_if(lostRuns_, [&lists](const LostRun &lost) {
-        const bool isHere = std::any_of(lists.running.begin(), lists.running.end(), [&lost](const ListedRun &run) {
-            return run.run == lost.run;
-        }) || std::any_of(lists.ended.begin(), lists.ended.end(), [&lost](const ListedEnd &end) {
-            return end.run == lost.run;
-        });
-        return isHere && !lost.ordered.isListed;
+        const auto isOfRun = [&lost](const auto &row) {
+            return row.run == lost.run;
+        };
+        return std::any_of(lists.running.begin(), lists.running.end(), isOfRun) || std::any_of(lists.ended.begin(), lists.ended.end(), isOfRun);
     });
 }
 
--- a/src/libknapweed/cell/agentrenewal.cpp
+++ b/src/libknapweed/cell/agentrenewal.cpp
@@ -114,7 +114,7 @@
     incarnation_->clockReadAt = hooks_.now();
     incarnation_->isClockKnown = true;
     incarnation_->silentSince.reset();
-    incarnation_->mayHaveEndedRuns = false;
+    incarnation_->mayHaveMissedEnds = false;
     removeCarriedOutStarts(answer);
     areLostRunsKnown_ = true;
     const bool isFirstOfGeneration = incarnation_->listedGeneration != renewal.fence;
@@ -144,6 +144,10 @@
         for (const auto &[run, listed] : before) {
             incarnation_->ordered.erase(run);
         }
+        std::erase_if(incarnation_->ordered, [this, number](const auto &ordered) {
+            const bool isAnswered = ordered.second.shownAt != BootTime();
+            return isAnswered && ordered.second.renewalAtAnswer < number && incarnation_->running.count(ordered.first) == 0;
+        });
     } else {
         // A run that is in neither list may have ended, with an end that did not fit.
         std::erase_if(before, [this](const auto &run) {
--- a/src/libknapweed/cell/agentstarts.cpp
+++ b/src/libknapweed/cell/agentstarts.cpp
@@ -13,7 +13,6 @@
 namespace
 {
 
-constexpr Seconds lateOrderWindow {15}; ///< an unanswered order may be carried out up to 12 s later
 constexpr int maxStartAttempts = 3; ///< with the adapter's time-out, all attempts end before the scheduler considers the order lost
 
 } // namespace
@@ -72,7 +71,7 @@
     std::erase_if(stopOrders_, [now](const auto &order) {
         return order.second + lateOrderWindow <= now;
     });
-    stopOrders_[run] = now;
+    stopOrders_.try_emplace(run, now);
 }
 
 /// The newest unanswered start of the task that may still be carried out.
@@ -116,7 +115,9 @@
     request.checkpoint = order.checkpoint;
     request.ticket = order.ticket;
     request.leaseUntil = *until;
-    incarnation_->ordered.try_emplace(request.run, OrderedRun {hooks_.now()});
+    if (attempt == 1) {
+        incarnation_->ordered.try_emplace(request.run, OrderedRun {hooks_.now()}); // by the next attempts, its end may have been read
+    }
     hooks_.driver.start(request, [this, peer, order, validUntil, attempt, sentAt = hooks_.now()](const Result<Milliseconds, EndpointError> &result) {
         if (isOk(result)) {
             startSucceeded(peer, order, sentAt);
--- a/src/libknapweed/cell/schedulercrashes.cpp
+++ b/src/libknapweed/cell/schedulercrashes.cpp
@@ -33,21 +33,25 @@
     std::vector<wire::LostRun> starting;
     std::vector<wire::LostRun> settled;
     for (const wire::LostRun &lost : report.lost) {
-        if (!lost.isSettled) {
-            starting.push_back(lost);
-        } else if (lost.wasRunning) {
-            settled.push_back(lost);
-        }
+        (lost.isSettled ? settled : starting).push_back(lost);
     }
-    const bool isOneUnit = !starting.empty() && std::all_of(starting.begin(), starting.end(), [&](const wire::LostRun &lost) {
+    const bool wasAnyStarting = std::any_of(starting.begin(), starting.end(), [](const wire::LostRun &lost) {
+        return lost.wasRunning;
+    });
+    const bool isOneUnit = wasAnyStarting && std::all_of(starting.begin(), starting.end(), [&](const wire::LostRun &lost) {
         const TaskId task = runIdOf(lost.run).task;
         const TaskId first = runIdOf(starting.front().run).task;
         const auto job = jobs_.find(task.job);
         return job != jobs_.end() && task.job == first.job && unitKeyOf(job->second.spec, task) == unitKeyOf(job->second.spec, first);
     });
-    for (const wire::LostRun &lost : starting.empty() ? settled : starting) {
+    for (const wire::LostRun &lost : starting) {
         countCrash(lost, report.endpoint, isOneUnit, now);
     }
+    if (!wasAnyStarting) {
+        for (const wire::LostRun &lost : settled) {
+            countCrash(lost, report.endpoint, false, now);
+        }
+    }
 }
 
 /// Each task of a gang has a count of its own: endpoints that crash under different members show no task that crashes its endpoints. @p isCertain: no other
@@ -65,6 +69,9 @@
         return;
     }
     Job &job = found->second;
+    if (lost.isSettled && job.spec.steps[run.task.step].isLongRunning) {
+        return; // a task that lasts meets crashes that it hasn't caused for as long as it lives
+    }
     TaskCrashes &crashes = unit->progress.crashes[run.task.index];
     crashes.lastRun = run.run;
     ++(lost.wasRunning && !lost.isSettled ? crashes.count : crashes.suspected);
--- a/tests/cell/agentcrashtest.cpp
+++ b/tests/cell/agentcrashtest.cpp
@@ -35,12 +35,16 @@
     CHECK_TRUE(lastReport().lost[0].isSettled);
 }
 
-/// Guards against LOST: a start that was never carried out counted as a crash. The endpoint may also have crashed before it answered.
+/// Guards against LOST: a start that was never carried out counted as a crash. The endpoint may also have crashed before it answered, so it is reported once
+/// the next incarnation has refused the start.
 TEST(AgentCrash, runOfAnUnansweredStartMayHaveBeenLost)
 {
     agent->receive(schedulerName, orderOf(41));
     failOneStart(EndpointError::Kind::Unanswered);
     beginIncarnation(200);
+    LONGS_EQUAL(1, stops.size());
+    stops.back().callback(Milliseconds(5));
+    answerRenewals(200);
     LONGS_EQUAL(1, lastReport().lost.size());
     CHECK_FALSE(lastReport().lost[0].wasRunning);
 }
