Block signals before the settings are read

Cause: the signals were blocked after the settings had been read, so that their default action applied until then. Evidence: lifecycle-hangup-while-starting, -1 in 2 of 2 runs for an entry; the same line served agents and the roles without a cell. Change: all roles block the signals once the options are parsed. The checks of settings files don't, so that they can be interrupted as before. Measured: the test passes 3 of 3 times, for an entry and an agent. Touches: a process that gets SIGTERM while it reads its settings now starts and drains (an entry 2.5 s) instead of ending at once. No caller is connected to a process that has not started; it is away until the platform starts it again.

--- a/src/knapweedstaged/main.cpp
+++ b/src/knapweedstaged/main.cpp
@@ -36,7 +36,6 @@
 
 int runRole(const knapweed::Settings &settings)
 {
-    knapweed::blockTerminationSignals();
     const bool isEntry = settings.role == knapweed::ProcessRole::Entry;
     knapweed::initializeLogging(isEntry ? "entry" : "agent." + settings.worker.id, settings.logLevel);
     return isEntry ? knapweed::runEntry(settings) : knapweed::runAgent(settings);
@@ -45,7 +44,6 @@
 int runCell(const knapweed::cell::SettingsFile &file)
 {
     const knapweed::cell::CellSettings &settings = file.settings;
-    knapweed::blockTerminationSignals();
     knapweed::initializeLogging(settings.name, settings.logLevel, knapweed::LogStream::StandardOutput);
     const bool isEntry = settings.role == knapweed::ProcessRole::Entry;
     const int status = isEntry ? knapweed::runTask<knapweed::CellEntryTask>(file) : knapweed::runTask<knapweed::CellAgentTask>(file);
@@ -78,6 +76,10 @@
         std::fprintf(stderr, "knapweedstaged: %s\n", problem);
         return exitUsage;
     }
+    if (settingsFile != nullptr || cellFile != nullptr) {
+        // Before the settings are read: signals that arrive while the process starts are handled once it runs.
+        knapweed::blockTerminationSignals();
+    }
     if (cellFile != nullptr || checkedCellFile != nullptr) {
         knapweed::cell::CellSettings settings;
         const int status = checkSettings(knapweed::cell::readCellSettings(cellFile != nullptr ? cellFile : checkedCellFile), settings);
