Let an entry end only once no caller waits to be read

Cause: an entry closed its listener and ended in the same tick as soon as no request was open. Callers on kept connections had not been told to close them, and what the kernel had accepted or received, but the server had not read, didn't count. Timers run before sockets, so after a delay of the loop nothing of it was read. Change: from SIGTERM on each answer closes its connection, while new connections are still accepted. The server counts connections from their acceptance on and knows whether any has unread bytes. The entry ends when no caller waits and all connections are closed, or 0.5 s after closing its listener if only idle ones are left; the reserve before the end of the grace time is as before. process.stopped says how many connections were open. The drain of the server moves to a file of its own. Callers connect anew for each request while their entry drains.

--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -17,6 +17,7 @@
 
 constexpr Milliseconds tickInterval {100};
 constexpr Milliseconds reportedDelay {500}; ///< of a tick; a loop that is this late delays every answer and every time-out
+constexpr Milliseconds idleConnectionDrainTime {500}; ///< for callers that have just connected or that no answer has told to close
 constexpr Milliseconds listenerDrainTime {2500}; ///< the platform routes new connections to this entry until two readiness probes have failed
 constexpr Milliseconds shutdownReserve {1000}; ///< time before the platform kills the process; requests still open then would be aborted in any case
 
@@ -338,18 +339,23 @@
     isDraining_ = true;
     drainStartedAt_ = monotonicNow();
     logEvent(LogLevel::Info, "process.draining", {{"open_calls", std::to_string(relay_.size())}});
+    callerServer_->closeConnectionsAfterAnswers();
     peers_->setDraining(true);
     resignLeadership("shutdown");
 }
 
 void CellEntryTask::finishDrain(MonotonicTime now)
 {
-    if (now - drainStartedAt_ < std::min(listenerDrainTime, settings_.grace / 2)) {
+    const MonotonicTime listenerEnd = drainStartedAt_ + std::min(listenerDrainTime, settings_.grace / 2);
+    if (now < listenerEnd) {
         return;
     }
     callerServer_->closeListener();
-    if (callerServer_->openRequests() == 0 || now - drainStartedAt_ > settings_.grace - shutdownReserve) {
-        logEvent(LogLevel::Info, "process.stopped", {{"open_requests", std::to_string(callerServer_->openRequests())}});
+    const bool isIdle = !callerServer_->hasWaitingCallers() && (callerServer_->openConnections() == 0 || now >= listenerEnd + idleConnectionDrainTime);
+    if (isIdle || now - drainStartedAt_ > settings_.grace - shutdownReserve) {
+        logEvent(LogLevel::Info,
+            "process.stopped",
+            {{"open_requests", std::to_string(callerServer_->openRequests())}, {"open_connections", std::to_string(callerServer_->openConnections())}});
         loop_.stop();
     }
 }
--- a/src/libknapweed/base/httpserver.cpp
+++ b/src/libknapweed/base/httpserver.cpp
@@ -76,11 +76,14 @@
     info.user = this;
     info.keepalive_timeout = static_cast<int>(options.idleTimeout.count());
     vhost = lws_create_vhost(loop->context(), &info);
-    if (vhost == nullptr || !listener->attach(vhost, this)) {
+    Private *server = this;
+    const auto accepted = [server](lws *wsi) {
+        server->connections.try_emplace(wsi);
+    };
+    if (vhost == nullptr || !listener->attach(vhost, this, accepted)) {
         address.port = 0;
         return false;
     }
-    Private *server = this;
     sweepTimer = loop->callEvery(sweepInterval, [server]() {
         server->sweep();
     });
@@ -352,25 +355,9 @@
     }
 }
 
-bool HttpServer::isListening() const
-{
-    return d_->address.port != 0 && !d_->isDraining;
-}
-
 Address HttpServer::address() const
 {
     return d_->address;
 }
 
-std::size_t HttpServer::openRequests() const
-{
-    return d_->requests.size();
-}
-
-void HttpServer::closeListener()
-{
-    d_->isDraining = true;
-    d_->listener->close();
-}
-
 } // namespace knapweed
--- a/src/libknapweed/base/httpserver.h
+++ b/src/libknapweed/base/httpserver.h
@@ -44,7 +44,13 @@
 
     /// Requests received and not yet answered in full.
     std::size_t openRequests() const;
+    /// Accepted connections of callers, with or without a request.
+    std::size_t openConnections() const;
+    /// Whether there are open requests, or bytes that have not been read.
+    bool hasWaitingCallers() const;
 
+    /// From now on each answer tells its caller to close the connection. New connections are still accepted.
+    void closeConnectionsAfterAnswers();
     /// Stops accepting connections; open ones go on and are closed after their answer.
     void closeListener();
 
--- a/src/libknapweed/base/httpserverprivate.h
+++ b/src/libknapweed/base/httpserverprivate.h
@@ -1,5 +1,5 @@
-// The state of an HTTP server: its connections by libwebsockets handle, and its WebSocket connections by number. Used by httpserver.cpp and
-// httpserverpeers.cpp only.
+// The state of an HTTP server: its connections by libwebsockets handle, and its WebSocket connections by number. Used by httpserver.cpp,
+// httpserverdrain.cpp and httpserverpeers.cpp only.
 #pragma once
 
 #include "base/httpserver.h"
@@ -48,10 +48,11 @@
     std::unique_ptr<Listener> listener;
     lws_vhost *vhost = nullptr;
     Address address;
-    bool isDraining = false; ///< the listener is closed; each connection closes after its answer
+    bool isDraining = false; ///< each connection closes after its answer
+    bool isListenerClosed = false;
     bool isDestroyed = false; ///< the HttpServer is gone; callbacks only clean up
 
-    std::unordered_map<lws *, HttpConnection> connections;
+    std::unordered_map<lws *, HttpConnection> connections; ///< from their acceptance on
     /// Invariant: one entry for each connection whose requestId is not 0.
     std::unordered_map<std::uint64_t, lws *> requests;
     std::uint64_t lastRequestId = 0;
--- a/src/libknapweed/base/listener.cpp
+++ b/src/libknapweed/base/listener.cpp
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace knapweed
 {
@@ -79,7 +80,7 @@
     return address_;
 }
 
-bool Listener::attach(lws_vhost *vhost, void *owner)
+bool Listener::attach(lws_vhost *vhost, void *owner, std::function<void(lws *)> accepted)
 {
     lws_adopt_desc_t adoption {};
     adoption.vh = vhost;
@@ -89,6 +90,7 @@
     adoption.opaque = this;
     vhost_ = vhost;
     owner_ = owner;
+    accepted_ = std::move(accepted);
     handle_ = lws_adopt_descriptor_vhost_via_info(&adoption);
     if (handle_ != nullptr) {
         lws_set_opaque_user_data(handle_, this);
@@ -145,6 +147,7 @@
         lws *handle = lws_adopt_socket_vhost(vhost_, descriptor);
         if (handle != nullptr) {
             lws_set_opaque_user_data(handle, owner_);
+            accepted_(handle);
         }
     }
     return true;
--- a/src/libknapweed/base/listener.h
+++ b/src/libknapweed/base/listener.h
@@ -4,6 +4,7 @@
 
 #include "base/address.h"
 
+#include <functional>
 #include <memory>
 
 struct lws;
@@ -26,8 +27,9 @@
 
     Address address() const;
 
-    /// Accepts for @p vhost from now on; the opaque user data of each connection is @p owner. Returns false when libwebsockets refuses the socket.
-    bool attach(lws_vhost *vhost, void *owner);
+    /// Accepts for @p vhost from now on; the opaque user data of each connection is @p owner, and @p accepted is told of it. Returns false when libwebsockets
+    /// refuses the socket.
+    bool attach(lws_vhost *vhost, void *owner, std::function<void(lws *)> accepted);
 
     /// Accepts what waits and stops listening. Idempotent.
     void close();
@@ -47,6 +49,7 @@
     lws *handle_ = nullptr; ///< not null while attached
     lws_vhost *vhost_ = nullptr;
     void *owner_ = nullptr;
+    std::function<void(lws *)> accepted_;
 };
 
 /// The callback of listenerProtocol; the descriptor's opaque user data is its Listener.
--- a/tests/base/httpclosingtest.cpp
+++ b/tests/base/httpclosingtest.cpp
@@ -4,10 +4,14 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <arpa/inet.h>
 #include <array>
 #include <cstdio>
 #include <memory>
+#include <netinet/in.h>
 #include <string>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 using namespace knapweed;
@@ -43,6 +47,41 @@
     }
 };
 
+/// A caller's plain socket, connected to @p address.
+int connectTo(const Address &address)
+{
+    sockaddr_in name {};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &name.sin_addr);
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    return connect(descriptor, reinterpret_cast<const sockaddr *>(&name), sizeof(name)) == 0 ? descriptor : -1;
+}
+
+bool sendRequest(int descriptor)
+{
+    const std::string request = "GET /n HTTP/1.1\r\nhost: a\r\n\r\n";
+    return write(descriptor, request.data(), request.size()) == static_cast<ssize_t>(request.size());
+}
+
+bool isWholeLastAnswer(const std::string &answer)
+{
+    const std::string body = "\r\n\r\nGET /n ";
+    const bool isWhole = answer.size() > body.size() && answer.compare(answer.size() - body.size(), body.size(), body) == 0;
+    return isWhole && answer.find("connection: close\r\n") != std::string::npos;
+}
+
+std::string readToEnd(int descriptor)
+{
+    std::string text;
+    std::array<char, 4096> part {};
+    for (ssize_t length = read(descriptor, part.data(), part.size()); length > 0; length = read(descriptor, part.data(), part.size())) {
+        text.append(part.data(), static_cast<std::size_t>(length));
+    }
+    close(descriptor);
+    return text;
+}
+
 } // namespace
 
 TEST_GROUP(HttpClosing) {};
@@ -113,3 +152,56 @@
     std::printf("\nhttp closing under load: rounds=%d answered=%d interrupted=%d\n", rounds, answered, interrupted);
     LONGS_EQUAL(0, interrupted);
 }
+
+// Guards against LOST: callers keep using connections to a server that is about to end.
+TEST(HttpClosing, tellsCallersToCloseWhileItStillAccepts)
+{
+    HttpFixture http;
+    const int kept = connectTo(http.server().address());
+    http.serverTask().call([&]() {
+        http.server().closeConnectionsAfterAnswers();
+    });
+    CHECK(http.server().isListening());
+    const int late = connectTo(http.server().address());
+    for (const int descriptor : {kept, late}) {
+        CHECK(sendRequest(descriptor));
+        CHECK(isWholeLastAnswer(readToEnd(descriptor)));
+    }
+}
+
+// Guards against LOST: a server that was held up ends before it has read what its callers have sent meanwhile.
+TEST(HttpClosing, requestsThatHaveNotBeenReadAreWaitedFor)
+{
+    HttpFixture http;
+    const int kept = connectTo(http.server().address());
+    const bool isAccepted = http.serverTask().waitFor([&]() {
+        return http.server().openConnections() == 1;
+    });
+    CHECK(isAccepted);
+    int late = -1;
+    bool isIdleCallerWaiting = true;
+    bool isCallerWaiting = false;
+    bool isLateCallerWaiting = false;
+    std::size_t openRequests = 1;
+    http.serverTask().call([&]() {
+        isIdleCallerWaiting = http.server().hasWaitingCallers();
+        sendRequest(kept);
+        isCallerWaiting = http.server().hasWaitingCallers();
+        late = connectTo(http.server().address());
+        sendRequest(late);
+        http.server().closeListener();
+        openRequests = http.server().openRequests();
+        isLateCallerWaiting = http.server().openConnections() == 2 && http.server().hasWaitingCallers();
+    });
+    CHECK(!isIdleCallerWaiting);
+    CHECK(isCallerWaiting);
+    CHECK(isLateCallerWaiting);
+    LONGS_EQUAL(0, openRequests);
+    for (const int descriptor : {kept, late}) {
+        CHECK(isWholeLastAnswer(readToEnd(descriptor)));
+    }
+    const bool isOver = http.serverTask().waitFor([&]() {
+        return http.server().openConnections() == 0 && !http.server().hasWaitingCallers();
+    });
+    CHECK(isOver);
+}
