Soak: callers that keep their connections open, planned work, and LOST on cut requests

Callers of the soak opened a connection for each call, so a request could not meet an entry that ends with its connections open (form e of the incident LOST), and nobody asked for the accepted jobs at the end (form c).

New kinds of faults beside 'all': entries-roll, entry-hup, entries-hup, config-series. The judge takes a request as read once its bytes were sent on a connection that wasn't refused; it blames a cut later than 200 ms after the last byte, beside planned work and without an unplanned impairment from 3 s before the request to its end. What the soak's own process was late by is taken off. 14 s after the traffic, with all processes up for 3 s, each accepted job that nobody cancelled must be known.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,15 +6,19 @@
 import json
 import random
 import time
+from collections import defaultdict
 from collections.abc import Coroutine
 
 from soak.cell import FRONT, Place
+from soak.channels import Channels
 from soak.httplite import Response, call
 from soak.judge import FINAL_STATES, Job, Judge
 
 DEADLINE_S = 3.0
 ATTEMPTS = 4
 POLL_S = 0.7
+QUESTIONS_PER_S = 20.0  # on open connections
+FINISH_S = 14.0  # from the end of the traffic until every accepted job must be known
 HOST = "soak.example"
 LASTING_S = 1e6  # work of a job that lasts until it is cancelled
 # Seconds from the first submission to the cancel: within the caller's deadline and repetitions, or at any time up to after the end.
@@ -23,19 +27,25 @@
 
 
 class Callers:
-    def __init__(self, judge: Judge, entries: list[Place], token: str, seed: int, cancelled_share: float) -> None:
+    def __init__(self, judge: Judge, entries: list[Place], token: str, seed: int, cancelled_share: float, channels: Channels | None) -> None:
         self.judge, self.entries, self.token = judge, entries, token
         self.rng = random.Random(f"{seed}-callers")
         self.draws = random.Random(f"{seed}-jobs")  # of its own, so that a seed gives the same jobs
         self.cancel_draws = random.Random(f"{seed}-cancels")
         self.cancelled_share = cancelled_share
+        self.channels = channels
+        self.questions = random.Random(f"{seed}-questions")
+        self.asking: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)  # by job: answers are judged in the order of their questions
         self.end = 0.0  # of the time in which cancels are begun
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def request(self, method: str, job: str, body: bytes = b"", timeout: float = DEADLINE_S) -> tuple[str, Response | None]:
         """Returns the name of the entry that was called, and its answer."""
-        entry = self.rng.choice(self.entries)
         headers = {"host": HOST, "authorization": f"Token {self.token}", "x-deadline-ms": str(int(timeout * 1000))}
+        answered = await self.channels.request(method, f"/q/{job}", body, headers, timeout) if self.channels is not None else None
+        if answered is not None:
+            return answered
+        entry = self.rng.choice(self.entries)
         return entry.name, await call((entry.ip, FRONT), method, f"/q/{job}", body, headers, timeout)
 
     async def is_serving(self) -> bool:
@@ -130,12 +140,37 @@
             return True
         return job.succeeded_at is not None
 
-    async def _ask(self, job: Job) -> None:
-        entry, answer = await self.request("GET", job.id)
-        if answer is not None and answer.status == 200 and isinstance(answer.body, dict):
-            self.judge.shown(job, str(answer.body.get("state", "")), entry)
-        elif answer is not None and answer.status == 410:
-            self.judge.missing(job, entry)
+    async def _ask(self, job: Job) -> bool:
+        """Returns whether the job was known."""
+        async with self.asking[job.id]:
+            entry, answer = await self.request("GET", job.id)
+            if answer is not None and answer.status == 200 and isinstance(answer.body, dict):
+                self.judge.shown(job, str(answer.body.get("state", "")), entry)
+                return True
+            if answer is not None and answer.status == 410:
+                self.judge.missing(job, entry)
+            return False
+
+    async def ask_for(self, seconds: float) -> None:
+        """Questions for jobs that have been accepted, whether they have ended or not."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(self.questions.expovariate(QUESTIONS_PER_S))
+            jobs = [job for job in self.judge.jobs.values() if job.is_accepted and not job.is_gone]
+            if jobs:
+                self._run(self._ask(self.questions.choice(jobs)))
+
+    async def ask_at_the_end(self) -> None:
+        """All processes are up: each accepted job that nobody cancelled must be known. Another status than 200, such as 503, is no answer."""
+
+        async def check(job: Job) -> None:
+            for _ in range(ATTEMPTS):
+                if await self._ask(job):
+                    return
+                await asyncio.sleep(0.3)
+            self.judge.violated("LOST", self.judge.tasks(job)[0], f"{ATTEMPTS} questions at the end were not answered", [])
+
+        await asyncio.gather(*(check(job) for job in self.judge.jobs.values() if job.is_accepted and not job.is_cancel_sent))
 
     async def settle(self, seconds: float) -> list[Job]:
         """Waits until all jobs are over, and returns the others."""
--- a/tests/soak/cell.py
+++ b/tests/soak/cell.py
@@ -8,15 +8,15 @@
 import random
 import re
 import signal
+import time
 from dataclasses import dataclass
 from pathlib import Path
 
 from soak.judge import clock_text
+from soak.planned import CONFIG_APPLY_S, GRACE_S, History
 
 FRONT, READINESS, CONTROL, APP, STORE = 8521, 8523, 8526, 8867, 20000
 PEERS, METRICS = 7000, 7015
-GRACE_S = 6
-CONFIG_APPLY_MS = 2000
 TEMPLATES = Path(__file__).parents[2] / "deploy"
 PR_SET_PDEATHSIG = 1
 RESTART_S = (0.3, 1.2)
@@ -36,7 +36,7 @@
     listen = {"control": f"{place.ip}:{CONTROL}", "front": f"{place.ip}:{FRONT}", "readiness": f"{place.ip}:{READINESS}"}
     fields: dict[str, object] = {"nodeName": place.name, "ip": place.ip, "zone": place.zone, "region": "west", "seeds": seeds, "listen": listen}
     fields |= {"portRange": [PEERS, METRICS], "platform": {"address": place.store}, "limits": {"cpuShare": 0.25}}
-    fields |= {"bounds": {"holdMaxMs": lease_ms, "graceS": GRACE_S, "configApplyMs": CONFIG_APPLY_MS}, "heartbeatMs": 1500, "app": f"{place.ip}:{APP}", "service": service, "advice": None}
+    fields |= {"bounds": {"holdMaxMs": lease_ms, "graceS": GRACE_S, "configApplyMs": int(CONFIG_APPLY_S * 1000)}, "heartbeatMs": 1500, "app": f"{place.ip}:{APP}", "service": service, "advice": None}
 
     def fill(match: re.Match[str]) -> str:
         value: object = fields
@@ -55,8 +55,8 @@
 class Process:
     """One process of the cell. It is restarted whenever it ends, until it is stopped."""
 
-    def __init__(self, program: Path, place: Place, folder: Path, settings: str, findings: list[str]) -> None:
-        self.program, self.place, self.findings = program, place, findings
+    def __init__(self, program: Path, place: Place, folder: Path, settings: str, findings: list[str], history: History) -> None:
+        self.program, self.place, self.findings, self.history = program, place, findings, history
         self.settings = folder / f"{place.name}.json"
         self.settings.write_text(settings)
         self.log = (folder / f"{place.name}.log").open("ab")
@@ -64,6 +64,7 @@
         self.child: asyncio.subprocess.Process | None = None
         self.is_wanted = True
         self.is_killed = False
+        self.started_at = 0.0
         self.away_s: float | None = None  # instead of the usual time until the restart
         self._supervisor: asyncio.Task[None] | None = None
 
@@ -80,6 +81,8 @@
             self.child = await asyncio.create_subprocess_exec(
                 str(self.program), "--cell", str(self.settings), stdin=asyncio.subprocess.DEVNULL, stdout=self.log, stderr=self.log, preexec_fn=end_with_parent
             )
+            self.started_at = time.monotonic()
+            self.history.started(self.place.name)
             self.note(f"started pid {self.child.pid}")
             code = await self.child.wait()
             self.note(f"ended {code}")
@@ -93,10 +96,19 @@
         if self.child is not None and self.child.returncode is None:
             if number in (signal.SIGKILL, signal.SIGTERM):
                 self.is_killed = True
+            if number == signal.SIGTERM:
+                self.history.terminated(self.place.name)
+            elif number == signal.SIGHUP:
+                self.history.told_of_settings(self.place.name)
+            elif number == signal.SIGKILL:
+                self.history.kill(self.place.name)
             if is_noted:
                 self.note(f"signal {number.name}")
             self.child.send_signal(number)
 
+    def is_up_for(self, seconds: float) -> bool:
+        return self.child is not None and self.child.returncode is None and time.monotonic() - self.started_at >= seconds
+
     async def kill(self, number: signal.Signals, away_s: float | None) -> None:
         child, self.away_s = self.child, away_s
         self.send(number)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -22,6 +22,9 @@
 QUICK_RESTART_S = (0.001, 0.03)
 # No part of 'all', so that the commands on record play what they played.
 APART = ["agent-restart", "entry-restart", "leader-restart", "entries-away", "cell-kill", "store-away-pause", "store-leader-away", "store-reassign-at-once"]
+# Work of the operator. These are no impairments; all others are.
+PLANNED = ["entries-roll", "entry-hup", "entries-hup", "config-change", "config-series"]
+APART += [kind for kind in PLANNED if kind != "config-change"]
 
 
 # process, whether it is planned, seconds until the settings name the new seeds, whether SIGHUP says so
@@ -80,6 +83,10 @@
             "store-reassign": (self.store_reassign, (3, 10)),
             "store-reassign-at-once": (self.store_reassign_at_once, (3, 10)),
             "lasting-cancel": (lambda rng: callers.cancel_lasting(rng), (0.5, 3)),
+            "entries-roll": (self.entries_roll, (0.5, 4)),
+            "entry-hup": (lambda rng: self.tell_of_settings(rng, [rng.choice(self.entries)]), (0.3, 3)),
+            "entries-hup": (lambda rng: self.tell_of_settings(rng, self.entries), (2, 5)),
+            "config-series": (self.config_series, (2, 6)),
             "config-change": (self.config_change, (2, 6)),
             "foreign-reports": (lambda rng: self.foreign_report(rng, None), FOREIGN_GAP_S),
         }
@@ -100,7 +107,8 @@
             await asyncio.sleep(rng.uniform(*gap))
             if time.monotonic() >= end:
                 return
-            await strike(rng)
+            with contextlib.nullcontext() if kind in PLANNED else self.judge.history.impaired():
+                await strike(rng)
 
     def note(self, text: str) -> None:
         self.judge.note(f"fault {text}")
@@ -133,6 +141,20 @@
         """All entries and agents; the endpoints run on."""
         await asyncio.gather(*(self._kill(rng, process, None) for process in self.entries + self.agents))
 
+    async def entries_roll(self, rng: random.Random) -> None:
+        """SIGTERM of each entry in turn. The next one may get it before this one is up again."""
+        for entry in rng.sample(self.entries, len(self.entries)):
+            self.note(f"SIGTERM {entry.place.name} in turn")
+            await entry.kill(signal.SIGTERM, rng.uniform(0.05, 1.5))
+            await asyncio.sleep(rng.uniform(0, 3))
+
+    async def tell_of_settings(self, rng: random.Random, processes: list[Process]) -> None:
+        """Several signals, close together or apart."""
+        for _ in range(rng.choice((1, 1, 2, 4))):
+            for process in processes:
+                process.send(signal.SIGHUP)
+            await asyncio.sleep(rng.choice((0, rng.uniform(0, 0.5))))
+
     def _leaders(self) -> list[Process]:
         holder = self.store.groups["scheduler"].holders.get(0, "") if "scheduler" in self.store.groups else ""
         return [entry for entry in self.entries if holder.startswith(f"{entry.place.ip}:")]
@@ -263,8 +285,15 @@
 
     async def config_change(self, rng: random.Random) -> None:
         self.version += rng.randrange(1, 4)
+        self.note(f"configuration {self.version}")
+        self.judge.history.changes.append(time.monotonic())
         self.store.configuration(self.version, self.machines[0].service, "soak-token")
 
+    async def config_series(self, rng: random.Random) -> None:
+        for _ in range(rng.randrange(2, 8)):
+            await self.config_change(rng)
+            await asyncio.sleep(rng.uniform(0, 0.6))
+
     async def foreign_report(self, rng: random.Random, name: str | None) -> None:
         """A report of another writer, or a delayed one of an earlier life, at an agent's report address."""
         machine = rng.choice(self.machines)
--- a/tests/soak/httplite.py
+++ b/tests/soak/httplite.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -118,25 +119,50 @@
             raise Closed
 
 
+class Connection:
+    """Of a client. It stays open between requests unless either side says otherwise."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, address: Address) -> None:
+        self._reader, self._writer, self._address = reader, writer, address
+        self.sent_at: float | None = None  # the last byte of the current request, on the monotonic clock
+
+    @staticmethod
+    async def to(address: Address) -> Connection:
+        reader, writer = await asyncio.open_connection(*address)
+        return Connection(reader, writer, address)
+
+    def is_open(self) -> bool:
+        return not self._reader.at_eof() and self._reader.exception() is None and not self._writer.transport.is_closing()
+
+    def close(self) -> None:
+        self._writer.transport.abort()
+
+    async def request(self, method: str, path: str, body: bytes, headers: dict[str, str]) -> Response:
+        self.sent_at = None
+        head = {"host": f"{self._address[0]}:{self._address[1]}", "content-length": str(len(body)), "content-type": "application/json"} | headers
+        lines = "".join(f"{name}: {value}\r\n" for name, value in head.items())
+        self._writer.write(f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body)
+        await self._writer.drain()
+        self.sent_at = time.monotonic()
+        start, answer = await _read_head(self._reader)
+        length = answer.get("content-length")
+        data = await (self._reader.readexactly(int(length)) if length is not None else self._reader.read())
+        closes = length is None or answer.get("connection", "").lower() == "close"
+        try:
+            return Response(int(start.split(" ")[1]), json.loads(data or b"{}"), closes)
+        except ValueError:
+            return Response(int(start.split(" ")[1]), data, closes)
+
+
 async def call(address: Address, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None, timeout: float = 1.0) -> Response | None:
     """One request on a connection of its own. Returns nothing if there is no answer in time."""
-    head = {"host": f"{address[0]}:{address[1]}", "content-length": str(len(body)), "content-type": "application/json", "connection": "close"}
-    head.update(headers or {})
-    writer: asyncio.StreamWriter | None = None
+    connection: Connection | None = None
     try:
         async with asyncio.timeout(timeout):
-            reader, writer = await asyncio.open_connection(*address)
-            lines = "".join(f"{name}: {value}\r\n" for name, value in head.items())
-            writer.write(f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body)
-            start, answer = await _read_head(reader)
-            length = answer.get("content-length")
-            data = await (reader.readexactly(int(length)) if length is not None else reader.read())
-        try:
-            return Response(int(start.split(" ")[1]), json.loads(data or b"{}"))
-        except ValueError:
-            return Response(int(start.split(" ")[1]), data)
+            connection = await Connection.to(address)
+            return await connection.request(method, path, body, {"connection": "close"} | (headers or {}))
     except (OSError, TimeoutError, asyncio.IncompleteReadError):
         return None
     finally:
-        if writer is not None:
-            writer.transport.abort()
+        if connection is not None:
+            connection.close()
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, TextIO
 
+from soak.planned import History
+
 if TYPE_CHECKING:
     from soak.endpoint import Boot, Run
 
@@ -74,6 +76,7 @@
         self.violations: list[Violation] = []
         self.findings: list[str] = []  # broken promises that are no matter of safety
         self.starts = 0
+        self.history = History()
         self.log: TextIO = (folder / "runs.log").open("w")
 
     def note(self, text: str) -> None:
@@ -168,6 +171,10 @@
     def most_crashes(self, job: Job) -> int:
         return max(len(self.crashed.get(unit, ())) for unit in [job.id, *self.tasks(job)])
 
+    def check_cuts(self) -> None:
+        for cut, work in self.history.broken():
+            self.violated("LOST", self.tasks(self.jobs[cut.job])[0], f"{cut.text}, beside {work} and no unplanned impairment", [])
+
     def check_cancelled(self) -> None:
         """Long after the last fault, no run of a cancelled job is left."""
         for job in self.jobs.values():
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,14 +12,17 @@
 import socket
 import sys
 import tempfile
+import time
 from pathlib import Path
 
-from soak.callers import Callers
+from soak.callers import FINISH_S, Callers
 from soak.cell import APP, CONTROL, STORE, Place, Process, settings_of
+from soak.channels import Channels
 from soak.endpoint import Machine, Shared
 from soak.faults import APART, Faults
 from soak.judge import Job, Judge, Violation, clock_text
 from soak.links import LISTEN, Links
+from soak.planned import CONTACT_S
 from soak.store import Store
 
 TOKEN = "soak-token"
@@ -71,7 +74,8 @@
         for index, agent in enumerate(self.agents):
             ip, zone = agent.place.ip, agent.place.zone
             self.machines.append(Machine(agent.place.name, (ip, APP), (ip, CONTROL), zone, f"rack-{index // RACK_SIZE}", self.shared))
-        self.callers = Callers(self.judge, [entry.place for entry in self.entries], TOKEN, options.seed, options.cancels)
+        self.channels = Channels(self.judge, self.entries, options.open_connections, options.seed) if options.open_connections else None
+        self.callers = Callers(self.judge, [entry.place for entry in self.entries], TOKEN, options.seed, options.cancels, self.channels)
         self.faults = Faults(options.seed, self.judge, self.store, self.machines, self.entries, self.agents, self.replace_entry, self.callers, self.links)
 
     def _place(self, role: str, word: str, index: int, host: int) -> Place:
@@ -81,7 +85,7 @@
     def _process(self, place: Place) -> Process:
         place.store = f"127.{self.net}.0.1:{STORE + self.places_made}"
         self.places_made += 1
-        return Process(self.options.build / "src" / "knapweedstaged", place, self.folder, self._settings(place), self.judge.findings)
+        return Process(self.options.build / "src" / "knapweedstaged", place, self.folder, self._settings(place), self.judge.findings, self.judge.history)
 
     def _settings(self, place: Place) -> str:
         text = settings_of(place, self.seeds, self.options.lease_ms, SERVICE)
@@ -132,8 +136,22 @@
     async def play(self) -> list[Job]:
         """Returns the jobs that did not end in time."""
         seconds = self.options.seconds
-        await asyncio.gather(self.callers.submit_for(seconds, self.options.rate), self.faults.run(self.options.faults, seconds))
-        return await self.callers.settle(self.options.settle)
+        work = [self.callers.submit_for(seconds, self.options.rate), self.faults.run(self.options.faults, seconds)]
+        if self.channels is None:
+            await asyncio.gather(*work)
+            return await self.callers.settle(self.options.settle)
+        measuring = asyncio.create_task(self.channels.measure_lag())
+        await asyncio.gather(*work, self.callers.ask_for(seconds))
+        finish = time.monotonic() + FINISH_S
+        stuck = await self.callers.settle(self.options.settle)
+        await asyncio.sleep(max(0.0, finish - time.monotonic()))
+        while not all(process.is_up_for(CONTACT_S) for process in self.entries + self.agents):
+            await asyncio.sleep(0.1)
+        await self.callers.ask_at_the_end()
+        self.judge.check_cuts()
+        measuring.cancel()
+        self.channels.close()
+        return stuck
 
     async def stop(self) -> None:
         await asyncio.gather(*(process.stop() for process in self.entries + self.agents))
@@ -191,6 +209,8 @@
         tasks = [violation.task for violation in judge.violations if violation.rule == rule]
         rules[rule] = f"{len(tasks)} in {len({task.partition('.')[0] for task in tasks})} jobs"
     print(f"seed {options.seed} faults {faults}: jobs {len(jobs)} accepted {accepted} succeeded {served} cancelled {cancelled} starts {judge.starts}", end=" ")
+    if cell.channels is not None:
+        print(f"on open connections {cell.channels.counts}, {judge.history.judged_answers()} answered beside SIGTERM or SIGHUP, longest cut {max((cut.ended_at - cut.sent_at for cut in judge.history.cuts), default=0):.3f} s", end=" ")
     print(f"violations {rules or 0} logs {folder}")
     is_finished = not stuck or not options.must_finish
     return 0 if served > 0 and not judge.violations and is_finished else 1
@@ -209,6 +229,7 @@
     parser.add_argument("--rate", type=float, default=1.2, help="jobs a second")
     parser.add_argument("--cancels", type=float, default=0.2, help="share of the jobs that their callers cancel, at any time")
     parser.add_argument("--lease-ms", type=int, default=6000)
+    parser.add_argument("--open-connections", type=int, default=0, help="connections that callers keep open; with them, cut requests and unknown jobs at the end are judged")
     parser.add_argument("--must-finish", action="store_true", help="fail if an accepted job has not ended when the time to settle is over")
     parser.add_argument("--logs", type=Path, help="directory for the logs; by default a new one")
     options = parser.parse_args()
