A draining entry answers all calls before it ends

Cause: draining entries take requests on open connections, and with all entries draining no scheduler is left to relay them to. At the end of the grace time less its reserve the process ended with them open. Change: from SIGTERM on no call waits longer than until 0.5 s before the process ends. One that has not been sent is refused with 503, one that was sent and not answered gets 504.

--- a/src/knapweedstaged/callrelay.cpp
+++ b/src/knapweedstaged/callrelay.cpp
@@ -2,6 +2,7 @@
 
 #include "callrelay.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 #include <vector>
@@ -45,7 +46,7 @@
     PendingCall &pending = pendingCalls_[number];
     pending.call = std::move(call);
     pending.sendDeadline = sendDeadline;
-    pending.deadline = deadline;
+    pending.deadline = std::min(deadline, end_);
     pending.callback = std::move(callback);
     trySend(pending, now);
 }
@@ -95,6 +96,14 @@
     }
 }
 
+void CallRelay::endBy(MonotonicTime end)
+{
+    end_ = end;
+    for (auto &[number, pending] : pendingCalls_) {
+        pending.deadline = std::min(pending.deadline, end_);
+    }
+}
+
 void CallRelay::tick(MonotonicTime now)
 {
     std::vector<std::pair<std::function<void(const RelayedAnswer &)>, RelayedAnswer>> expired;
--- a/src/knapweedstaged/callrelay.h
+++ b/src/knapweedstaged/callrelay.h
@@ -42,6 +42,9 @@
     /// that an earlier scheduler gives from memory are ignored from then on.
     void schedulerChanged(std::int64_t generation, MonotonicTime now);
 
+    /// No call waits longer than until @p end, also none that comes later: the process ends soon after.
+    void endBy(MonotonicTime end);
+
     void tick(MonotonicTime now);
 
     std::size_t size() const;
@@ -65,6 +68,7 @@
     std::int64_t lastCall_; ///< number of the newest call; begins at random, so that no two processes number their calls alike
     std::int64_t generation_ = 0; ///< of the scheduler's term, as far as this process knows
     std::int64_t configurationVersion_ = 0; ///< in force at this process
+    MonotonicTime end_ = MonotonicTime::max(); ///< no deadline is later
 };
 
 } // namespace knapweed
--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -18,6 +18,7 @@
 constexpr Milliseconds tickInterval {100};
 constexpr Milliseconds reportedDelay {500}; ///< of a tick; a loop that is this late delays every answer and every time-out
 constexpr Milliseconds idleConnectionDrainTime {500}; ///< for callers that have just connected or that no answer has told to close
+constexpr Milliseconds lastAnswersTime {500}; ///< for answers to the calls that no scheduler has answered when the process ends
 constexpr Milliseconds listenerDrainTime {2500}; ///< the platform routes new connections to this entry until two readiness probes have failed
 constexpr Milliseconds shutdownReserve {1000}; ///< time before the platform kills the process; requests still open then would be aborted in any case
 
@@ -340,6 +341,7 @@
     drainStartedAt_ = monotonicNow();
     logEvent(LogLevel::Info, "process.draining", {{"open_calls", std::to_string(relay_.size())}});
     callerServer_->closeConnectionsAfterAnswers();
+    relay_.endBy(drainStartedAt_ + settings_.grace - shutdownReserve - lastAnswersTime);
     peers_->setDraining(true);
     resignLeadership("shutdown");
 }
--- a/tests/configuration/callrelaytest.cpp
+++ b/tests/configuration/callrelaytest.cpp
@@ -46,6 +46,29 @@
     LONGS_EQUAL(2, sent.size());
 }
 
+/// Guards against LOST: an entry ended while calls waited for a scheduler, and their callers got no answer.
+TEST(CallRelay, allCallsAreAnsweredBeforeTheProcessEnds)
+{
+    std::vector<RelayedAnswer::Kind> answers;
+    bool isSchedulerKnown = true;
+    CallRelay relay([&isSchedulerKnown](const wire::JobCall &) {
+        return isSchedulerKnown;
+    });
+    const auto answered = [&answers](const RelayedAnswer &answer) {
+        answers.push_back(answer.kind);
+    };
+    relay.call({}, now, now + Seconds(3), now + Seconds(3), answered);
+    isSchedulerKnown = false;
+    relay.endBy(now + Seconds(2));
+    relay.call({}, now, now + Seconds(3), now + Seconds(3), answered);
+    relay.tick(now + Seconds(1));
+    CHECK(answers.empty());
+    relay.tick(now + Seconds(2));
+    LONGS_EQUAL(2, answers.size());
+    CHECK(answers[0] == RelayedAnswer::Kind::Unknown);
+    CHECK(answers[1] == RelayedAnswer::Kind::NotSent);
+}
+
 /// Guards against REFUSED: a scheduler that was paused refuses a submission that its successor has accepted meanwhile.
 TEST(CallRelay, refusalOfAnEarlierSchedulerIsIgnored)
 {
