Names and comments of the agent's losses

firstFailureAt instead of silentSince: a refusal is a failure, too. What an incarnation that left in order had withheld is dropped. The fields of a record's row are named beside their writer.

--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -88,8 +88,8 @@
         /// numbers its ends from 1 again.
         std::int64_t endsDiscarded = 0;
         std::map<RunId, OrderedRun> ordered; ///< runs whose start was sent, or which were listed; none whose end is known
-        std::optional<BootTime> silentSince; ///< when a renewal failed first since the newest lists: the endpoint may have crashed then
-        std::uint64_t renewalAtSilence = 0; ///< the newest one sent by then
+        std::optional<BootTime> firstFailureAt; ///< when a renewal failed first since the newest lists: the endpoint may have crashed then
+        std::uint64_t renewalAtFirstFailure = 0; ///< the newest one sent by then
         bool mayHaveMissedEnds = false; ///< an answer with the end of a run may have been missed since the newest lists
         bool isReplaced = false; ///< the next incarnation answers, so that nothing since hides an end of this one
         std::map<RunId, std::uint64_t> started; ///< started but maybe not listed yet; with the newest renewal sent before the answer
@@ -136,6 +136,7 @@
     void handleVerification(std::uint64_t number, const EndpointStatus &status, const Result<RenewalResult, EndpointError> &result);
     void beginIncarnation(const EndpointStatus &status, std::uint64_t verification, const RenewalResult &lists);
     void recordLostRuns(std::uint64_t verification, const RenewalResult &lists);
+    void logLostRuns() const;
     void removeCarriedOutStarts(const RenewalResult &lists);
     bool wasRunningUntilCrash(const RunId &run, const OrderedRun &ordered) const;
     void refuseUnansweredStarts();
@@ -144,7 +145,7 @@
     void renewalSucceeded(const SentRenewal &renewal, std::int64_t incarnation, const RenewalResult &answer);
     std::optional<Milliseconds> leaseUntil() const;
     void renewalFailed(std::uint64_t number, const EndpointError &failure);
-    void noteSilence(std::uint64_t number, const EndpointError &failure);
+    void noteFailedRenewal(std::uint64_t number, const EndpointError &failure);
     bool hasListedEnd(const RunId &run) const;
     void reportAbsentRuns();
 
--- a/src/libknapweed/cell/agentlosses.cpp
+++ b/src/libknapweed/cell/agentlosses.cpp
@@ -22,20 +22,20 @@
 
 /// A crash closes all connections at once, and new ones are refused until the next incarnation answers. Whatever else keeps an answer away may hide the end of
 /// a run.
-void Agent::noteSilence(std::uint64_t number, const EndpointError &failure)
+void Agent::noteFailedRenewal(std::uint64_t number, const EndpointError &failure)
 {
     if (number < incarnation_->appliedRenewal || incarnation_->isReplaced) {
         return;
     }
     using Kind = EndpointError::Kind;
-    const bool isFirst = !incarnation_->silentSince || number <= incarnation_->renewalAtSilence;
+    const bool isFirst = !incarnation_->firstFailureAt || number <= incarnation_->renewalAtFirstFailure;
     const bool isClosed = failure.kind == Kind::Unanswered && !failure.isTimeout;
     const bool isCrash = failure.kind == Kind::ConnectionFailed || failure.kind == Kind::DifferentIncarnation || (isClosed && isFirst);
     incarnation_->mayHaveMissedEnds = incarnation_->mayHaveMissedEnds || !isCrash;
     incarnation_->isReplaced = failure.kind == Kind::DifferentIncarnation;
-    if (!incarnation_->silentSince) {
-        incarnation_->silentSince = hooks_.now();
-        incarnation_->renewalAtSilence = renewalNumber_;
+    if (!incarnation_->firstFailureAt) {
+        incarnation_->firstFailureAt = hooks_.now();
+        incarnation_->renewalAtFirstFailure = renewalNumber_;
     }
 }
 
@@ -43,7 +43,7 @@
 /// at any moment; one that was ordered to stop since may not.
 bool Agent::wasRunningUntilCrash(const RunId &run, const OrderedRun &ordered) const
 {
-    const BootTime crashedBy = incarnation_->silentSince.value_or(hooks_.now());
+    const BootTime crashedBy = incarnation_->firstFailureAt.value_or(hooks_.now());
     const bool isShown = ordered.shownAt != BootTime() && crashedBy - ordered.shownAt <= shownRunValidity;
     const auto stop = stopOrders_.find(run);
     const bool wasStopping = stop != stopOrders_.end() && stop->second <= crashedBy;
@@ -54,12 +54,13 @@
 /// ones of the next incarnation, read by the renewal @p verification.
 void Agent::recordLostRuns(std::uint64_t verification, const RenewalResult &lists)
 {
-    if (areLostRunsKnown_) {
-        lostRuns_.clear();
+    const bool hasLeftInOrder = !incarnation_ || incarnation_->status.isDraining || incarnation_->isGone;
+    if (hasLeftInOrder || areLostRunsKnown_) {
+        lostRuns_.clear(); // else this incarnation crashed before its lists could tell what it had carried out of the starts sent to the one before
     }
     areLostRunsKnown_ = true;
     lostRunsExpireAt_ = hooks_.now() + lostRunsRetention;
-    if (!incarnation_ || incarnation_->status.isDraining || incarnation_->isGone) {
+    if (hasLeftInOrder) {
         return;
     }
     for (const auto &[run, ordered] : incarnation_->ordered) {
@@ -75,17 +76,21 @@
         lostRuns_.push_back(std::move(lost));
     }
     removeCarriedOutStarts(lists);
+    logLostRuns();
+}
+
+void Agent::logLostRuns() const
+{
     for (const LostRun &lost : lostRuns_) {
+        const bool isAnswered = lost.ordered.shownAt != BootTime();
+        const char *shown = lost.ordered.isListed ? "listed" : isAnswered ? "answered" : "no";
         logEvent(LogLevel::Info,
             "run.lost",
             {{"job", lost.run.task.job},
                 {"task", nameOf(lost.run.task)},
                 {"run", std::to_string(lost.run.run)},
                 {"endpoint", incarnation_->status.id},
-                {"shown",
-                    lost.ordered.isListed                    ? "listed"
-                        : lost.ordered.shownAt != BootTime() ? "answered"
-                                                             : "no"},
+                {"shown", shown},
                 {"settled", lost.isSettled ? "yes" : "no"},
                 {"was_running", lost.wasRunning ? "yes" : "no"}});
     }
--- a/src/libknapweed/cell/agentrenewal.cpp
+++ b/src/libknapweed/cell/agentrenewal.cpp
@@ -61,7 +61,7 @@
 /// An endpoint that has left or whose notice period is over runs nothing if it refuses connections, so no scheduler has to wait for its lease to expire.
 void Agent::renewalFailed(std::uint64_t number, const EndpointError &failure)
 {
-    noteSilence(number, failure);
+    noteFailedRenewal(number, failure);
     if (failure.kind == EndpointError::Kind::DifferentIncarnation) {
         incarnation_->listedGeneration = -1; // the endpoint itself says that it is another one
     }
@@ -92,7 +92,7 @@
     if (answer.incarnation != 0 && answer.incarnation != incarnation) {
         // The next incarnation already answers under the same id. It is not used before it has reported.
         logEvent(LogLevel::Info, "endpoint.otherboot", {{"endpoint", incarnation_->status.id}, {"born", std::to_string(answer.incarnation)}});
-        noteSilence(number, {EndpointError::Kind::DifferentIncarnation, {}});
+        noteFailedRenewal(number, {EndpointError::Kind::DifferentIncarnation, {}});
         incarnation_->listedGeneration = -1;
         incarnation_->isClockKnown = false;
         incarnation_->endsDiscarded = incarnation_->endsStored;
@@ -113,7 +113,7 @@
     incarnation_->clock = answer.clock;
     incarnation_->clockReadAt = hooks_.now();
     incarnation_->isClockKnown = true;
-    incarnation_->silentSince.reset();
+    incarnation_->firstFailureAt.reset();
     incarnation_->mayHaveMissedEnds = false;
     removeCarriedOutStarts(answer);
     areLostRunsKnown_ = true;
--- a/src/libknapweed/jobs/jobrecord.cpp
+++ b/src/libknapweed/jobs/jobrecord.cpp
@@ -68,7 +68,8 @@
     return step;
 }
 
-/// Earlier versions read one count for the whole unit, before the rows of its tasks.
+/// Appends the fields from the tenth on: the highest count of the unit's tasks and their newest counted run, which earlier versions take to be those of the
+/// unit, and a row for each task of index, count, suspected, newest counted run.
 void encodeCrashes(const std::map<int, TaskCrashes> &crashes, json &row)
 {
     int most = 0;
