--- a/src/libknapweed/cell/agentstarts.cpp
+++ b/src/libknapweed/cell/agentstarts.cpp
@@ -5,13 +5,14 @@
 #include "base/logging.h"
 #include "cell/runwire.h"
 
+#include <algorithm>
+
 namespace knapweed::cell
 {
 
 namespace
 {
 
-constexpr Seconds lateOrderWindow {15}; ///< an unanswered order may be carried out up to 12 s later
 constexpr int maxStartAttempts = 3; ///< with the adapter's time-out, all attempts end before the scheduler considers the order lost
 
 } // namespace
@@ -44,7 +45,8 @@
         return;
     }
     const RunId run = runIdOf(order.run);
-    const BootTime validUntil = leaseExpiresAt_;
+    const BootTime orderExpiresAt = order.validUntilMs > 0 ? BootTime(Milliseconds(order.validUntilMs)) : leaseExpiresAt_;
+    const BootTime validUntil = std::min(leaseExpiresAt_, orderExpiresAt);
     const std::optional<RunId> unanswered = newestUnansweredStartOf(run.task);
     if (!unanswered || unanswered->run >= run.run) {
         attemptStart(peer, order, validUntil, 1);
@@ -69,7 +71,7 @@
     std::erase_if(stopOrders_, [now](const auto &order) {
         return order.second + lateOrderWindow <= now;
     });
-    stopOrders_[run] = now;
+    stopOrders_.try_emplace(run, now);
 }
 
 /// The newest unanswered start of the task that may still be carried out.
@@ -91,8 +93,8 @@
     return !fits({order.milliCores, order.memoryMib, order.accelerators}, incarnation_->status.capacity);
 }
 
-/// Repeats a start that gets no answer. This is safe because an endpoint carries out each run number at most once. The order holds until the end of the lease
-/// under which it arrived, at @p validUntil: once that is over, the scheduler may have started the task elsewhere.
+/// Repeats a start that gets no answer. This is safe because an endpoint carries out each run number at most once. The order holds until @p validUntil, at most
+/// until the end of the lease under which it arrived: once that is over, the scheduler may have started the task elsewhere.
 void Agent::attemptStart(const std::string &peer, const wire::StartOrder &order, BootTime validUntil, int attempt)
 {
     const std::optional<Milliseconds> until = leaseUntil();
@@ -113,10 +115,12 @@
     request.checkpoint = order.checkpoint;
     request.ticket = order.ticket;
     request.leaseUntil = *until;
-    incarnation_->ordered.try_emplace(request.run, hooks_.now());
-    hooks_.driver.start(request, [this, peer, order, validUntil, attempt](const Result<Milliseconds, EndpointError> &result) {
+    if (attempt == 1) {
+        incarnation_->ordered.try_emplace(request.run, OrderedRun {hooks_.now()}); // by the next attempts, its end may have been read
+    }
+    hooks_.driver.start(request, [this, peer, order, validUntil, attempt, sentAt = hooks_.now()](const Result<Milliseconds, EndpointError> &result) {
         if (isOk(result)) {
-            startSucceeded(peer, order);
+            startSucceeded(peer, order, sentAt);
             return;
         }
         if (error(result).kind == EndpointError::Kind::Unanswered) {
@@ -130,11 +134,16 @@
     });
 }
 
-void Agent::startSucceeded(const std::string &peer, const wire::StartOrder &order)
+void Agent::startSucceeded(const std::string &peer, const wire::StartOrder &order, BootTime sentAt)
 {
     const RunId run = runIdOf(order.run);
     if (incarnation_ && incarnation_->status.incarnation == order.born && incarnation_->appliedRenewal <= renewalNumber_) {
         incarnation_->started[run] = renewalNumber_;
+        const auto ordered = incarnation_->ordered.find(run);
+        if (ordered != incarnation_->ordered.end()) {
+            ordered->second.shownAt = std::max(ordered->second.shownAt, sentAt);
+            ordered->second.renewalAtAnswer = renewalNumber_;
+        }
     }
     logEvent(
         LogLevel::Info, "run.started", {{"job", run.task.job}, {"task", nameOf(run.task)}, {"run", std::to_string(run.run)}, {"endpoint", order.endpoint}});
--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -7500,6 +7500,10 @@
 void LostRun::__set_isSettled(const bool val) {
   this->isSettled = val;
 }
+
+void LostRun::__set_wasRunning(const bool val) {
+  this->wasRunning = val;
+}
 std::ostream& operator<<(std::ostream& out, const LostRun& obj)
 {
   obj.printTo(out);
@@ -7544,6 +7548,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wasRunning);
+          this->__isset.wasRunning = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7569,6 +7581,10 @@
   xfer += oprot->writeBool(this->isSettled);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("wasRunning", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->wasRunning);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7578,28 +7594,33 @@
   using ::std::swap;
   swap(a.run, b.run);
   swap(a.isSettled, b.isSettled);
+  swap(a.wasRunning, b.wasRunning);
   swap(a.__isset, b.__isset);
 }
 
 LostRun::LostRun(const LostRun& other213) {
   run = other213.run;
   isSettled = other213.isSettled;
+  wasRunning = other213.wasRunning;
   __isset = other213.__isset;
 }
 LostRun::LostRun(LostRun&& other214) noexcept {
   run = std::move(other214.run);
   isSettled = other214.isSettled;
+  wasRunning = other214.wasRunning;
   __isset = other214.__isset;
 }
 LostRun& LostRun::operator=(const LostRun& other215) {
   run = other215.run;
   isSettled = other215.isSettled;
+  wasRunning = other215.wasRunning;
   __isset = other215.__isset;
   return *this;
 }
 LostRun& LostRun::operator=(LostRun&& other216) noexcept {
   run = std::move(other216.run);
   isSettled = other216.isSettled;
+  wasRunning = other216.wasRunning;
   __isset = other216.__isset;
   return *this;
 }
@@ -7608,6 +7629,7 @@
   out << "LostRun(";
   out << "run=" << to_string(run);
   out << ", " << "isSettled=" << to_string(isSettled);
+  out << ", " << "wasRunning=" << to_string(wasRunning);
   out << ")";
 }
 
@@ -8421,6 +8443,10 @@
 void StartOrder::__set_accelerators(const int64_t val) {
   this->accelerators = val;
 }
+
+void StartOrder::__set_validUntilMs(const int64_t val) {
+  this->validUntilMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const StartOrder& obj)
 {
   obj.printTo(out);
@@ -8529,6 +8555,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->validUntilMs);
+          this->__isset.validUntilMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8586,6 +8620,10 @@
   xfer += oprot->writeI64(this->accelerators);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("validUntilMs", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->validUntilMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8603,6 +8641,7 @@
   swap(a.milliCores, b.milliCores);
   swap(a.memoryMib, b.memoryMib);
   swap(a.accelerators, b.accelerators);
+  swap(a.validUntilMs, b.validUntilMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -8617,6 +8656,7 @@
   milliCores = other249.milliCores;
   memoryMib = other249.memoryMib;
   accelerators = other249.accelerators;
+  validUntilMs = other249.validUntilMs;
   __isset = other249.__isset;
 }
 StartOrder::StartOrder(StartOrder&& other250) noexcept {
@@ -8630,6 +8670,7 @@
   milliCores = other250.milliCores;
   memoryMib = other250.memoryMib;
   accelerators = other250.accelerators;
+  validUntilMs = other250.validUntilMs;
   __isset = other250.__isset;
 }
 StartOrder& StartOrder::operator=(const StartOrder& other251) {
@@ -8643,6 +8684,7 @@
   milliCores = other251.milliCores;
   memoryMib = other251.memoryMib;
   accelerators = other251.accelerators;
+  validUntilMs = other251.validUntilMs;
   __isset = other251.__isset;
   return *this;
 }
@@ -8657,6 +8699,7 @@
   milliCores = other252.milliCores;
   memoryMib = other252.memoryMib;
   accelerators = other252.accelerators;
+  validUntilMs = other252.validUntilMs;
   __isset = other252.__isset;
   return *this;
 }
@@ -8673,6 +8716,7 @@
   out << ", " << "milliCores=" << to_string(milliCores);
   out << ", " << "memoryMib=" << to_string(memoryMib);
   out << ", " << "accelerators=" << to_string(accelerators);
+  out << ", " << "validUntilMs=" << to_string(validUntilMs);
   out << ")";
 }
 
--- a/src/libknapweed/peers/peers.thrift
+++ b/src/libknapweed/peers/peers.thrift
@@ -103,8 +103,9 @@
 struct RunRow { 1: RunRef run, 2: string checkpoint, 3: i32 percent, 4: i64 load }
 struct EndRow { 1: i64 number, 2: RunRef run, 3: RunEnding how, 4: string checkpoint }
 
-/// A run that was on an endpoint, or may have been, when that crashed. isSettled: the endpoint had survived its start.
-struct LostRun { 1: RunRef run, 2: bool isSettled }
+/// A run that was on an endpoint, or may have been, when that crashed. isSettled: the endpoint had survived its start. wasRunning: the endpoint itself had
+/// shown the run shortly before; otherwise the run may never have begun there, or may have ended before.
+struct LostRun { 1: RunRef run, 2: bool isSettled, 3: bool wasRunning }
 
 /// Sent by an agent to the scheduler: the state of its endpoint and what runs there. sentAtMs is the agent's boot clock in milliseconds; the lease
 /// granted by the answer runs from that time. sequence increases within one incarnation (field life) of the agent's process. isListed means that the lists were
@@ -118,9 +119,10 @@
 }
 struct EndpointGrant { 1: i64 generation, 2: i64 sentAtMs, 3: string endpoint, 4: i64 born, 5: i64 endsStored }
 /// milliCores, memoryMib and accelerators are the endpoint's capacity for which the start was planned; the agent refuses it if the endpoint has less by then.
+/// validUntilMs is on the agent's boot clock, as sentAtMs of its reports; 0: not stated. The agent carries out no order after it.
 struct StartOrder {
   1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run, 5: string input, 6: string checkpoint, 7: string ticket,
-  8: i64 milliCores, 9: i64 memoryMib, 10: i64 accelerators
+  8: i64 milliCores, 9: i64 memoryMib, 10: i64 accelerators, 11: i64 validUntilMs
 }
 /// sequence is that of the agent's newest report. Only later reports can be expected to hold the run.
 struct StartResult { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run, 5: StartOutcome outcome, 6: string detail, 7: i64 sequence }
