The soak's process takes its history as an option again

The scripts in review/, which stay as they are, start processes of the soak without one: all four that must hold ended with a TypeError after the history of planned work had become a required argument. Each process without a given history has one of its own.

--- a/tests/soak/cell.py
+++ b/tests/soak/cell.py
@@ -55,8 +55,8 @@
 class Process:
     """One process of the cell. It is restarted whenever it ends, until it is stopped."""
 
-    def __init__(self, program: Path, place: Place, folder: Path, settings: str, findings: list[str], history: History) -> None:
-        self.program, self.place, self.findings, self.history = program, place, findings, history
+    def __init__(self, program: Path, place: Place, folder: Path, settings: str, findings: list[str], history: History | None = None) -> None:
+        self.program, self.place, self.findings, self.history = program, place, findings, history or History()
         self.settings = folder / f"{place.name}.json"
         self.settings.write_text(settings)
         self.log = (folder / f"{place.name}.log").open("ab")
