--- a/tests/cell/agentcrashtest.cpp
+++ b/tests/cell/agentcrashtest.cpp
@@ -5,16 +5,7 @@
 using namespace knapweed;
 using namespace knapweed::cell;
 
-TEST_GROUP_BASE(AgentCrash, AgentFixture)
-{
-    ListedRun listed {runIdOf(orderOf(41).run), "", 0, 0};
-
-    void listRun(int percent)
-    {
-        listed.percent = percent;
-        answerRenewalsWithLists({listed}, {});
-    }
-};
+TEST_GROUP_BASE(AgentCrash, AgentFixture) {};
 
 TEST(AgentCrash, runsAreLostWithAnEndpointThatCrashes)
 {
@@ -55,12 +46,7 @@
 {
     agent->endpointReported(statusOf(200));
     startRun(41);
-    const RenewalCall verification = renewals.front();
-    renewals.erase(renewals.begin());
-    RenewalResult emptyLists;
-    emptyLists.clock = Milliseconds(++clock);
-    emptyLists.incarnation = 200;
-    verification.callback(emptyLists);
+    answerOneRenewal(200);
     LONGS_EQUAL(200, lastReport().born);
     CHECK(lastReport().lost.empty());
     answerRenewalsWithLists({{runIdOf(orderOf(41).run), "", 0, 0}}, {}, 200);
@@ -73,12 +59,7 @@
 {
     agent->endpointReported(statusOf(200));
     startRun(41);
-    const RenewalCall verification = renewals.front();
-    renewals.erase(renewals.begin());
-    RenewalResult emptyLists;
-    emptyLists.clock = Milliseconds(++clock);
-    emptyLists.incarnation = 200;
-    verification.callback(emptyLists);
+    answerOneRenewal(200);
     CHECK(lastReport().lost.empty());
     answerRenewalsWithLists({}, {}, 200);
     LONGS_EQUAL(1, lastReport().lost.size());
@@ -89,14 +70,7 @@
 {
     startRun(41);
     listRun(0);
-    now += Milliseconds(400);
-    agent->tick();
-    failRenewals(EndpointError::Kind::Unanswered);
-    for (int i = 0; i < 10; ++i) {
-        now += Milliseconds(300);
-        agent->tick();
-        failRenewals(EndpointError::Kind::ConnectionFailed);
-    }
+    crashEndpoint(10);
     beginIncarnation(200);
     LONGS_EQUAL(1, lastReport().lost.size());
     CHECK_TRUE(lastReport().lost[0].wasRunning);
--- a/tests/cell/agentfixture.h
+++ b/tests/cell/agentfixture.h
@@ -130,6 +130,36 @@
         LONGS_EQUAL(incarnation, lastReport().born);
     }
 
+    /// Answers the oldest renewal alone, as the given incarnation does while it runs nothing.
+    void answerOneRenewal(std::int64_t incarnation)
+    {
+        const RenewalCall call = std::move(renewals.front());
+        renewals.erase(renewals.begin());
+        RenewalResult answer;
+        answer.clock = Milliseconds(++clock);
+        answer.incarnation = incarnation;
+        call.callback(answer);
+    }
+
+    /// Answers all renewals with lists that hold run 41 alone.
+    void listRun(int percent)
+    {
+        answerRenewalsWithLists({{runIdOf(orderOf(41).run), "", percent, 0}}, {});
+    }
+
+    /// The endpoint closes the connections of the pending renewals, and then refuses new ones for the given number of rounds.
+    void crashEndpoint(int refusedRounds)
+    {
+        now += Milliseconds(400);
+        agent->tick();
+        failRenewals(EndpointError::Kind::Unanswered);
+        for (int i = 0; i < refusedRounds; ++i) {
+            now += Milliseconds(300);
+            agent->tick();
+            failRenewals(EndpointError::Kind::ConnectionFailed);
+        }
+    }
+
     void grantLease(std::int64_t incarnation)
     {
         wire::EndpointGrant grant;
--- a/tests/cell/crashdoubttest.cpp
+++ b/tests/cell/crashdoubttest.cpp
@@ -6,35 +6,14 @@
 using namespace knapweed;
 using namespace knapweed::cell;
 
-TEST_GROUP_BASE(AgentCrashDoubts, AgentFixture)
-{
-    ListedRun listed {runIdOf(orderOf(41).run), "", 0, 0};
-
-    void listRun(int percent)
-    {
-        listed.percent = percent;
-        answerRenewalsWithLists({listed}, {});
-    }
-
-    void crash(int silentRounds)
-    {
-        now += Milliseconds(400);
-        agent->tick();
-        failRenewals(EndpointError::Kind::Unanswered);
-        for (int i = 0; i < silentRounds; ++i) {
-            now += Milliseconds(300);
-            agent->tick();
-            failRenewals(EndpointError::Kind::ConnectionFailed);
-        }
-    }
-};
+TEST_GROUP_BASE(AgentCrashDoubts, AgentFixture) {};
 
 /// Guards against BUDGET: the scheduler takes a run as stalled after its endpoint has crashed, and orders its stop.
 TEST(AgentCrashDoubts, stopOrderedAfterTheCrashIsNoReasonToDoubtIt)
 {
     startRun(41);
     listRun(50);
-    crash(9);
+    crashEndpoint(9);
     agent->receive(schedulerName, stopOf(41));
     stops.back().callback(EndpointError {EndpointError::Kind::ConnectionFailed, "refused"});
     now += Milliseconds(300);
@@ -112,12 +91,7 @@
 {
     agent->endpointReported(statusOf(200));
     agent->receive(schedulerName, orderOf(41));
-    const RenewalCall verification = renewals.front();
-    renewals.erase(renewals.begin());
-    RenewalResult emptyLists;
-    emptyLists.clock = Milliseconds(++clock);
-    emptyLists.incarnation = 200;
-    verification.callback(emptyLists);
+    answerOneRenewal(200);
     const std::size_t atOnce = lastReport().lost.size();
     starts.back().callback(Milliseconds(5));
     answerRenewalsWithLists({{runIdOf(orderOf(41).run), "", 0, 0}}, {}, 200);
@@ -154,7 +128,7 @@
     listRun(50);
     now += Milliseconds(400);
     agent->endpointReported(statusOf(200));
-    answerRenewalsWithLists({listed}, {}, 0);
+    answerRenewalsWithLists({{runIdOf(orderOf(41).run), "", 50, 0}}, {}, 0);
     LONGS_EQUAL(200, lastReport().born);
     LONGS_EQUAL(1, lastReport().running.size());
     CHECK(lastReport().lost.empty());
