Review case 6: cut off a third of the machines together, within the limits of the site

The leader, another entry and three agents are cut off, 5 of 15 machines for 12 s, instead of half of the machines by region. The harness no longer sets regions.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""TWICE: two regions lose each other for 12 s. The leader, another entry and some runners are in the region that does not hold the store."""
+"""TWICE: five of fifteen machines, the leader, another entry and three runners' machines among them, are cut off together from the others and the store."""
 
 import asyncio
 import sys
@@ -20,21 +20,20 @@
         await cell.submit({"cpu": 60_000, "memMb": 4096, "gpu": 4}, WORK_S)
     await asyncio.sleep(CALM_S)
     leader = cell.leader()
-    processes = cell.entries + cell.agents
-    region = {process.place.name: process.place.zone in ("west-a", "west-b") for process in processes}
-    near = [process for process in processes if region[process.place.name] == region[leader.place.name]]
-    far = [process for process in processes if process not in near]
-    cell.note(f"leader {leader.place.name}; its region: {' '.join(process.place.name for process in near)}; the store is in the other region")
+    other = next(entry for entry in cell.entries if entry is not leader)
+    busy = [agent for agent, machine in zip(cell.agents, cell.machines, strict=True) if machine.boot.runs]
+    inside = [leader, other, *busy[:3]]
+    outside = [process for process in cell.entries + cell.agents if process not in inside]
     if has_trouble:
-        ways = {(one.place.ip, other.place.ip) for one in near for other in far}
-        ways |= {(other, one) for one, other in ways}
-        cell.note(f"the regions lose each other for {CUT_S:.0f} s")
-        for process in near:
+        ways = {(one.place.ip, far.place.ip) for one in inside for far in outside}
+        ways |= {(far, one) for one, far in ways}
+        cell.note(f"cut off together for {CUT_S:.0f} s: {' '.join(process.place.name for process in inside)}, with the leader {leader.place.name}")
+        for process in inside:
             cell.store.own_troubles[process.place.name].append(Trouble(unheard=1))
         await cell.links.hold(ways, CUT_S)
-        for process in near:
+        for process in inside:
             cell.store.own_troubles[process.place.name].clear()
-        cell.note("the regions reach each other again")
+        cell.note("the cut has healed")
     else:
         await asyncio.sleep(CUT_S)
     await asyncio.sleep(CALM_S)
--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -19,7 +19,6 @@
 sys.dont_write_bytecode = True
 sys.path.insert(0, str(ROOT / "tests"))
 
-from soak.cell import Place  # noqa: E402
 from soak.endpoint import Machine  # noqa: E402
 from soak.httplite import Request, Response  # noqa: E402
 from soak.judge import Job, clock_text  # noqa: E402
@@ -34,7 +33,6 @@
 ACCEPT_ATTEMPTS = 5
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 LIMIT_S = 110.0
-REGIONS = {"west-a": "west", "west-b": "west", "west-c": "east", "west-d": "east"}
 
 
 class LimitedStore(Store):
@@ -86,9 +84,6 @@
         self.judge.log = record  # type: ignore[assignment]
         self.made = 0
 
-    def _settings(self, place: Place) -> str:
-        return json.dumps(json.loads(super()._settings(place)) | {"region": REGIONS[place.zone]})
-
     def note(self, text: str) -> None:
         self.judge.note(text)
 
