--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,35 +1,43 @@
-"""LOST: a scheduled job with many occurrences grows beyond what one record of the store holds. From then on nothing is stored or started any more."""
+"""TWICE: a draining runner works on after its announced time; when its agent can't connect to it for a moment, its tasks are started elsewhere at once."""
 
 import asyncio
-import time
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "harness"))
 
-from deployment import FINISH_S, Deployment, run_case  # noqa: E402
+from deployment import Deployment, run_case  # noqa: E402
 
-COUNT, INTERVAL_MS = 60, 400
-TIMES, FEW_TIMES = 120, 40  # tasks in all: 7,200 with the disruption, 2,400 without it
-OTHER_INTERVAL_MS = 2000
-FULL_S = 60.0  # after which all tasks of the wide job have had their turn
-ASKED_FOR_S = 6.0
+REMAINING_S = 2.0  # announced, the minimum time that is left
+STAYS_S = 14.0  # from the announcement until the runner leaves
+REFUSED_FROM_S, REFUSED_S = 5.0, 3.0  # from the announcement, and how long
+WORK_S = 60.0
 
 
 async def scenario(cell: Deployment, has_trouble: bool) -> bool:
-    now = int(time.time() * 1000)
-    # A plain job of another kind, due until the end of the case: one task of half a second every two seconds.
-    other = await cell.submit({"cpu": 1000, "memMb": 64}, 0.5, times=60, firstMs=now, intervalMs=OTHER_INTERVAL_MS)
-    times = TIMES if has_trouble else FEW_TIMES
-    await cell.submit({"count": COUNT, "cpu": 500, "memMb": 64}, 0.2, times=times, firstMs=now, intervalMs=INTERVAL_MS)
-    cell.note("end of the traffic")
-    await asyncio.sleep(max(FULL_S, FINISH_S))
-    lost = await cell.idle_jobs([other])
-    # More of what clients see then; not part of the verdict.
-    await cell.ask("POST", "00000000000000aa", b'{"spec":"review","steps":[{"count":1,"cpu":1000,"memMb":64,"estMs":500}]}')
-    await cell.ask("DELETE", other.id)
-    cell.note(f"largest record that the store refused: {cell.store.refused_bytes} bytes")  # type: ignore[attr-defined]
-    return bool(lost)
-
-
-run_case(__file__, scenario, entries=2, agents=4, left_out=("0000000000000002.",))
+    job = await cell.submit({"cpu": 11_000, "memMb": 4096, "gpu": 1}, WORK_S)
+    while not job.is_started:
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(3.0)
+    machine = next(machine for machine in cell.machines if machine.boot.runs)
+    boot = machine.boot
+    cell.note(f"{machine.name} {boot.id} drains, with at least {REMAINING_S} s left")
+    boot.leaves_at = time.monotonic() + REMAINING_S
+    await asyncio.sleep(REFUSED_FROM_S)
+    if has_trouble:
+        cell.note(f"{machine.name} is cut off from its agent for {REFUSED_S} s: connections are reset and refused")
+        machine.server.close()
+        await asyncio.sleep(REFUSED_S)
+        await machine.server.open()
+        cell.note("the cut has healed")
+    else:
+        await asyncio.sleep(REFUSED_S)
+    await asyncio.sleep(STAYS_S - REFUSED_FROM_S - REFUSED_S)
+    is_broken = any(violation.rule == "TWICE" for violation in cell.judge.violations)
+    await machine.leave(0.0)
+    await asyncio.sleep(2.0)
+    return is_broken
+
+
+run_case(__file__, scenario, entries=2, agents=6)
