--- a/review/7/case.py
+++ b/review/7/case.py
@@ -15,6 +15,11 @@
 WORK_S = 60.0
 
 
+async def unheard(_identity: str, _body: bytes) -> bool:
+    """A report of the runner that does not reach its agent."""
+    return False
+
+
 async def scenario(cell: Deployment, has_trouble: bool) -> bool:
     job = await cell.submit({"cpu": 11_000, "memMb": 4096, "gpu": 1}, WORK_S)
     while not job.is_started:
@@ -27,8 +32,11 @@
     await asyncio.sleep(REFUSED_FROM_S)
     if has_trouble:
         cell.note(f"{machine.name} is cut off from its agent for {REFUSED_S} s: connections are reset and refused")
+        reaching = machine.send_report
+        machine.send_report = unheard  # type: ignore[method-assign]
         machine.server.close()
         await asyncio.sleep(REFUSED_S)
+        machine.send_report = reaching  # type: ignore[method-assign]
         await machine.server.open()
         cell.note("the cut has healed")
     else:
