--- a/review/7/case.py
+++ b/review/7/case.py
@@ -48,4 +48,4 @@
     return is_broken
 
 
-run_case(__file__, scenario, entries=2, agents=6)
+run_case(__file__, scenario, entries=2, agents=13)
