--- a/src/libknapweed/peers/codec.h
+++ b/src/libknapweed/peers/codec.h
@@ -48,7 +48,8 @@
     wire::SchedulerNotice,
     wire::JobCall,
     wire::JobAnswer,
-    wire::CellConfigurationOffer>;
+    wire::CellConfigurationOffer,
+    wire::EvacuationState>;
 
 struct CodecError
 {
--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -345,16 +345,18 @@
   StartOutcome::Rejected,
   StartOutcome::Unanswered,
   StartOutcome::NoRoom,
-  StartOutcome::BadTicket
+  StartOutcome::BadTicket,
+  StartOutcome::Evacuated
 };
 const char* _kStartOutcomeNames[] = {
   "Started",
   "Rejected",
   "Unanswered",
   "NoRoom",
-  "BadTicket"
+  "BadTicket",
+  "Evacuated"
 };
-const std::map<int, const char*> _StartOutcome_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kStartOutcomeValues, _kStartOutcomeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _StartOutcome_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(6, _kStartOutcomeValues, _kStartOutcomeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const StartOutcome::type& val) {
   std::map<int, const char*>::const_iterator it = _StartOutcome_VALUES_TO_NAMES.find(val);
@@ -1397,6 +1399,11 @@
   this->asksRoster = val;
 __isset.asksRoster = true;
 }
+
+void Heartbeat::__set_evacuations(const int64_t val) {
+  this->evacuations = val;
+__isset.evacuations = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -1485,6 +1492,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->evacuations);
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1537,6 +1552,11 @@
     xfer += oprot->writeBool(this->asksRoster);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.evacuations) {
+    xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->evacuations);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1550,6 +1570,7 @@
   swap(a.draining, b.draining);
   swap(a.heard, b.heard);
   swap(a.asksRoster, b.asksRoster);
+  swap(a.evacuations, b.evacuations);
   swap(a.__isset, b.__isset);
 }
 
@@ -1560,6 +1581,7 @@
   draining = other34.draining;
   heard = other34.heard;
   asksRoster = other34.asksRoster;
+  evacuations = other34.evacuations;
   __isset = other34.__isset;
 }
 Heartbeat::Heartbeat(Heartbeat&& other35) noexcept {
@@ -1569,6 +1591,7 @@
   draining = other35.draining;
   heard = other35.heard;
   asksRoster = other35.asksRoster;
+  evacuations = other35.evacuations;
   __isset = other35.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other36) {
@@ -1578,6 +1601,7 @@
   draining = other36.draining;
   heard = other36.heard;
   asksRoster = other36.asksRoster;
+  evacuations = other36.evacuations;
   __isset = other36.__isset;
   return *this;
 }
@@ -1588,6 +1612,7 @@
   draining = other37.draining;
   heard = other37.heard;
   asksRoster = other37.asksRoster;
+  evacuations = other37.evacuations;
   __isset = other37.__isset;
   return *this;
 }
@@ -1600,6 +1625,7 @@
   out << ", " << "draining="; (__isset.draining ? (out << to_string(draining)) : (out << "<null>"));
   out << ", " << "heard=" << to_string(heard);
   out << ", " << "asksRoster="; (__isset.asksRoster ? (out << to_string(asksRoster)) : (out << "<null>"));
+  out << ", " << "evacuations="; (__isset.evacuations ? (out << to_string(evacuations)) : (out << "<null>"));
   out << ")";
 }
 
@@ -8447,6 +8473,16 @@
 void StartOrder::__set_validUntilMs(const int64_t val) {
   this->validUntilMs = val;
 }
+
+void StartOrder::__set_evacuationPosition(const int64_t val) {
+  this->evacuationPosition = val;
+__isset.evacuationPosition = true;
+}
+
+void StartOrder::__set_isEvacuated(const bool val) {
+  this->isEvacuated = val;
+__isset.isEvacuated = true;
+}
 std::ostream& operator<<(std::ostream& out, const StartOrder& obj)
 {
   obj.printTo(out);
@@ -8563,6 +8599,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->evacuationPosition);
+          this->__isset.evacuationPosition = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isEvacuated);
+          this->__isset.isEvacuated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8624,6 +8676,16 @@
   xfer += oprot->writeI64(this->validUntilMs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.evacuationPosition) {
+    xfer += oprot->writeFieldBegin("evacuationPosition", ::apache::thrift::protocol::T_I64, 12);
+    xfer += oprot->writeI64(this->evacuationPosition);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.isEvacuated) {
+    xfer += oprot->writeFieldBegin("isEvacuated", ::apache::thrift::protocol::T_BOOL, 13);
+    xfer += oprot->writeBool(this->isEvacuated);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8642,6 +8704,8 @@
   swap(a.memoryMib, b.memoryMib);
   swap(a.accelerators, b.accelerators);
   swap(a.validUntilMs, b.validUntilMs);
+  swap(a.evacuationPosition, b.evacuationPosition);
+  swap(a.isEvacuated, b.isEvacuated);
   swap(a.__isset, b.__isset);
 }
 
@@ -8657,6 +8721,8 @@
   memoryMib = other249.memoryMib;
   accelerators = other249.accelerators;
   validUntilMs = other249.validUntilMs;
+  evacuationPosition = other249.evacuationPosition;
+  isEvacuated = other249.isEvacuated;
   __isset = other249.__isset;
 }
 StartOrder::StartOrder(StartOrder&& other250) noexcept {
@@ -8671,6 +8737,8 @@
   memoryMib = other250.memoryMib;
   accelerators = other250.accelerators;
   validUntilMs = other250.validUntilMs;
+  evacuationPosition = other250.evacuationPosition;
+  isEvacuated = other250.isEvacuated;
   __isset = other250.__isset;
 }
 StartOrder& StartOrder::operator=(const StartOrder& other251) {
@@ -8685,6 +8753,8 @@
   memoryMib = other251.memoryMib;
   accelerators = other251.accelerators;
   validUntilMs = other251.validUntilMs;
+  evacuationPosition = other251.evacuationPosition;
+  isEvacuated = other251.isEvacuated;
   __isset = other251.__isset;
   return *this;
 }
@@ -8700,6 +8770,8 @@
   memoryMib = other252.memoryMib;
   accelerators = other252.accelerators;
   validUntilMs = other252.validUntilMs;
+  evacuationPosition = other252.evacuationPosition;
+  isEvacuated = other252.isEvacuated;
   __isset = other252.__isset;
   return *this;
 }
@@ -8717,6 +8789,274 @@
   out << ", " << "memoryMib=" << to_string(memoryMib);
   out << ", " << "accelerators=" << to_string(accelerators);
   out << ", " << "validUntilMs=" << to_string(validUntilMs);
+  out << ", " << "evacuationPosition="; (__isset.evacuationPosition ? (out << to_string(evacuationPosition)) : (out << "<null>"));
+  out << ", " << "isEvacuated="; (__isset.isEvacuated ? (out << to_string(isEvacuated)) : (out << "<null>"));
+  out << ")";
+}
+
+
+EvacuatedDomain::~EvacuatedDomain() noexcept {
+}
+
+
+void EvacuatedDomain::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void EvacuatedDomain::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+std::ostream& operator<<(std::ostream& out, const EvacuatedDomain& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EvacuatedDomain::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EvacuatedDomain::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EvacuatedDomain");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EvacuatedDomain &a, EvacuatedDomain &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.offset, b.offset);
+  swap(a.__isset, b.__isset);
+}
+
+EvacuatedDomain::EvacuatedDomain(const EvacuatedDomain& other253) {
+  name = other253.name;
+  offset = other253.offset;
+  __isset = other253.__isset;
+}
+EvacuatedDomain::EvacuatedDomain(EvacuatedDomain&& other254) noexcept {
+  name = std::move(other254.name);
+  offset = other254.offset;
+  __isset = other254.__isset;
+}
+EvacuatedDomain& EvacuatedDomain::operator=(const EvacuatedDomain& other255) {
+  name = other255.name;
+  offset = other255.offset;
+  __isset = other255.__isset;
+  return *this;
+}
+EvacuatedDomain& EvacuatedDomain::operator=(EvacuatedDomain&& other256) noexcept {
+  name = std::move(other256.name);
+  offset = other256.offset;
+  __isset = other256.__isset;
+  return *this;
+}
+void EvacuatedDomain::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EvacuatedDomain(";
+  out << "name=" << to_string(name);
+  out << ", " << "offset=" << to_string(offset);
+  out << ")";
+}
+
+
+EvacuationState::~EvacuationState() noexcept {
+}
+
+
+void EvacuationState::__set_position(const int64_t val) {
+  this->position = val;
+}
+
+void EvacuationState::__set_domains(const std::vector<EvacuatedDomain> & val) {
+  this->domains = val;
+}
+std::ostream& operator<<(std::ostream& out, const EvacuationState& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EvacuationState::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->position);
+          this->__isset.position = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->domains.clear();
+            uint32_t _size257;
+            ::apache::thrift::protocol::TType _etype260;
+            xfer += iprot->readListBegin(_etype260, _size257);
+            this->domains.resize(_size257);
+            uint32_t _i261;
+            for (_i261 = 0; _i261 < _size257; ++_i261)
+            {
+              xfer += this->domains[_i261].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.domains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EvacuationState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EvacuationState");
+
+  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->position);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->domains.size()));
+    std::vector<EvacuatedDomain> ::const_iterator _iter262;
+    for (_iter262 = this->domains.begin(); _iter262 != this->domains.end(); ++_iter262)
+    {
+      xfer += (*_iter262).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EvacuationState &a, EvacuationState &b) {
+  using ::std::swap;
+  swap(a.position, b.position);
+  swap(a.domains, b.domains);
+  swap(a.__isset, b.__isset);
+}
+
+EvacuationState::EvacuationState(const EvacuationState& other263) {
+  position = other263.position;
+  domains = other263.domains;
+  __isset = other263.__isset;
+}
+EvacuationState::EvacuationState(EvacuationState&& other264) noexcept {
+  position = other264.position;
+  domains = std::move(other264.domains);
+  __isset = other264.__isset;
+}
+EvacuationState& EvacuationState::operator=(const EvacuationState& other265) {
+  position = other265.position;
+  domains = other265.domains;
+  __isset = other265.__isset;
+  return *this;
+}
+EvacuationState& EvacuationState::operator=(EvacuationState&& other266) noexcept {
+  position = other266.position;
+  domains = std::move(other266.domains);
+  __isset = other266.__isset;
+  return *this;
+}
+void EvacuationState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EvacuationState(";
+  out << "position=" << to_string(position);
+  out << ", " << "domains=" << to_string(domains);
   out << ")";
 }
 
@@ -8752,6 +9092,11 @@
 void StartResult::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
+
+void StartResult::__set_evacuations(const EvacuationState& val) {
+  this->evacuations = val;
+__isset.evacuations = true;
+}
 std::ostream& operator<<(std::ostream& out, const StartResult& obj)
 {
   obj.printTo(out);
@@ -8814,9 +9159,9 @@
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast253;
-          xfer += iprot->readI32(ecast253);
-          this->outcome = static_cast<StartOutcome::type>(ecast253);
+          int32_t ecast267;
+          xfer += iprot->readI32(ecast267);
+          this->outcome = static_cast<StartOutcome::type>(ecast267);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8838,6 +9183,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuations.read(iprot);
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8883,6 +9236,11 @@
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.evacuations) {
+    xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->evacuations.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8897,49 +9255,54 @@
   swap(a.outcome, b.outcome);
   swap(a.detail, b.detail);
   swap(a.sequence, b.sequence);
+  swap(a.evacuations, b.evacuations);
   swap(a.__isset, b.__isset);
 }
 
-StartResult::StartResult(const StartResult& other254) {
-  generation = other254.generation;
-  endpoint = other254.endpoint;
-  born = other254.born;
-  run = other254.run;
-  outcome = other254.outcome;
-  detail = other254.detail;
-  sequence = other254.sequence;
-  __isset = other254.__isset;
+StartResult::StartResult(const StartResult& other268) {
+  generation = other268.generation;
+  endpoint = other268.endpoint;
+  born = other268.born;
+  run = other268.run;
+  outcome = other268.outcome;
+  detail = other268.detail;
+  sequence = other268.sequence;
+  evacuations = other268.evacuations;
+  __isset = other268.__isset;
 }
-StartResult::StartResult(StartResult&& other255) noexcept {
-  generation = other255.generation;
-  endpoint = std::move(other255.endpoint);
-  born = other255.born;
-  run = std::move(other255.run);
-  outcome = other255.outcome;
-  detail = std::move(other255.detail);
-  sequence = other255.sequence;
-  __isset = other255.__isset;
+StartResult::StartResult(StartResult&& other269) noexcept {
+  generation = other269.generation;
+  endpoint = std::move(other269.endpoint);
+  born = other269.born;
+  run = std::move(other269.run);
+  outcome = other269.outcome;
+  detail = std::move(other269.detail);
+  sequence = other269.sequence;
+  evacuations = std::move(other269.evacuations);
+  __isset = other269.__isset;
 }
-StartResult& StartResult::operator=(const StartResult& other256) {
-  generation = other256.generation;
-  endpoint = other256.endpoint;
-  born = other256.born;
-  run = other256.run;
-  outcome = other256.outcome;
-  detail = other256.detail;
-  sequence = other256.sequence;
-  __isset = other256.__isset;
+StartResult& StartResult::operator=(const StartResult& other270) {
+  generation = other270.generation;
+  endpoint = other270.endpoint;
+  born = other270.born;
+  run = other270.run;
+  outcome = other270.outcome;
+  detail = other270.detail;
+  sequence = other270.sequence;
+  evacuations = other270.evacuations;
+  __isset = other270.__isset;
   return *this;
 }
-StartResult& StartResult::operator=(StartResult&& other257) noexcept {
-  generation = other257.generation;
-  endpoint = std::move(other257.endpoint);
-  born = other257.born;
-  run = std::move(other257.run);
-  outcome = other257.outcome;
-  detail = std::move(other257.detail);
-  sequence = other257.sequence;
-  __isset = other257.__isset;
+StartResult& StartResult::operator=(StartResult&& other271) noexcept {
+  generation = other271.generation;
+  endpoint = std::move(other271.endpoint);
+  born = other271.born;
+  run = std::move(other271.run);
+  outcome = other271.outcome;
+  detail = std::move(other271.detail);
+  sequence = other271.sequence;
+  evacuations = std::move(other271.evacuations);
+  __isset = other271.__isset;
   return *this;
 }
 void StartResult::printTo(std::ostream& out) const {
@@ -8952,6 +9315,7 @@
   out << ", " << "outcome=" << to_string(outcome);
   out << ", " << "detail=" << to_string(detail);
   out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "evacuations="; (__isset.evacuations ? (out << to_string(evacuations)) : (out << "<null>"));
   out << ")";
 }
 
@@ -9082,34 +9446,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StopOrder::StopOrder(const StopOrder& other258) {
-  generation = other258.generation;
-  endpoint = other258.endpoint;
-  born = other258.born;
-  run = other258.run;
-  __isset = other258.__isset;
-}
-StopOrder::StopOrder(StopOrder&& other259) noexcept {
-  generation = other259.generation;
-  endpoint = std::move(other259.endpoint);
-  born = other259.born;
-  run = std::move(other259.run);
-  __isset = other259.__isset;
-}
-StopOrder& StopOrder::operator=(const StopOrder& other260) {
-  generation = other260.generation;
-  endpoint = other260.endpoint;
-  born = other260.born;
-  run = other260.run;
-  __isset = other260.__isset;
+StopOrder::StopOrder(const StopOrder& other272) {
+  generation = other272.generation;
+  endpoint = other272.endpoint;
+  born = other272.born;
+  run = other272.run;
+  __isset = other272.__isset;
+}
+StopOrder::StopOrder(StopOrder&& other273) noexcept {
+  generation = other273.generation;
+  endpoint = std::move(other273.endpoint);
+  born = other273.born;
+  run = std::move(other273.run);
+  __isset = other273.__isset;
+}
+StopOrder& StopOrder::operator=(const StopOrder& other274) {
+  generation = other274.generation;
+  endpoint = other274.endpoint;
+  born = other274.born;
+  run = other274.run;
+  __isset = other274.__isset;
   return *this;
 }
-StopOrder& StopOrder::operator=(StopOrder&& other261) noexcept {
-  generation = other261.generation;
-  endpoint = std::move(other261.endpoint);
-  born = other261.born;
-  run = std::move(other261.run);
-  __isset = other261.__isset;
+StopOrder& StopOrder::operator=(StopOrder&& other275) noexcept {
+  generation = other275.generation;
+  endpoint = std::move(other275.endpoint);
+  born = other275.born;
+  run = std::move(other275.run);
+  __isset = other275.__isset;
   return *this;
 }
 void StopOrder::printTo(std::ostream& out) const {
@@ -9249,34 +9613,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RunAbsent::RunAbsent(const RunAbsent& other262) {
-  generation = other262.generation;
-  endpoint = other262.endpoint;
-  born = other262.born;
-  run = other262.run;
-  __isset = other262.__isset;
+RunAbsent::RunAbsent(const RunAbsent& other276) {
+  generation = other276.generation;
+  endpoint = other276.endpoint;
+  born = other276.born;
+  run = other276.run;
+  __isset = other276.__isset;
 }
-RunAbsent::RunAbsent(RunAbsent&& other263) noexcept {
-  generation = other263.generation;
-  endpoint = std::move(other263.endpoint);
-  born = other263.born;
-  run = std::move(other263.run);
-  __isset = other263.__isset;
+RunAbsent::RunAbsent(RunAbsent&& other277) noexcept {
+  generation = other277.generation;
+  endpoint = std::move(other277.endpoint);
+  born = other277.born;
+  run = std::move(other277.run);
+  __isset = other277.__isset;
 }
-RunAbsent& RunAbsent::operator=(const RunAbsent& other264) {
-  generation = other264.generation;
-  endpoint = other264.endpoint;
-  born = other264.born;
-  run = other264.run;
-  __isset = other264.__isset;
+RunAbsent& RunAbsent::operator=(const RunAbsent& other278) {
+  generation = other278.generation;
+  endpoint = other278.endpoint;
+  born = other278.born;
+  run = other278.run;
+  __isset = other278.__isset;
   return *this;
 }
-RunAbsent& RunAbsent::operator=(RunAbsent&& other265) noexcept {
-  generation = other265.generation;
-  endpoint = std::move(other265.endpoint);
-  born = other265.born;
-  run = std::move(other265.run);
-  __isset = other265.__isset;
+RunAbsent& RunAbsent::operator=(RunAbsent&& other279) noexcept {
+  generation = other279.generation;
+  endpoint = std::move(other279.endpoint);
+  born = other279.born;
+  run = std::move(other279.run);
+  __isset = other279.__isset;
   return *this;
 }
 void RunAbsent::printTo(std::ostream& out) const {
@@ -9416,34 +9780,34 @@
   swap(a.__isset, b.__isset);
 }
 
-SchedulerNotice::SchedulerNotice(const SchedulerNotice& other266) {
-  generation = other266.generation;
-  address = other266.address;
-  isLeaving = other266.isLeaving;
-  askedAtMs = other266.askedAtMs;
-  __isset = other266.__isset;
+SchedulerNotice::SchedulerNotice(const SchedulerNotice& other280) {
+  generation = other280.generation;
+  address = other280.address;
+  isLeaving = other280.isLeaving;
+  askedAtMs = other280.askedAtMs;
+  __isset = other280.__isset;
 }
-SchedulerNotice::SchedulerNotice(SchedulerNotice&& other267) noexcept {
-  generation = other267.generation;
-  address = std::move(other267.address);
-  isLeaving = other267.isLeaving;
-  askedAtMs = other267.askedAtMs;
-  __isset = other267.__isset;
+SchedulerNotice::SchedulerNotice(SchedulerNotice&& other281) noexcept {
+  generation = other281.generation;
+  address = std::move(other281.address);
+  isLeaving = other281.isLeaving;
+  askedAtMs = other281.askedAtMs;
+  __isset = other281.__isset;
 }
-SchedulerNotice& SchedulerNotice::operator=(const SchedulerNotice& other268) {
-  generation = other268.generation;
-  address = other268.address;
-  isLeaving = other268.isLeaving;
-  askedAtMs = other268.askedAtMs;
-  __isset = other268.__isset;
+SchedulerNotice& SchedulerNotice::operator=(const SchedulerNotice& other282) {
+  generation = other282.generation;
+  address = other282.address;
+  isLeaving = other282.isLeaving;
+  askedAtMs = other282.askedAtMs;
+  __isset = other282.__isset;
   return *this;
 }
-SchedulerNotice& SchedulerNotice::operator=(SchedulerNotice&& other269) noexcept {
-  generation = other269.generation;
-  address = std::move(other269.address);
-  isLeaving = other269.isLeaving;
-  askedAtMs = other269.askedAtMs;
-  __isset = other269.__isset;
+SchedulerNotice& SchedulerNotice::operator=(SchedulerNotice&& other283) noexcept {
+  generation = other283.generation;
+  address = std::move(other283.address);
+  isLeaving = other283.isLeaving;
+  askedAtMs = other283.askedAtMs;
+  __isset = other283.__isset;
   return *this;
 }
 void SchedulerNotice::printTo(std::ostream& out) const {
@@ -9526,9 +9890,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast270;
-          xfer += iprot->readI32(ecast270);
-          this->kind = static_cast<CallKind::type>(ecast270);
+          int32_t ecast284;
+          xfer += iprot->readI32(ecast284);
+          this->kind = static_cast<CallKind::type>(ecast284);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9636,46 +10000,46 @@
   swap(a.__isset, b.__isset);
 }
 
-JobCall::JobCall(const JobCall& other271) {
-  call = other271.call;
-  kind = other271.kind;
-  queue = other271.queue;
-  job = other271.job;
-  account = other271.account;
-  spec = other271.spec;
-  configurationVersion = other271.configurationVersion;
-  __isset = other271.__isset;
-}
-JobCall::JobCall(JobCall&& other272) noexcept {
-  call = other272.call;
-  kind = other272.kind;
-  queue = std::move(other272.queue);
-  job = std::move(other272.job);
-  account = std::move(other272.account);
-  spec = std::move(other272.spec);
-  configurationVersion = other272.configurationVersion;
-  __isset = other272.__isset;
-}
-JobCall& JobCall::operator=(const JobCall& other273) {
-  call = other273.call;
-  kind = other273.kind;
-  queue = other273.queue;
-  job = other273.job;
-  account = other273.account;
-  spec = other273.spec;
-  configurationVersion = other273.configurationVersion;
-  __isset = other273.__isset;
+JobCall::JobCall(const JobCall& other285) {
+  call = other285.call;
+  kind = other285.kind;
+  queue = other285.queue;
+  job = other285.job;
+  account = other285.account;
+  spec = other285.spec;
+  configurationVersion = other285.configurationVersion;
+  __isset = other285.__isset;
+}
+JobCall::JobCall(JobCall&& other286) noexcept {
+  call = other286.call;
+  kind = other286.kind;
+  queue = std::move(other286.queue);
+  job = std::move(other286.job);
+  account = std::move(other286.account);
+  spec = std::move(other286.spec);
+  configurationVersion = other286.configurationVersion;
+  __isset = other286.__isset;
+}
+JobCall& JobCall::operator=(const JobCall& other287) {
+  call = other287.call;
+  kind = other287.kind;
+  queue = other287.queue;
+  job = other287.job;
+  account = other287.account;
+  spec = other287.spec;
+  configurationVersion = other287.configurationVersion;
+  __isset = other287.__isset;
   return *this;
 }
-JobCall& JobCall::operator=(JobCall&& other274) noexcept {
-  call = other274.call;
-  kind = other274.kind;
-  queue = std::move(other274.queue);
-  job = std::move(other274.job);
-  account = std::move(other274.account);
-  spec = std::move(other274.spec);
-  configurationVersion = other274.configurationVersion;
-  __isset = other274.__isset;
+JobCall& JobCall::operator=(JobCall&& other288) noexcept {
+  call = other288.call;
+  kind = other288.kind;
+  queue = std::move(other288.queue);
+  job = std::move(other288.job);
+  account = std::move(other288.account);
+  spec = std::move(other288.spec);
+  configurationVersion = other288.configurationVersion;
+  __isset = other288.__isset;
   return *this;
 }
 void JobCall::printTo(std::ostream& out) const {
@@ -9765,9 +10129,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast275;
-          xfer += iprot->readI32(ecast275);
-          this->outcome = static_cast<CallOutcome::type>(ecast275);
+          int32_t ecast289;
+          xfer += iprot->readI32(ecast289);
+          this->outcome = static_cast<CallOutcome::type>(ecast289);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9815,9 +10179,9 @@
         break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast276;
-          xfer += iprot->readI32(ecast276);
-          this->basis = static_cast<AnswerBasis::type>(ecast276);
+          int32_t ecast290;
+          xfer += iprot->readI32(ecast290);
+          this->basis = static_cast<AnswerBasis::type>(ecast290);
           this->__isset.basis = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9890,50 +10254,50 @@
   swap(a.__isset, b.__isset);
 }
 
-JobAnswer::JobAnswer(const JobAnswer& other277) {
-  call = other277.call;
-  outcome = other277.outcome;
-  state = other277.state;
-  waiting = other277.waiting;
-  retryAfterMs = other277.retryAfterMs;
-  configurationVersion = other277.configurationVersion;
-  generation = other277.generation;
-  basis = other277.basis;
-  __isset = other277.__isset;
-}
-JobAnswer::JobAnswer(JobAnswer&& other278) noexcept {
-  call = other278.call;
-  outcome = other278.outcome;
-  state = std::move(other278.state);
-  waiting = other278.waiting;
-  retryAfterMs = other278.retryAfterMs;
-  configurationVersion = other278.configurationVersion;
-  generation = other278.generation;
-  basis = other278.basis;
-  __isset = other278.__isset;
-}
-JobAnswer& JobAnswer::operator=(const JobAnswer& other279) {
-  call = other279.call;
-  outcome = other279.outcome;
-  state = other279.state;
-  waiting = other279.waiting;
-  retryAfterMs = other279.retryAfterMs;
-  configurationVersion = other279.configurationVersion;
-  generation = other279.generation;
-  basis = other279.basis;
-  __isset = other279.__isset;
+JobAnswer::JobAnswer(const JobAnswer& other291) {
+  call = other291.call;
+  outcome = other291.outcome;
+  state = other291.state;
+  waiting = other291.waiting;
+  retryAfterMs = other291.retryAfterMs;
+  configurationVersion = other291.configurationVersion;
+  generation = other291.generation;
+  basis = other291.basis;
+  __isset = other291.__isset;
+}
+JobAnswer::JobAnswer(JobAnswer&& other292) noexcept {
+  call = other292.call;
+  outcome = other292.outcome;
+  state = std::move(other292.state);
+  waiting = other292.waiting;
+  retryAfterMs = other292.retryAfterMs;
+  configurationVersion = other292.configurationVersion;
+  generation = other292.generation;
+  basis = other292.basis;
+  __isset = other292.__isset;
+}
+JobAnswer& JobAnswer::operator=(const JobAnswer& other293) {
+  call = other293.call;
+  outcome = other293.outcome;
+  state = other293.state;
+  waiting = other293.waiting;
+  retryAfterMs = other293.retryAfterMs;
+  configurationVersion = other293.configurationVersion;
+  generation = other293.generation;
+  basis = other293.basis;
+  __isset = other293.__isset;
   return *this;
 }
-JobAnswer& JobAnswer::operator=(JobAnswer&& other280) noexcept {
-  call = other280.call;
-  outcome = other280.outcome;
-  state = std::move(other280.state);
-  waiting = other280.waiting;
-  retryAfterMs = other280.retryAfterMs;
-  configurationVersion = other280.configurationVersion;
-  generation = other280.generation;
-  basis = other280.basis;
-  __isset = other280.__isset;
+JobAnswer& JobAnswer::operator=(JobAnswer&& other294) noexcept {
+  call = other294.call;
+  outcome = other294.outcome;
+  state = std::move(other294.state);
+  waiting = other294.waiting;
+  retryAfterMs = other294.retryAfterMs;
+  configurationVersion = other294.configurationVersion;
+  generation = other294.generation;
+  basis = other294.basis;
+  __isset = other294.__isset;
   return *this;
 }
 void JobAnswer::printTo(std::ostream& out) const {
@@ -10043,26 +10407,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CellConfigurationOffer::CellConfigurationOffer(const CellConfigurationOffer& other281) {
-  version = other281.version;
-  document = other281.document;
-  __isset = other281.__isset;
+CellConfigurationOffer::CellConfigurationOffer(const CellConfigurationOffer& other295) {
+  version = other295.version;
+  document = other295.document;
+  __isset = other295.__isset;
 }
-CellConfigurationOffer::CellConfigurationOffer(CellConfigurationOffer&& other282) noexcept {
-  version = other282.version;
-  document = std::move(other282.document);
-  __isset = other282.__isset;
+CellConfigurationOffer::CellConfigurationOffer(CellConfigurationOffer&& other296) noexcept {
+  version = other296.version;
+  document = std::move(other296.document);
+  __isset = other296.__isset;
 }
-CellConfigurationOffer& CellConfigurationOffer::operator=(const CellConfigurationOffer& other283) {
-  version = other283.version;
-  document = other283.document;
-  __isset = other283.__isset;
+CellConfigurationOffer& CellConfigurationOffer::operator=(const CellConfigurationOffer& other297) {
+  version = other297.version;
+  document = other297.document;
+  __isset = other297.__isset;
   return *this;
 }
-CellConfigurationOffer& CellConfigurationOffer::operator=(CellConfigurationOffer&& other284) noexcept {
-  version = other284.version;
-  document = std::move(other284.document);
-  __isset = other284.__isset;
+CellConfigurationOffer& CellConfigurationOffer::operator=(CellConfigurationOffer&& other298) noexcept {
+  version = other298.version;
+  document = std::move(other298.document);
+  __isset = other298.__isset;
   return *this;
 }
 void CellConfigurationOffer::printTo(std::ostream& out) const {
--- a/src/libknapweed/peers/gen/peers_types.h
+++ b/src/libknapweed/peers/gen/peers_types.h
@@ -177,7 +177,8 @@
     Rejected = 2,
     Unanswered = 3,
     NoRoom = 4,
-    BadTicket = 5
+    BadTicket = 5,
+    Evacuated = 6
   };
 };
 
@@ -269,6 +270,10 @@
 
 class StartOrder;
 
+class EvacuatedDomain;
+
+class EvacuationState;
+
 class StartResult;
 
 class StopOrder;
@@ -662,13 +667,14 @@
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : sequence(false), roster(false), configurationVersion(false), draining(false), heard(false), asksRoster(false) {}
+  _Heartbeat__isset() : sequence(false), roster(false), configurationVersion(false), draining(false), heard(false), asksRoster(false), evacuations(false) {}
   bool sequence :1;
   bool roster :1;
   bool configurationVersion :1;
   bool draining :1;
   bool heard :1;
   bool asksRoster :1;
+  bool evacuations :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -683,7 +689,8 @@
               configurationVersion(0),
               draining(0),
               heard(0),
-              asksRoster(0) {
+              asksRoster(0),
+              evacuations(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -693,6 +700,7 @@
   bool draining;
   int64_t heard;
   bool asksRoster;
+  int64_t evacuations;
 
   _Heartbeat__isset __isset;
 
@@ -708,6 +716,8 @@
 
   void __set_asksRoster(const bool val);
 
+  void __set_evacuations(const int64_t val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -728,6 +738,10 @@
       return false;
     else if (__isset.asksRoster && !(asksRoster == rhs.asksRoster))
       return false;
+    if (__isset.evacuations != rhs.__isset.evacuations)
+      return false;
+    else if (__isset.evacuations && !(evacuations == rhs.evacuations))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -3270,7 +3284,7 @@
 std::ostream& operator<<(std::ostream& out, const EndpointGrant& obj);
 
 typedef struct _StartOrder__isset {
-  _StartOrder__isset() : generation(false), endpoint(false), born(false), run(false), input(false), checkpoint(false), ticket(false), milliCores(false), memoryMib(false), accelerators(false), validUntilMs(false) {}
+  _StartOrder__isset() : generation(false), endpoint(false), born(false), run(false), input(false), checkpoint(false), ticket(false), milliCores(false), memoryMib(false), accelerators(false), validUntilMs(false), evacuationPosition(false), isEvacuated(false) {}
   bool generation :1;
   bool endpoint :1;
   bool born :1;
@@ -3282,6 +3296,8 @@
   bool memoryMib :1;
   bool accelerators :1;
   bool validUntilMs :1;
+  bool evacuationPosition :1;
+  bool isEvacuated :1;
 } _StartOrder__isset;
 
 class StartOrder : public virtual ::apache::thrift::TBase {
@@ -3301,7 +3317,9 @@
                milliCores(0),
                memoryMib(0),
                accelerators(0),
-               validUntilMs(0) {
+               validUntilMs(0),
+               evacuationPosition(0),
+               isEvacuated(0) {
   }
 
   virtual ~StartOrder() noexcept;
@@ -3316,6 +3334,8 @@
   int64_t memoryMib;
   int64_t accelerators;
   int64_t validUntilMs;
+  int64_t evacuationPosition;
+  bool isEvacuated;
 
   _StartOrder__isset __isset;
 
@@ -3341,6 +3361,10 @@
 
   void __set_validUntilMs(const int64_t val);
 
+  void __set_evacuationPosition(const int64_t val);
+
+  void __set_isEvacuated(const bool val);
+
   bool operator == (const StartOrder & rhs) const
   {
     if (!(generation == rhs.generation))
@@ -3365,6 +3389,14 @@
       return false;
     if (!(validUntilMs == rhs.validUntilMs))
       return false;
+    if (__isset.evacuationPosition != rhs.__isset.evacuationPosition)
+      return false;
+    else if (__isset.evacuationPosition && !(evacuationPosition == rhs.evacuationPosition))
+      return false;
+    if (__isset.isEvacuated != rhs.__isset.isEvacuated)
+      return false;
+    else if (__isset.isEvacuated && !(isEvacuated == rhs.isEvacuated))
+      return false;
     return true;
   }
   bool operator != (const StartOrder &rhs) const {
@@ -3383,8 +3415,111 @@
 
 std::ostream& operator<<(std::ostream& out, const StartOrder& obj);
 
+typedef struct _EvacuatedDomain__isset {
+  _EvacuatedDomain__isset() : name(false), offset(false) {}
+  bool name :1;
+  bool offset :1;
+} _EvacuatedDomain__isset;
+
+class EvacuatedDomain : public virtual ::apache::thrift::TBase {
+ public:
+
+  EvacuatedDomain(const EvacuatedDomain&);
+  EvacuatedDomain(EvacuatedDomain&&) noexcept;
+  EvacuatedDomain& operator=(const EvacuatedDomain&);
+  EvacuatedDomain& operator=(EvacuatedDomain&&) noexcept;
+  EvacuatedDomain() noexcept
+                  : name(),
+                    offset(0) {
+  }
+
+  virtual ~EvacuatedDomain() noexcept;
+  std::string name;
+  int64_t offset;
+
+  _EvacuatedDomain__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_offset(const int64_t val);
+
+  bool operator == (const EvacuatedDomain & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(offset == rhs.offset))
+      return false;
+    return true;
+  }
+  bool operator != (const EvacuatedDomain &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EvacuatedDomain & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EvacuatedDomain &a, EvacuatedDomain &b);
+
+std::ostream& operator<<(std::ostream& out, const EvacuatedDomain& obj);
+
+typedef struct _EvacuationState__isset {
+  _EvacuationState__isset() : position(false), domains(false) {}
+  bool position :1;
+  bool domains :1;
+} _EvacuationState__isset;
+
+class EvacuationState : public virtual ::apache::thrift::TBase {
+ public:
+
+  EvacuationState(const EvacuationState&);
+  EvacuationState(EvacuationState&&) noexcept;
+  EvacuationState& operator=(const EvacuationState&);
+  EvacuationState& operator=(EvacuationState&&) noexcept;
+  EvacuationState() noexcept
+                  : position(0) {
+  }
+
+  virtual ~EvacuationState() noexcept;
+  int64_t position;
+  std::vector<EvacuatedDomain>  domains;
+
+  _EvacuationState__isset __isset;
+
+  void __set_position(const int64_t val);
+
+  void __set_domains(const std::vector<EvacuatedDomain> & val);
+
+  bool operator == (const EvacuationState & rhs) const
+  {
+    if (!(position == rhs.position))
+      return false;
+    if (!(domains == rhs.domains))
+      return false;
+    return true;
+  }
+  bool operator != (const EvacuationState &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EvacuationState & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EvacuationState &a, EvacuationState &b);
+
+std::ostream& operator<<(std::ostream& out, const EvacuationState& obj);
+
 typedef struct _StartResult__isset {
-  _StartResult__isset() : generation(false), endpoint(false), born(false), run(false), outcome(false), detail(false), sequence(false) {}
+  _StartResult__isset() : generation(false), endpoint(false), born(false), run(false), outcome(false), detail(false), sequence(false), evacuations(false) {}
   bool generation :1;
   bool endpoint :1;
   bool born :1;
@@ -3392,6 +3527,7 @@
   bool outcome :1;
   bool detail :1;
   bool sequence :1;
+  bool evacuations :1;
 } _StartResult__isset;
 
 class StartResult : public virtual ::apache::thrift::TBase {
@@ -3422,6 +3558,7 @@
   StartOutcome::type outcome;
   std::string detail;
   int64_t sequence;
+  EvacuationState evacuations;
 
   _StartResult__isset __isset;
 
@@ -3439,6 +3576,8 @@
 
   void __set_sequence(const int64_t val);
 
+  void __set_evacuations(const EvacuationState& val);
+
   bool operator == (const StartResult & rhs) const
   {
     if (!(generation == rhs.generation))
@@ -3455,6 +3594,10 @@
       return false;
     if (!(sequence == rhs.sequence))
       return false;
+    if (__isset.evacuations != rhs.__isset.evacuations)
+      return false;
+    else if (__isset.evacuations && !(evacuations == rhs.evacuations))
+      return false;
     return true;
   }
   bool operator != (const StartResult &rhs) const {
--- a/src/libknapweed/peers/peerlinks.cpp
+++ b/src/libknapweed/peers/peerlinks.cpp
@@ -137,6 +137,9 @@
     if (isDraining) {
         heartbeat.__set_draining(true);
     }
+    if (evacuationsVersion) {
+        heartbeat.__set_evacuations(*evacuationsVersion);
+    }
     heartbeat.heard = link.lastReceivedSequence;
     if (std::exchange(link.requestsRoster, false)) {
         heartbeat.__set_asksRoster(true);
@@ -188,6 +191,7 @@
     link.lastMessage = now;
     Peer &peer = peers[entry.address];
     const bool isFirst = peer.links.empty();
+    peer.namesEvacuations = peer.namesEvacuations && !isFirst;
     peer.links.insert(link.id);
     peer.entry = entry;
     link.sendsRoster = roster.self.role == wire::Role::Entry;
@@ -222,6 +226,7 @@
     link.sendsRoster = link.sendsRoster || heartbeat.asksRoster;
     const std::string peer = link.peer;
     peers.at(peer).isDraining = heartbeat.draining;
+    peers.at(peer).namesEvacuations = heartbeat.__isset.evacuations;
     bool isChanged = false;
     for (std::size_t index = 0; index < std::min(heartbeat.roster.size(), maxGossipEntries); ++index) {
         const wire::RosterEntry &entry = heartbeat.roster[index];
@@ -235,6 +240,9 @@
     if (heartbeat.configurationVersion > configurationVersion && events.configurationSeen) {
         events.configurationSeen(peer, heartbeat.configurationVersion);
     }
+    if (heartbeat.__isset.evacuations && events.evacuationsSeen) {
+        events.evacuationsSeen(peer, heartbeat.evacuations);
+    }
 }
 
 LinkId PeerNetwork::Private::preferredLink(const Peer &peer) const
--- a/src/libknapweed/peers/peernetwork.cpp
+++ b/src/libknapweed/peers/peernetwork.cpp
@@ -375,22 +375,6 @@
     return listEntries(d_->roster);
 }
 
-void PeerNetwork::setConfigurationVersion(std::int64_t version)
-{
-    d_->configurationVersion = version;
-}
-
-void PeerNetwork::setDraining(bool draining)
-{
-    d_->isDraining = draining;
-}
-
-bool PeerNetwork::isDraining(const std::string &peer) const
-{
-    const auto found = d_->peers.find(peer);
-    return found != d_->peers.end() && found->second.isDraining;
-}
-
 std::size_t PeerNetwork::connections() const
 {
     return d_->links.size();
--- a/src/libknapweed/peers/peernetwork.h
+++ b/src/libknapweed/peers/peernetwork.h
@@ -36,6 +36,8 @@
     std::function<void()> rosterChanged;
     /// Called when a peer's heartbeat contains a newer configuration version than the one of this process.
     std::function<void(const std::string &peer, std::int64_t version)> configurationSeen;
+    /// Called for each heartbeat that names a version of the peer's evacuation state.
+    std::function<void(const std::string &peer, std::int64_t version)> evacuationsSeen;
 };
 
 class PeerNetwork
@@ -68,8 +70,12 @@
 
     /// The values that this process announces in its heartbeats.
     void setConfigurationVersion(std::int64_t version);
+    /// Named in heartbeats once it has been set.
+    void setEvacuationsVersion(std::int64_t version);
     void setDraining(bool draining);
     bool isDraining(const std::string &peer) const;
+    /// Connected peers that have named a version of their evacuation state. Other peers may not know its message.
+    std::vector<std::string> evacuationPeers() const;
 
     std::size_t connections() const;
 
--- a/src/libknapweed/peers/peernetworkprivate.h
+++ b/src/libknapweed/peers/peernetworkprivate.h
@@ -9,6 +9,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <unordered_map>
@@ -44,6 +45,7 @@
     std::set<LinkId> links;
     wire::RosterEntry entry;
     bool isDraining = false;
+    bool namesEvacuations = false; ///< the newest heartbeat names a version of the peer's evacuation state
     std::deque<std::string> waiting; ///< encoded messages queued for the next link; empty while connected
     std::size_t waitingBytes = 0;
     MonotonicTime waitingSince;
@@ -70,6 +72,7 @@
     MonotonicTime lastTick;
     Roster roster;
     std::int64_t configurationVersion = 0;
+    std::optional<std::int64_t> evacuationsVersion; ///< unset: heartbeats name none
     bool isDraining = false;
     MonotonicTime attachedAt;
     MonotonicTime rosterRequestedAt;
--- a/src/libknapweed/peers/peers.thrift
+++ b/src/libknapweed/peers/peers.thrift
@@ -33,8 +33,11 @@
 struct Hello { 1: RosterEntry sender, 2: i32 protocolVersion }
 /// heard is the highest sequence that the sender has received on this connection; it confirms to the receiver that both directions work.
 /// asksRoster requests that the receiver's next heartbeat hold its roster. An optional field is omitted while it is false or empty.
+/// evacuations is the version of the sender's EvacuationState (versionOf in cell/evacuations.h). A process that does not serve evacuations omits it, and must
+/// not be sent an EvacuationState: it may be of a release that drops the connection at an unknown message.
 struct Heartbeat {
-  1: i64 sequence, 2: optional list<RosterEntry> roster, 3: i64 configurationVersion, 4: optional bool draining, 5: i64 heard, 6: optional bool asksRoster
+  1: i64 sequence, 2: optional list<RosterEntry> roster, 3: i64 configurationVersion, 4: optional bool draining, 5: i64 heard, 6: optional bool asksRoster,
+  7: optional i64 evacuations
 }
 struct ConfigurationOffer { 1: i64 version, 2: string document, 3: string author }
 
@@ -97,7 +100,8 @@
 enum CallOutcome { Ok = 1, Refused = 2, Missing = 3, Unknown = 4, NotScheduler = 5, Outdated = 6 }
 /// What an answer rests on: a record in the store, or the memory of the scheduler alone.
 enum AnswerBasis { Memory = 1, Record = 2 }
-enum StartOutcome { Started = 1, Rejected = 2, Unanswered = 3, NoRoom = 4, BadTicket = 5 }
+/// Evacuated: the agent's own state does not allow a start in the failure domain of its endpoint. Not sent in answer to an order without evacuationPosition.
+enum StartOutcome { Started = 1, Rejected = 2, Unanswered = 3, NoRoom = 4, BadTicket = 5, Evacuated = 6 }
 
 struct RunRef { 1: string job, 2: i32 occurrence, 3: i32 step, 4: i32 index, 5: i64 run }
 struct RunRow { 1: RunRef run, 2: string checkpoint, 3: i32 percent, 4: i64 load }
@@ -120,12 +124,23 @@
 struct EndpointGrant { 1: i64 generation, 2: i64 sentAtMs, 3: string endpoint, 4: i64 born, 5: i64 endsStored }
 /// milliCores, memoryMib and accelerators are the endpoint's capacity for which the start was planned; the agent refuses it if the endpoint has less by then.
 /// validUntilMs is on the agent's boot clock, as sentAtMs of its reports; 0: not stated. The agent carries out no order after it.
+/// evacuationPosition and isEvacuated: the position of the scheduler's EvacuationState, and whether it holds the endpoint's failure domain; omitted by a
+/// scheduler that does not serve evacuations.
 struct StartOrder {
   1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run, 5: string input, 6: string checkpoint, 7: string ticket,
-  8: i64 milliCores, 9: i64 memoryMib, 10: i64 accelerators, 11: i64 validUntilMs
+  8: i64 milliCores, 9: i64 memoryMib, 10: i64 accelerators, 11: i64 validUntilMs, 12: optional i64 evacuationPosition, 13: optional bool isEvacuated
+}
+/// A failure domain that the operators have asked to evacuate, with the offset of their record.
+struct EvacuatedDomain { 1: string name, 2: i64 offset }
+/// The evacuated failure domains. All records of the operators below the offset position are reflected. Sent on a change, and to a peer whose heartbeat
+/// names another version.
+struct EvacuationState { 1: i64 position, 2: list<EvacuatedDomain> domains }
+/// sequence is that of the agent's newest report. Only later reports can be expected to hold the run. evacuations: the agent's state, if it is the reason for
+/// the refusal and is known.
+struct StartResult {
+  1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run, 5: StartOutcome outcome, 6: string detail, 7: i64 sequence,
+  8: optional EvacuationState evacuations
 }
-/// sequence is that of the agent's newest report. Only later reports can be expected to hold the run.
-struct StartResult { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run, 5: StartOutcome outcome, 6: string detail, 7: i64 sequence }
 struct StopOrder { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run }
 /// The run is not on the endpoint and cannot start there any more.
 struct RunAbsent { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run }
--- a/tests/peers/codectest.cpp
+++ b/tests/peers/codectest.cpp
@@ -30,6 +30,18 @@
     CHECK(hold == std::get<wire::HoldRequest>(value(decoded)));
 }
 
+/// Guards against an update that mixes releases: a process that does not serve evacuations sends the same bytes as before.
+TEST(Codec, fieldsOfEvacuationsAreOmittedUnlessTheyAreSet)
+{
+    const Result<PeerMessage, CodecError> heartbeat = decodeMessage(encodeMessage(wire::Heartbeat()));
+    const Result<PeerMessage, CodecError> order = decodeMessage(encodeMessage(wire::StartOrder()));
+    const Result<PeerMessage, CodecError> result = decodeMessage(encodeMessage(wire::StartResult()));
+    CHECK_FALSE(std::get<wire::Heartbeat>(value(heartbeat)).__isset.evacuations);
+    CHECK_FALSE(std::get<wire::StartOrder>(value(order)).__isset.evacuationPosition);
+    CHECK_FALSE(std::get<wire::StartOrder>(value(order)).__isset.isEvacuated);
+    CHECK_FALSE(std::get<wire::StartResult>(value(result)).__isset.evacuations);
+}
+
 TEST(Codec, rejectsEveryTruncatedMessage)
 {
     wire::AttemptQuery query;
--- a/tests/peers/networktest.cpp
+++ b/tests/peers/networktest.cpp
@@ -286,6 +286,39 @@
     CHECK(isDraining);
 }
 
+/// Guards against connections that are dropped during an update: a process that names no version may be of a release that does not know the state's message.
+TEST(PeerNetwork, onlyPeersThatNameTheirEvacuationStateAreSentOne)
+{
+    TestNode entry(wire::Role::Entry, 1);
+    TestNode agent(wire::Role::Agent, 2);
+    TestNode older(wire::Role::Agent, 3);
+    const auto nameVersion = [](TestNode &node, std::int64_t version) {
+        node.task().call([&]() {
+            node.network().setEvacuationsVersion(version);
+        });
+    };
+    nameVersion(entry, 41);
+    nameVersion(agent, 42);
+    entry.start({});
+    agent.start({entry.listening()});
+    older.start({entry.listening()});
+    CHECK(entry.waitConnected(older.name()));
+    CHECK(entry.task().waitFor([&]() {
+        return entry.evacuationsOf(agent.name()) == 42;
+    }));
+    CHECK(older.task().waitFor([&]() {
+        return older.evacuationsOf(entry.name()) == 41;
+    }));
+    entry.task().call([&]() {
+        CHECK(entry.network().evacuationPeers() == std::vector<std::string> {agent.name()});
+        LONGS_EQUAL(0, entry.evacuationsOf(older.name()));
+    });
+    nameVersion(agent, 43);
+    CHECK(entry.task().waitFor([&]() {
+        return entry.evacuationsOf(agent.name()) == 43;
+    }));
+}
+
 TEST(PeerNetwork, deliversLargeMessagesWhole)
 {
     TestNode first(wire::Role::Agent, 1);
--- a/tests/peers/testnode.h
+++ b/tests/peers/testnode.h
@@ -43,6 +43,9 @@
             events.disconnected = [this](const std::string &peer) {
                 ++disconnected_[peer];
             };
+            events.evacuationsSeen = [this](const std::string &peer, std::int64_t version) {
+                evacuations_[peer] = version;
+            };
             network_ = std::make_unique<PeerNetwork>(task_.loop(), options, events);
             server_ = std::make_unique<HttpServer>(
                 task_.loop(),
@@ -141,6 +144,12 @@
         return jobs;
     }
 
+    /// The version of its evacuation state that @p peer has named; 0 if none. Call on the node's thread only.
+    std::int64_t evacuationsOf(const std::string &peer)
+    {
+        return evacuations_[peer];
+    }
+
     int timesConnected(const std::string &peer)
     {
         int times = 0;
@@ -177,6 +186,7 @@
     std::vector<std::string> jobs_; ///< job names of the received messages, in the order of arrival
     std::map<std::string, int> counts_;
     std::map<std::string, int> connected_;
+    std::map<std::string, std::int64_t> evacuations_;
     std::map<std::string, int> disconnected_;
 };
 
