--- a/src/libknapweed/cell/settings.cpp
+++ b/src/libknapweed/cell/settings.cpp
@@ -19,6 +19,7 @@
 
 constexpr Milliseconds minApplyTime {500}; ///< the reads in it have 75 ms for an answer
 constexpr Milliseconds defaultApplyTime {2000};
+constexpr Milliseconds minEvacuationTime {1000}; ///< half of it is for reading the record, and the reads need minApplyTime
 
 const TextRule nameRule {TextRule::Form::Identifier, 1, 128, std::nullopt};
 const TextRule addressRule {TextRule::Form::Line, 9, 21, std::nullopt};
@@ -90,6 +91,10 @@
     settings.grace = Milliseconds(static_cast<std::int64_t>(1000 * root.number("grace_s", {0, 3600, 6})));
     settings.processorShare = root.number("processor_share", {0.001, 1024, 1});
     settings.logLevel = static_cast<LogLevel>(root.choice("log_level", logLevels, "info"));
+    const nlohmann::json *evacuation = root.member("evacuation_apply_ms");
+    if (evacuation != nullptr && !evacuation->is_null()) {
+        settings.evacuationApplyTime = root.duration("evacuation_apply_ms", {minEvacuationTime, Seconds(60), std::nullopt});
+    }
     if (!root.isPresent() || (isRoleKnown && settings.role == ProcessRole::Entry)) {
         settings.configurationApplyTime = root.duration("configuration_apply_ms", {minApplyTime, Seconds(60), defaultApplyTime});
         settings.callers = readAddress(root, "callers");
--- a/src/libknapweed/cell/settings.h
+++ b/src/libknapweed/cell/settings.h
@@ -8,6 +8,7 @@
 #include "base/result.h"
 #include "base/settings.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,7 @@
     Milliseconds grace {0}; ///< from SIGTERM to SIGKILL
     double processorShare = 1; ///< cores that the process may use; entries with the largest share are preferred as scheduler
     LogLevel logLevel = LogLevel::Info;
+    std::optional<Milliseconds> evacuationApplyTime; ///< an evacuation that the store has acknowledged is in force after this time; unset: they are not served
     Milliseconds configurationApplyTime {0}; ///< entry only: a change that the store has acknowledged has to be in force after this time
     Address callers; ///< entry only: listen address for callers
     Address advice; ///< entry only: the placement adviser; port 0 if there is none
--- a/tests/settings/cellsettingstest.cpp
+++ b/tests/settings/cellsettingstest.cpp
@@ -48,6 +48,7 @@
         {"{{bounds.holdMaxMs}}", "6000"},
         {"{{bounds.graceS}}", "6"},
         {"{{bounds.configApplyMs}}", "3000"},
+        {"{{bounds.evacuateMs|json}}", "5000"},
         {"{{limits.cpuShare}}", "0.25"},
         {"{{listen.front|json}}", "\"10.1.0.19:8521\""},
         {"{{listen.readiness|json}}", "\"10.1.0.19:8523\""},
@@ -85,6 +86,19 @@
     CHECK_TRUE(cellFaults(settings).find("service") != std::string::npos);
 }
 
+/// Guards against EVAC, and against a change for deployments without the bound: the template fills in a number, or null where there is no such bound.
+TEST(CellSettings, evacuationsAreServedOnlyWhereTheirTimeIsSet)
+{
+    for (const char *file : {"deploy/entry.json", "deploy/agent.json"}) {
+        nlohmann::json settings = nlohmann::json::parse(rendered(readSourceFile(file)));
+        LONGS_EQUAL(5000, value(parseCellSettings(settings.dump())).evacuationApplyTime.value_or(Milliseconds(0)).count());
+        settings["evacuation_apply_ms"] = nullptr;
+        CHECK_FALSE(value(parseCellSettings(settings.dump())).evacuationApplyTime.has_value());
+        settings.erase("evacuation_apply_ms");
+        CHECK_FALSE(value(parseCellSettings(settings.dump())).evacuationApplyTime.has_value());
+    }
+}
+
 TEST(CellSettings, seedsGetThePeerPort)
 {
     const Result<CellSettings, SettingsError> parsed = parseCellSettings(entryCell().dump());
@@ -118,6 +132,8 @@
         {"ip", "\"host\""},
         {"peer_port", "0"},
         {"peer_listen", "\"10.1.0.19\""},
+        {"evacuation_apply_ms", "999"},
+        {"evacuation_apply_ms", "\"5000\""},
         {"peer_listen", "7"},
         {"store", "\"10.200.1.7\""},
         {"lease_ms", "10"},
