Follow the requests to evacuate failure domains in the store

The configuration feed reads the same topic already. With the setting, both its ways feed the state: the log, and the list of newest records with all its pages. No other call to the store is made. The position of a state from a list is the offset from which the log is read on, because the end that a list names may be taken after its records were collected.

--- a/src/knapweedstaged/configurationfeed.cpp
+++ b/src/knapweedstaged/configurationfeed.cpp
@@ -35,7 +35,11 @@
 {
     const std::optional<cell::ConfigurationRead> read = reads_.begin(std::chrono::steady_clock::now());
     if (read && read->isNewest) {
-        readNewest(read->number);
+        NewestList list;
+        list.number = read->number;
+        list.sentAt = BootClock::now();
+        list.position = nextOffset_;
+        readNewest(list, "");
     } else if (read) {
         follow(*read);
     }
@@ -51,17 +55,66 @@
     });
 }
 
-void ConfigurationFeed::readNewest(std::uint64_t number)
+void ConfigurationFeed::readNewest(const NewestList &list, const std::string &afterKey)
 {
-    const auto received = [this, number, sentAt = BootClock::now()](const Result<platform::NewestPage, platform::StoreError> &result) {
+    const auto received = [this, list](const Result<platform::NewestPage, platform::StoreError> &result) {
         noteAnswer(isOk(result), "newest", isOk(result) ? std::string() : error(result).detail);
         if (isOk(result)) {
-            apply(value(result).records);
-            confirmedAt_ = std::max(confirmedAt_, sentAt);
+            handlePage(list, value(result));
+        } else {
+            finish(list.number, false, false);
         }
-        finish(number, isOk(result), false);
     };
-    store_.newest(platform::operatorTopic, "", times_.giveUp, received, HttpConnection::New);
+    store_.newest(platform::operatorTopic, afterKey, times_.giveUp, received, afterKey.empty() ? HttpConnection::New : HttpConnection::Any);
+}
+
+void ConfigurationFeed::handlePage(NewestList list, const platform::NewestPage &page)
+{
+    apply(page.records);
+    list.end = list.end < 0 ? page.end : list.end;
+    for (const platform::KeyedRecord &record : page.records) {
+        const std::optional<cell::EvacuationRecord> evacuation = platform::decodeEvacuation(record);
+        if (evacuation && evacuation->isRequested) {
+            list.evacuations.domains[evacuation->domain] = evacuation->offset;
+        }
+        if (record.key == platform::configurationKey) {
+            list.position = std::max(list.position, record.offset + 1);
+        }
+    }
+    if (evacuationsChanged_ && page.isTruncated && !page.records.empty()) {
+        reads_.continued(list.number, std::chrono::steady_clock::now());
+        readNewest(list, page.records.back().key);
+        return;
+    }
+    applyList(list);
+    confirmedAt_ = std::max(confirmedAt_, list.sentAt);
+    finish(list.number, true, false);
+}
+
+/// A list shows no revocations: what it lacks counts as revoked below its position. All records below that one were stored before the list came to the
+/// evacuations: they follow the configuration in a list. The end that the list names is not used, because a record may have been stored after its key was
+/// passed and before the end was taken.
+void ConfigurationFeed::applyList(NewestList list)
+{
+    list.evacuations.position = std::min(list.position, list.end);
+    offerEvacuations(list.evacuations, "store");
+}
+
+void ConfigurationFeed::applyPage(const platform::ReadPage &page, std::int64_t from)
+{
+    if (!evacuationsChanged_) {
+        return;
+    }
+    std::vector<cell::EvacuationRecord> records;
+    for (const platform::KeyedRecord &record : page.records) {
+        const std::optional<cell::EvacuationRecord> evacuation = platform::decodeEvacuation(record);
+        if (evacuation) {
+            records.push_back(*evacuation);
+        }
+    }
+    cell::Evacuations later = evacuations_;
+    cell::applyRecords(later, records, from, page.next);
+    changeEvacuations(later, "store");
 }
 
 void ConfigurationFeed::follow(const cell::ConfigurationRead &read)
@@ -74,6 +127,7 @@
         bool hasGap = isDeleted;
         if (isOk(result)) {
             apply(value(result).records);
+            applyPage(value(result), from);
             hasGap = isPastEnd(from, value(result));
             nextOffset_ = hasGap ? value(result).end : std::max(nextOffset_, value(result).next);
             if (value(result).next == value(result).end) {
@@ -165,6 +219,33 @@
     changed_(configuration_);
 }
 
+void ConfigurationFeed::serveEvacuations(std::function<void(const cell::Evacuations &)> changed)
+{
+    evacuationsChanged_ = std::move(changed);
+}
+
+void ConfigurationFeed::offerEvacuations(const cell::Evacuations &evacuations, const char *source)
+{
+    if (evacuationsChanged_) {
+        changeEvacuations(cell::merged(evacuations_, evacuations), source);
+    }
+}
+
+void ConfigurationFeed::changeEvacuations(const cell::Evacuations &later, const char *source)
+{
+    if (later == evacuations_) {
+        return;
+    }
+    cell::logChanges(evacuations_, later, source);
+    evacuations_ = later;
+    evacuationsChanged_(evacuations_);
+}
+
+const cell::Evacuations &ConfigurationFeed::evacuations() const
+{
+    return evacuations_;
+}
+
 bool ConfigurationFeed::isConfirmed() const
 {
     return BootClock::now() - confirmedAt_ < times_.confirmed;
--- a/src/libknapweed/cell/configurationreads.cpp
+++ b/src/libknapweed/cell/configurationreads.cpp
@@ -75,4 +75,11 @@
     }
 }
 
+void ConfigurationReads::continued(std::uint64_t number, MonotonicTime now)
+{
+    if (number == awaited_) {
+        nextBegin_ = now + times_.answer;
+    }
+}
+
 } // namespace knapweed::cell
--- a/src/libknapweed/cell/configurationreads.h
+++ b/src/libknapweed/cell/configurationreads.h
@@ -46,6 +46,8 @@
     /// begins after this answer.
     void answered(std::uint64_t number, bool hasGap, MonotonicTime now);
     void failed(std::uint64_t number, MonotonicTime now);
+    /// A page of the list has come, and the next one has been asked for; it becomes due anew.
+    void continued(std::uint64_t number, MonotonicTime now);
 
 private:
     ConfigurationReadTimes times_;
