Refuse starts in an evacuated failure domain at the agent

A start order may come from a scheduler with an older view, wait for a connection, or be repeated by the agent itself. The agent's own state decides on every attempt. An endpoint may carry out a start without an answer up to 12 s later, so such runs are stopped.

--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -189,6 +189,8 @@
         handle(peer, *start);
     } else if (const wire::StopOrder *stop = std::get_if<wire::StopOrder>(&message)) {
         handle(peer, *stop);
+    } else if (const wire::EvacuationState *state = std::get_if<wire::EvacuationState>(&message)) {
+        applyEvacuations(evacuationsOf(*state), "peer");
     }
 }
 
@@ -221,10 +223,19 @@
     }
     StopRequest request {order.endpoint, order.generation, runIdOf(order.run)};
     recordStopOrder(request.run);
-    hooks_.driver.stop(request, [this, run = request.run, incarnation = order.born](const Result<Milliseconds, EndpointError> &result) {
+    stopRun(request, order.born);
+}
+
+void Agent::stopRun(const StopRequest &request, std::int64_t incarnation)
+{
+    hooks_.driver.stop(request, [this, run = request.run, incarnation](const Result<Milliseconds, EndpointError> &result) {
         if (!isOk(result)) {
             logEvent(LogLevel::Warning, "stop.failed", {{"job", run.task.job}, {"run", std::to_string(run.run)}, {"reason", error(result).detail}});
-            return; // the scheduler repeats the order
+            return; // the scheduler repeats its order, and tick() the stop of a late start
+        }
+        const auto lateStop = lateStops_.find(run);
+        if (lateStop != lateStops_.end()) {
+            lateStop->second.isConfirmed = true;
         }
         if (incarnation_ && incarnation_->status.incarnation == incarnation) {
             incarnation_->stopped[run] = renewalNumber_;
@@ -246,6 +257,7 @@
     if (!incarnation_->pendingRefusals.empty() && now - incarnation_->refusalsSentAt >= refusalRetryInterval) {
         refuseUnansweredStarts();
     }
+    stopLateStarts();
     if (!isLongPollPending_ && now >= nextRenewal_) {
         const bool canLongPoll = incarnation_->ended.empty() && isBusy && incarnation_->isClockKnown;
         nextRenewal_ = now + idleRenewalInterval;
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "cell/endpointstatus.h"
+#include "cell/evacuations.h"
 #include "peers/codec.h"
 
 #include <functional>
@@ -20,6 +21,8 @@
     std::int64_t incarnation = 0; ///< distinguishes this process's reports from those of an earlier process at the same address
     Milliseconds lease {0}; ///< validity of the runs' lease, counted from when a report that the scheduler answered was sent
     std::string service; ///< reports of endpoints of another service are ignored; empty: any service
+    std::string failureDomain; ///< of this process; counts for an endpoint that does not state its own
+    bool servesEvacuations = false; ///< otherwise requests to evacuate a failure domain have no effect
 };
 
 struct AgentHooks
@@ -27,6 +30,7 @@
     EndpointDriver driver;
     std::function<void(const std::string &peer, const PeerMessage &message)> send;
     std::function<BootTime()> now;
+    std::function<void(std::int64_t version)> evacuationsChanged; ///< announces the version of the evacuation state to the peers; may be unset
 };
 
 constexpr Seconds lateOrderWindow {15}; ///< an unanswered order may be carried out up to 12 s later
@@ -47,6 +51,9 @@
     void receive(const std::string &peer, const PeerMessage &message);
     /// Handles a new connection to @p peer: if the scheduler runs there, sends it a report at once.
     void connected(const std::string &peer);
+    /// Handles a heartbeat of @p peer that names the version of its evacuation state. Both sides send their state if the versions differ.
+    void evacuationsSeen(const std::string &peer, std::int64_t version);
+    const Evacuations &evacuations() const;
 
     /// Sends reports and renews the lease when they are due. Call this several times per second.
     void tick();
@@ -110,6 +117,13 @@
         BootTime until; ///< the start cannot be carried out after this time
     };
 
+    /// A stop that keeps an unanswered start from being carried out in an evacuated failure domain.
+    struct LateStop
+    {
+        BootTime sentAt;
+        bool isConfirmed = false;
+    };
+
     struct SentRenewal
     {
         std::uint64_t number = 0;
@@ -126,6 +140,11 @@
     void attemptStart(const std::string &peer, const wire::StartOrder &order, BootTime validUntil, int attempt);
     bool hasShrunkSince(const wire::StartOrder &order) const;
     void startSucceeded(const std::string &peer, const wire::StartOrder &order, BootTime sentAt);
+    std::string failureDomain() const;
+    bool isForbidden(const wire::StartOrder &order) const;
+    void applyEvacuations(const Evacuations &later, const char *source);
+    void stopLateStarts();
+    void stopRun(const StopRequest &request, std::int64_t incarnation);
     void recordStopOrder(const RunId &run);
     std::optional<RunId> newestUnansweredStartOf(const TaskId &task) const;
     void answerStart(const std::string &peer, const wire::StartOrder &order, wire::StartOutcome::type outcome, const std::string &detail);
@@ -157,6 +176,9 @@
     BootTime lostRunsExpireAt_; ///< they are reported until then
     std::optional<EndpointStatus> unverified_; ///< newest report of another incarnation that the endpoint has neither confirmed nor denied
     std::map<RunId, UnansweredStart> unansweredStarts_;
+    std::map<RunId, LateStop> lateStops_; ///< by unanswered start, while the failure domain is evacuated
+    Evacuations evacuations_;
+    bool hasSeenEvacuations_ = false; ///< a peer has named its state
     std::map<RunId, BootTime> stopOrders_; ///< runs that were ordered to stop, with the time; their starts are not repeated
     std::int64_t generation_ = 0; ///< the highest one seen; never decreases
     std::string scheduler_; ///< the scheduler's peer address; empty while unknown
--- a/src/libknapweed/cell/agentreports.cpp
+++ b/src/libknapweed/cell/agentreports.cpp
@@ -26,6 +26,9 @@
     result.outcome = outcome;
     result.detail = detail;
     result.sequence = reportNumber_;
+    if (outcome == wire::StartOutcome::Evacuated && isKnown(evacuations_)) {
+        result.__set_evacuations(wireEvacuations(evacuations_));
+    }
     hooks_.send(peer, result);
 }
 
@@ -77,7 +80,7 @@
     report.endpoint = incarnation_->status.id;
     report.born = incarnation_->status.incarnation;
     report.serviceName = incarnation_->status.service;
-    report.failureDomain = incarnation_->status.failureDomain;
+    report.failureDomain = failureDomain();
     report.rack = incarnation_->status.rack;
     report.labels = incarnation_->status.labels;
     report.milliCores = incarnation_->status.capacity.milliCores;
--- a/src/libknapweed/cell/agentstarts.cpp
+++ b/src/libknapweed/cell/agentstarts.cpp
@@ -107,6 +107,11 @@
         startFailed(peer, order, {EndpointError::Kind::Refused, "the endpoint's capacity has shrunk since the start was planned"}, attempt);
         return;
     }
+    if (isForbidden(order)) {
+        const char *reason = isKnown(evacuations_) ? "the failure domain is evacuated" : "it is not known which failure domains are evacuated";
+        startFailed(peer, order, {EndpointError::Kind::Evacuated, reason}, attempt);
+        return;
+    }
     StartRequest request;
     request.endpoint = order.endpoint;
     request.fence = order.generation;
@@ -125,6 +130,7 @@
         }
         if (error(result).kind == EndpointError::Kind::Unanswered) {
             unansweredStarts_[runIdOf(order.run)] = {order.endpoint, hooks_.now() + lateOrderWindow};
+            stopLateStarts();
             if (attempt < maxStartAttempts && stopOrders_.count(runIdOf(order.run)) == 0) {
                 attemptStart(peer, order, validUntil, attempt + 1);
                 return;
@@ -169,6 +175,8 @@
         outcome = wire::StartOutcome::NoRoom;
     } else if (failure.kind == Kind::BadTicket) {
         outcome = wire::StartOutcome::BadTicket;
+    } else if (failure.kind == Kind::Evacuated && order.__isset.evacuationPosition) {
+        outcome = wire::StartOutcome::Evacuated;
     }
     logEvent(LogLevel::Warning,
         "start.failed",
--- a/src/libknapweed/cell/endpointstatus.h
+++ b/src/libknapweed/cell/endpointstatus.h
@@ -91,6 +91,7 @@
         Unanswered, ///< outcome unknown: the call may have been carried out, or may be later
         InsufficientCapacity,
         BadTicket,
+        Evacuated, ///< as Refused: the agent did not make the call, because the failure domain is evacuated
         Fenced, ///< the endpoint has seen a higher fence
     };
     Kind kind = Kind::Unanswered;
--- a/tests/cell/agentfixture.h
+++ b/tests/cell/agentfixture.h
@@ -42,6 +42,7 @@
     std::string endpointId = "i-1"; ///< the endpoint that answers at the address
     std::int64_t clock = 1000; ///< the endpoint's clock in milliseconds
     std::unique_ptr<Agent> agent;
+    bool servesEvacuations = false; ///< to be set before setup()
 
     void setup() override
     {
@@ -61,7 +62,7 @@
         hooks.now = [this]() {
             return now;
         };
-        agent = std::make_unique<Agent>(AgentOptions {1, Milliseconds(6000), testService}, std::move(hooks));
+        agent = std::make_unique<Agent>(AgentOptions {1, Milliseconds(6000), testService, "zone-a", servesEvacuations}, std::move(hooks));
         agent->endpointReported(statusOf(100));
         wire::SchedulerNotice notice;
         notice.generation = 7;
