Plan nothing in an evacuated failure domain

Its endpoints are missing from the planner's table, so no gang, reservation or guarantee counts on them. Starts that wait for their record are withdrawn with their unit. A scheduler that knows no state plans nothing. Random histories request and revoke evacuations among the other faults and check each start beside an agent that was undisturbed.

--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -194,6 +194,7 @@
         checkedAt_ = now;
         checkEndpoints(now);
         writePendingCheckpoints(now);
+        checkEvacuations();
     }
     addDueOccurrences(now, wall);
     removeLapsedAgents(now);
@@ -377,7 +378,7 @@
     const bool hasRuns = std::any_of(endpoints_.begin(), endpoints_.end(), [](const auto &endpoint) {
         return !endpoint.second.runs.empty();
     });
-    return isRecovering_ || isPlanDue_ || hasUnfinishedJobs || hasRuns || !heldCalls_.empty();
+    return isRecovering_ || isPlanDue_ || isEmptyingDomain() || hasUnfinishedJobs || hasRuns || !heldCalls_.empty();
 }
 
 bool Scheduler::isPlanDue() const
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -5,6 +5,7 @@
 #include "cell/advice.h"
 #include "cell/configuration.h"
 #include "cell/endpointspeeds.h"
+#include "cell/evacuations.h"
 #include "cell/fleet.h"
 #include "cell/jobtable.h"
 #include "cell/planner.h"
@@ -27,6 +28,7 @@
 {
     std::int64_t generation = 0; ///< of this term; sent as the fence of all orders
     Milliseconds lease {0}; ///< how long the runs of an endpoint continue after the agent's last contact
+    bool servesEvacuations = false; ///< nothing is started in an evacuated failure domain, and nothing at all while it is not known which ones are
 };
 
 /// Why the scheduler takes it as certain that a run uses no capacity any more.
@@ -70,6 +72,11 @@
     void setConfiguration(const CellConfiguration &configuration);
     void setStoreReachable(bool isReachable);
 
+    /// Merges @p evacuations into the state that is known. Starts in an evacuated failure domain that are planned but not sent are withdrawn with their units.
+    void applyEvacuations(const Evacuations &evacuations, BootTime now);
+    /// Runs that are going on or may still start, by evacuated failure domain.
+    std::map<std::string, std::size_t> evacuationRuns() const;
+
     /// Until @p until, the store gives the leadership to no other entry, so that no later term can begin. An answer that rests on memory alone is only given
     /// before then; calls that need one are held back until the term is confirmed anew, and refused if that takes too long. A time that has passed revokes the
     /// confirmation.
@@ -204,6 +211,11 @@
     void removeOldJobs(BootTime now);
     void removeOldEarlyCancels(BootTime now);
 
+    bool isInEvacuatedDomain(const Endpoint &endpoint) const;
+    bool mayPlan() const;
+    bool isEmptyingDomain() const;
+    void checkEvacuations();
+
     void plan(BootTime now);
     std::set<std::string> guaranteedJobs() const;
     void updateServiceCapacity(BootTime now);
@@ -221,6 +233,8 @@
     /// By job. The submission may still be on its way; when it arrives, its job is accepted as a cancelled one.
     std::map<std::string, EarlyCancel> earlyCancels_;
     std::map<std::string, Endpoint> endpoints_; ///< by agent
+    Evacuations evacuations_;
+    std::set<std::string> emptiedDomains_; ///< evacuated failure domains in which nothing runs any more, as far as this scheduler has found
     planning::RunEstimates runTimes_; ///< by client account and queue
     EndpointSpeeds speeds_;
     std::map<std::string, ServiceCapacity> capacityByService_; ///< as of the last planning round
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -326,7 +326,11 @@
     if (unit != nullptr && unit->run == run.run) {
         stopUnit(*unit, now);
     }
-    const bool isRefused = result.outcome == wire::StartOutcome::Rejected || result.outcome == wire::StartOutcome::NoRoom;
+    if (result.__isset.evacuations) {
+        applyEvacuations(evacuationsOf(result.evacuations), now);
+    }
+    const bool isRefused =
+        result.outcome == wire::StartOutcome::Rejected || result.outcome == wire::StartOutcome::NoRoom || result.outcome == wire::StartOutcome::Evacuated;
     if (isRefused) {
         endpoint->isListed = false; // the view of the endpoint is wrong, and the next start there would be refused as well
     }
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -96,7 +96,7 @@
 {
     capacityByService_.clear();
     for (const auto &[agent, endpoint] : endpoints_) {
-        if (endpoint.isListed && !endpoint.isDraining && now - endpoint.lastReport < workTimeout) {
+        if (endpoint.isListed && !endpoint.isDraining && !isInEvacuatedDomain(endpoint) && now - endpoint.lastReport < workTimeout) {
             ServiceCapacity &sum = capacityByService_[endpoint.service];
             sum.capacity += endpoint.capacity;
             sum.free += freeCapacity(endpoint);
@@ -165,7 +165,7 @@
     std::set<std::string> usable;
     waiting.needsAdvice = true;
     for (const auto &[agent, endpoint] : endpoints_) {
-        if (endpoint.service != job.queue.service || endpoint.isDraining || now - endpoint.lastReport >= workTimeout) {
+        if (endpoint.service != job.queue.service || endpoint.isDraining || isInEvacuatedDomain(endpoint) || now - endpoint.lastReport >= workTimeout) {
             continue;
         }
         usable.insert(endpoint.id);
@@ -237,7 +237,7 @@
     std::vector<PlannedEndpoint> planned;
     for (const auto &[agent, endpoint] : endpoints_) {
         const bool isUsable = endpoint.isListed && !endpoint.isDraining && now - endpoint.lastReport < workTimeout && now >= endpoint.avoidUntil;
-        if (!isUsable) {
+        if (!isUsable || isInEvacuatedDomain(endpoint)) {
             continue;
         }
         PlannedEndpoint row;
@@ -291,7 +291,7 @@
     const std::vector<WaitingUnit> units = waitingUnits(guaranteed, now, unitIds);
     hasBlockedUnits_ = false;
     plannedAt_ = now;
-    if (units.empty()) {
+    if (units.empty() || !mayPlan()) {
         return;
     }
     const Plan plan = planUnits(units, plannedEndpoints(guaranteed, now, unitIds));
--- a/src/libknapweed/cell/schedulerstarts.cpp
+++ b/src/libknapweed/cell/schedulerstarts.cpp
@@ -102,8 +102,8 @@
     if (endpoint == nullptr || allocation == endpoint->runs.end() || allocation->second.state != Allocation::State::Planned) {
         return; // stopped or lost in the meantime
     }
-    if (!fits({}, freeCapacity(*endpoint))) {
-        // The capacity has shrunk while the record was written. The whole unit is planned again.
+    if (!fits({}, freeCapacity(*endpoint)) || isInEvacuatedDomain(*endpoint)) {
+        // The capacity has shrunk, or the endpoint is in another failure domain, since the start was planned. The whole unit is planned again.
         const auto job = jobs_.find(start.run.task.job);
         Unit *unit = job == jobs_.end() ? nullptr : unitOf(job->second, start.run.task);
         if (unit != nullptr) {
@@ -117,6 +117,10 @@
     allocation->second.progressAt = now;
     wire::StartOrder order = start.order;
     order.validUntilMs = (endpoint->lastReportSentAt + startOrderValidity).time_since_epoch().count();
+    if (options_.servesEvacuations) {
+        order.__set_evacuationPosition(evacuations_.position);
+        order.__set_isEvacuated(isInEvacuatedDomain(*endpoint));
+    }
     output_.messages.emplace_back(start.agent, std::move(order));
 }
 
--- a/tests/cell/randomtest.cpp
+++ b/tests/cell/randomtest.cpp
@@ -301,3 +301,28 @@
     options.hasOtherWriters = true;
     runSeeds(options);
 }
+
+/// Guards against EVAC: a task is started in a failure domain whose evacuation the operators asked for more than five seconds ago, and against jobs that are
+/// never started again after it.
+TEST(CellHistory, domainsAreEvacuated)
+{
+    SimulationOptions options;
+    options.evacuatesDomains = true;
+    runSeeds(options);
+}
+
+TEST(CellHistory, domainsAreEvacuatedWhileTroublesOverlap)
+{
+    SimulationOptions options;
+    options.evacuatesDomains = true;
+    options.messageLossShare = 0.03;
+    options.lateCallShare = 0.03;
+    options.lostAnswerShare = 0.03;
+    options.changesSchedulers = true;
+    options.disconnectsAgents = true;
+    options.pausesAgents = true;
+    options.pausesSchedulers = true;
+    options.delaysMessages = true;
+    options.losesStore = true;
+    runSeeds(options);
+}
--- a/tests/cell/simulation.cpp
+++ b/tests/cell/simulation.cpp
@@ -35,6 +35,7 @@
         node.endpoint = std::make_unique<FakeEndpoint>(shared_, "i-" + name, fullCapacity, i % 2 == 0 ? 1.0 : 0.98);
         node.endpoint->advance(now_);
         node.endpoint->restart(incarnation_);
+        node.failureDomain = options_.evacuatesDomains && i % 2 == 0 ? "zone-a" : "zone-b";
         startAgent(node);
     }
     newScheduler();
@@ -73,7 +74,7 @@
     node->generation = static_cast<std::int64_t>(schedulers_.size()) + 1;
     node->name = "s" + std::to_string(node->generation);
     epoch_ = node->generation;
-    node->scheduler = std::make_unique<Scheduler>(SchedulerOptions {node->generation, simulatedLease});
+    node->scheduler = std::make_unique<Scheduler>(SchedulerOptions {node->generation, simulatedLease, options_.evacuatesDomains});
     node->scheduler->load(records_, now_, WallTime(now_.time_since_epoch()));
     node->scheduler->setConfiguration(plainConfiguration());
     node->scheduler->confirmLeases(BootTime::max());
@@ -169,6 +170,9 @@
         event();
     }
     checkMembership();
+    if (options_.evacuatesDomains) {
+        stepEvacuations();
+    }
     deliverWaiting();
     wake();
     for (auto &[name, node] : agents_) {
@@ -227,6 +231,9 @@
             node.endpoint->resize(fullCapacity);
         }
     }
+    if (!injectsFaults) {
+        endEvacuations();
+    }
     BootTime nextFault = now_ + between(200, 2000);
     BootTime nextCalls = now_;
     while (now_ < end) {
--- a/tests/cell/simulation.h
+++ b/tests/cell/simulation.h
@@ -18,6 +18,7 @@
 
 constexpr Milliseconds simulatedLease {5000};
 constexpr Milliseconds membershipLifetime {1200}; ///< at the store
+constexpr const char *plainEntry = "entry"; ///< name of an entry that is not the scheduler
 
 struct SimulationOptions
 {
@@ -46,6 +47,9 @@
     /// A term ends when the membership of its scheduler at the store has run out, or when it resigns. Not to be combined with changesSchedulers, which begins
     /// the next term at any time.
     bool hasMemberships = false;
+    /// Operators request and revoke the evacuation of two failure domains. A plain entry and each scheduler read the records, at times late and from lists, and
+    /// tell the agents.
+    bool evacuatesDomains = false;
     bool cutsOffSchedulers = false; ///< the scheduler loses its connection to the store, and no other one
 };
 
@@ -81,6 +85,8 @@
     /// Answers of schedulers whose successors had begun their terms.
     std::size_t formerAnswers() const;
     std::int64_t generation() const;
+    /// Starts that agents refused because of an evacuation, as a check that the histories reach this case.
+    std::size_t startsRefusedByEvacuation() const;
 
 private:
     struct SchedulerNode
@@ -93,6 +99,8 @@
         bool isGone = false;
         BootTime cutOffUntil; ///< no connection to the store until then
         BootTime nextRenewal; ///< of the membership
+        Evacuations evacuations; ///< as read by its entry
+        BootTime nextRecordRead;
     };
 
     struct AgentNode
@@ -106,6 +114,9 @@
         BootTime nextHeartbeat;
         BootTime endpointBackAt; ///< meaningful while the endpoint has crashed
         BootTime mutedUntil; ///< the endpoint's answers are lost until then
+        std::string failureDomain;
+        BootTime disturbedAt; ///< when it was last down, paused or without connections
+        BootTime nextEvacuationExchange;
     };
 
     /// A process that is paused receives everything that has arrived meanwhile, in order, when it goes on.
@@ -166,6 +177,12 @@
     void writeNext(const std::shared_ptr<SchedulerNode> &node);
     void injectFault();
     void injectIndependentFault();
+    void recordEvacuation(const std::string &domain, bool isRequested);
+    void changeEvacuation();
+    void endEvacuations();
+    void readEvacuations(Evacuations &state);
+    void stepEvacuations();
+    void checkEvacuation(const AgentNode &node, const RunId &run);
     EndpointStatus madeUpStatus(const AgentNode &node);
     void reportMadeUp(AgentNode &node);
     void step();
@@ -200,6 +217,13 @@
     std::map<std::string, ToldState> toldStates_;
     std::set<std::string> reportedSucceeded_;
     std::map<std::string, std::int64_t> lastCallBeforeSuccess_; ///< for each job that was reported as succeeded; later answers to earlier calls may differ
+    std::vector<EvacuationRecord> evacuationLog_; ///< the operators' records
+    std::size_t deletedEvacuationRecords_ = 0; ///< the store has deleted this many from the front of the log; their newest ones are listed
+    std::map<std::string, BootTime> evacuatedSince_; ///< by evacuated failure domain
+    Evacuations entryEvacuations_; ///< of an entry that is not the scheduler
+    BootTime nextEntryRead_;
+    BootTime storeDisturbedAt_;
+    std::size_t startsRefusedByEvacuation_ = 0;
     std::map<std::int64_t, std::pair<wire::CallKind::type, std::string>> calls_;
     std::int64_t lastCall_ = 0;
 };
--- a/tests/cell/simulationagents.cpp
+++ b/tests/cell/simulationagents.cpp
@@ -25,7 +25,9 @@
     hooks.now = [this]() {
         return now_;
     };
-    node.agent = std::make_unique<Agent>(AgentOptions {static_cast<std::int64_t>(node.incarnation), simulatedLease, testService}, std::move(hooks));
+    node.agent = std::make_unique<Agent>(
+        AgentOptions {static_cast<std::int64_t>(node.incarnation), simulatedLease, testService, node.failureDomain, options_.evacuatesDomains},
+        std::move(hooks));
     node.nextHeartbeat = now_;
 }
 
@@ -115,6 +117,7 @@
                 const bool maySendLate = options_.delaysMessages || options_.pausesAgents;
                 if (target->endpoint->runs() > runsBefore) {
                     checkStart(request.run.task.job);
+                    checkEvacuation(*target, request.run);
                 }
                 const bool isCounted = !maySendLate || target->endpoint->runs() > runsBefore;
                 if (isCounted && cancelled_.count(request.run.task.job) != 0) {
--- a/tests/cell/simulationfaults.cpp
+++ b/tests/cell/simulationfaults.cpp
@@ -116,6 +116,11 @@
             node.endpoint->resize({16000, 65536, independentChance() < 0.5 ? 8 : 2});
         });
     }
+    if (options_.evacuatesDomains) {
+        faults.emplace_back([this]() {
+            changeEvacuation();
+        });
+    }
     if (options_.hasOtherWriters) {
         faults.emplace_back([this, &node]() {
             reportMadeUp(node);
--- a/tests/cell/simulationmessages.cpp
+++ b/tests/cell/simulationmessages.cpp
@@ -137,8 +137,18 @@
         receiveAnswer(std::get<wire::JobAnswer>(message));
         return;
     }
+    const wire::EvacuationState *state = std::get_if<wire::EvacuationState>(&message);
+    if (to == plainEntry && state != nullptr) {
+        entryEvacuations_ = merged(entryEvacuations_, evacuationsOf(*state));
+    }
+    const wire::StartResult *result = std::get_if<wire::StartResult>(&message);
+    startsRefusedByEvacuation_ += result != nullptr && result->outcome == wire::StartOutcome::Evacuated ? 1 : 0;
     for (const std::shared_ptr<SchedulerNode> &node : schedulers_) {
         if (node->name == to && !node->isGone) {
+            if (state != nullptr) {
+                node->evacuations = merged(node->evacuations, evacuationsOf(*state));
+                node->scheduler->applyEvacuations(node->evacuations, now_);
+            }
             node->scheduler->receive(from, message, now_, WallTime(now_.time_since_epoch()));
             flush(*node);
         }
