Exchange evacuations between entries and agents

Entries send their state on a change, and to peers whose heartbeat names another version; agents announce theirs. A refused start brings the agent's state to the scheduler's entry. Gauges show since when a failure domain is evacuated and how many runs are left.

--- a/src/knapweedstaged/cellagenttask.cpp
+++ b/src/knapweedstaged/cellagenttask.cpp
@@ -51,7 +51,15 @@
     self.incarnation = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
     self.region = settings_.region;
     self.failureDomain = settings_.failureDomain;
-    agent_ = std::make_unique<cell::Agent>(cell::AgentOptions {self.incarnation, settings_.lease, settings_.service}, std::move(hooks));
+    const bool servesEvacuations = settings_.evacuationApplyTime.has_value();
+    if (servesEvacuations) {
+        hooks.evacuationsChanged = [this](std::int64_t version) {
+            peers_->setEvacuationsVersion(version);
+        };
+        peers_->setEvacuationsVersion(cell::versionOf(cell::Evacuations()));
+    }
+    agent_ = std::make_unique<cell::Agent>(
+        cell::AgentOptions {self.incarnation, settings_.lease, settings_.service, settings_.failureDomain, servesEvacuations}, std::move(hooks));
     peers_->attach(*peerServer_, self, settings_.seeds);
     loop_.callEvery(tickInterval, [this]() {
         agent_->tick();
@@ -76,6 +84,9 @@
     events.disconnected = [](const std::string &) {};
     events.rosterChanged = []() {};
     events.configurationSeen = [](const std::string &, std::int64_t) {}; // agents do not use the configuration
+    events.evacuationsSeen = [this](const std::string &peer, std::int64_t version) {
+        agent_->evacuationsSeen(peer, version);
+    };
     return events;
 }
 
--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -27,6 +27,12 @@
     return std::chrono::steady_clock::now();
 }
 
+/// Within this time a stored record has to be read. Half of the time of an evacuation is for telling the agents, and for starts that are on their way.
+Milliseconds readApplyTime(const cell::CellSettings &settings)
+{
+    return settings.evacuationApplyTime ? std::min(settings.configurationApplyTime, *settings.evacuationApplyTime / 2) : settings.configurationApplyTime;
+}
+
 /// Increases with each start of this process, also when it starts on another machine.
 std::int64_t incarnationNow()
 {
@@ -42,7 +48,7 @@
     , store_(http_, settings_.store)
     , feed_(loop_,
           store_,
-          settings_.configurationApplyTime,
+          readApplyTime(settings_),
           static_cast<std::uint32_t>(std::hash<std::string>()(settings_.name)),
           [this](const cell::CellConfiguration &configuration) {
               configurationChanged(configuration);
@@ -69,6 +75,7 @@
     self.failureDomain = settings_.failureDomain;
     self.processorPermille = processorPermille();
     peers_->attach(*peerServer_, self, settings_.seeds);
+    serveEvacuations();
     feed_.start();
     loop_.callEvery(tickInterval, [this]() {
         tick();
@@ -128,45 +135,12 @@
     events.configurationSeen = [this](const std::string &peer, std::int64_t version) {
         requestConfiguration(peer, version);
     };
+    events.evacuationsSeen = [this](const std::string &peer, std::int64_t version) {
+        evacuationsSeen(peer, version);
+    };
     return events;
 }
 
-/// @p version: the one that @p peer is known to have.
-void CellEntryTask::requestConfiguration(const std::string &peer, std::int64_t version)
-{
-    if (version <= feed_.configuration().version) {
-        return;
-    }
-    if (version > announcedConfiguration_) {
-        announcedConfiguration_ = version;
-        logEvent(LogLevel::Info,
-            "configuration.announced",
-            {{"peer", peer}, {"version", std::to_string(version)}, {"known", std::to_string(feed_.configuration().version)}});
-    }
-    wire::CellConfigurationOffer request;
-    request.version = feed_.configuration().version;
-    peers_->send(peer, request);
-}
-
-void CellEntryTask::configurationChanged(const cell::CellConfiguration &configuration)
-{
-    peers_->setConfigurationVersion(configuration.version);
-    relay_.configurationChanged(configuration.version);
-    metrics_.set("configuration_version", double(configuration.version));
-    wire::CellConfigurationOffer offer;
-    offer.version = configuration.version;
-    offer.document = feed_.document();
-    for (const wire::RosterEntry &peer : otherEntries()) {
-        if (peers_->isConnected(peer.address)) {
-            peers_->send(peer.address, offer);
-        }
-    }
-    if (schedulerCore_ != nullptr) {
-        schedulerCore_->setConfiguration(configuration);
-        schedulePlan();
-    }
-}
-
 /// Notifies @p peer of the current scheduler, so that processes without access to the store can reach it.
 void CellEntryTask::announceScheduler(const std::string &peer)
 {
@@ -271,7 +245,10 @@
             reply.document = feed_.document();
             peers_->send(peer, reply);
         }
+    } else if (const wire::EvacuationState *state = std::get_if<wire::EvacuationState>(&message)) {
+        feed_.offerEvacuations(cell::evacuationsOf(*state), "peer");
     } else if (schedulerCore_ != nullptr) {
+        noteRefusal(message);
         schedulerCore_->receive(peer, message, BootClock::now(), std::chrono::system_clock::now());
         flush();
     } else if (const wire::JobCall *call = std::get_if<wire::JobCall>(&message)) {
@@ -327,6 +304,9 @@
         schedulerCore_->tick(BootClock::now(), std::chrono::system_clock::now());
         flush();
     }
+    if (schedulerCore_ != nullptr) {
+        showEvacuationRuns();
+    }
     if (isDraining_) {
         finishDrain(now);
     }
--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -16,6 +16,7 @@
 #include "peers/peernetwork.h"
 #include "storeclient.h"
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -57,6 +58,11 @@
     bool isOnlyEntry() const;
     void requestConfiguration(const std::string &peer, std::int64_t version);
     void configurationChanged(const cell::CellConfiguration &configuration);
+    void serveEvacuations();
+    void evacuationsChanged(const cell::Evacuations &evacuations);
+    void evacuationsSeen(const std::string &peer, std::int64_t version);
+    void noteRefusal(const PeerMessage &message);
+    void showEvacuationRuns();
     void updateScheduler(std::int64_t generation, const std::string &address, const char *source);
     bool sendToScheduler(const wire::JobCall &call);
     void announceScheduler(const std::string &peer);
@@ -104,6 +110,7 @@
     std::unique_ptr<HttpServer> metricsServer_;
 
     std::int64_t announcedConfiguration_ = 0; ///< newest version of the configuration that a peer has announced before it arrived here
+    std::map<std::string, std::int64_t> announcedEvacuations_; ///< the evacuated failure domains as last sent to all peers
     std::int64_t generation_ = 0; ///< highest scheduler generation known to this process; never decreases
     std::string scheduler_; ///< peer address of the current scheduler; empty while unknown
     std::int64_t groupGeneration_ = 0; ///< group generation in the last answer to a join
--- a/src/knapweedstaged/cellleadership.cpp
+++ b/src/knapweedstaged/cellleadership.cpp
@@ -279,9 +279,10 @@
 void CellEntryTask::jobsLoaded()
 {
     const BootTime now = BootClock::now();
-    schedulerCore_ = std::make_unique<cell::Scheduler>(cell::SchedulerOptions {termGeneration_, settings_.lease});
+    schedulerCore_ = std::make_unique<cell::Scheduler>(cell::SchedulerOptions {termGeneration_, settings_.lease, settings_.evacuationApplyTime.has_value()});
     schedulerCore_->load(loadedRecords_, now, std::chrono::system_clock::now());
     schedulerCore_->setConfiguration(feed_.configuration());
+    schedulerCore_->applyEvacuations(feed_.evacuations(), now);
     loadedRecords_.clear();
     schedulerCore_->confirmTerm(termConfirmedUntil_, now, std::chrono::system_clock::now());
     schedulerCore_->beginRecovery(now);
