--- a/tests/soak/cell.py
+++ b/tests/soak/cell.py
@@ -31,12 +31,13 @@
     store: str
 
 
-def settings_of(place: Place, seeds: list[str], lease_ms: int, service: str) -> str:
-    """The settings as the platform fills in the template of the role."""
+def settings_of(place: Place, seeds: list[str], lease_ms: int, service: str, evacuate_ms: int | None = None) -> str:
+    """The settings as the platform fills in the template of the role. Without evacuate_ms, evacuations are not served."""
     listen = {"control": f"{place.ip}:{CONTROL}", "front": f"{place.ip}:{FRONT}", "readiness": f"{place.ip}:{READINESS}"}
     fields: dict[str, object] = {"nodeName": place.name, "ip": place.ip, "zone": place.zone, "region": "west", "seeds": seeds, "listen": listen}
     fields |= {"portRange": [PEERS, METRICS], "platform": {"address": place.store}, "limits": {"cpuShare": 0.25}}
-    fields |= {"bounds": {"holdMaxMs": lease_ms, "graceS": GRACE_S, "configApplyMs": int(CONFIG_APPLY_S * 1000)}, "heartbeatMs": 1500, "app": f"{place.ip}:{APP}", "service": service, "advice": None}
+    bounds = {"holdMaxMs": lease_ms, "graceS": GRACE_S, "configApplyMs": int(CONFIG_APPLY_S * 1000), "evacuateMs": evacuate_ms}
+    fields |= {"bounds": bounds, "heartbeatMs": 1500, "app": f"{place.ip}:{APP}", "service": service, "advice": None}
 
     def fill(match: re.Match[str]) -> str:
         value: object = fields
@@ -102,6 +103,10 @@
                 self.history.told_of_settings(self.place.name)
             elif number == signal.SIGKILL:
                 self.history.kill(self.place.name)
+            if number == signal.SIGCONT:
+                self.history.settle(self.place.name)
+            elif number != signal.SIGHUP:
+                self.history.disturb(self.place.name)
             if is_noted:
                 self.note(f"signal {number.name}")
             self.child.send_signal(number)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -23,7 +23,7 @@
 # No part of 'all', so that the commands on record play what they played.
 APART = ["agent-restart", "entry-restart", "leader-restart", "entries-away", "cell-kill", "store-away-pause", "store-leader-away", "store-reassign-at-once"]
 # Work of the operator. These are no impairments; all others are.
-PLANNED = ["entries-roll", "entries-stop", "entry-hup", "entries-hup", "config-change", "config-series"]
+PLANNED = ["entries-roll", "entries-stop", "entry-hup", "entries-hup", "config-change", "config-series", "evacuate"]
 APART += [kind for kind in PLANNED if kind != "config-change"]
 
 
@@ -89,6 +89,7 @@
             "entries-hup": (lambda rng: self.tell_of_settings(rng, self.entries), (2, 5)),
             "config-series": (self.config_series, (2, 6)),
             "config-change": (self.config_change, (2, 6)),
+            "evacuate": (self.evacuate, (0.5, 3)),
             "foreign-reports": (lambda rng: self.foreign_report(rng, None), FOREIGN_GAP_S),
         }
         cuts = Cuts(links, store, entries, agents, self.note)
@@ -304,6 +305,9 @@
             await self.config_change(rng)
             await asyncio.sleep(rng.uniform(0, 0.6))
 
+    async def evacuate(self, rng: random.Random) -> None:
+        await self.judge.evacuations.strike(rng, sorted({machine.zone for machine in self.machines}), self.note)
+
     async def foreign_report(self, rng: random.Random, name: str | None) -> None:
         """A report of another writer, or a delayed one of an earlier life, at an agent's report address."""
         machine = rng.choice(self.machines)
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, TextIO
 
+from soak.evacuations import Evacuations
 from soak.planned import History
 
 if TYPE_CHECKING:
@@ -77,6 +78,7 @@
         self.findings: list[str] = []  # broken promises that are no matter of safety
         self.starts = 0
         self.history = History()
+        self.evacuations = Evacuations(self.history)
         self.log: TextIO = (folder / "runs.log").open("w")
 
     def note(self, text: str) -> None:
@@ -112,6 +114,10 @@
         if cancelled is not None and time.time() - cancelled > CANCEL_S and not run.is_late:
             text = f"started {time.time() - cancelled:.1f} s after its cancel was acknowledged ({run.job.cancel_answer})"
             self.violated("UNASKED", run.task, text, [run])
+        machine = run.boot.machine
+        broken = self.evacuations.broken(machine.zone, machine.name, run.is_late)
+        if broken is not None:
+            self.violated("EVAC", run.task, broken, [run])
         if run.job.is_refused:
             self.violated("REFUSED", run.task, "all attempts to submit the job were refused", [run])
         used = {name: sum(other.job.needs[name] for other in run.boot.runs.values()) + run.job.needs[name] for name in run.job.needs}
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -197,4 +197,10 @@
         ways = {"one way": there, "other way": back}.get(kind, there | back)
         names = [" ".join(process.place.name for process in processes) for processes in (side, others)]
         self.note(f"cut {kind} {names[0]} from {names[1]} {seconds:.1f}")
-        await (self.links.refuse if kind == "reset" else self.links.hold)(ways, seconds)
+        for process in [*side, *others]:
+            process.history.disturb(process.place.name)
+        try:
+            await (self.links.refuse if kind == "reset" else self.links.hold)(ways, seconds)
+        finally:
+            for process in [*side, *others]:
+                process.history.settle(process.place.name)
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -40,6 +40,17 @@
     killed: dict[str, list[float]] = field(default_factory=dict)  # processes that were killed and are not up again
     answers: dict[str, list[float]] = field(default_factory=dict)  # by entry: when their requests were sent
     cuts: list[Cut] = field(default_factory=list)
+    disturbances: dict[str, float] = field(default_factory=dict)  # by process: when its last one ended; infinity while it lasts
+
+    def disturb(self, name: str) -> None:
+        """The process does not run, or is cut off."""
+        self.disturbances[name] = math.inf
+
+    def settle(self, name: str) -> None:
+        self.disturbances[name] = time.monotonic()
+
+    def disturbed_at(self, name: str) -> float:
+        return self.disturbances.get(name, 0.0)
 
     @contextmanager
     def impaired(self) -> Iterator[None]:
@@ -64,6 +75,7 @@
             self.impairments.append(self.killed[name])
 
     def started(self, name: str) -> None:
+        self.settle(name)
         if name in self.killed:
             self.killed.pop(name)[1] = time.monotonic()
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,6 +19,7 @@
 from soak.cell import APP, CONTROL, STORE, Place, Process, settings_of
 from soak.channels import Channels
 from soak.endpoint import Machine, Shared
+from soak.evacuations import EVACUATE_S
 from soak.faults import APART, Faults
 from soak.judge import Job, Judge, Violation, clock_text
 from soak.links import LISTEN, Links
@@ -61,6 +62,7 @@
         self.judge = Judge(folder)
         self.links = Links()
         self.store = Store(random.Random(f"{options.seed}-store"))
+        self.judge.evacuations.store = self.store
         self.shared = Shared(SERVICE, options.lease_ms, options.seed, self.judge)
         self.entries: list[Process] = []
         self.agents: list[Process] = []
@@ -88,7 +90,8 @@
         return Process(self.options.build / "src" / "knapweedstaged", place, self.folder, self._settings(place), self.judge.findings, self.judge.history)
 
     def _settings(self, place: Place) -> str:
-        text = settings_of(place, self.seeds, self.options.lease_ms, SERVICE)
+        evacuate_ms = int(EVACUATE_S * 1000) if "evacuate" in self.options.faults else None
+        text = settings_of(place, self.seeds, self.options.lease_ms, SERVICE, evacuate_ms)
         return json.dumps(json.loads(text) | {"peer_listen": f"{place.ip}:{LISTEN}"}) if self.options.has_proxies else text
 
     async def _open_ports(self, process: Process) -> None:
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -32,6 +32,7 @@
     newest: dict[str, tuple[bytes, int]] = field(default_factory=dict)
     producers: dict[str, Producer] = field(default_factory=dict)
     waiters: list[asyncio.Future[None]] = field(default_factory=list)
+    first: int = 0  # oldest record that has not been deleted
 
 
 @dataclass
@@ -60,12 +61,14 @@
         self.servers: list[Server] = []
         self.paused_at: float | None = None
         self.paused_s = 0.0
+        self._troubled_at = 0.0  # when a call last met a trouble of all callers
 
     async def open_for(self, caller: str, address: Address) -> None:
         own = self.own_troubles.setdefault(caller, [])
 
         async def handle(request: Request) -> Response:
             await asyncio.sleep(CALL_S)
+            self.troubled_at()
             await self._wait_for_records(request)
             return await serve(self.troubles + own, self.rng, request, lambda is_late: self.execute(request))
 
@@ -73,6 +76,17 @@
         await server.open()
         self.servers.append(server)
 
+    def troubled_at(self) -> float:
+        """When all callers last had a trouble, as far as calls have shown it. Entries call all the time."""
+        if self.troubles:
+            self._troubled_at = time.monotonic()
+        return self._troubled_at
+
+    def forget(self, topic: str) -> None:
+        """Deletes the log of the topic. The newest record of each key stays in its list."""
+        partition = self.partition(topic)
+        partition.first = len(partition.records)
+
     def partition(self, topic: str, part: int = 0) -> Partition:
         return self.partitions.setdefault((topic, part), Partition())
 
@@ -151,7 +165,9 @@
         await asyncio.wait([waiter], timeout=int(request.query.get("waitMs", "0")) / 1000)
 
     def _log_read(self, request: Request, partition: Partition) -> Response:
-        out = bytearray(len(partition.records).to_bytes(8, "big") + (0).to_bytes(8, "big"))
+        if int(request.query.get("from", "0")) < partition.first:
+            return Response(410, {"reason": "deleted", "first": partition.first})
+        out = bytearray(len(partition.records).to_bytes(8, "big") + partition.first.to_bytes(8, "big"))
         for record in partition.records[int(request.query.get("from", "0")) :]:
             if len(out) + len(record) > 1024 * int(request.query.get("maxFetchKb", "1024")):
                 break
