--- a/tests/cell/agentfixture.h
+++ b/tests/cell/agentfixture.h
@@ -62,7 +62,7 @@
         hooks.now = [this]() {
             return now;
         };
-        agent = std::make_unique<Agent>(AgentOptions {1, Milliseconds(6000), testService, "zone-a", servesEvacuations}, std::move(hooks));
+        agent = std::make_unique<Agent>(AgentOptions {1, Milliseconds(6000), testService, "west-a", servesEvacuations}, std::move(hooks));
         agent->endpointReported(statusOf(100));
         wire::SchedulerNotice notice;
         notice.generation = 7;
--- a/tests/cell/evacuationagenttest.cpp
+++ b/tests/cell/evacuationagenttest.cpp
@@ -54,7 +54,7 @@
 /// Guards against EVAC: a scheduler with an older view orders a start, and is not told of the newer one.
 TEST(AgentEvacuation, refusesAStartInItsFailureDomainAndReturnsItsState)
 {
-    learn(6, {{"zone-a", 5}});
+    learn(6, {{"west-a", 5}});
     agent->receive(schedulerName, orderAt(41, 4));
     CHECK(starts.empty());
     CHECK(results().back().outcome == wire::StartOutcome::Evacuated);
@@ -65,7 +65,7 @@
 
 TEST(AgentEvacuation, otherFailureDomainsDoNotMatter)
 {
-    learn(6, {{"zone-b", 5}});
+    learn(6, {{"west-b", 5}});
     agent->receive(schedulerName, orderAt(41, 4));
     LONGS_EQUAL(1, starts.size());
 }
@@ -73,7 +73,7 @@
 /// Guards against a failure domain that stays unused after its evacuation has ended: the agent was not told yet.
 TEST(AgentEvacuation, carriesOutTheOrderOfASchedulerThatKnowsOfLaterRecords)
 {
-    learn(6, {{"zone-a", 5}});
+    learn(6, {{"west-a", 5}});
     agent->receive(schedulerName, orderAt(41, 7));
     LONGS_EQUAL(1, starts.size());
 }
@@ -93,7 +93,7 @@
     learn(4, {});
     agent->receive(schedulerName, orderAt(41, 4));
     LONGS_EQUAL(1, starts.size());
-    learn(6, {{"zone-a", 5}});
+    learn(6, {{"west-a", 5}});
     CHECK(stops.empty());
     failOneStart(EndpointError::Kind::Unanswered);
     CHECK(starts.empty());
@@ -111,7 +111,7 @@
     failStarts(EndpointError::Kind::Unanswered);
     failStarts(EndpointError::Kind::Unanswered);
     CHECK(stops.empty());
-    learn(6, {{"zone-a", 5}});
+    learn(6, {{"west-a", 5}});
     LONGS_EQUAL(1, stops.size());
     stops.back().callback(EndpointError {EndpointError::Kind::Unanswered, "failed"});
     agent->tick();
@@ -131,7 +131,7 @@
     learn(4, {});
     agent->receive(schedulerName, orderAt(41, 4));
     starts.back().callback(Milliseconds(5));
-    learn(6, {{"zone-a", 5}});
+    learn(6, {{"west-a", 5}});
     now += Milliseconds(500);
     agent->tick();
     CHECK(stops.empty());
@@ -139,7 +139,7 @@
 
 TEST(AgentEvacuation, isUsedAgainOnceTheRequestIsRevoked)
 {
-    learn(6, {{"zone-a", 5}});
+    learn(6, {{"west-a", 5}});
     learn(8, {});
     agent->receive(schedulerName, orderAt(41, 8));
     LONGS_EQUAL(1, starts.size());
@@ -148,7 +148,7 @@
 /// Guards against EVAC: a process with an old state tells the agent that nothing is evacuated.
 TEST(AgentEvacuation, olderStateTakesNothingBack)
 {
-    learn(6, {{"zone-a", 5}});
+    learn(6, {{"west-a", 5}});
     learn(5, {});
     agent->receive(schedulerName, orderAt(41, 5));
     CHECK(starts.empty());
@@ -168,7 +168,7 @@
 /// Guards against EVAC: a scheduler of an older release, which does not serve evacuations, orders a start.
 TEST(AgentEvacuation, orderOfAnOlderReleaseIsRejected)
 {
-    learn(6, {{"zone-a", 5}});
+    learn(6, {{"west-a", 5}});
     agent->receive(schedulerName, orderOf(41));
     CHECK(starts.empty());
     CHECK(results().back().outcome == wire::StartOutcome::Rejected);
@@ -179,7 +179,7 @@
 {
     agent->evacuationsSeen("entry", 7);
     CHECK(sentStates().empty()); // it knows nothing itself
-    learn(6, {{"zone-a", 5}});
+    learn(6, {{"west-a", 5}});
     agent->evacuationsSeen("entry", versionOf(agent->evacuations()));
     CHECK(sentStates().empty());
     agent->evacuationsSeen("entry", versionOf(Evacuations()));
@@ -194,7 +194,7 @@
 {
     Evacuations state;
     state.position = 6;
-    state.domains["zone-a"] = 5;
+    state.domains["west-a"] = 5;
     agent->receive("entry", wireEvacuations(state));
     agent->receive(schedulerName, orderOf(41));
     LONGS_EQUAL(1, starts.size());
--- a/tests/cell/evacuationschedulertest.cpp
+++ b/tests/cell/evacuationschedulertest.cpp
@@ -30,12 +30,12 @@
         return report;
     }
 
-    /// Endpoint "a" in zone-a, "b" and "c" in zone-b.
+    /// Endpoint "a" in west-a, "b" and "c" in west-b.
     void reportEndpoints()
     {
-        send(*scheduler, "a", reportIn("i-a", "zone-a"));
-        send(*scheduler, "b", reportIn("i-b", "zone-b"));
-        send(*scheduler, "c", reportIn("i-c", "zone-b"));
+        send(*scheduler, "a", reportIn("i-a", "west-a"));
+        send(*scheduler, "b", reportIn("i-b", "west-b"));
+        send(*scheduler, "c", reportIn("i-c", "west-b"));
     }
 
     SchedulerOutput submit(const std::string &id, int tasks, int accelerators)
@@ -67,8 +67,8 @@
 /// Guards against EVAC.
 TEST(SchedulerEvacuation, startsNothingInAnEvacuatedDomainUntilTheRequestIsRevoked)
 {
-    apply(6, {{"zone-a", 5}});
-    send(*scheduler, "a", reportIn("i-a", "zone-a"));
+    apply(6, {{"west-a", 5}});
+    send(*scheduler, "a", reportIn("i-a", "west-a"));
     LONGS_EQUAL(0, startsOf(submit("j1", 1, 1)).size());
     apply(5, {}); // an older state
     LONGS_EQUAL(0, startsOf(settle(*scheduler)).size());
@@ -84,8 +84,8 @@
 TEST(SchedulerEvacuation, plannedGangIsWithdrawnAndPlannedElsewhere)
 {
     apply(4, {});
-    send(*scheduler, "a", reportIn("i-a", "zone-a"));
-    send(*scheduler, "b", reportIn("i-b", "zone-b"));
+    send(*scheduler, "a", reportIn("i-a", "west-a"));
+    send(*scheduler, "b", reportIn("i-b", "west-b"));
     JobSpec spec = plainJob("j1", "usual", {plainStep(2, {1000, 100, 8})});
     spec.steps.front().isGang = true;
     scheduler->receive("entry", submitOf(spec), now, wall);
@@ -94,10 +94,10 @@
     const SchedulerOutput planned = scheduler->takeOutput();
     CHECK(!planned.writes.empty());
     CHECK(startsOf(planned).empty());
-    apply(6, {{"zone-a", 5}});
+    apply(6, {{"west-a", 5}});
     scheduler->stored(planned.lastWrite, now);
     LONGS_EQUAL(0, startsOf(settle(*scheduler)).size());
-    send(*scheduler, "c", reportIn("i-c", "zone-b"));
+    send(*scheduler, "c", reportIn("i-c", "west-b"));
     LONGS_EQUAL(2, scheduler->endpoints().at("b").runs.size() + scheduler->endpoints().at("c").runs.size());
     LONGS_EQUAL(0, scheduler->endpoints().at("a").runs.size());
 }
@@ -105,9 +105,9 @@
 /// Guards against EVAC by way of a gang or a reservation that counts on endpoints of an evacuated domain: it would wait for them, or hold others for it.
 TEST(SchedulerEvacuation, capacityOfAnEvacuatedDomainHoldsNothingBack)
 {
-    apply(6, {{"zone-a", 5}});
-    send(*scheduler, "a", reportIn("i-a", "zone-a"));
-    send(*scheduler, "b", reportIn("i-b", "zone-b"));
+    apply(6, {{"west-a", 5}});
+    send(*scheduler, "a", reportIn("i-a", "west-a"));
+    send(*scheduler, "b", reportIn("i-b", "west-b"));
     JobSpec spec = plainJob("gang", "usual", {plainStep(2, {1000, 100, 8})});
     spec.steps.front().isGang = true;
     LONGS_EQUAL(0, startsOf(send(*scheduler, "entry", submitOf(spec))).size());
@@ -120,18 +120,18 @@
 TEST(SchedulerEvacuation, takesTheStateOfAnAgentThatRefuses)
 {
     apply(4, {});
-    send(*scheduler, "a", reportIn("i-a", "zone-a"));
+    send(*scheduler, "a", reportIn("i-a", "west-a"));
     const std::vector<wire::StartOrder> orders = startsOf(submit("j1", 1, 1));
     LONGS_EQUAL(1, orders.size());
     wire::StartResult result = resultOf(orders.front(), wire::StartOutcome::Evacuated);
     Evacuations state;
     state.position = 6;
-    state.domains["zone-a"] = 5;
+    state.domains["west-a"] = 5;
     result.__set_evacuations(wireEvacuations(state));
     LONGS_EQUAL(0, startsOf(send(*scheduler, "a", result)).size());
-    LONGS_EQUAL(0, startsOf(send(*scheduler, "a", reportIn("i-a", "zone-a"))).size());
+    LONGS_EQUAL(0, startsOf(send(*scheduler, "a", reportIn("i-a", "west-a"))).size());
     LONGS_EQUAL(0, scheduler->endpoints().at("a").runs.size());
-    LONGS_EQUAL(1, startsOf(send(*scheduler, "b", reportIn("i-b", "zone-b"))).size());
+    LONGS_EQUAL(1, startsOf(send(*scheduler, "b", reportIn("i-b", "west-b"))).size());
     STRCMP_EQUAL("running", stateOf(*scheduler, "j1").c_str());
 }
 
@@ -139,29 +139,29 @@
 TEST(SchedulerEvacuation, waitsForTheNextReportOfAnAgentThatRefusesWithoutAState)
 {
     apply(4, {});
-    send(*scheduler, "a", reportIn("i-a", "zone-a"));
+    send(*scheduler, "a", reportIn("i-a", "west-a"));
     const std::vector<wire::StartOrder> orders = startsOf(submit("j1", 1, 1));
     LONGS_EQUAL(1, orders.size());
     LONGS_EQUAL(0, startsOf(send(*scheduler, "a", resultOf(orders.front(), wire::StartOutcome::Evacuated))).size());
-    LONGS_EQUAL(1, startsOf(send(*scheduler, "a", reportIn("i-a", "zone-a"))).size());
+    LONGS_EQUAL(1, startsOf(send(*scheduler, "a", reportIn("i-a", "west-a"))).size());
 }
 
 /// Guards against work that is lost for nothing, and against an operator who is told that nothing runs in the domain while something does.
 TEST(SchedulerEvacuation, runningWorkGoesOnAndIsCountedUntilItEnds)
 {
     apply(4, {});
-    send(*scheduler, "a", reportIn("i-a", "zone-a"));
+    send(*scheduler, "a", reportIn("i-a", "west-a"));
     const std::vector<wire::StartOrder> orders = startsOf(submit("j1", 1, 1));
     LONGS_EQUAL(1, orders.size());
-    apply(6, {{"zone-a", 5}});
-    wire::EndpointReport report = reportIn("i-a", "zone-a");
+    apply(6, {{"west-a", 5}});
+    wire::EndpointReport report = reportIn("i-a", "west-a");
     report.running = {rowOf(orders.front().run)};
     CHECK(messagesOf<wire::StopOrder>(send(*scheduler, "a", report)).empty());
-    LONGS_EQUAL(1, scheduler->evacuationRuns().at("zone-a"));
-    report = reportIn("i-a", "zone-a");
+    LONGS_EQUAL(1, scheduler->evacuationRuns().at("west-a"));
+    report = reportIn("i-a", "west-a");
     report.ended = {endOf(1, orders.front().run, wire::RunEnding::Done)};
     send(*scheduler, "a", report);
-    LONGS_EQUAL(0, scheduler->evacuationRuns().at("zone-a"));
+    LONGS_EQUAL(0, scheduler->evacuationRuns().at("west-a"));
     CHECK(scheduler->isBusy()); // the end is still to be logged
     advance(Milliseconds(200));
     settle(*scheduler);
@@ -171,16 +171,16 @@
 /// Guards against EVAC: a later scheduler forgets what the earlier one knew.
 TEST(SchedulerEvacuation, nextSchedulerStartsNothingInTheDomainEither)
 {
-    apply(6, {{"zone-a", 5}});
+    apply(6, {{"west-a", 5}});
     LONGS_EQUAL(0, startsOf(submit("j1", 1, 1)).size());
     scheduler = makeScheduler(2);
-    send(*scheduler, "a", reportIn("i-a", "zone-a", 2));
-    send(*scheduler, "b", reportIn("i-b", "zone-b", 2));
+    send(*scheduler, "a", reportIn("i-a", "west-a", 2));
+    send(*scheduler, "b", reportIn("i-b", "west-b", 2));
     advance(lease + Seconds(1));
     LONGS_EQUAL(0, startsOf(settle(*scheduler)).size());
-    apply(6, {{"zone-a", 5}});
-    send(*scheduler, "a", reportIn("i-a", "zone-a", 2));
-    LONGS_EQUAL(1, startsOf(send(*scheduler, "b", reportIn("i-b", "zone-b", 2))).size());
+    apply(6, {{"west-a", 5}});
+    send(*scheduler, "a", reportIn("i-a", "west-a", 2));
+    LONGS_EQUAL(1, startsOf(send(*scheduler, "b", reportIn("i-b", "west-b", 2))).size());
 }
 
 /// Guards against a change for deployments that have no bound for evacuations.
@@ -188,8 +188,8 @@
 {
     servesEvacuations = false;
     scheduler = makeScheduler(1);
-    apply(6, {{"zone-a", 5}});
-    send(*scheduler, "a", reportIn("i-a", "zone-a"));
+    apply(6, {{"west-a", 5}});
+    send(*scheduler, "a", reportIn("i-a", "west-a"));
     const std::vector<wire::StartOrder> orders = startsOf(submit("j1", 1, 1));
     LONGS_EQUAL(1, orders.size());
     CHECK_FALSE(orders.front().__isset.evacuationPosition);
--- a/tests/cell/evacuationstest.cpp
+++ b/tests/cell/evacuationstest.cpp
@@ -161,16 +161,16 @@
 /// Guards against a request that outlives its revocation: the record that revoked it was deleted before this process read it.
 TEST(Evacuations, listWithoutTheDomainEndsAnEvacuationWhoseRevocationWasMissed)
 {
-    const Evacuations before = stateOf(6, {{"zone-a", 5}});
+    const Evacuations before = stateOf(6, {{"west-a", 5}});
     const Evacuations listed = stateOf(9, {});
     CHECK(merged(before, listed) == stateOf(9, {}));
-    CHECK(merged(before, stateOf(9, {{"zone-a", 8}})) == stateOf(9, {{"zone-a", 8}}));
+    CHECK(merged(before, stateOf(9, {{"west-a", 8}})) == stateOf(9, {{"west-a", 8}}));
 }
 
 TEST(Evacuations, differentStatesHaveDifferentVersions)
 {
     const std::vector<Evacuations> states = {
-        Evacuations(), stateOf(0, {}), stateOf(6, {}), stateOf(6, {{"zone-a", 5}}), stateOf(6, {{"zone-a", 4}}), stateOf(6, {{"zone-b", 5}})};
+        Evacuations(), stateOf(0, {}), stateOf(6, {}), stateOf(6, {{"west-a", 5}}), stateOf(6, {{"west-a", 4}}), stateOf(6, {{"west-b", 5}})};
     for (std::size_t left = 0; left < states.size(); ++left) {
         for (std::size_t right = 0; right < states.size(); ++right) {
             CHECK_EQUAL(left == right, versionOf(states[left]) == versionOf(states[right]));
@@ -180,32 +180,32 @@
 
 TEST(Evacuations, stateSurvivesItsMessage)
 {
-    const Evacuations state = stateOf(7, {{"zone-a", 5}, {"zone-b", 9}});
+    const Evacuations state = stateOf(7, {{"west-a", 5}, {"west-b", 9}});
     CHECK(evacuationsOf(wireEvacuations(state)) == state);
 }
 
 /// Guards against EVAC: an order of a scheduler with an older view is carried out in an evacuated failure domain.
 TEST(Evacuations, agentFollowsItsOwnStateUnlessTheSchedulersIsLater)
 {
-    const Evacuations own = stateOf(6, {{"zone-a", 5}});
-    CHECK(mayStart(own, "zone-b", std::nullopt));
-    CHECK(mayStart(own, "zone-b", SchedulerView {2, false}));
-    CHECK_FALSE(mayStart(own, "zone-a", std::nullopt));
-    CHECK_FALSE(mayStart(own, "zone-a", SchedulerView {5, false}));
-    CHECK_FALSE(mayStart(own, "zone-a", SchedulerView {6, false}));
-    CHECK(mayStart(own, "zone-a", SchedulerView {7, false}));
-    CHECK_FALSE(mayStart(own, "zone-a", SchedulerView {7, true}));
-    CHECK_FALSE(mayStart(own, "zone-b", SchedulerView {7, true}));
+    const Evacuations own = stateOf(6, {{"west-a", 5}});
+    CHECK(mayStart(own, "west-b", std::nullopt));
+    CHECK(mayStart(own, "west-b", SchedulerView {2, false}));
+    CHECK_FALSE(mayStart(own, "west-a", std::nullopt));
+    CHECK_FALSE(mayStart(own, "west-a", SchedulerView {5, false}));
+    CHECK_FALSE(mayStart(own, "west-a", SchedulerView {6, false}));
+    CHECK(mayStart(own, "west-a", SchedulerView {7, false}));
+    CHECK_FALSE(mayStart(own, "west-a", SchedulerView {7, true}));
+    CHECK_FALSE(mayStart(own, "west-b", SchedulerView {7, true}));
     // The record was read from a list and is later than the scheduler's position.
-    CHECK_FALSE(mayStart(stateOf(6, {{"zone-a", 9}}), "zone-a", SchedulerView {8, false}));
-    CHECK(mayStart(stateOf(6, {{"zone-a", 9}}), "zone-a", SchedulerView {10, false}));
+    CHECK_FALSE(mayStart(stateOf(6, {{"west-a", 9}}), "west-a", SchedulerView {8, false}));
+    CHECK(mayStart(stateOf(6, {{"west-a", 9}}), "west-a", SchedulerView {10, false}));
 }
 
 /// Guards against EVAC: a process that has just begun starts work before it knows whether the failure domain is evacuated.
 TEST(Evacuations, nothingMayStartWhileNoStateIsKnown)
 {
     CHECK_FALSE(isKnown(Evacuations()));
-    CHECK_FALSE(mayStart(Evacuations(), "zone-a", std::nullopt));
-    CHECK_FALSE(mayStart(Evacuations(), "zone-a", SchedulerView {7, false}));
+    CHECK_FALSE(mayStart(Evacuations(), "west-a", std::nullopt));
+    CHECK_FALSE(mayStart(Evacuations(), "west-a", SchedulerView {7, false}));
     CHECK(isKnown(stateOf(0, {})));
 }
--- a/tests/cell/simulation.cpp
+++ b/tests/cell/simulation.cpp
@@ -35,7 +35,7 @@
         node.endpoint = std::make_unique<FakeEndpoint>(shared_, "i-" + name, fullCapacity, i % 2 == 0 ? 1.0 : 0.98);
         node.endpoint->advance(now_);
         node.endpoint->restart(incarnation_);
-        node.failureDomain = options_.evacuatesDomains && i % 2 == 0 ? "zone-a" : "zone-b";
+        node.failureDomain = options_.evacuatesDomains && i % 2 == 0 ? "west-a" : "west-b";
         startAgent(node);
     }
     newScheduler();
--- a/tests/cell/simulationevacuations.cpp
+++ b/tests/cell/simulationevacuations.cpp
@@ -31,7 +31,7 @@
     if (now_ < storeDownUntil_) {
         return;
     }
-    const std::string domain = independentChance() < 0.5 ? "zone-a" : "zone-b";
+    const std::string domain = independentChance() < 0.5 ? "west-a" : "west-b";
     recordEvacuation(domain, evacuatedSince_.count(domain) == 0);
     if (independentChance() < 0.3) {
         deletedEvacuationRecords_ = evacuationLog_.size();
--- a/tests/configuration/evacuationfeedtest.cpp
+++ b/tests/configuration/evacuationfeedtest.cpp
@@ -97,15 +97,15 @@
 {
     start();
     waitForRead();
-    CHECK(isEvacuatedInTime("zone-a", false));
-    evacuate("zone-a", true);
-    CHECK(isEvacuatedInTime("zone-a"));
-    evacuate("zone-b", true);
-    evacuate("zone-a", false);
-    CHECK(isEvacuatedInTime("zone-b"));
-    CHECK(isEvacuatedInTime("zone-a", false));
+    CHECK(isEvacuatedInTime("west-a", false));
+    evacuate("west-a", true);
+    CHECK(isEvacuatedInTime("west-a"));
+    evacuate("west-b", true);
+    evacuate("west-a", false);
+    CHECK(isEvacuatedInTime("west-b"));
+    CHECK(isEvacuatedInTime("west-a", false));
     task.call([this]() {
-        CHECK(feed->evacuations() == stateOf(4, {{"zone-b", 2}}));
+        CHECK(feed->evacuations() == stateOf(4, {{"west-b", 2}}));
     });
 }
 
@@ -113,11 +113,11 @@
 TEST(EvacuationFeed, requestThatOnlyTheListShowsIsInForce)
 {
     task.call([this]() {
-        topic->evacuate("zone-a", true);
+        topic->evacuate("west-a", true);
         topic->deleteRecords();
     });
     start();
-    CHECK(isEvacuatedInTime("zone-a"));
+    CHECK(isEvacuatedInTime("west-a"));
 }
 
 /// Guards against EVAC: the list has several pages, and the request is not on the first.
@@ -125,14 +125,14 @@
 {
     task.call([this]() {
         topic->limitPages(2);
-        for (const char *domain : {"zone-a", "zone-b", "zone-c", "zone-d"}) {
+        for (const char *domain : {"west-a", "west-b", "west-c", "west-d"}) {
             topic->evacuate(domain, true);
         }
         topic->deleteRecords();
     });
     start();
-    CHECK(isEvacuatedInTime("zone-d"));
-    CHECK(isEvacuatedInTime("zone-a"));
+    CHECK(isEvacuatedInTime("west-d"));
+    CHECK(isEvacuatedInTime("west-a"));
     CHECK(task.waitFor([this]() {
         return feed->evacuations().position == 5;
     }));
@@ -143,13 +143,13 @@
 {
     task.call([this]() {
         topic->limitPages(2);
-        topic->evacuate("zone-b", true);
-        topic->evacuate("zone-c", true);
-        topic->evacuateBetweenPages("zone-a", true);
+        topic->evacuate("west-b", true);
+        topic->evacuate("west-c", true);
+        topic->evacuateBetweenPages("west-a", true);
     });
     start();
-    CHECK(isEvacuatedInTime("zone-a"));
-    CHECK(isEvacuatedInTime("zone-c"));
+    CHECK(isEvacuatedInTime("west-a"));
+    CHECK(isEvacuatedInTime("west-c"));
 }
 
 /// Guards against a request that outlives its revocation: it was revoked between the pages of a list after the page that shows it.
@@ -157,13 +157,13 @@
 {
     task.call([this]() {
         topic->limitPages(2);
-        topic->evacuate("zone-a", true);
-        topic->evacuate("zone-b", true);
-        topic->evacuateBetweenPages("zone-a", false);
+        topic->evacuate("west-a", true);
+        topic->evacuate("west-b", true);
+        topic->evacuateBetweenPages("west-a", false);
     });
     start();
-    CHECK(isEvacuatedInTime("zone-b"));
-    CHECK(isEvacuatedInTime("zone-a", false));
+    CHECK(isEvacuatedInTime("west-b"));
+    CHECK(isEvacuatedInTime("west-a", false));
 }
 
 /// Guards against a request that outlives its revocation: the records were deleted while the entry could not read them.
@@ -171,31 +171,31 @@
 {
     start();
     waitForRead();
-    evacuate("zone-a", true);
-    CHECK(isEvacuatedInTime("zone-a"));
+    evacuate("west-a", true);
+    CHECK(isEvacuatedInTime("west-a"));
     waitForRead();
     // In one turn of the loop, so that the waiting read cannot see the revocation alone.
     task.call([this]() {
         relay->freeze();
-        topic->evacuate("zone-a", false);
+        topic->evacuate("west-a", false);
         topic->append(2);
         topic->deleteRecords();
     });
-    CHECK(isEvacuatedInTime("zone-a", false));
+    CHECK(isEvacuatedInTime("west-a", false));
 }
 
 /// Guards against EVAC: the entry has not read a request, or can't, and hears of it from a peer; an older state takes nothing back.
 TEST(EvacuationFeed, statesOfPeersAreMerged)
 {
     start();
-    CHECK(isEvacuatedInTime("zone-a", false));
+    CHECK(isEvacuatedInTime("west-a", false));
     task.call([this]() {
-        feed->offerEvacuations(stateOf(9, {{"zone-a", 8}}), "peer");
-        CHECK(cell::isEvacuated(feed->evacuations(), "zone-a"));
+        feed->offerEvacuations(stateOf(9, {{"west-a", 8}}), "peer");
+        CHECK(cell::isEvacuated(feed->evacuations(), "west-a"));
         feed->offerEvacuations(stateOf(7, {}), "peer");
-        CHECK(cell::isEvacuated(feed->evacuations(), "zone-a"));
+        CHECK(cell::isEvacuated(feed->evacuations(), "west-a"));
         feed->offerEvacuations(stateOf(10, {}), "peer");
-        CHECK_FALSE(cell::isEvacuated(feed->evacuations(), "zone-a"));
+        CHECK_FALSE(cell::isEvacuated(feed->evacuations(), "west-a"));
     });
 }
 
@@ -204,14 +204,14 @@
 {
     task.call([this]() {
         topic->limitPages(1);
-        topic->evacuate("zone-a", true);
+        topic->evacuate("west-a", true);
     });
     start(false);
     waitForRead();
     task.call([this]() {
         CHECK_FALSE(cell::isKnown(feed->evacuations()));
         LONGS_EQUAL(1, topic->lists());
-        feed->offerEvacuations(stateOf(9, {{"zone-a", 8}}), "peer");
+        feed->offerEvacuations(stateOf(9, {{"west-a", 8}}), "peer");
         CHECK_FALSE(cell::isKnown(feed->evacuations()));
     });
 }
