Extend leases without the store only with a majority of the entries

Cause: a scheduler without the store extended leases on any one entry's statement that it knows of no later term, also if that entry could not have heard of one. A new scheduler took the leases to be over one lease after its own start.

Change: the scheduler needs such answers from a majority of the entries that it knows, of the last second, and extends leases for at most 15 s without the store. A new scheduler asks the same question; an answer acknowledges its term. It counts one lease from when a majority has acknowledged, less the time for which these entries have confirmed nobody, or from 15 s after its start. The counting is in cell/leaseconfirmation, which also remembers entries that a partition hides, leaves out those that shut down, and takes no answer from one that has restarted. SchedulerNotice gets one optional field.

--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -216,43 +216,15 @@
         return;
     }
     if (notice.askedAtMs != 0 && notice.address == self_) {
-        if (schedulerCore_ != nullptr) {
-            schedulerCore_->confirmLeases(BootTime(Milliseconds(notice.askedAtMs)) + confirmationLifetime);
-        }
+        handleLeaseAnswer(peer, notice);
         return;
     }
     updateScheduler(notice.generation, notice.address, "peer");
     if (notice.askedAtMs != 0) {
-        peers_->send(peer, notice);
+        answerLeaseQuestion(peer, notice);
     }
 }
 
-/// Asks the other entries whether they know of a later term, for as long as the store doesn't say so.
-void CellEntryTask::askForLaterTerm()
-{
-    if (schedulerCore_ == nullptr) {
-        return;
-    }
-    wire::SchedulerNotice question;
-    question.generation = termGeneration_;
-    question.address = self_;
-    question.askedAtMs = BootClock::now().time_since_epoch().count();
-    for (const wire::RosterEntry &peer : otherEntries()) {
-        if (peers_->isConnected(peer.address)) {
-            peers_->send(peer.address, question);
-        }
-    }
-}
-
-/// Whether there is no other entry that could become the scheduler, as far as this process can know.
-bool CellEntryTask::isOnlyEntry() const
-{
-    const bool hasOtherSeeds = std::any_of(settings_.seeds.begin(), settings_.seeds.end(), [this](const Address &seed) {
-        return toString(seed) != self_;
-    });
-    return !hasOtherSeeds && otherEntries().empty();
-}
-
 void CellEntryTask::receive(const std::string &peer, const PeerMessage &message)
 {
     if (const wire::SchedulerNotice *notice = std::get_if<wire::SchedulerNotice>(&message)) {
@@ -320,9 +292,7 @@
     const MonotonicTime now = monotonicNow();
     noteDelay(now);
     relay_.tick(now);
-    if (schedulerCore_ != nullptr && isOnlyEntry()) {
-        schedulerCore_->confirmLeases(BootClock::now() + confirmationLifetime);
-    }
+    maintainLeaseConfirmation();
     if (schedulerCore_ != nullptr && schedulerCore_->isBusy()) {
         schedulerCore_->tick(BootClock::now(), std::chrono::system_clock::now());
         flush();
--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -8,6 +8,7 @@
 #include "base/metrics.h"
 #include "callrelay.h"
 #include "cell/election.h"
+#include "cell/leaseconfirmation.h"
 #include "cell/scheduler.h"
 #include "cell/settingsfile.h"
 #include "cellcallerapi.h"
@@ -23,7 +24,7 @@
 namespace knapweed
 {
 
-/// How long a confirmation of the term counts, from when it was asked for. Short of the lifetime of a membership at the store.
+/// How long the store's confirmation of the term counts, from when it was asked for. Short of the lifetime of a membership at the store.
 constexpr Milliseconds confirmationLifetime {1000};
 
 class CellEntryTask
@@ -53,8 +54,12 @@
     void startServers();
     void receive(const std::string &peer, const PeerMessage &message);
     void receiveNotice(const std::string &peer, const wire::SchedulerNotice &notice);
+    cell::EntryIncarnations knownEntries();
+    void maintainLeaseConfirmation();
     void askForLaterTerm();
-    bool isOnlyEntry() const;
+    void answerLeaseQuestion(const std::string &peer, const wire::SchedulerNotice &question);
+    void handleLeaseAnswer(const std::string &peer, const wire::SchedulerNotice &answer);
+    void updateEarlierExtensions();
     void requestConfiguration(const std::string &peer, std::int64_t version);
     void configurationChanged(const cell::CellConfiguration &configuration);
     void updateScheduler(std::int64_t generation, const std::string &address, const char *source);
@@ -116,6 +121,13 @@
     cell::LeaderMonitor leaderMonitor_;
     cell::LeadershipLossDetector lossDetector_; ///< for the current term of this process
 
+    cell::EntryHistory entryHistory_;
+    cell::LeaseConfirmation leaseConfirmation_; ///< of the current term of this process
+    cell::EarlierExtensions earlierExtensions_; ///< of the terms before the current one of this process
+    std::int64_t confirmedTerm_ = 0; ///< generation of the term that this process last confirmed, its own or that of another entry
+    BootTime confirmedTermAt_ = BootClock::now(); ///< when it did; at first when it started
+    BootTime earlierTermConfirmedAt_ = confirmedTermAt_; ///< the same for the terms before that one
+    BootTime askedForLaterTermAt_;
     std::set<std::string> connectedEntries_; ///< other entries with a connection; while there is none, only the store names a new configuration
     MonotonicTime tickedAt_ = std::chrono::steady_clock::now();
     const MonotonicTime startedAt_ = std::chrono::steady_clock::now();
--- a/src/knapweedstaged/cellleadership.cpp
+++ b/src/knapweedstaged/cellleadership.cpp
@@ -189,6 +189,9 @@
         return;
     }
     termConfirmedUntil_ = holdsPartition_ ? std::max(termConfirmedUntil_, renewedAt + confirmationLifetime) : BootTime();
+    if (holdsPartition_) {
+        leaseConfirmation_.termConfirmed(knownEntries(), renewedAt);
+    }
     if (schedulerCore_ != nullptr) {
         schedulerCore_->confirmTerm(termConfirmedUntil_, BootClock::now(), std::chrono::system_clock::now());
         flush();
@@ -203,6 +206,8 @@
     termGeneration_ = generation;
     confirmedGroupGeneration_ = generation;
     termConfirmedUntil_ = BootTime();
+    leaseConfirmation_ = cell::LeaseConfirmation();
+    earlierExtensions_ = cell::EarlierExtensions(BootClock::now(), confirmedTermAt_ + cell::leaseConfirmationLifetime);
     lossDetector_ = cell::LeadershipLossDetector();
     termStartedAt_ = std::chrono::steady_clock::now();
     logEvent(LogLevel::Info, "term.started", {{"generation", std::to_string(generation)}});
@@ -285,12 +290,15 @@
     loadedRecords_.clear();
     schedulerCore_->confirmTerm(termConfirmedUntil_, now, std::chrono::system_clock::now());
     schedulerCore_->beginRecovery(now);
+    earlierExtensions_.addEntries(knownEntries());
+    updateEarlierExtensions();
     updateScheduler(termGeneration_, self_, "term");
     for (const wire::RosterEntry &peer : peers_->roster()) {
         if (peer.address != self_) {
             announceScheduler(peer.address);
         }
     }
+    maintainLeaseConfirmation();
     relay_.schedulerChanged(generation_, std::chrono::steady_clock::now());
     flush();
 }
@@ -301,6 +309,8 @@
         return;
     }
     logEvent(LogLevel::Warning, "term.ended", {{"generation", std::to_string(termGeneration_)}, {"reason", reason}});
+    confirmedTerm_ = termGeneration_;
+    confirmedTermAt_ = BootClock::now();
     termGeneration_ = 0;
     schedulerCore_.reset();
     journal_.reset();
--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -103,7 +103,8 @@
             }
         }
     }
-    earlierLeasesEnd_ = now + options_.lease + leaseMargin;
+    recoveryBeganAt_ = now;
+    setEarlierExtensionsEnd(now);
 }
 
 void Scheduler::setConfiguration(const CellConfiguration &configuration)
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -66,6 +66,8 @@
     /// Starts the recovery after a change of scheduler. A unit that an earlier scheduler may have started is not started again until all agents recorded with
     /// it have reported the lists of their endpoints, or until the leases there, including those granted by this scheduler, have expired.
     void beginRecovery(BootTime now);
+    /// No earlier scheduler extends a lease from @p end on (leaseconfirmation.h); without a call, from when the recovery began. May be called again.
+    void setEarlierExtensionsEnd(BootTime end);
 
     void setConfiguration(const CellConfiguration &configuration);
     void setStoreReachable(bool isReachable);
@@ -75,7 +77,8 @@
     /// confirmation.
     void confirmTerm(BootTime until, BootTime now, WallTime wall);
 
-    /// Until @p until, leases are extended although the term may not be confirmed: another entry has said that it knows of no later term, or there is none.
+    /// Until @p until, leases are extended although the term may not be confirmed: a majority of the entries knows of no later term
+    /// (leaseconfirmation.h).
     void confirmLeases(BootTime until);
 
     /// Jobs whose submission is not durable yet and for which nothing else has been recorded.
@@ -243,6 +246,7 @@
     std::set<std::string> awaitedAgents_; ///< recorded with a run by an earlier scheduler; the endpoint's lists are not known yet, and its lease is not over
     std::size_t lapsedAgents_ = 0; ///< agents that were awaited until no lease was left
     std::vector<PendingStart> pendingStarts_; ///< wait until their record is durable
+    BootTime recoveryBeganAt_;
     BootTime earlierLeasesEnd_; ///< when all leases granted by earlier schedulers have expired
 };
 
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -121,8 +121,13 @@
     endpoint.lastReportSentAt = BootTime(Milliseconds(report.sentAtMs));
 }
 
+void Scheduler::setEarlierExtensionsEnd(BootTime end)
+{
+    earlierLeasesEnd_ = std::max(recoveryBeganAt_, end) + options_.lease + leaseMargin;
+}
+
 /// Extends the lease of the endpoint. The lease counts from when the agent sent the report, which was before @p now, so it expires no later than recorded here.
-/// A scheduler that reaches neither the store nor another entry extends none, because a later one may take the leases to have run out.
+/// A scheduler that reaches neither the store nor a majority of the entries extends none, because a later one may take the leases to have run out.
 void Scheduler::grant(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now)
 {
     wire::EndpointGrant grant;
--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -9309,6 +9309,11 @@
 void SchedulerNotice::__set_askedAtMs(const int64_t val) {
   this->askedAtMs = val;
 }
+
+void SchedulerNotice::__set_unconfirmedForMs(const int64_t val) {
+  this->unconfirmedForMs = val;
+__isset.unconfirmedForMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const SchedulerNotice& obj)
 {
   obj.printTo(out);
@@ -9369,6 +9374,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->unconfirmedForMs);
+          this->__isset.unconfirmedForMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9402,6 +9415,11 @@
   xfer += oprot->writeI64(this->askedAtMs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.unconfirmedForMs) {
+    xfer += oprot->writeFieldBegin("unconfirmedForMs", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->unconfirmedForMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9413,6 +9431,7 @@
   swap(a.address, b.address);
   swap(a.isLeaving, b.isLeaving);
   swap(a.askedAtMs, b.askedAtMs);
+  swap(a.unconfirmedForMs, b.unconfirmedForMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -9421,6 +9440,7 @@
   address = other266.address;
   isLeaving = other266.isLeaving;
   askedAtMs = other266.askedAtMs;
+  unconfirmedForMs = other266.unconfirmedForMs;
   __isset = other266.__isset;
 }
 SchedulerNotice::SchedulerNotice(SchedulerNotice&& other267) noexcept {
@@ -9428,6 +9448,7 @@
   address = std::move(other267.address);
   isLeaving = other267.isLeaving;
   askedAtMs = other267.askedAtMs;
+  unconfirmedForMs = other267.unconfirmedForMs;
   __isset = other267.__isset;
 }
 SchedulerNotice& SchedulerNotice::operator=(const SchedulerNotice& other268) {
@@ -9435,6 +9456,7 @@
   address = other268.address;
   isLeaving = other268.isLeaving;
   askedAtMs = other268.askedAtMs;
+  unconfirmedForMs = other268.unconfirmedForMs;
   __isset = other268.__isset;
   return *this;
 }
@@ -9443,6 +9465,7 @@
   address = std::move(other269.address);
   isLeaving = other269.isLeaving;
   askedAtMs = other269.askedAtMs;
+  unconfirmedForMs = other269.unconfirmedForMs;
   __isset = other269.__isset;
   return *this;
 }
@@ -9453,6 +9476,7 @@
   out << ", " << "address=" << to_string(address);
   out << ", " << "isLeaving=" << to_string(isLeaving);
   out << ", " << "askedAtMs=" << to_string(askedAtMs);
+  out << ", " << "unconfirmedForMs="; (__isset.unconfirmedForMs ? (out << to_string(unconfirmedForMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libknapweed/peers/gen/peers_types.h
+++ b/src/libknapweed/peers/gen/peers_types.h
@@ -3604,11 +3604,12 @@
 std::ostream& operator<<(std::ostream& out, const RunAbsent& obj);
 
 typedef struct _SchedulerNotice__isset {
-  _SchedulerNotice__isset() : generation(false), address(false), isLeaving(false), askedAtMs(false) {}
+  _SchedulerNotice__isset() : generation(false), address(false), isLeaving(false), askedAtMs(false), unconfirmedForMs(false) {}
   bool generation :1;
   bool address :1;
   bool isLeaving :1;
   bool askedAtMs :1;
+  bool unconfirmedForMs :1;
 } _SchedulerNotice__isset;
 
 class SchedulerNotice : public virtual ::apache::thrift::TBase {
@@ -3622,7 +3623,8 @@
                   : generation(0),
                     address(),
                     isLeaving(0),
-                    askedAtMs(0) {
+                    askedAtMs(0),
+                    unconfirmedForMs(0) {
   }
 
   virtual ~SchedulerNotice() noexcept;
@@ -3630,6 +3632,7 @@
   std::string address;
   bool isLeaving;
   int64_t askedAtMs;
+  int64_t unconfirmedForMs;
 
   _SchedulerNotice__isset __isset;
 
@@ -3641,6 +3644,8 @@
 
   void __set_askedAtMs(const int64_t val);
 
+  void __set_unconfirmedForMs(const int64_t val);
+
   bool operator == (const SchedulerNotice & rhs) const
   {
     if (!(generation == rhs.generation))
@@ -3651,6 +3656,10 @@
       return false;
     if (!(askedAtMs == rhs.askedAtMs))
       return false;
+    if (__isset.unconfirmedForMs != rhs.__isset.unconfirmedForMs)
+      return false;
+    else if (__isset.unconfirmedForMs && !(unconfirmedForMs == rhs.unconfirmedForMs))
+      return false;
     return true;
   }
   bool operator != (const SchedulerNotice &rhs) const {
--- a/src/libknapweed/peers/peers.thrift
+++ b/src/libknapweed/peers/peers.thrift
@@ -131,7 +131,8 @@
 struct RunAbsent { 1: i64 generation, 2: string endpoint, 3: i64 born, 4: RunRef run }
 /// The scheduler of the cell, according to the newest generation that the sender knows. isLeaving: the scheduler has resigned, and leadership is free again.
 /// askedAtMs: not 0 if the scheduler asks whether the receiver knows of a later term, with its own time. An entry that doesn't sends the notice back.
-struct SchedulerNotice { 1: i64 generation, 2: string address, 3: bool isLeaving, 4: i64 askedAtMs }
+/// It has thereby acknowledged the term and confirms no earlier one. unconfirmedForMs: for how long it certainly has confirmed none; absent: not stated.
+struct SchedulerNotice { 1: i64 generation, 2: string address, 3: bool isLeaving, 4: i64 askedAtMs, 5: optional i64 unconfirmedForMs }
 /// A caller's request, sent to the scheduler by the entry that serves the caller's connection; may be repeated with the same call number.
 /// configurationVersion is the one by which the entry admitted the call; 0: not stated. CheckConfiguration only asks whether it is outdated.
 struct JobCall { 1: i64 call, 2: CallKind kind, 3: string queue, 4: string job, 5: string account, 6: string spec, 7: i64 configurationVersion }
