Take an endpoint that leaves as gone only by its own word or its lease

When connections to it were reset and refused for 3 s, its task was started elsewhere within 0.3 s, while the first run went on for 4 s.

Cause: the agent took an endpoint whose announced time was over as gone as soon as it refused one connection. The announced time is a minimum, and a refused connection does not show that the endpoint has ended.

Change: an endpoint that is due to leave and refuses connections is gone if it has said that it has left, or once all leases are over that it may have been told. The agent remembers the end of each lease that it has sent, but for renewals that were not delivered, and counts a whole lease for an earlier process of its own. While connections are refused, the endpoint's lease isn't extended, so the task is started again one lease after the last renewal that may have arrived; by the scheduler's own count, from the agent's last report, it would be up to 5 s later. Two of the agent's tests change: the one that required the fault now requires that the run is kept until the lease is over, and goneEndpointThatAnswersAgainIsNoLongerGone has the endpoint say that it has left.

--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -22,6 +22,7 @@
 Agent::Agent(AgentOptions options, AgentHooks hooks)
     : options_(std::move(options))
     , hooks_(std::move(hooks))
+    , sentLeases_ {{0, hooks_.now() + options_.lease}}
 {
 }
 
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -94,8 +94,9 @@
         bool isReplaced = false; ///< the next incarnation answers, so that nothing since hides an end of this one
         std::map<RunId, std::uint64_t> started; ///< started but maybe not listed yet; with the newest renewal sent before the answer
         bool hasLeft = false; ///< announced since the newest report; its runs end with it
-        BootTime leavesAt; ///< earliest time at which the endpoint may be gone; meaningful while draining
-        bool isGone = false; ///< the endpoint was due to leave and its address refuses connections: nothing runs there any more
+        BootTime leavesAt; ///< earliest time at which the endpoint leaves, it may stay for longer; meaningful while draining
+        /// Nothing runs there any more: the endpoint was due to leave and refuses connections, and it has said that it has left or its lease is over.
+        bool isGone = false;
         std::map<RunId, std::uint64_t> stopped; ///< stopped but maybe still listed; with the newest renewal sent before the answer
         /// Unanswered starts of an earlier incarnation. This one must refuse them before it gets work, and its lists are ignored until then.
         std::set<RunId> pendingRefusals;
@@ -144,6 +145,7 @@
     void renewLease(Milliseconds wait);
     void renewalSucceeded(const SentRenewal &renewal, std::int64_t incarnation, const RenewalResult &answer);
     std::optional<Milliseconds> leaseUntil() const;
+    bool isLeaseCertainlyOver() const;
     void renewalFailed(std::uint64_t number, const EndpointError &failure);
     void noteFailedRenewal(std::uint64_t number, const EndpointError &failure);
     bool hasListedEnd(const RunId &run) const;
@@ -161,6 +163,8 @@
     std::int64_t generation_ = 0; ///< the highest one seen; never decreases
     std::string scheduler_; ///< the scheduler's peer address; empty while unknown
     BootTime leaseExpiresAt_; ///< expiry of the runs' lease; never moves back
+    /// Expiries that the endpoint may have been told, by number of the renewal; 0: by an earlier process of this agent. None that has passed.
+    std::map<std::uint64_t, BootTime> sentLeases_;
     std::int64_t reportNumber_ = 0;
     BootTime lastReport_;
     std::uint64_t renewalNumber_ = 0; ///< number of the newest renewal sent
--- a/src/libknapweed/cell/agentrenewal.cpp
+++ b/src/libknapweed/cell/agentrenewal.cpp
@@ -4,6 +4,8 @@
 
 #include "base/logging.h"
 
+#include <algorithm>
+
 namespace knapweed::cell
 {
 
@@ -39,6 +41,12 @@
     const std::uint64_t number = ++renewalNumber_;
     const bool isLongPoll = wait.count() > 0;
     const BootTime sentAt = hooks_.now();
+    if (request.leaseUntil) {
+        std::erase_if(sentLeases_, [sentAt](const auto &lease) {
+            return lease.second <= sentAt;
+        });
+        sentLeases_[number] = leaseExpiresAt_;
+    }
     isLongPollPending_ = isLongPollPending_ || isLongPoll;
     hooks_.driver.renewLease(request,
         [this, number, sentAt, isLongPoll, fence = request.fence, incarnation = incarnation_->status.incarnation, endsStored = request.endsStored](
@@ -51,6 +59,9 @@
                 renewalSucceeded({number, sentAt, fence, endsStored}, incarnation, value(result));
             } else {
                 nextRenewal_ = hooks_.now() + renewalRetryInterval;
+                if (error(result).kind == EndpointError::Kind::ConnectionFailed) {
+                    sentLeases_.erase(number); // it was not delivered
+                }
                 if (incarnation_ && incarnation_->status.incarnation == incarnation) {
                     renewalFailed(number, error(result));
                 }
@@ -58,7 +69,16 @@
         });
 }
 
-/// An endpoint that has left or whose notice period is over runs nothing if it refuses connections, so no scheduler has to wait for its lease to expire.
+/// Whether all leases that the endpoint may have been told are over. It is told none while it refuses connections.
+bool Agent::isLeaseCertainlyOver() const
+{
+    return std::all_of(sentLeases_.begin(), sentLeases_.end(), [now = hooks_.now()](const auto &lease) {
+        return lease.second <= now;
+    });
+}
+
+/// An endpoint that has said that it has left runs nothing if it refuses connections, so no scheduler has to wait for its lease to expire. The time for which
+/// it announced to stay is a minimum, and a network fault may refuse connections as well: without its own word it may work until its lease is over.
 void Agent::renewalFailed(std::uint64_t number, const EndpointError &failure)
 {
     noteFailedRenewal(number, failure);
@@ -66,7 +86,8 @@
         incarnation_->listedGeneration = -1; // the endpoint itself says that it is another one
     }
     const bool isDueToLeave = incarnation_->hasLeft || (incarnation_->status.isDraining && hooks_.now() >= incarnation_->leavesAt);
-    if (!isDueToLeave || failure.kind != EndpointError::Kind::ConnectionFailed) {
+    const bool isOver = incarnation_->hasLeft || isLeaseCertainlyOver();
+    if (!isDueToLeave || !isOver || failure.kind != EndpointError::Kind::ConnectionFailed) {
         logEvent(LogLevel::Warning, "hold.failed", {{"endpoint", incarnation_->status.id}, {"reason", failure.detail}});
         return;
     }
--- a/src/libknapweed/cell/agentstarts.cpp
+++ b/src/libknapweed/cell/agentstarts.cpp
@@ -115,6 +115,7 @@
     request.checkpoint = order.checkpoint;
     request.ticket = order.ticket;
     request.leaseUntil = *until;
+    sentLeases_[0] = std::max(sentLeases_[0], leaseExpiresAt_);
     if (attempt == 1) {
         incarnation_->ordered.try_emplace(request.run, OrderedRun {hooks_.now()}); // by the next attempts, its end may have been read
     }
--- a/tests/cell/agenttest.cpp
+++ b/tests/cell/agenttest.cpp
@@ -5,7 +5,10 @@
 using namespace knapweed;
 using namespace knapweed::cell;
 
-TEST_GROUP_BASE(Agent, AgentFixture) {};
+TEST_GROUP_BASE(Agent, AgentFixture)
+{
+    static constexpr Milliseconds renewalRetry {200}; ///< after a failed renewal
+};
 
 TEST(Agent, nextIncarnationRefusesUnansweredStartsBeforeItsListsAreUsed)
 {
@@ -122,15 +125,79 @@
     CHECK_TRUE(lastReport().running.empty());
 }
 
-TEST(Agent, drainingEndpointIsGoneWhenItsNoticePeriodIsOverAndItRefusesConnections)
+/// Guards against TWICE (review/7): the announced time is a minimum, and connections may be refused by a network fault. The endpoint works on under its lease.
+TEST(Agent, drainingEndpointThatRefusesConnectionsIsGoneOnlyWhenItsLeaseIsOver)
 {
     startAndDrain(Milliseconds(2000));
-    now += Milliseconds(2100);
+    const BootTime end = now + Milliseconds(6000); // of the lease in the start and the renewals that may have arrived
+    for (now += Milliseconds(2100); now < end; now += Milliseconds(200)) {
+        grantLease(100); // the scheduler goes on answering, but the endpoint cannot be told
+        agent->tick();
+        failRenewals(EndpointError::Kind::ConnectionFailed);
+        LONGS_EQUAL(1, lastReport().running.size());
+    }
+    now = end + renewalRetry;
+    agent->tick();
     failRenewals(EndpointError::Kind::ConnectionFailed);
     CHECK_TRUE(lastReport().isListed);
     CHECK_TRUE(lastReport().running.empty());
 }
 
+/// As above; a renewal that got no answer may have told the endpoint of a later end.
+TEST(Agent, drainingEndpointIsNotGoneBeforeTheEndOfALeaseThatMayHaveArrived)
+{
+    startAndDrain(Milliseconds(1000));
+    failRenewals(EndpointError::Kind::Unanswered);
+    now += Milliseconds(2000);
+    grantLease(100);
+    agent->tick();
+    LONGS_EQUAL(1, renewals.size());
+    failRenewals(EndpointError::Kind::Unanswered);
+    for (const BootTime end = now + Milliseconds(6000); now < end; now += Milliseconds(200)) {
+        agent->tick();
+        failRenewals(EndpointError::Kind::ConnectionFailed);
+        LONGS_EQUAL(1, lastReport().running.size());
+    }
+    now += renewalRetry;
+    agent->tick();
+    failRenewals(EndpointError::Kind::ConnectionFailed);
+    CHECK_TRUE(lastReport().running.empty());
+}
+
+/// As above; an earlier process of the agent may have told the endpoint of a lease that this one does not know.
+TEST(Agent, drainingEndpointIsNotGoneBeforeTheEndOfALeaseFromAnEarlierProcessOfTheAgent)
+{
+    AgentHooks hooks;
+    hooks.driver.renewLease = [this](const RenewalRequest &request, RenewalCallback callback) {
+        renewals.push_back({request, std::move(callback)});
+    };
+    hooks.send = [this](const std::string &, const PeerMessage &message) {
+        sent.push_back(message);
+    };
+    hooks.now = [this]() {
+        return now;
+    };
+    now += Seconds(60);
+    agent = std::make_unique<Agent>(AgentOptions {2, Milliseconds(6000), testService}, std::move(hooks));
+    EndpointStatus status = statusOf(100);
+    status.isDraining = true;
+    agent->endpointReported(status);
+    wire::SchedulerNotice notice;
+    notice.generation = 7;
+    notice.address = schedulerName;
+    agent->receive(schedulerName, notice);
+    listRun(50);
+    LONGS_EQUAL(1, lastReport().running.size());
+    now += Milliseconds(5900);
+    agent->tick();
+    failRenewals(EndpointError::Kind::ConnectionFailed);
+    LONGS_EQUAL(1, lastReport().running.size());
+    now += Milliseconds(200);
+    agent->tick();
+    failRenewals(EndpointError::Kind::ConnectionFailed);
+    CHECK_TRUE(lastReport().running.empty());
+}
+
 TEST(Agent, endpointIsNotGoneBeforeItsNoticePeriodIsOverNorWhileItOnlyFailsToAnswer)
 {
     startAndDrain(Milliseconds(2000));
@@ -164,6 +231,7 @@
 {
     startAndDrain(Milliseconds(2000));
     now += Milliseconds(2100);
+    agent->endpointLeft("i-1");
     failRenewals(EndpointError::Kind::ConnectionFailed);
     announceNextScheduler();
     CHECK_TRUE(lastReport().isListed);
