--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -9673,6 +9673,11 @@
 void SchedulerNotice::__set_askedAtMs(const int64_t val) {
   this->askedAtMs = val;
 }
+
+void SchedulerNotice::__set_unconfirmedForMs(const int64_t val) {
+  this->unconfirmedForMs = val;
+__isset.unconfirmedForMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const SchedulerNotice& obj)
 {
   obj.printTo(out);
@@ -9733,6 +9738,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->unconfirmedForMs);
+          this->__isset.unconfirmedForMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9766,6 +9779,11 @@
   xfer += oprot->writeI64(this->askedAtMs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.unconfirmedForMs) {
+    xfer += oprot->writeFieldBegin("unconfirmedForMs", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->unconfirmedForMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9777,6 +9795,7 @@
   swap(a.address, b.address);
   swap(a.isLeaving, b.isLeaving);
   swap(a.askedAtMs, b.askedAtMs);
+  swap(a.unconfirmedForMs, b.unconfirmedForMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -9785,6 +9804,7 @@
   address = other280.address;
   isLeaving = other280.isLeaving;
   askedAtMs = other280.askedAtMs;
+  unconfirmedForMs = other280.unconfirmedForMs;
   __isset = other280.__isset;
 }
 SchedulerNotice::SchedulerNotice(SchedulerNotice&& other281) noexcept {
@@ -9792,6 +9812,7 @@
   address = std::move(other281.address);
   isLeaving = other281.isLeaving;
   askedAtMs = other281.askedAtMs;
+  unconfirmedForMs = other281.unconfirmedForMs;
   __isset = other281.__isset;
 }
 SchedulerNotice& SchedulerNotice::operator=(const SchedulerNotice& other282) {
@@ -9799,6 +9820,7 @@
   address = other282.address;
   isLeaving = other282.isLeaving;
   askedAtMs = other282.askedAtMs;
+  unconfirmedForMs = other282.unconfirmedForMs;
   __isset = other282.__isset;
   return *this;
 }
@@ -9807,6 +9829,7 @@
   address = std::move(other283.address);
   isLeaving = other283.isLeaving;
   askedAtMs = other283.askedAtMs;
+  unconfirmedForMs = other283.unconfirmedForMs;
   __isset = other283.__isset;
   return *this;
 }
@@ -9817,6 +9840,7 @@
   out << ", " << "address=" << to_string(address);
   out << ", " << "isLeaving=" << to_string(isLeaving);
   out << ", " << "askedAtMs=" << to_string(askedAtMs);
+  out << ", " << "unconfirmedForMs="; (__isset.unconfirmedForMs ? (out << to_string(unconfirmedForMs)) : (out << "<null>"));
   out << ")";
 }
 
