--- a/src/libknapweed/cell/settings.cpp
+++ b/src/libknapweed/cell/settings.cpp
@@ -17,6 +17,11 @@
 constexpr std::size_t maxSeeds = 64;
 constexpr Milliseconds minLease {500}; ///< one report interval: a shorter lease would expire between two reports
 
+constexpr std::int64_t minMemoryMib = 32; ///< an idle entry needs 9 MiB; the rest would leave no room for requests
+constexpr std::int64_t maxMemoryMib = std::int64_t(1) << 20;
+constexpr std::int64_t minDescriptors = 128; ///< half of them are for the connections to peers, the store and the endpoint
+constexpr std::int64_t maxDescriptors = std::int64_t(1) << 20;
+
 constexpr Milliseconds minApplyTime {500}; ///< the reads in it have 75 ms for an answer
 constexpr Milliseconds defaultApplyTime {2000};
 
@@ -71,6 +76,20 @@
     return seeds;
 }
 
+/// A limit of the machine; 0 if it is absent or null.
+std::int64_t readLimit(JsonObjectReader &root, const std::string &key, std::int64_t least, std::int64_t most)
+{
+    const nlohmann::json *limit = root.member(key);
+    if (limit == nullptr || limit->is_null()) {
+        return 0;
+    }
+    if (!limit->is_number() || limit->get<double>() < double(least) || limit->get<double>() > double(most)) {
+        root.fault(key, describeFound(*limit), "a number from " + std::to_string(least) + " to " + std::to_string(most) + ", or null");
+        return 0;
+    }
+    return static_cast<std::int64_t>(limit->get<double>());
+}
+
 CellSettings readRoot(JsonObjectReader &root, const JsonReport &report)
 {
     CellSettings settings;
@@ -89,6 +108,8 @@
     settings.lease = root.duration("lease_ms", {minLease, Seconds(600), std::nullopt});
     settings.grace = Milliseconds(static_cast<std::int64_t>(1000 * root.number("grace_s", {0, 3600, 6})));
     settings.processorShare = root.number("processor_share", {0.001, 1024, 1});
+    settings.memoryMib = readLimit(root, "memory_mb", minMemoryMib, maxMemoryMib);
+    settings.maximumDescriptors = readLimit(root, "max_descriptors", minDescriptors, maxDescriptors);
     settings.logLevel = static_cast<LogLevel>(root.choice("log_level", logLevels, "info"));
     if (!root.isPresent() || (isRoleKnown && settings.role == ProcessRole::Entry)) {
         settings.configurationApplyTime = root.duration("configuration_apply_ms", {minApplyTime, Seconds(60), defaultApplyTime});
--- a/src/libknapweed/cell/settings.h
+++ b/src/libknapweed/cell/settings.h
@@ -28,6 +28,8 @@
     Milliseconds lease {0}; ///< runs end when their agent has had no contact with the scheduler for this long
     Milliseconds grace {0}; ///< from SIGTERM to SIGKILL
     double processorShare = 1; ///< cores that the process may use; entries with the largest share are preferred as scheduler
+    std::int64_t memoryMib = 0; ///< memory of the machine that the process may use; 0 if it is not known
+    std::int64_t maximumDescriptors = 0; ///< descriptors that the process may have open; 0 if it is not known
     LogLevel logLevel = LogLevel::Info;
     Milliseconds configurationApplyTime {0}; ///< entry only: a change that the store has acknowledged has to be in force after this time
     Address callers; ///< entry only: listen address for callers
--- a/tests/settings/cellsettingstest.cpp
+++ b/tests/settings/cellsettingstest.cpp
@@ -49,6 +49,8 @@
         {"{{bounds.graceS}}", "6"},
         {"{{bounds.configApplyMs}}", "3000"},
         {"{{limits.cpuShare}}", "0.25"},
+        {"{{limits.memoryMb|json}}", "160"},
+        {"{{limits.maxFds|json}}", "4100"},
         {"{{listen.front|json}}", "\"10.1.0.19:8521\""},
         {"{{listen.readiness|json}}", "\"10.1.0.19:8523\""},
         {"{{listen.control|json}}", "\"10.1.0.20:8526\""},
@@ -85,6 +87,21 @@
     CHECK_TRUE(cellFaults(settings).find("service") != std::string::npos);
 }
 
+// Guards against a process that doesn't start where the platform names no limits, or that doesn't see those that it names.
+TEST(CellSettings, limitsOfTheMachineAreNumbersOrMissing)
+{
+    nlohmann::json settings = nlohmann::json::parse(rendered(readSourceFile("deploy/agent.json")));
+    LONGS_EQUAL(160, value(parseCellSettings(settings.dump())).memoryMib);
+    LONGS_EQUAL(4100, value(parseCellSettings(settings.dump())).maximumDescriptors);
+    for (const char *key : {"memory_mb", "max_descriptors"}) {
+        settings[key] = nullptr;
+        CHECK_TRUE(isOk(parseCellSettings(settings.dump())));
+        settings.erase(key);
+    }
+    LONGS_EQUAL(0, value(parseCellSettings(settings.dump())).memoryMib);
+    LONGS_EQUAL(0, value(parseCellSettings(settings.dump())).maximumDescriptors);
+}
+
 TEST(CellSettings, seedsGetThePeerPort)
 {
     const Result<CellSettings, SettingsError> parsed = parseCellSettings(entryCell().dump());
@@ -122,6 +139,10 @@
         {"store", "\"10.200.1.7\""},
         {"lease_ms", "10"},
         {"configuration_apply_ms", "499"},
+        {"memory_mb", "31"},
+        {"memory_mb", "\"160\""},
+        {"max_descriptors", "127"},
+        {"max_descriptors", "[]"},
         {"seeds", "7"},
         {"seeds", "[\"10.1.0.19\"]"},
         {"callers", "\"somewhere:12345\""},
