Bound the memory and connections that clients can take

What callers saw: connections with a legal body that stops short of its end took 0.38 MB each without bound, on any path and port, until the process ran out of memory; documents of 85,000 empty steps took 100 MB and held up ordinary jobs. Cause: nothing limited the bytes, connections or values that strangers may hold.

Change: each process has one budget for strangers and one for peers, over all its servers. When bytes or connections run out, the connection without progress for the longest time is closed; requests in progress are not. Bodies that no handler uses are not kept. A body that does not fit is answered with 503 that says that it has not run. Heads, bodies and responses have time limits. A listener without descriptors pauses. The first document of the many-fields crowd with many members is an ordinary job, so the judge of the test now knows it; crowd and bounds are unchanged.

--- a/src/knapweedstaged/cellagenttask.cpp
+++ b/src/knapweedstaged/cellagenttask.cpp
@@ -30,10 +30,19 @@
     const HttpHandler notFound = [](const HttpRequest &, const HttpResponder &respond) {
         respond(jsonResponse(404, "{}"));
     };
-    peerServer_ = std::make_unique<HttpServer>(loop_, settings_.peerListen, notFound, HttpServerOptions {}, peers_->hooks());
-    reportServer_ = std::make_unique<HttpServer>(loop_, settings_.endpointReports, [this](const HttpRequest &request, const HttpResponder &respond) {
-        handleReport(request, respond);
-    });
+    budgets_ = makeBudgets(settings_, "endpoint");
+    HttpServerOptions reportOptions = serverOptions(budgets_.strangers);
+    reportOptions.keepsBody = [](const HttpRequest &head) {
+        return head.method != "DELETE" && head.path.starts_with(reportPath);
+    };
+    peerServer_ = std::make_unique<HttpServer>(loop_, settings_.peerListen, notFound, serverOptions(budgets_.peers), peers_->hooks());
+    reportServer_ = std::make_unique<HttpServer>(
+        loop_,
+        settings_.endpointReports,
+        [this](const HttpRequest &request, const HttpResponder &respond) {
+            handleReport(request, respond);
+        },
+        reportOptions);
     if (!isListening()) {
         return;
     }
--- a/src/knapweedstaged/cellagenttask.h
+++ b/src/knapweedstaged/cellagenttask.h
@@ -8,6 +8,7 @@
 #include "cell/agent.h"
 #include "cell/settingsfile.h"
 #include "peers/peernetwork.h"
+#include "processbudgets.h"
 
 #include <memory>
 
@@ -44,6 +45,7 @@
     const cell::CellSettings &settings_; ///< those of settingsFile_
     EventLoop loop_;
     HttpClient http_;
+    ProcessBudgets budgets_;
     std::unique_ptr<PeerNetwork> peers_;
     std::unique_ptr<HttpServer> peerServer_;
     std::unique_ptr<HttpServer> reportServer_;
--- a/src/knapweedstaged/cellcallerapi.cpp
+++ b/src/knapweedstaged/cellcallerapi.cpp
@@ -93,6 +93,12 @@
     admit(std::make_shared<const OpenCall>(OpenCall {request, respond, std::chrono::steady_clock::now()}));
 }
 
+bool CellCallerApi::needsBody(const HttpRequest &request) const
+{
+    const cell::Queue *queue = request.method == "POST" ? cell::findQueue(configuration_, hostOf(request), request.path) : nullptr;
+    return queue != nullptr && (queue->isPublic || configuration_.accountByKey.count(platform::accessKey(headerOf(request, "authorization"))) != 0);
+}
+
 void CellCallerApi::admit(const OpenCallPointer &open)
 {
     const HttpRequest &request = open->request;
@@ -135,10 +141,17 @@
 void CellCallerApi::submit(const cell::Queue &queue, const std::string &account, const std::string &job, const OpenCallPointer &open)
 {
     const HttpRequest &request = open->request;
-    Result<cell::JobSpec, platform::DocumentError> decoded = platform::decodeSubmission(request.body);
-    if (!isOk(decoded) || request.body.size() > configuration_.maximumBodyBytes) {
-        logEvent(
-            LogLevel::Info, "job.refused", {{"job", job}, {"reason", isOk(decoded) ? "the body exceeds the configured maximum size" : error(decoded).detail}});
+    if (request.isBodyDropped) {
+        // The configuration that gives the request its queue came after the request.
+        open->respond(retryLaterResponse(503, "not accepted", retryAfterSeconds));
+        return;
+    }
+    const bool isTooLarge = request.body.size() > configuration_.maximumBodyBytes;
+    Result<cell::JobSpec, platform::DocumentError> decoded = isTooLarge
+        ? Result<cell::JobSpec, platform::DocumentError>(platform::DocumentError {"the body exceeds the configured maximum size"})
+        : platform::decodeSubmission(request.body);
+    if (!isOk(decoded)) {
+        logEvent(LogLevel::Info, "job.refused", {{"job", job}, {"reason", error(decoded).detail}});
         open->respond(errorResponse(400, "not a job"));
         return;
     }
--- a/src/knapweedstaged/cellcallerapi.h
+++ b/src/knapweedstaged/cellcallerapi.h
@@ -21,6 +21,9 @@
 
     void handle(const HttpRequest &request, const HttpResponder &respond);
 
+    /// Whether the body of a request with this head is used; else it need not be kept.
+    bool needsBody(const HttpRequest &request) const;
+
 private:
     /// A caller's request until it is answered.
     struct OpenCall
--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -54,6 +54,7 @@
         return feed_.isConfirmed();
     })
 {
+    budgets_ = makeBudgets(settings_, "callers");
     peers_ = std::make_unique<PeerNetwork>(loop_, PeerNetworkOptions {}, networkEvents());
     startServers();
     if (!isListening()) {
@@ -87,21 +88,37 @@
     const HttpHandler notFound = [](const HttpRequest &, const HttpResponder &respond) {
         respond(jsonResponse(404, "{}"));
     };
-    peerServer_ = std::make_unique<HttpServer>(loop_, settings_.peerListen, notFound, HttpServerOptions {}, peers_->hooks());
-    callerServer_ = std::make_unique<HttpServer>(loop_, settings_.callers, [this](const HttpRequest &request, const HttpResponder &respond) {
-        callerApi_.handle(request, respond);
-    });
-    readinessServer_ = std::make_unique<HttpServer>(loop_, settings_.readiness, [this](const HttpRequest &, const HttpResponder &respond) {
-        const bool isReady = !isDraining_ && feed_.configuration().version > 0;
-        respond(jsonResponse(isReady ? 200 : 503, "{}"));
-    });
-    metricsServer_ =
-        std::make_unique<HttpServer>(loop_, Address {settings_.peers.ip, settings_.metricsPort}, [this](const HttpRequest &, const HttpResponder &respond) {
+    HttpServerOptions callerOptions = serverOptions(budgets_.strangers);
+    callerOptions.keepsBody = [this](const HttpRequest &head) {
+        return callerApi_.needsBody(head);
+    };
+    peerServer_ = std::make_unique<HttpServer>(loop_, settings_.peerListen, notFound, serverOptions(budgets_.peers), peers_->hooks());
+    callerServer_ = std::make_unique<HttpServer>(
+        loop_,
+        settings_.callers,
+        [this](const HttpRequest &request, const HttpResponder &respond) {
+            callerApi_.handle(request, respond);
+        },
+        callerOptions);
+    readinessServer_ = std::make_unique<HttpServer>(
+        loop_,
+        settings_.readiness,
+        [this](const HttpRequest &, const HttpResponder &respond) {
+            const bool isReady = !isDraining_ && feed_.configuration().version > 0;
+            respond(jsonResponse(isReady ? 200 : 503, "{}"));
+        },
+        serverOptions(budgets_.strangers));
+    metricsServer_ = std::make_unique<HttpServer>(
+        loop_,
+        Address {settings_.peers.ip, settings_.metricsPort},
+        [this](const HttpRequest &, const HttpResponder &respond) {
+            recordBudgets(budgets_, metrics_);
             HttpResponse response;
             response.headers["content-type"] = "text/plain; version=0.0.4";
             response.body = metrics_.text();
             respond(std::move(response));
-        });
+        },
+        serverOptions(budgets_.strangers));
 }
 
 PeerNetworkEvents CellEntryTask::networkEvents()
--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -14,6 +14,7 @@
 #include "configurationfeed.h"
 #include "journalwriter.h"
 #include "peers/peernetwork.h"
+#include "processbudgets.h"
 #include "storeclient.h"
 
 #include <memory>
@@ -97,6 +98,7 @@
     CellCallerApi callerApi_;
     std::string self_; ///< peer address of this process
     std::string member_; ///< member id in the store's group; differs for each incarnation, so that no two terms share a generation
+    ProcessBudgets budgets_;
     std::unique_ptr<PeerNetwork> peers_;
     std::unique_ptr<HttpServer> peerServer_;
     std::unique_ptr<HttpServer> callerServer_;
--- a/src/knapweedstaged/main.cpp
+++ b/src/knapweedstaged/main.cpp
@@ -14,12 +14,14 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <malloc.h>
 #include <memory>
 
 namespace
 {
 
 constexpr int exitUsage = 2;
+constexpr int mappedBytes = 128 * 1024; ///< allocations from this size on are returned to the system when they are freed
 
 template<typename AnySettings>
 int checkSettings(const knapweed::Result<AnySettings, knapweed::SettingsError> &read, AnySettings &settings)
@@ -45,6 +47,8 @@
 {
     const knapweed::cell::CellSettings &settings = file.settings;
     knapweed::initializeLogging(settings.name, settings.logLevel, knapweed::LogStream::StandardOutput);
+    // A fixed threshold: by default it grows with the sizes that are freed, and bodies would then stay in a fragmented heap.
+    mallopt(M_MMAP_THRESHOLD, mappedBytes);
     const bool isEntry = settings.role == knapweed::ProcessRole::Entry;
     const int status = isEntry ? knapweed::runTask<knapweed::CellEntryTask>(file) : knapweed::runTask<knapweed::CellAgentTask>(file);
     // All requests have been answered and all events logged. The teardown of libraries and their threads is not needed and could exceed the platform's grace
--- a/src/libknapweed/base/eventloop.cpp
+++ b/src/libknapweed/base/eventloop.cpp
@@ -25,7 +25,7 @@
 {
 
 constexpr unsigned short headerBytesLimit = 8192; ///< of one request or response
-constexpr unsigned int serviceBufferBytes = 65536; ///< one read from a socket
+constexpr unsigned int serviceBufferBytes = 65536; ///< one read from a socket; with 16 KiB, answers were cut when servers closed under load
 constexpr Microseconds pollGranularity {1000};
 constexpr unsigned int libraryTimeoutSeconds = 24 * 3600; ///< the library's own would cut long polls; servers and clients set theirs
 
--- a/src/libknapweed/base/http.h
+++ b/src/libknapweed/base/http.h
@@ -18,6 +18,7 @@
     HttpHeaders headers;
     std::string body;
     std::string host = {}; ///< of a request received, as the Host header says; not used when sending
+    bool isBodyDropped = false; ///< of a request received: HttpServerOptions::keepsBody did not want it
 };
 
 struct HttpResponse
--- a/src/libknapweed/base/httpserver.cpp
+++ b/src/libknapweed/base/httpserver.cpp
@@ -78,9 +78,12 @@
     vhost = lws_create_vhost(loop->context(), &info);
     Private *server = this;
     const auto accepted = [server](lws *wsi) {
-        server->connections.try_emplace(wsi);
+        server->connectionAccepted(wsi);
     };
-    if (vhost == nullptr || !listener->attach(vhost, this, accepted)) {
+    const auto admits = [server]() {
+        return server->options.budget == nullptr || server->options.budget->makeRoomForConnection();
+    };
+    if (vhost == nullptr || !listener->attach(vhost, this, admits, accepted)) {
         address.port = 0;
         return false;
     }
@@ -124,17 +127,23 @@
         return -1;
     }
     HttpConnection &connection = connections[wsi];
-    if (connection.requestId != 0) {
+    if (connection.requestId != 0 || connection.isEvicted) {
         return -1;
     }
-    connection = HttpConnection();
-    connection.lastProgress = std::chrono::steady_clock::now();
+    beginNext(connection);
+    connection.hasHadRequest = true;
     connection.requestId = ++lastRequestId;
     requests[connection.requestId] = wsi;
     connection.request = readRequestHead(wsi, path);
     connection.closesAfterAnswer = isDraining;
+    connection.request.isBodyDropped = options.keepsBody && !options.keepsBody(connection.request);
     const std::size_t bodyBytes = declaredBodyBytes(wsi);
     connection.isBodyTooLarge = bodyBytes > options.maximumBodyBytes;
+    if (options.budget != nullptr) {
+        // A request without a body to keep, such as a readiness check, is served all the same.
+        const bool fits = options.budget->reserve(connection.member, pendingInputBytes);
+        connection.isOverloaded = !fits && bodyBytes > 0 && !connection.request.isBodyDropped;
+    }
     if (hasChunkedBody(wsi)) {
         refuse(wsi, 411, "length_required", "bodies need a content-length; chunked bodies are not read", true);
     } else if (bodyBytes > discardLimitBytes) {
@@ -152,15 +161,29 @@
     if (found == connections.end()) {
         return 0;
     }
-    found->second.lastProgress = std::chrono::steady_clock::now();
-    if (found->second.isDispatched || found->second.isBodyTooLarge) {
+    HttpConnection &connection = found->second;
+    connection.lastProgress = std::chrono::steady_clock::now();
+    if (options.budget != nullptr) {
+        options.budget->moved(connection.member, length, connection.lastProgress);
+    }
+    if (connection.isDispatched || connection.isBodyTooLarge || connection.isOverloaded || connection.request.isBodyDropped) {
         return 0;
     }
-    std::string &body = found->second.request.body;
+    std::string &body = connection.request.body;
     if (body.size() + length > options.maximumBodyBytes) {
-        found->second.isBodyTooLarge = true;
+        connection.isBodyTooLarge = true;
+        return 0;
+    }
+    if (options.budget != nullptr && !options.budget->reserve(connection.member, length)) {
+        std::string().swap(body);
+        options.budget->releaseAll(connection.member);
+        connection.isOverloaded = true;
         return 0;
     }
+    if (body.empty()) {
+        // In one piece: growing would take up to three times as much. The kernel provides the memory only where it is written to.
+        body.reserve(std::min(declaredBodyBytes(wsi), options.maximumBodyBytes));
+    }
     body.append(bytes, length);
     return 0;
 }
@@ -189,6 +212,10 @@
         refuse(wsi, 413, "body_too_large", "the body may have at most " + std::to_string(options.maximumBodyBytes) + " bytes", false);
         return;
     }
+    if (connection.isOverloaded) {
+        refuse(wsi, 503, "overloaded", "the process holds as many requests as its memory allows", false);
+        return;
+    }
     if (connection.request.method.empty() || connection.request.method == "HEAD") {
         refuse(wsi, 405, "method_not_allowed", "the methods are GET, POST, PUT and DELETE", true);
         return;
@@ -197,7 +224,13 @@
     const HttpRequest request = std::move(connection.request);
     const std::uint64_t requestId = connection.requestId;
     const std::weak_ptr<Private> server = weak_from_this();
-    handler(request, [server, requestId](HttpResponse response) {
+    std::shared_ptr<void> held; // the handler keeps the request as long as the responder
+    if (options.budget != nullptr) {
+        options.budget->progressed(connection.member, connection.lastProgress);
+        options.budget->setProtected(connection.member, true);
+        held = options.budget->takeBytes(connection.member);
+    }
+    handler(request, [server, requestId, held](HttpResponse response) {
         const std::shared_ptr<Private> live = server.lock();
         if (live != nullptr) {
             live->answer(requestId, std::move(response));
@@ -228,16 +261,23 @@
 void HttpServer::Private::sweep()
 {
     // Not by the library's timeouts: it sets them anew by itself while it reads a body.
-    const MonotonicTime oldest = std::chrono::steady_clock::now() - options.idleTimeout;
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    const MonotonicTime oldest = now - options.idleTimeout;
     for (const auto &[wsi, connection] : connections) {
         const bool isAwaited = connection.isDispatched && !connection.isAnswered;
         const bool isStuck = connection.requestId != 0 && !isAwaited && connection.lastProgress < oldest;
         char byte = 0;
         const bool isGone = connection.isDispatched && recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-        if (isStuck || isGone) {
+        const bool isLate = options.budget != nullptr && !isAwaited && !connection.isEvicted && isOverdue(connection, now);
+        if (isLate) {
+            options.budget->countExpired();
+        }
+        if (isStuck || isGone || isLate || connection.isEvicted) {
             lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
         }
     }
+    listener->resume();
+    reportLimits(now);
 }
 
 void HttpServer::Private::refuse(lws *wsi, int status, const std::string &code, const std::string &detail, bool closes)
@@ -263,6 +303,12 @@
     connection.lastProgress = std::chrono::steady_clock::now();
     connection.closesAfterAnswer = connection.closesAfterAnswer || isDraining;
     connection.response = std::move(response);
+    if (!chargeOutput(connection)) {
+        connection.response = HttpResponse();
+        connection.isAnswered = false;
+        lws_set_timeout(found->second, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+        return;
+    }
     resumeReading(found->second, connection); // a connection that is not polled for reading isn't offered for writing
     lws_callback_on_writable(found->second);
 }
@@ -291,6 +337,9 @@
         }
         connection.written += length;
         connection.lastProgress = std::chrono::steady_clock::now();
+        if (options.budget != nullptr) {
+            options.budget->moved(connection.member, length, connection.lastProgress);
+        }
     }
     if (connection.written < total || lws_partial_buffered(wsi) != 0) {
         lws_callback_on_writable(wsi);
@@ -304,7 +353,7 @@
     HttpConnection &connection = connections.at(wsi);
     const bool closes = connection.closesAfterAnswer;
     forgetRequest(connection);
-    connection = HttpConnection();
+    beginNext(connection);
     if (closes) {
         return -1;
     }
@@ -322,6 +371,9 @@
     const auto found = connections.find(wsi);
     if (found != connections.end()) {
         forgetRequest(found->second);
+        if (options.budget != nullptr) {
+            options.budget->leave(found->second.member);
+        }
         connections.erase(found);
     }
 }
--- a/src/libknapweed/base/httpserver.h
+++ b/src/libknapweed/base/httpserver.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/address.h"
+#include "base/connectionbudget.h"
 #include "base/eventloop.h"
 #include "base/http.h"
 
@@ -27,7 +28,13 @@
 struct HttpServerOptions
 {
     std::size_t maximumBodyBytes = 1 << 20; ///< larger bodies are answered with 413
-    Seconds idleTimeout {60};
+    Seconds idleTimeout {60}; ///< for a connection between requests, and for a request or response without any progress
+    Seconds headTimeout {30}; ///< from the acceptance of a connection to the end of its first request head, with a budget
+    Seconds stallTimeout {10}; ///< for a body or response without noticeable progress, with a budget
+    Seconds bodyTimeout {60}; ///< for a whole body, with a budget
+    std::shared_ptr<ConnectionBudget> budget = nullptr; ///< shared with other servers of the loop; without one nothing is limited
+    std::shared_ptr<ConnectionBudget> peerBudget = nullptr; ///< for WebSocket connections
+    std::function<bool(const HttpRequest &head)> keepsBody = nullptr; ///< whether the handler needs the body; by default it does
 };
 
 class HttpServer
--- a/src/libknapweed/base/httpserverpeers.cpp
+++ b/src/libknapweed/base/httpserverpeers.cpp
@@ -2,6 +2,7 @@
 
 #include "base/httpserverprivate.h"
 
+#include <chrono>
 #include <utility>
 
 namespace knapweed
@@ -18,6 +19,18 @@
         const std::uint64_t number = ++lastPeer;
         peers[number].wsi = wsi;
         peerNumbers[wsi] = number;
+        if (options.peerBudget != nullptr) {
+            if (!options.peerBudget->makeRoomForConnection()) {
+                peers.erase(number);
+                peerNumbers.erase(wsi);
+                // Not by the result, after which libwebsockets would wait for the other side to close.
+                lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+                return 0;
+            }
+            peers[number].member = options.peerBudget->join(std::chrono::steady_clock::now(), [this, number]() {
+                endPeer(number);
+            });
+        }
         hooks.opened(number);
         return 0;
     }
@@ -41,6 +54,13 @@
     if (isDestroyed || peer.isClosing) {
         return -1;
     }
+    if (options.peerBudget != nullptr) {
+        // Twice the size, for the growth of the message while it arrives.
+        if (!options.peerBudget->reserve(peer.member, 2 * length)) {
+            return -1;
+        }
+        options.peerBudget->moved(peer.member, length, std::chrono::steady_clock::now());
+    }
     const Fragment fragment = receiveFragment(wsi, peer.link, bytes, length);
     if (fragment == Fragment::TooLarge) {
         return -1;
@@ -48,6 +68,11 @@
     if (fragment == Fragment::Final) {
         std::string message;
         message.swap(peer.link.incoming);
+        if (options.peerBudget != nullptr) {
+            options.peerBudget->releaseAll(peer.member);
+            options.peerBudget->progressed(peer.member, std::chrono::steady_clock::now());
+            options.peerBudget->setProtected(peer.member, true); // PeerNetwork closes connections that don't introduce themselves
+        }
         inbox->add(number, std::move(message));
     }
     return 0;
@@ -61,12 +86,26 @@
     }
     const std::uint64_t number = found->second;
     peerNumbers.erase(found);
+    if (options.peerBudget != nullptr) {
+        options.peerBudget->leave(peers.at(number).member);
+    }
     peers.erase(number);
     if (!isDestroyed && hooks.closed) {
         hooks.closed(number);
     }
 }
 
+/// Gives up what the connection holds, and closes it.
+void HttpServer::Private::endPeer(std::uint64_t number)
+{
+    const auto found = peers.find(number);
+    if (found != peers.end() && !found->second.isClosing) {
+        found->second.isClosing = true;
+        std::string().swap(found->second.link.incoming);
+        lws_set_timeout(found->second.wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    }
+}
+
 bool HttpServer::sendWebSocket(std::uint64_t connection, const std::string &message)
 {
     const auto found = d_->peers.find(connection);
@@ -75,11 +114,7 @@
 
 void HttpServer::closeWebSocket(std::uint64_t connection)
 {
-    const auto found = d_->peers.find(connection);
-    if (found != d_->peers.end() && !found->second.isClosing) {
-        found->second.isClosing = true;
-        lws_set_timeout(found->second.wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-    }
+    d_->endPeer(connection);
 }
 
 } // namespace knapweed
--- a/src/libknapweed/base/httpserverprivate.h
+++ b/src/libknapweed/base/httpserverprivate.h
@@ -19,8 +19,13 @@
     /// Number of the open request; 0 between requests.
     std::uint64_t requestId = 0;
     HttpRequest request;
+    std::uint64_t member = 0; ///< of the budget; 0 without one
+    MonotonicTime startedAt; ///< of the connection, its open request, or the time between requests
+    bool hasHadRequest = false;
     MonotonicTime lastProgress; ///< when bytes of the request came or bytes of the answer left
+    bool isEvicted = false; ///< closed for others; it ends with the next events
     bool isBodyTooLarge = false;
+    bool isOverloaded = false; ///< the body did not fit into the budget and is not kept
     bool isBodyComplete = false;
     bool isDispatched = false; ///< the handler, or a refusal, has the request
     bool isPaused = false; ///< not read from while its answer is awaited
@@ -34,6 +39,7 @@
 struct PeerConnection
 {
     lws *wsi = nullptr;
+    std::uint64_t member = 0; ///< of the budget; 0 without one
     WebSocketLink link;
     bool isClosing = false;
 };
@@ -68,6 +74,11 @@
     int serveHttp(lws *wsi, lws_callback_reasons reason, const char *bytes, std::size_t length);
     int servePeer(lws *wsi, lws_callback_reasons reason, const char *bytes, std::size_t length);
 
+    void connectionAccepted(lws *wsi);
+    void beginNext(HttpConnection &connection);
+    bool isOverdue(const HttpConnection &connection, MonotonicTime now) const;
+    void reportLimits(MonotonicTime now) const;
+    bool chargeOutput(HttpConnection &connection);
     int beginRequest(lws *wsi, const std::string &path);
     int receiveBody(lws *wsi, const char *bytes, std::size_t length);
     int completeBody(lws *wsi);
@@ -83,6 +94,7 @@
     void forgetConnection(lws *wsi);
 
     int receivePeerMessage(lws *wsi, const char *bytes, std::size_t length);
+    void endPeer(std::uint64_t number);
     void forgetPeer(lws *wsi);
 };
 
--- a/src/libknapweed/base/listener.cpp
+++ b/src/libknapweed/base/listener.cpp
@@ -11,6 +11,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
+
+#include <string_view>
 #include <utility>
 
 namespace knapweed
@@ -21,6 +23,10 @@
 
 constexpr int acceptsPerEvent = 64; ///< so that a burst of callers does not starve the connections that are open
 
+constexpr std::string_view refusal =
+    "HTTP/1.1 503 Service Unavailable\r\ncontent-type: application/json\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 90\r\n\r\n"
+    R"({"error":"overloaded","outcome":"not_run","detail":"the process has too many connections"})";
+
 int openListener(const Address &address)
 {
     sockaddr_in name {};
@@ -80,7 +86,7 @@
     return address_;
 }
 
-bool Listener::attach(lws_vhost *vhost, void *owner, std::function<void(lws *)> accepted)
+bool Listener::attach(lws_vhost *vhost, void *owner, std::function<bool()> admits, std::function<void(lws *)> accepted)
 {
     lws_adopt_desc_t adoption {};
     adoption.vh = vhost;
@@ -90,6 +96,7 @@
     adoption.opaque = this;
     vhost_ = vhost;
     owner_ = owner;
+    admits_ = std::move(admits);
     accepted_ = std::move(accepted);
     handle_ = lws_adopt_descriptor_vhost_via_info(&adoption);
     if (handle_ != nullptr) {
@@ -122,14 +129,35 @@
     }
 }
 
-void Listener::refuseOne()
+/// Uses the reserved descriptor. Returns false when there is none.
+bool Listener::refuseOne()
 {
+    if (reserve_ < 0) {
+        reserve_ = openReserve();
+        return reserve_ >= 0;
+    }
     ::close(reserve_);
     const int descriptor = accept4(lws_get_socket_fd(handle_), nullptr, nullptr, SOCK_CLOEXEC);
     if (descriptor >= 0) {
         ::close(descriptor);
     }
     reserve_ = openReserve();
+    return true;
+}
+
+/// Connections that can't be accepted would keep the socket readable and the loop busy.
+void Listener::pause()
+{
+    isPaused_ = true;
+    lws_rx_flow_control(handle_, 0);
+}
+
+void Listener::resume()
+{
+    if (isPaused_ && handle_ != nullptr) {
+        isPaused_ = false;
+        lws_rx_flow_control(handle_, 1);
+    }
 }
 
 bool Listener::acceptSome()
@@ -138,10 +166,18 @@
         const int descriptor = accept4(lws_get_socket_fd(handle_), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (descriptor < 0) {
             if (errno == EMFILE || errno == ENFILE) {
-                refuseOne();
+                if (!refuseOne()) {
+                    pause();
+                }
             }
             return false;
         }
+        if (!admits_()) {
+            // Best effort: the refusal is lost if the caller has sent its request already.
+            send(descriptor, refusal.data(), refusal.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+            ::close(descriptor);
+            continue;
+        }
         const int on = 1;
         setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         lws *handle = lws_adopt_socket_vhost(vhost_, descriptor);
--- a/src/libknapweed/base/listener.h
+++ b/src/libknapweed/base/listener.h
@@ -27,9 +27,12 @@
 
     Address address() const;
 
-    /// Accepts for @p vhost from now on; the opaque user data of each connection is @p owner, and @p accepted is told of it. Returns false when libwebsockets
-    /// refuses the socket.
-    bool attach(lws_vhost *vhost, void *owner, std::function<void(lws *)> accepted);
+    /// Accepts for @p vhost from now on; the opaque user data of each connection is @p owner, and @p accepted is told of it. A connection for which
+    /// @p admits is false is refused. Returns false when libwebsockets refuses the socket.
+    bool attach(lws_vhost *vhost, void *owner, std::function<bool()> admits, std::function<void(lws *)> accepted);
+
+    /// Accepts again after a time without descriptors. Called now and then.
+    void resume();
 
     /// Accepts what waits and stops listening. Idempotent.
     void close();
@@ -41,7 +44,8 @@
     void forget();
 
 private:
-    void refuseOne();
+    bool refuseOne();
+    void pause();
 
     Address address_;
     int socket_ = -1; ///< owned until attached, then closed by libwebsockets
@@ -49,6 +53,8 @@
     lws *handle_ = nullptr; ///< not null while attached
     lws_vhost *vhost_ = nullptr;
     void *owner_ = nullptr;
+    bool isPaused_ = false; ///< there was no descriptor to accept or refuse a connection with
+    std::function<bool()> admits_;
     std::function<void(lws *)> accepted_;
 };
 
--- a/tests/soak/crowds.py
+++ b/tests/soak/crowds.py
@@ -102,7 +102,8 @@
     return request_head(method, path, HOST, {"authorization": f"Token {TOKEN}", "content-type": "application/json"} | headers)
 
 
-ROUTED, UNROUTED = "/q/00000000000000aa", "/nowhere"
+CROWD_JOB = "00000000000000aa"
+ROUTED, UNROUTED = f"/q/{CROWD_JOB}", "/nowhere"
 LENGTH = {"content-length": str(BODY_BYTES)}
 
 
@@ -233,6 +234,8 @@
     cell = LimitedCell(options, folder, net)
     crowd = Crowd()
     faults = []
+    # One of the documents of many fields is an ordinary job, which may be accepted and run.
+    cell.judge.jobs[CROWD_JOB] = Job(CROWD_JOB, 1, 0.3, {"cpu": 0, "memMb": 0, "gpu": 0}, False, False, False)
     try:
         await cell.start()
         processes = cell.entries + cell.agents
