--- a/src/libknapweed/base/httpserver.cpp
+++ b/src/libknapweed/base/httpserver.cpp
@@ -12,7 +12,6 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <sys/socket.h>
 #include <utility>
 
 namespace knapweed
@@ -258,28 +257,6 @@
     }
 }
 
-void HttpServer::Private::sweep()
-{
-    // Not by the library's timeouts: it sets them anew by itself while it reads a body.
-    const MonotonicTime now = std::chrono::steady_clock::now();
-    const MonotonicTime oldest = now - options.idleTimeout;
-    for (const auto &[wsi, connection] : connections) {
-        const bool isAwaited = connection.isDispatched && !connection.isAnswered;
-        const bool isStuck = connection.requestId != 0 && !isAwaited && connection.lastProgress < oldest;
-        char byte = 0;
-        const bool isGone = connection.isDispatched && recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-        const bool isLate = options.budget != nullptr && !isAwaited && !connection.isEvicted && isOverdue(connection, now);
-        if (isLate) {
-            options.budget->countExpired();
-        }
-        if (isStuck || isGone || isLate || connection.isEvicted) {
-            lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-        }
-    }
-    listener->resume();
-    reportLimits(now);
-}
-
 void HttpServer::Private::refuse(lws *wsi, int status, const std::string &code, const std::string &detail, bool closes)
 {
     HttpConnection &connection = connections.at(wsi);
@@ -383,7 +360,7 @@
 {
     d_->loop = &loop;
     d_->handler = std::move(handler);
-    d_->options = options;
+    d_->options = std::move(options);
     d_->hooks = std::move(hooks);
     Private *server = d_.get();
     d_->inbox = std::make_shared<MessageInbox>(loop, [server](std::uint64_t number, std::string message) {
--- a/src/libknapweed/base/httpserverlimits.cpp
+++ b/src/libknapweed/base/httpserverlimits.cpp
@@ -101,6 +101,28 @@
     return options.budget->reserve(connection.member, pendingInputBytes + bytes) || bytes <= uncountedBytes;
 }
 
+void HttpServer::Private::sweep()
+{
+    // Not by the library's timeouts: it sets them anew by itself while it reads a body.
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    const MonotonicTime oldest = now - options.idleTimeout;
+    for (const auto &[wsi, connection] : connections) {
+        const bool isAwaited = connection.isDispatched && !connection.isAnswered;
+        const bool isStuck = connection.requestId != 0 && !isAwaited && connection.lastProgress < oldest;
+        char byte = 0;
+        const bool isGone = connection.isDispatched && recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+        const bool isLate = options.budget != nullptr && !isAwaited && !connection.isEvicted && isOverdue(connection, now);
+        if (isLate) {
+            options.budget->countExpired();
+        }
+        if (isStuck || isGone || isLate || connection.isEvicted) {
+            lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+        }
+    }
+    listener->resume();
+    reportLimits(now);
+}
+
 void HttpServer::Private::reportLimits(MonotonicTime now) const
 {
     if (options.budget != nullptr) {
--- a/tests/adapter/documentstest.cpp
+++ b/tests/adapter/documentstest.cpp
@@ -271,3 +271,27 @@
     STRCMP_EQUAL("", accessKey("Bearer abc").c_str());
     STRCMP_EQUAL("", accessKey("").c_str());
 }
+
+// Guards against documents that take many times their size, and long to build, before they are refused; and against a refusal of legal ones.
+TEST(PlatformDocuments, documentsOfVeryManyValuesAreNotBuilt)
+{
+    const auto listOf = [](const std::string &value, std::size_t count) {
+        std::string list = value;
+        for (std::size_t index = 1; index < count; ++index) {
+            list += ',' + value;
+        }
+        return '[' + list + ']';
+    };
+    const auto isBuilt = [](const std::string &text) {
+        return !parseForeignObject(text).is_null();
+    };
+    CHECK_FALSE(isBuilt("{\"steps\":" + listOf("{}", 85000) + '}'));
+    CHECK_FALSE(isBuilt("{\"steps\":" + listOf("[]", 85000) + '}'));
+    CHECK_FALSE(isBuilt("{\"steps\":" + listOf("1", 140000) + '}'));
+    CHECK(isBuilt("{\"steps\":" + listOf("{\"dependsOn\":[0,1,2]}", 1000) + '}'));
+    CHECK(isBuilt("{\"steps\":" + listOf("1", 130000) + '}'));
+    // What stands in strings is no value.
+    CHECK(isBuilt("{\"spec\":\"" + std::string(9000, '[') + "\\\"" + std::string(9000, '{') + "\"}"));
+    CHECK(isOk(decodeSubmission("{\"steps\":" + listOf(R"({"count":4,"cpu":1000,"memMb":64,"gpu":1,"dependsOn":[]})", 1000) + '}')));
+    CHECK(!isOk(decodeSubmission("{\"steps\":" + listOf("{}", 85000) + '}')));
+}
--- a/tests/soak/crowds.py
+++ b/tests/soak/crowds.py
@@ -33,6 +33,8 @@
 STEPS = 85_000
 PEER_LINKS = 60
 PEER_BYTES = 1 << 20
+LEGAL_CALLERS = 64
+LEGAL_MEMORY_MIB = 160  # of the smallest entry of the two deployments
 LARGE_BODIES = 6
 LARGE_BYTES = 60 << 20
 WATCH_S = 0.05
@@ -61,8 +63,8 @@
 class Watch:
     """The largest number of open descriptors of each process, and its memory."""
 
-    def __init__(self, processes: list[Process]) -> None:
-        self.processes = processes
+    def __init__(self, processes: list[Process], memory_mib: int) -> None:
+        self.processes, self.memory_mib = processes, memory_mib
         self.descriptors = {process.place.name: 0 for process in processes}
         self.pids = {process.place.name: self._pid(process) for process in processes}
 
@@ -91,8 +93,8 @@
             lines = dict(line.split(":", 1) for line in Path(f"/proc/{pid}/status").read_text().splitlines())
             peak_kib, now_kib = (int(lines[key].split()[0]) for key in ("VmHWM", "VmRSS"))
             print(f"{name}: at most {peak_kib / 1024:.1f} MiB, now {now_kib / 1024:.1f} MiB, at most {self.descriptors[name]} descriptors")
-            if peak_kib > MEMORY_MIB * 1024:
-                faults.append(f"{name} used {peak_kib / 1024:.1f} MiB of {MEMORY_MIB}")
+            if peak_kib > self.memory_mib * 1024:
+                faults.append(f"{name} used {peak_kib / 1024:.1f} MiB of {self.memory_mib}")
             if self.descriptors[name] > DESCRIPTORS:
                 faults.append(f"{name} had {self.descriptors[name]} descriptors of {DESCRIPTORS}")
         return faults
@@ -187,6 +189,24 @@
         await asyncio.sleep(SETTLE_S)
 
 
+async def legal_bodies(crowd: Crowd, ports: Ports) -> None:
+    """Guards against limits that legal callers meet: all of them have sent their body but for its end before the first one is complete."""
+    rest = b'","steps":[]}'  # not a job, so that nothing is started
+    start = b'{"spec":"'
+    body = start + b"x" * (BODY_BYTES - len(start) - len(rest)) + rest
+    channels = [await asyncio.open_connection(*ports.front) for _ in range(LEGAL_CALLERS)]
+    for _, writer in channels:
+        writer.write(head(ROUTED, LENGTH) + body[:-MISSING_BYTES])
+        await writer.drain()
+    await asyncio.sleep(SETTLE_S)
+    statuses = []
+    for reader, writer in channels:
+        writer.write(body[-MISSING_BYTES:])
+        statuses.append((await reader.readline()).split()[1:2])
+        writer.transport.abort()
+    assert statuses == [[b"400"]] * LEGAL_CALLERS, statuses
+
+
 CASES: dict[str, Callable[[Crowd, Ports], Awaitable[None]]] = {
     "whole-bodies": whole_bodies,
     "pieced-bodies": pieced_bodies,
@@ -198,6 +218,7 @@
     "slow-readers": slow_readers,
     "cut-heads": cut_heads,
     "peer-messages": peer_messages,
+    "legal-bodies": legal_bodies,
 }
 
 
@@ -205,7 +226,7 @@
     """Each process has the limits of a small machine in its settings."""
 
     def _settings(self, place):  # type: ignore[no-untyped-def]
-        return json.dumps(json.loads(super()._settings(place)) | {"memory_mb": MEMORY_MIB, "max_descriptors": DESCRIPTORS})
+        return json.dumps(json.loads(super()._settings(place)) | {"memory_mb": self.options.memory_mib, "max_descriptors": DESCRIPTORS})
 
 
 async def job_runs(cell: Cell, address: Address) -> str:
@@ -239,7 +260,7 @@
     try:
         await cell.start()
         processes = cell.entries + cell.agents
-        watch = Watch(processes)
+        watch = Watch(processes, options.memory_mib)
         watching = asyncio.create_task(watch.run())
         ports = Ports(cell.entries[0], cell.agents[0])
         await CASES[options.case](crowd, ports)
@@ -264,6 +285,7 @@
     options = parser.parse_args()
     options.build = options.build.resolve()
     options.entries, options.agents, options.seed, options.cancels, options.lease_ms = 2, 2, 1, 0.0, 6000
+    options.memory_mib = LEGAL_MEMORY_MIB if options.case == "legal-bodies" else MEMORY_MIB
     options.open_connections, options.has_proxies, options.faults = 0, False, []
     net, keeper = free_net()
     with keeper, tempfile.TemporaryDirectory(prefix="crowds-") as temporary:
