--- a/src/libknapweed/base/httpserver.cpp
+++ b/src/libknapweed/base/httpserver.cpp
@@ -283,6 +283,7 @@
     if (!chargeOutput(connection)) {
         connection.response = HttpResponse();
         connection.isAnswered = false;
+        connection.isEvicted = true;
         lws_set_timeout(found->second, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
         return;
     }
