--- a/src/libknapweed/base/connectionbudget.cpp
+++ b/src/libknapweed/base/connectionbudget.cpp
@@ -15,8 +15,8 @@
 
 constexpr std::size_t mebibyte = std::size_t(1) << 20;
 constexpr std::int64_t ownMemoryMib = 24; ///< an idle entry uses 9 MiB; the rest is for its jobs and for building one document
-constexpr std::size_t shareOfBytes =
-    4; ///< a quarter each for bodies, for peers' messages, for the connections themselves, and for what the handlers make of them
+/// Of what remains: bytes of strangers, bytes of peers, the connections of each, and two for what the handlers make of requests.
+constexpr std::size_t shareOfBytes = 6;
 constexpr std::size_t bytesPerConnection = 16384; ///< of libwebsockets, with a header table of 10 KiB
 constexpr std::int64_t strangersShareOfDescriptors = 2;
 constexpr std::int64_t peersShareOfDescriptors = 4;
