Load policy: capacity for urgent work, reservations at predicted ends, victims, rack waits and speeds

Under overload, callers saw urgent gangs late by the 0.9 s that victims take to stop, gangs of the second rank waiting behind single tasks for up to half a minute, and single tasks started only to be stopped a second later. A gang that waited for an endpoint with a lasting task kept the rest of the fleet idle.

With load_policy "worth", capacity is kept for the urgent units that a moving average of arrivals predicts, blocked units reserve the endpoints that become free soonest and later ranks only backfill them, and victims are chosen by lost work, earlier stops and objectives. Guaranteed gangs wait for their rack beyond the time of a stop, and urgent gangs run where they meet their objective. With the default "off", decisions are unchanged.

--- a/src/knapweedstaged/cellleadership.cpp
+++ b/src/knapweedstaged/cellleadership.cpp
@@ -279,7 +279,7 @@
 void CellEntryTask::jobsLoaded()
 {
     const BootTime now = BootClock::now();
-    schedulerCore_ = std::make_unique<cell::Scheduler>(cell::SchedulerOptions {termGeneration_, settings_.lease});
+    schedulerCore_ = std::make_unique<cell::Scheduler>(cell::SchedulerOptions {termGeneration_, settings_.lease, settings_.loadPolicy});
     schedulerCore_->load(loadedRecords_, now, std::chrono::system_clock::now());
     schedulerCore_->setConfiguration(feed_.configuration());
     loadedRecords_.clear();
--- a/src/libknapweed/cell/fleet.h
+++ b/src/libknapweed/cell/fleet.h
@@ -36,6 +36,7 @@
     bool isWhole = false; ///< started without a checkpoint, so that its run time is that of the whole task
     int percent = 0;
     BootTime progressAt; ///< when percent last changed
+    BootTime checkpointAt; ///< when checkpoint last changed; the epoch if it has not
     std::string checkpoint; ///< the newest one reported by the endpoint
 };
 
--- a/src/libknapweed/cell/jobtable.h
+++ b/src/libknapweed/cell/jobtable.h
@@ -31,6 +31,10 @@
     bool isStopping = false;
     BootTime readySince; ///< when the unit became ready to start; the epoch before that
     std::set<std::string> failedOn; ///< agents of the endpoints where it failed or stalled
+    int preemptions = 0; ///< how often this scheduler has stopped it for another unit
+    BootTime reservesSince; ///< since when endpoints are reserved for it; the epoch if none are
+    Milliseconds reservedFor {0}; ///< meaningful with reservesSince: the wait that was predicted then
+    BootTime preemptsSince; ///< since when others are being stopped for it; the epoch if none are
 };
 
 struct Job
--- a/src/libknapweed/cell/planner.cpp
+++ b/src/libknapweed/cell/planner.cpp
@@ -1,13 +1,12 @@
-// Best-fit placement. A unit of the first priority that finds no free capacity preempts the cheapest later work. The capacity that such a unit waits for is
-// reserved in the table, so that units behind it in the queue cannot take it.
+// Plans the units one by one. A unit of the first priority that finds no free capacity preempts the cheapest later work. The capacity that such a unit waits
+// for is reserved in the table, so that units behind it in the queue cannot take it.
 
 #include "cell/planner.h"
 
+#include "cell/loadreservations.h"
+#include "cell/plannerchoice.h"
+
 #include <algorithm>
-#include <cmath>
-#include <limits>
-#include <optional>
-#include <tuple>
 
 namespace knapweed::cell
 {
@@ -15,41 +14,20 @@
 namespace
 {
 
-constexpr double preemptionWeight = 10; ///< cost of a lost core-second relative to the idle share of an endpoint
-constexpr double avoidedPenalty = 100; ///< exceeds the sum of idle shares, so that the endpoint is used only if no other has capacity
-constexpr double urgentSpeedWeight = 4; ///< cost of the logarithm of a speed relative to the idle share: urgent work goes to fast endpoints
-constexpr double otherSpeedWeight = 1; ///< other work leaves the fast endpoints to urgent work
-constexpr double suspectPenalty = 50; ///< like avoidedPenalty, but preferred to an endpoint where the unit itself has failed
+constexpr std::size_t maxPredictedReservations = 4; ///< blocked units that reserve endpoints at predicted ends; bounds the idle share and the time of a round
 constexpr std::size_t maxReservedGangs = 1; ///< blocked gangs without a guarantee for which endpoints are reserved; more would leave the fleet idle
 
-/// Tasks of each step that were placed in this round, by agent.
-using PlacedTasks = std::map<std::string, std::map<std::string, std::size_t>>;
-
-/// Endpoints with one service and one label, as indexes into the table.
-struct Eligible
+double costOf(std::size_t unit, const Table &table)
 {
-    std::vector<std::size_t> all;
-    std::map<std::string, std::vector<std::size_t>> byRack;
-};
-
-/// The properties that determine whether a unit finds free capacity.
-using Shape = std::tuple<std::string, std::string, std::string, std::int64_t, std::int64_t, std::int64_t, bool, bool, bool, bool, bool>;
-
-struct Table
-{
-    std::vector<PlannedEndpoint> endpoints;
-    PlacedTasks placed;
-    std::map<std::pair<std::string, std::string>, Eligible> eligible; ///< by service and label
-    std::map<Shape, std::size_t> blocked; ///< smallest number of tasks of each shape that found no free capacity, which only shrinks within a round
-};
-
-/// A possible placement of the tasks of a unit, and its cost.
-struct Choice
-{
-    std::vector<std::size_t> places; ///< indexes into the table, one for each task
-    std::set<std::size_t> victims;
-    double cost = 0;
-};
+    for (const PlannedEndpoint &endpoint : table.endpoints) {
+        for (const RunningPart &part : endpoint.parts) {
+            if (part.unit == unit) {
+                return part.lostWork;
+            }
+        }
+    }
+    return 0;
+}
 
 double lostWork(const Choice &choice, const Table &table)
 {
@@ -68,21 +46,7 @@
     return sum;
 }
 
-const Eligible &eligibleFor(const WaitingUnit &unit, Table &table)
-{
-    const auto [found, isNew] = table.eligible.try_emplace({unit.service, unit.requiredLabel});
-    for (std::size_t place = 0; isNew && place < table.endpoints.size(); ++place) {
-        const PlannedEndpoint &endpoint = table.endpoints[place];
-        const bool hasLabel = unit.requiredLabel.empty() || endpoint.labels.count(unit.requiredLabel) != 0;
-        if (endpoint.service == unit.service && hasLabel) {
-            found->second.all.push_back(place);
-            found->second.byRack[endpoint.rack].push_back(place);
-        }
-    }
-    return found->second;
-}
-
-Shape shapeOf(const WaitingUnit &unit)
+Shape shapeOf(const WaitingUnit &unit, bool usesPolicy)
 {
     return {unit.service,
         unit.requiredLabel,
@@ -94,7 +58,10 @@
         unit.mayLeaveRack || unit.mayLeaveTooSmallRacks,
         unit.mayLeaveRack,
         unit.mayUseSuspects,
-        unit.startsAlone};
+        unit.startsAlone,
+        // With reservations, whether an endpoint is open depends on these as well.
+        usesPolicy ? (unit.mayUseReserved ? -1 : static_cast<int>(unit.rank) * 2 + (unit.isOverdue ? 1 : 0)) : 0,
+        usesPolicy ? unit.runTime.count() : 0};
 }
 
 /// Whether finding free capacity depends on more than the shape.
@@ -103,193 +70,13 @@
     return unit.needsAdvice || unit.tasksPerEndpoint > 0;
 }
 
-std::size_t countOn(const std::map<std::string, std::size_t> &counts, const std::string &agent)
-{
-    const auto found = counts.find(agent);
-    return found == counts.end() ? 0 : found->second;
-}
-
-/// Number of tasks of the unit that the limit of its step still allows on the endpoint.
-std::size_t allowedOn(const WaitingUnit &unit, const PlannedEndpoint &endpoint, const PlacedTasks &placed)
-{
-    if (unit.tasksPerEndpoint == 0) {
-        return unit.tasks;
-    }
-    const auto step = placed.find(unit.stepName);
-    const std::size_t taken = countOn(unit.stepTasks, endpoint.agent) + (step == placed.end() ? 0 : countOn(step->second, endpoint.agent));
-    return taken >= unit.tasksPerEndpoint ? 0 : unit.tasksPerEndpoint - taken;
-}
-
-/// What is left idle on the endpoint, relative to its capacity; lower is a tighter fit.
-double leftover(const Resources &free, const Resources &capacity)
-{
-    const double accelerators = capacity.accelerators > 0 ? double(free.accelerators) / double(capacity.accelerators) : 0;
-    const double cores = capacity.milliCores > 0 ? double(free.milliCores) / double(capacity.milliCores) : 0;
-    return accelerators * 2 + cores;
-}
-
-/// The cost of placing one more task of a unit on an endpoint.
-struct Offer
-{
-    bool isKnown = false; ///< false: has to be computed
-    bool isPossible = false;
-    double score = 0; ///< lower is better
-    std::vector<std::size_t> victims; ///< units to stop for it, in addition to those already chosen
-};
-
-/// Selects parts of later ranks to stop for one more task, the cheapest first. @p free is the capacity left by the tasks placed so far.
-void selectVictims(const WaitingUnit &unit, const PlannedEndpoint &endpoint, Resources free, const std::set<std::size_t> &chosen, Offer &offer)
-{
-    std::vector<const RunningPart *> candidates;
-    for (const RunningPart &part : endpoint.parts) {
-        if (part.isStopping || chosen.count(part.unit) != 0) {
-            free += part.needs;
-        } else if (part.rank > unit.rank) {
-            candidates.push_back(&part);
-        }
-    }
-    const auto isCheaper = [](const RunningPart *left, const RunningPart *right) {
-        return left->rank != right->rank ? left->rank > right->rank : left->lostWork < right->lostWork;
-    };
-    std::sort(candidates.begin(), candidates.end(), isCheaper);
-    double cost = 0;
-    for (const RunningPart *part : candidates) {
-        if (fits(unit.needs, free)) {
-            break;
-        }
-        free += part->needs;
-        cost += 1 + part->lostWork;
-        offer.victims.push_back(part->unit);
-    }
-    offer.isPossible = fits(unit.needs, free);
-    offer.score += cost * preemptionWeight;
-}
-
-Offer offerOf(const WaitingUnit &unit, const PlannedEndpoint &endpoint, const Resources &free, const std::set<std::size_t> &chosen, bool mayPreempt)
-{
-    Offer offer;
-    offer.isKnown = true;
-    const double speedWeight = unit.rank <= Rank::First ? -urgentSpeedWeight : otherSpeedWeight;
-    offer.score = leftover(free, endpoint.capacity) + speedWeight * std::log(endpoint.speed) + (unit.avoided.count(endpoint.agent) != 0 ? avoidedPenalty : 0)
-        + (endpoint.isSuspect ? suspectPenalty : 0);
-    if (fits(unit.needs, free)) {
-        offer.isPossible = true;
-    } else if (mayPreempt) {
-        selectVictims(unit, endpoint, free, chosen, offer);
-    }
-    return offer;
-}
-
-/// Places all tasks on the endpoints with the indexes @p places, or returns nothing. With @p mayPreempt it may stop later work.
-std::optional<Choice> choose(const WaitingUnit &unit, const Table &table, const std::vector<std::size_t> &places, bool mayPreempt)
-{
-    struct Candidate
-    {
-        std::size_t place = 0;
-        Resources free;
-        std::size_t allowed = 0; ///< tasks that may still go there
-        Offer offer;
-    };
-    std::vector<Candidate> candidates;
-    for (const std::size_t place : places) {
-        const PlannedEndpoint &endpoint = table.endpoints[place];
-        const bool isAdvised = !unit.needsAdvice || unit.advised.count(endpoint.agent) != 0;
-        const bool isTrusted = unit.mayUseSuspects || !endpoint.isSuspect;
-        const bool mayStart = !endpoint.isReserved && (!unit.startsAlone || !endpoint.hasStartingRuns);
-        const bool isCandidate = isAdvised && isTrusted && mayStart && fits(unit.needs, mayPreempt ? endpoint.capacity : endpoint.freeCapacity);
-        if (isCandidate) {
-            candidates.push_back({place, endpoint.freeCapacity, allowedOn(unit, endpoint, table.placed), {}});
-        }
-    }
-    Choice choice;
-    for (std::size_t task = 0; task < unit.tasks; ++task) {
-        Candidate *best = nullptr;
-        for (Candidate &candidate : candidates) {
-            if (candidate.allowed == 0) {
-                continue;
-            }
-            if (!candidate.offer.isKnown) {
-                candidate.offer = offerOf(unit, table.endpoints[candidate.place], candidate.free, choice.victims, mayPreempt);
-            }
-            if (candidate.offer.isPossible && (best == nullptr || candidate.offer.score < best->offer.score)) {
-                best = &candidate;
-            }
-        }
-        if (best == nullptr) {
-            return std::nullopt;
-        }
-        choice.cost += best->offer.score;
-        choice.places.push_back(best->place);
-        best->free -= unit.needs;
-        --best->allowed;
-        const std::vector<std::size_t> victims = std::move(best->offer.victims);
-        best->offer = Offer();
-        if (!victims.empty()) {
-            choice.victims.insert(victims.begin(), victims.end());
-            // The parts of these units on other endpoints are freed as well.
-            for (Candidate &candidate : candidates) {
-                candidate.offer = Offer();
-            }
-        }
-    }
-    return choice;
-}
-
-/// Whether the endpoints with the indexes @p places could hold the whole unit if they were empty; otherwise it is pointless to wait for them.
-bool couldHold(const WaitingUnit &unit, const Table &table, const std::vector<std::size_t> &places)
-{
-    std::size_t held = 0;
-    for (const std::size_t place : places) {
-        Resources rest = table.endpoints[place].capacity;
-        std::size_t allowed = allowedOn(unit, table.endpoints[place], {});
-        for (; allowed > 0 && held < unit.tasks && fits(unit.needs, rest); --allowed) {
-            rest -= unit.needs;
-            ++held;
-        }
-    }
-    return held >= unit.tasks;
-}
-
-/// The best placement within one rack if the unit prefers that, otherwise over all eligible endpoints.
-std::optional<Choice> chooseAnywhere(const WaitingUnit &unit, Table &table, bool mayPreempt)
-{
-    const Eligible &eligible = eligibleFor(unit, table);
-    const bool isOneRackPreferred = unit.prefersOneRack && unit.tasks > 1;
-    const auto dataRack = eligible.byRack.find(unit.dataRack);
-    std::optional<Choice> best;
-    if (!unit.dataRack.empty() && dataRack != eligible.byRack.end()) {
-        best = choose(unit, table, dataRack->second, mayPreempt);
-    }
-    if (!best && isOneRackPreferred) {
-        for (const auto &[rack, places] : eligible.byRack) {
-            std::optional<Choice> choice = choose(unit, table, places, mayPreempt);
-            if (choice && (!best || choice->cost < best->cost)) {
-                best = std::move(choice);
-            }
-        }
-    }
-    const bool isBoundToRack = (!unit.dataRack.empty() || isOneRackPreferred) && !unit.mayLeaveRack;
-    if (best || (isBoundToRack && !unit.mayLeaveTooSmallRacks)) {
-        return best;
-    }
-    const auto isWorthWaiting = [&unit, &table](const auto &rack) {
-        return couldHold(unit, table, rack.second);
-    };
-    const bool hasSuitableRack = (dataRack != eligible.byRack.end() && isWorthWaiting(*dataRack))
-        || (isOneRackPreferred && std::any_of(eligible.byRack.begin(), eligible.byRack.end(), isWorthWaiting));
-    if (!isBoundToRack || !hasSuitableRack) {
-        best = choose(unit, table, eligible.all, mayPreempt);
-    }
-    return best;
-}
-
 /// A placement that requires no preemption.
 std::optional<Choice> chooseFree(const WaitingUnit &unit, Table &table)
 {
     if (isRestricted(unit)) {
         return chooseAnywhere(unit, table, false);
     }
-    const Shape shape = shapeOf(unit);
+    const Shape shape = shapeOf(unit, table.hasReservations);
     const auto blocked = table.blocked.find(shape);
     if (blocked != table.blocked.end() && unit.tasks >= blocked->second) {
         return std::nullopt;
@@ -304,6 +91,7 @@
 void allocate(const WaitingUnit &unit, const Choice &choice, Table &table)
 {
     for (const std::size_t place : choice.places) {
+        useReservedCapacity(unit, table.endpoints[place]);
         table.endpoints[place].freeCapacity -= unit.needs;
         table.endpoints[place].hasStartingRuns = true;
         table.endpoints[place].isReserved = table.endpoints[place].isReserved || unit.startsAlone;
@@ -331,7 +119,7 @@
 /// A placement that preempts later work, unless more work would be lost than the unit's budget allows.
 std::optional<Choice> choosePreempting(const WaitingUnit &unit, Table &table)
 {
-    if (unit.rank > Rank::First) {
+    if (unit.rank > Rank::First || (unit.rank == Rank::First && !unit.mayPreempt)) {
         return std::nullopt;
     }
     std::optional<Choice> choice = chooseAnywhere(unit, table, true);
@@ -350,37 +138,124 @@
     }
 }
 
+/// A placement on endpoints that are fast enough for the unit's objective, if @p direct is not. It may stop later work within the unit's budget.
+std::optional<Choice> chooseFaster(const WaitingUnit &unit, const Choice &direct, Table &table)
+{
+    const bool isFastEnough = std::all_of(direct.places.begin(), direct.places.end(), [&](std::size_t place) {
+        return table.endpoints[place].speed >= unit.minSpeed;
+    });
+    if (isFastEnough) {
+        return std::nullopt;
+    }
+    WaitingUnit fast = unit;
+    fast.needsSpeed = true;
+    std::optional<Choice> choice = chooseAnywhere(fast, table, false);
+    if (choice || unit.rank > Rank::First || !unit.mayPreempt || unit.minSpeedAfterStop <= 0) {
+        return choice;
+    }
+    fast.minSpeed = unit.minSpeedAfterStop;
+    choice = chooseAnywhere(fast, table, true);
+    if (choice) {
+        choice->isFree = false;
+    }
+    return choice && lostWork(*choice, table) <= unit.speedBudget ? choice : std::nullopt;
+}
+
+/// What has been reserved for blocked units in this round.
+struct Reservations
+{
+    std::size_t units = 0;
+    std::set<std::size_t> places;
+};
+
+/// The earliest start on the rack that the unit prefers; on any endpoints if there is no such rack, or if none could hold the unit.
+std::optional<FutureStart> chooseFuture(const WaitingUnit &unit, Table &table)
+{
+    const Eligible &eligible = eligibleFor(unit, table);
+    const bool isOneRackPreferred = unit.prefersOneRack && unit.tasks > 1;
+    std::optional<FutureStart> best;
+    bool hasSuitableRack = false;
+    for (const auto &[rack, places] : eligible.byRack) {
+        const bool isPreferred = unit.dataRack.empty() ? isOneRackPreferred : rack == unit.dataRack;
+        if (!isPreferred || !couldHold(unit, table, places)) {
+            continue;
+        }
+        hasSuitableRack = true;
+        std::optional<FutureStart> start = earliestStart(unit, table.endpoints, places);
+        if (start && (!best || start->after < best->after)) {
+            best = std::move(start);
+        }
+    }
+    return hasSuitableRack ? best : earliestStart(unit, table.endpoints, eligible.all);
+}
+
+/// Keeps endpoints for a unit that found no capacity.
+void reserveBlocked(const WaitingUnit &unit, const LoadPolicyOptions &options, Reservations &reservations, Table &table, Plan &plan)
+{
+    if (!options.reservesByPredictedEnds) {
+        const std::optional<Choice> reserved = unit.tasks > 1 && reservations.units < maxReservedGangs ? chooseReserved(unit, table) : std::nullopt;
+        if (reserved) {
+            ++reservations.units;
+            allocate(unit, *reserved, table);
+        }
+        return;
+    }
+    const bool isWorthIt = unit.mayReserve && (unit.rank <= Rank::Second || unit.tasks > 1);
+    const std::size_t most = unit.rank <= Rank::Second ? maxPredictedReservations : maxReservedGangs;
+    if (!isWorthIt || reservations.units >= most || reservations.places.size() * 2 >= table.endpoints.size()) {
+        return;
+    }
+    const std::optional<FutureStart> start = chooseFuture(unit, table);
+    if (start) {
+        ++reservations.units;
+        reservations.places.insert(start->places.begin(), start->places.end());
+        reserveAt(unit, *start, table.endpoints);
+        plan.reservations[unit.number] = start->after;
+    }
+}
+
 } // namespace
 
-Plan planUnits(const std::vector<WaitingUnit> &units, std::vector<PlannedEndpoint> endpoints)
+Plan planUnits(const std::vector<WaitingUnit> &units, std::vector<PlannedEndpoint> endpoints, const PlannerPolicy &policy)
 {
     Table table;
     table.endpoints = std::move(endpoints);
+    table.hasReservations = policy.options.reservesByPredictedEnds || !policy.reserved.empty();
     Plan plan;
-    std::size_t reservedGangs = 0;
+    Reservations reservations;
+    bool isUrgentWorkPlanned = false;
     for (const WaitingUnit &unit : units) {
+        if (unit.rank >= Rank::Second && !isUrgentWorkPlanned) {
+            isUrgentWorkPlanned = true;
+            for (const auto &[service, reserved] : policy.reserved) {
+                reserveForUrgentWork(table.endpoints, service, reserved, policy.options.stopTime);
+            }
+        }
         const std::optional<Choice> direct = chooseFree(unit, table);
-        if (direct) {
-            allocate(unit, *direct, table);
+        const std::optional<Choice> faster = direct ? chooseFaster(unit, *direct, table) : std::nullopt;
+        const std::optional<Choice> &free = faster ? faster : direct;
+        if (free && free->isFree) {
+            allocate(unit, *free, table);
             PlannedStart start {unit.number, {}};
-            for (const std::size_t place : direct->places) {
+            for (const std::size_t place : free->places) {
                 start.agents.push_back(table.endpoints[place].agent);
             }
             plan.starts.push_back(std::move(start));
             continue;
         }
         plan.blocked.push_back(unit.number);
-        const std::optional<Choice> choice = choosePreempting(unit, table);
+        const std::optional<Choice> choice = free ? free : choosePreempting(unit, table);
         if (choice) {
             allocate(unit, *choice, table);
             markStopped(choice->victims, table);
-            plan.stops.insert(plan.stops.end(), choice->victims.begin(), choice->victims.end());
-        } else if (unit.rank != Rank::Guaranteed && unit.tasks > 1 && reservedGangs < maxReservedGangs) {
-            const std::optional<Choice> reserved = chooseReserved(unit, table);
-            if (reserved) {
-                ++reservedGangs;
-                allocate(unit, *reserved, table);
+            plan.preempting.push_back(unit.number);
+            for (const std::size_t victim : choice->victims) {
+                plan.stops.push_back(victim);
+                plan.preemptors[victim] = unit.number;
+                plan.costs[victim] = costOf(victim, table);
             }
+        } else if (unit.rank != Rank::Guaranteed) {
+            reserveBlocked(unit, policy.options, reservations, table, plan);
         }
     }
     return plan;
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -7,6 +7,7 @@
 #include "cell/endpointspeeds.h"
 #include "cell/fleet.h"
 #include "cell/jobtable.h"
+#include "cell/loadpolicy.h"
 #include "cell/planner.h"
 #include "peers/codec.h"
 #include "planning/estimates.h"
@@ -27,6 +28,7 @@
 {
     std::int64_t generation = 0; ///< of this term; sent as the fence of all orders
     Milliseconds lease {0}; ///< how long the runs of an endpoint continue after the agent's last contact
+    LoadPolicyOptions loadPolicy {}; ///< with the default, decisions under load are as without it
 };
 
 /// Why the scheduler takes it as certain that a run uses no capacity any more.
@@ -55,6 +57,14 @@
     std::vector<AdviceRequest> adviceRequests; ///< to be sent to the placement adviser
 };
 
+/// The state of the load policy, for the metrics.
+struct LoadGauges
+{
+    std::map<std::string, double> reserved; ///< endpoints kept for urgent work, by service
+    std::map<Rank, std::size_t> waiting; ///< units by rank, as of the last planning round
+    std::uint64_t rejected = 0; ///< submissions since the beginning of the term
+};
+
 class Scheduler
 {
 public:
@@ -103,6 +113,7 @@
     bool isPlanDue() const;
     const std::map<std::string, Job> &jobs() const;
     const std::map<std::string, Endpoint> &endpoints() const;
+    const LoadGauges &loadGauges() const;
 
 private:
     struct PendingAnswer
@@ -136,11 +147,23 @@
         wire::StartOrder order;
     };
 
+    /// A run as the planner's input is prepared.
+    struct ObservedRun
+    {
+        std::size_t unit = 0; ///< number of its unit in the planner's input
+        const Job *job = nullptr;
+        UnitKey key;
+        const Allocation *allocation = nullptr;
+        const Unit *state = nullptr; ///< null if the unit is unknown
+        double speed = 1; ///< of its endpoint
+    };
+
     /// Total over the endpoints of one service that can be given work.
     struct ServiceCapacity
     {
         Resources capacity;
         Resources free;
+        std::size_t endpoints = 0;
     };
 
     void handle(const std::string &peer, const wire::EndpointReport &report, BootTime now);
@@ -212,6 +235,11 @@
     WaitingUnit makeWaitingUnit(const Job &job, const UnitKey &key, const Unit &unit, Rank rank, BootTime now) const;
     std::vector<PlannedEndpoint> plannedEndpoints(
         const std::set<std::string> &guaranteed, BootTime now, std::vector<std::pair<std::string, UnitKey>> &unitIds) const;
+    Milliseconds admissionDelay(const Job &job, BootTime now) const;
+    void observeUrgentArrival(const WaitingUnit &waiting, BootTime now);
+    void assessRunningParts(const std::vector<ObservedRun> &running, std::vector<PlannedEndpoint> &planned, BootTime now) const;
+    PlannerPolicy plannerPolicy(BootTime now);
+    void applyLoadPolicy(const Job &job, const UnitKey &key, const Unit &unit, BootTime latestStart, WaitingUnit &waiting, BootTime now) const;
     void addAdvice(const Job &job, const UnitKey &key, WaitingUnit &waiting, BootTime now);
     void startUnit(const std::string &jobId, const UnitKey &key, Rank rank, const std::vector<std::string> &agents, BootTime now);
 
@@ -224,6 +252,9 @@
     planning::RunEstimates runTimes_; ///< by client account and queue
     EndpointSpeeds speeds_;
     std::map<std::string, ServiceCapacity> capacityByService_; ///< as of the last planning round
+    std::map<std::string, ArrivalForecast> urgentArrivals_; ///< by service
+    LoadGauges loadGauges_;
+    BootTime reserveLoggedAt_; ///< when reserved capacity was last logged
     std::map<StepName, StepAdvice> advice_; ///< for steps that have waited in queues that require advice
     std::vector<PendingAnswer> pendingAnswers_; ///< wait until their write, above storedWrite_, is durable
     BootTime confirmedUntil_; ///< end of the time for which the term is confirmed
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -240,6 +240,7 @@
         }
         if (!row.checkpoint.empty() && row.checkpoint != allocation.checkpoint) {
             allocation.checkpoint = row.checkpoint;
+            allocation.checkpointAt = now;
             recordCheckpoint(run, row.checkpoint);
         }
     }
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -6,6 +6,7 @@
 #include "cell/runwire.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace knapweed::cell
@@ -21,7 +22,6 @@
 constexpr Milliseconds rackWait {2000}; ///< for other units on a mostly idle fleet: less than the three seconds for which capacity may be idle while work waits
 constexpr int offRackFactor = 3; ///< factor by which a task takes longer off its rack, as stated by the platform
 constexpr double mostlyIdleUtilization = 0.5; ///< a service with a smaller share in use counts as mostly idle
-constexpr double acceleratorCores = 8; ///< cores that one accelerator counts as in the cost of lost work
 /// Multiple of a unit's own work. Urgent work beyond a guarantee is worth several times as much as later work of its size.
 constexpr double preemptionBudgetFactor = 2;
 constexpr double checkpointSeconds = 0.5; ///< work between two checkpoints
@@ -35,16 +35,10 @@
     return job.queue.priority == 1 ? Rank::Second : Rank::Later;
 }
 
-/// Core-seconds that one second of the task costs, including its accelerators.
-double coreEquivalents(const Resources &needs)
-{
-    return double(needs.milliCores) / 1000 + acceleratorCores * double(needs.accelerators);
-}
-
 /// Core-seconds of other units' work that may be lost for the unit.
 double preemptionBudget(Rank rank, const Step &step, std::size_t tasks, Milliseconds runTime)
 {
-    return (rank == Rank::First ? preemptionBudgetFactor : 0) * double(tasks) * coreEquivalents(step.needs) * std::chrono::duration<double>(runTime).count();
+    return (rank <= Rank::First ? preemptionBudgetFactor : 0) * double(tasks) * coreEquivalents(step.needs) * std::chrono::duration<double>(runTime).count();
 }
 
 /// How long a unit waits for its rack. On a busy fleet, waiting is better than running off the rack until the wait exceeds the time that this would cost.
@@ -100,6 +94,7 @@
             ServiceCapacity &sum = capacityByService_[endpoint.service];
             sum.capacity += endpoint.capacity;
             sum.free += freeCapacity(endpoint);
+            ++sum.endpoints;
         }
     }
 }
@@ -126,6 +121,7 @@
     const Step &step = job.spec.steps[key.step];
     const Milliseconds runTime = runTimeOf(job, step);
     WaitingUnit waiting;
+    waiting.runTime = runTime;
     waiting.rank = rank;
     waiting.tasks = unit.indices.size();
     waiting.needs = countedNeeds(step);
@@ -135,11 +131,15 @@
     waiting.prefersOneRack = step.prefersOneRack;
     waiting.mayLeaveTooSmallRacks = now - unit.readySince > rackWaitLimit(waiting.rank, step, runTime, true);
     waiting.mayLeaveRack = now - unit.readySince > rackWaitLimit(waiting.rank, step, runTime, isMostlyIdle(job.queue.service, step));
+    if (options_.loadPolicy.waitsForRack && rank == Rank::Guaranteed) {
+        waiting.mayLeaveRack = now - unit.readySince > guaranteedRackWait(runTime, offRackFactor, options_.loadPolicy);
+    }
     waiting.tasksPerEndpoint = static_cast<std::size_t>(step.tasksPerEndpoint);
     waiting.avoided = unit.failedOn;
     waiting.mayUseSuspects = waiting.rank > Rank::First || now - unit.readySince > suspectWait;
     waiting.startsAlone = !unit.progress.crashes.empty();
     waiting.preemptionBudget = preemptionBudget(waiting.rank, step, waiting.tasks, runTime);
+    waiting.speedBudget = waiting.preemptionBudget;
     if (step.tasksPerEndpoint > 0) {
         waiting.stepName = job.spec.id + '.' + std::to_string(key.occurrence) + '.' + std::to_string(key.step);
         for (const auto &[otherKey, other] : job.units) {
@@ -187,6 +187,7 @@
         const Job *job;
         const UnitKey *key;
         const Unit *unit;
+        bool isNew; ///< it is considered for the first time
     };
     std::vector<Item> items;
     for (auto &[id, job] : jobs_) {
@@ -209,10 +210,11 @@
             if (!isStepReady || mayRunOnAwaitedAgent(unit)) {
                 continue;
             }
-            if (unit.readySince == BootTime()) {
+            const bool isNew = unit.readySince == BootTime();
+            if (isNew) {
                 unit.readySince = now;
             }
-            items.push_back({{rank, job.queue.priority, latestStart, job.order}, &job, &key, &unit});
+            items.push_back({{rank, job.queue.priority, latestStart, job.order}, &job, &key, &unit, isNew});
         }
     }
     std::stable_sort(items.begin(), items.end(), [](const Item &left, const Item &right) {
@@ -223,6 +225,10 @@
     for (const Item &item : items) {
         units.push_back(makeWaitingUnit(*item.job, *item.key, *item.unit, std::get<Rank>(item.order), now));
         addAdvice(*item.job, *item.key, units.back(), now);
+        applyLoadPolicy(*item.job, *item.key, *item.unit, std::get<BootTime>(item.order), units.back(), now);
+        if (item.isNew) {
+            observeUrgentArrival(units.back(), now);
+        }
         units.back().number = unitIds.size();
         unitIds.emplace_back(item.job->spec.id, *item.key);
     }
@@ -234,6 +240,7 @@
 {
     std::map<std::pair<const Job *, UnitKey>, std::size_t> numbers;
     std::map<std::size_t, double> lost;
+    std::vector<ObservedRun> running;
     std::vector<PlannedEndpoint> planned;
     for (const auto &[agent, endpoint] : endpoints_) {
         const bool isUsable = endpoint.isListed && !endpoint.isDraining && now - endpoint.lastReport < workTimeout && now >= endpoint.avoidUntil;
@@ -270,6 +277,7 @@
                 row.isReserved = row.isReserved || (unit != job->second.units.end() && !unit->second.progress.crashes.empty());
             }
             lost[part.unit] += lostWork(job->second.spec.steps[key.step], allocation, now);
+            running.push_back({part.unit, &job->second, key, &allocation, unit == job->second.units.end() ? nullptr : &unit->second, row.speed});
             row.parts.push_back(part);
         }
         planned.push_back(std::move(row));
@@ -279,6 +287,9 @@
             part.lostWork = lost[part.unit];
         }
     }
+    if (usesLoadPolicy(options_.loadPolicy)) {
+        assessRunningParts(running, planned, now);
+    }
     return planned;
 }
 
@@ -294,15 +305,40 @@
     if (units.empty()) {
         return;
     }
-    const Plan plan = planUnits(units, plannedEndpoints(guaranteed, now, unitIds));
+    const Plan plan = planUnits(units, plannedEndpoints(guaranteed, now, unitIds), plannerPolicy(now));
     hasBlockedUnits_ = !plan.blocked.empty();
     for (const PlannedStart &start : plan.starts) {
         startUnit(unitIds[start.number].first, unitIds[start.number].second, units[start.number].rank, start.agents, now);
     }
     for (const std::size_t number : plan.stops) {
         const auto &[jobId, key] = unitIds[number];
-        logEvent(LogLevel::Info, "unit.preempted", {{"job", jobId}, {"step", std::to_string(key.step)}});
-        stopUnit(jobs_.at(jobId).units.at(key), now);
+        const std::size_t preemptor = plan.preemptors.at(number);
+        Unit &unit = jobs_.at(jobId).units.at(key);
+        ++unit.preemptions;
+        logEvent(LogLevel::Info,
+            "unit.preempted",
+            {{"job", jobId},
+                {"step", std::to_string(key.step)},
+                {"cost", std::to_string(std::llround(plan.costs.at(number)))},
+                {"stops", std::to_string(unit.preemptions)},
+                {"for_rank", std::to_string(static_cast<int>(units[preemptor].rank))}});
+        stopUnit(unit, now);
+    }
+    for (const auto &[number, after] : plan.reservations) {
+        const auto &[jobId, key] = unitIds[number];
+        Unit &unit = jobs_.at(jobId).units.at(key);
+        const bool isRenewed = unit.reservesSince != BootTime() && now - unit.reservesSince <= reservationPeriod(unit.reservedFor) * 2;
+        if (!isRenewed) {
+            unit.reservesSince = now;
+            unit.reservedFor = after;
+        }
+    }
+    for (const std::size_t number : plan.preempting) {
+        const auto &[jobId, key] = unitIds[number];
+        Unit &unit = jobs_.at(jobId).units.at(key);
+        if (unit.preemptsSince == BootTime()) {
+            unit.preemptsSince = now;
+        }
     }
 }
 
--- a/src/libknapweed/cell/schedulerstarts.cpp
+++ b/src/libknapweed/cell/schedulerstarts.cpp
@@ -35,6 +35,8 @@
     assertInvariant(agents.size() == unit.indices.size(), "each task of a unit is assigned to an endpoint");
     unit.phase = Unit::Phase::Active;
     unit.isStopping = false;
+    unit.preemptsSince = BootTime();
+    unit.reservesSince = BootTime();
     unit.run = options_.generation * runsPerGeneration + ++startedRuns_;
     unit.progress.agents = agents;
     const std::uint64_t write = writeProgress(job);
--- a/src/libknapweed/cell/settings.cpp
+++ b/src/libknapweed/cell/settings.cpp
@@ -71,6 +71,25 @@
     return seeds;
 }
 
+/// The load policy and the times that it depends on, which the platform may leave open.
+LoadPolicyOptions readLoadPolicy(JsonObjectReader &root)
+{
+    const nlohmann::json *name = root.member("load_policy");
+    const std::optional<LoadPolicyOptions> policy = parseLoadPolicy(name == nullptr ? "off" : name->is_string() ? name->get<std::string>() : "");
+    if (!policy) {
+        root.fault("load_policy", describeFound(*name), "off or worth, the latter with names of mechanisms such as worth,-reserve");
+        return {};
+    }
+    LoadPolicyOptions options = *policy;
+    for (const auto &[key, time] : {std::pair("stop_ms", &options.stopTime), std::pair("reclaim_ms", &options.reclaimTime)}) {
+        const nlohmann::json *bound = root.member(key);
+        if (bound != nullptr && !bound->is_null()) {
+            *time = root.duration(key, {Milliseconds(1), Seconds(600), *time});
+        }
+    }
+    return options;
+}
+
 CellSettings readRoot(JsonObjectReader &root, const JsonReport &report)
 {
     CellSettings settings;
@@ -92,6 +111,7 @@
     settings.logLevel = static_cast<LogLevel>(root.choice("log_level", logLevels, "info"));
     if (!root.isPresent() || (isRoleKnown && settings.role == ProcessRole::Entry)) {
         settings.configurationApplyTime = root.duration("configuration_apply_ms", {minApplyTime, Seconds(60), defaultApplyTime});
+        settings.loadPolicy = readLoadPolicy(root);
         settings.callers = readAddress(root, "callers");
         settings.readiness = readAddress(root, "readiness");
         const nlohmann::json *advice = root.member("advice");
--- a/src/libknapweed/cell/settings.h
+++ b/src/libknapweed/cell/settings.h
@@ -7,6 +7,7 @@
 #include "base/logging.h"
 #include "base/result.h"
 #include "base/settings.h"
+#include "cell/loadpolicy.h"
 
 #include <string>
 #include <vector>
@@ -30,6 +31,7 @@
     double processorShare = 1; ///< cores that the process may use; entries with the largest share are preferred as scheduler
     LogLevel logLevel = LogLevel::Info;
     Milliseconds configurationApplyTime {0}; ///< entry only: a change that the store has acknowledged has to be in force after this time
+    LoadPolicyOptions loadPolicy; ///< entry only: what is delayed when capacity is short, with the times that it depends on
     Address callers; ///< entry only: listen address for callers
     Address advice; ///< entry only: the placement adviser; port 0 if there is none
     Address readiness; ///< entry only: listen address for readiness checks
--- a/tests/cell/schedulerfixture.h
+++ b/tests/cell/schedulerfixture.h
@@ -20,10 +20,11 @@
     BootTime now = BootTime(Milliseconds(1000000));
     WallTime wall = WallTime(Seconds(1800000000));
     Milliseconds lease = Milliseconds(6000);
+    LoadPolicyOptions loadPolicy; ///< of the schedulers that makeScheduler() returns
 
     std::unique_ptr<Scheduler> makeScheduler(std::int64_t generation)
     {
-        std::unique_ptr<Scheduler> scheduler = std::make_unique<Scheduler>(SchedulerOptions {generation, lease});
+        std::unique_ptr<Scheduler> scheduler = std::make_unique<Scheduler>(SchedulerOptions {generation, lease, loadPolicy});
         scheduler->load(records, now, wall);
         scheduler->setConfiguration(plainConfiguration());
         scheduler->confirmTerm(now + Seconds(1), now, wall);
--- a/tests/settings/cellsettingstest.cpp
+++ b/tests/settings/cellsettingstest.cpp
@@ -48,6 +48,8 @@
         {"{{bounds.holdMaxMs}}", "6000"},
         {"{{bounds.graceS}}", "6"},
         {"{{bounds.configApplyMs}}", "3000"},
+        {"{{bounds.stopMs|json}}", "900"},
+        {"{{bounds.reclaimMs|json}}", "null"},
         {"{{limits.cpuShare}}", "0.25"},
         {"{{listen.front|json}}", "\"10.1.0.19:8521\""},
         {"{{listen.readiness|json}}", "\"10.1.0.19:8523\""},
@@ -85,6 +87,20 @@
     CHECK_TRUE(cellFaults(settings).find("service") != std::string::npos);
 }
 
+TEST(CellSettings, loadPolicyIsOffUnlessItIsSetAndItsMechanismsCanBeSwitchedOff)
+{
+    nlohmann::json settings = entryCell();
+    CHECK(value(parseCellSettings(settings.dump())).loadPolicy == LoadPolicyOptions());
+    settings["load_policy"] = "worth,-reserve,-backfill,admission";
+    settings["stop_ms"] = 700;
+    settings["reclaim_ms"] = nullptr;
+    const LoadPolicyOptions options = value(parseCellSettings(settings.dump())).loadPolicy;
+    CHECK(!options.reservesForUrgentWork && !options.reservesByPredictedEnds);
+    CHECK(options.weighsVictims && options.limitsAdmission);
+    LONGS_EQUAL(700, options.stopTime.count());
+    LONGS_EQUAL(LoadPolicyOptions().reclaimTime.count(), options.reclaimTime.count());
+}
+
 TEST(CellSettings, seedsGetThePeerPort)
 {
     const Result<CellSettings, SettingsError> parsed = parseCellSettings(entryCell().dump());
@@ -122,6 +138,11 @@
         {"store", "\"10.200.1.7\""},
         {"lease_ms", "10"},
         {"configuration_apply_ms", "499"},
+        {"load_policy", "\"cheapest\""},
+        {"load_policy", "\"worth,-everything\""},
+        {"load_policy", "7"},
+        {"stop_ms", "0"},
+        {"reclaim_ms", "\"soon\""},
         {"seeds", "7"},
         {"seeds", "[\"10.1.0.19\"]"},
         {"callers", "\"somewhere:12345\""},
