Load policy: order within a rank by objective, and all waiting units planned

Jobs that could no longer meet their objective went first, since they had the least time to spare, and made the next ones late as well. Units behind the first 2,000 were not planned at all.

With the policy on, units that can meet their objective go first; the others go by their size until they have waited for three objectives, and then before all later arrivals. Units of a step beyond what would fit into all free capacity are left out of a round, so that all steps can be planned.

--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -3,10 +3,12 @@
 #include "cell/scheduler.h"
 
 #include "base/logging.h"
+#include "cell/loadorder.h"
 #include "cell/runwire.h"
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <tuple>
 
 namespace knapweed::cell
@@ -50,6 +52,20 @@
     return isFleetIdle || step.isLongRunning ? rackWait : std::max(rackWait, runTime * (offRackFactor - 1));
 }
 
+/// The number of tasks that fit into the capacity if it is not divided among endpoints.
+std::size_t tasksWithin(const Resources &needs, const Resources &capacity)
+{
+    std::int64_t tasks = std::numeric_limits<std::int32_t>::max();
+    for (const auto &[needed, available] : {std::pair(needs.milliCores, capacity.milliCores),
+             std::pair(needs.memoryMib, capacity.memoryMib),
+             std::pair(needs.accelerators, capacity.accelerators)}) {
+        if (needed > 0) {
+            tasks = std::min(tasks, std::max<std::int64_t>(0, available) / needed);
+        }
+    }
+    return static_cast<std::size_t>(tasks);
+}
+
 double lostWork(const Step &step, const Allocation &allocation, BootTime now)
 {
     double seconds = std::chrono::duration<double>(now - allocation.firstOrderedAt).count();
@@ -183,12 +199,32 @@
 {
     struct Item
     {
-        std::tuple<Rank, int, BootTime, std::uint64_t> order; ///< the last member keeps the units of a job together
+        std::tuple<Rank, int, Turn, std::uint64_t> order; ///< the last member keeps the units of a job together
+        BootTime latestStart;
         const Job *job;
         const UnitKey *key;
         const Unit *unit;
         bool isNew; ///< it is considered for the first time
     };
+    // Without a policy, the units of a rank go by their latest start alone.
+    const auto turnOfStep = [this, now](const Job &job, const UnitKey &key, BootTime latestStart) -> Turn {
+        if (!options_.loadPolicy.ordersByWorth) {
+            return {false, latestStart, 0};
+        }
+        const Step &step = job.spec.steps[key.step];
+        const Milliseconds runTime = runTimeOf(job, step);
+        const BootTime since = job.dueSince[key.occurrence];
+        const double work = std::chrono::duration<double>(runTime).count() * coreEquivalents(step.needs) * (step.isGang ? step.tasks : 1);
+        return turnOf({since, latestStart, latestStart + runTime - since, work}, now);
+    };
+    // Upper limit of the units of one step that can be started in this round; urgent ones may use the capacity of others as well.
+    const auto mostStartable = [this](const Job &job, const UnitKey &key, Rank rank) {
+        const auto capacity = capacityByService_.find(job.queue.service);
+        if (!options_.loadPolicy.plansAllUnits || capacity == capacityByService_.end()) {
+            return std::numeric_limits<std::size_t>::max();
+        }
+        return tasksWithin(countedNeeds(job.spec.steps[key.step]), rank <= Rank::First ? capacity->second.capacity : capacity->second.free) + 1;
+    };
     std::vector<Item> items;
     for (auto &[id, job] : jobs_) {
         if (job.isFinished || job.acceptedWrite > storedWrite_) {
@@ -198,6 +234,8 @@
         std::pair<int, int> step {-1, -1};
         bool isStepReady = false;
         BootTime latestStart;
+        Turn turn;
+        std::size_t alike = 0; // units of the step that may still be planned
         for (auto &[key, unit] : job.units) {
             if (unit.phase != Unit::Phase::Waiting) {
                 continue;
@@ -205,7 +243,11 @@
             if (step != std::make_pair(key.occurrence, key.step)) {
                 step = {key.occurrence, key.step};
                 isStepReady = areDependenciesDone(job, key);
-                latestStart = latestStartsOf(job, key.occurrence)[key.step];
+                if (isStepReady) {
+                    latestStart = latestStartsOf(job, key.occurrence)[key.step];
+                    turn = turnOfStep(job, key, latestStart);
+                    alike = mostStartable(job, key, rank);
+                }
             }
             if (!isStepReady || mayRunOnAwaitedAgent(unit)) {
                 continue;
@@ -214,18 +256,26 @@
             if (isNew) {
                 unit.readySince = now;
             }
-            items.push_back({{rank, job.queue.priority, latestStart, job.order}, &job, &key, &unit, isNew});
+            // The units of a step are alike, so that no more of them can find capacity than would fit into all that is free.
+            const bool isAlike = unit.failedOn.empty() && unit.progress.crashes.empty();
+            if (isAlike && alike == 0) {
+                continue;
+            }
+            alike -= isAlike && alike > 0 ? 1 : 0;
+            items.push_back({{rank, job.queue.priority, turn, job.order}, latestStart, &job, &key, &unit, isNew});
         }
     }
     std::stable_sort(items.begin(), items.end(), [](const Item &left, const Item &right) {
         return left.order < right.order;
     });
-    items.resize(std::min(items.size(), maxPlannedUnits));
+    if (!options_.loadPolicy.plansAllUnits) {
+        items.resize(std::min(items.size(), maxPlannedUnits));
+    }
     std::vector<WaitingUnit> units;
     for (const Item &item : items) {
         units.push_back(makeWaitingUnit(*item.job, *item.key, *item.unit, std::get<Rank>(item.order), now));
         addAdvice(*item.job, *item.key, units.back(), now);
-        applyLoadPolicy(*item.job, *item.key, *item.unit, std::get<BootTime>(item.order), units.back(), now);
+        applyLoadPolicy(*item.job, *item.key, *item.unit, item.latestStart, units.back(), now);
         if (item.isNew) {
             observeUrgentArrival(units.back(), now);
         }
--- a/tests/cell/loadpolicytest.cpp
+++ b/tests/cell/loadpolicytest.cpp
@@ -105,7 +105,7 @@
 TEST(LoadPolicy, burstOfUrgentGangsReservesWhatArrivesWhileCapacityIsFreed)
 {
     ArrivalForecast forecast;
-    for (int number = 0; number < 200; ++number) {
+    for (std::int64_t number = 0; number < 200; ++number) {
         observeArrival(forecast, 1, at(number * 200));
     }
     const double reserved = reservedEndpoints(forecast, 100, *parseLoadPolicy("worth"), at(40000));
--- a/tests/cell/loadtest.cpp
+++ b/tests/cell/loadtest.cpp
@@ -274,3 +274,55 @@
     CHECK_TRUE(startsOf(send(*scheduler, "a1", unlisted)).empty());
     LONGS_EQUAL(1, startsOf(send(*scheduler, "a1", reportOf("i-1", 1))).size());
 }
+
+/// More than 2,000 units of one job waited for a label that no endpoint has, and units behind them were never planned.
+TEST(SchedulerLoad, unitsBehindThousandsThatFindNoCapacityAreStartedWithTheLoadPolicy)
+{
+    loadPolicy = *parseLoadPolicy("worth");
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    send(*scheduler, "a1", reportOf("i-1", 1));
+    Step hopeless = plainStep(3000, {1000, 1000, 1});
+    hopeless.requiredLabel = "absent";
+    CHECK_TRUE(startsOf(send(*scheduler, "entry", submitOf(plainJob("hopeless", "usual", {hopeless})))).empty());
+    LONGS_EQUAL(1, startsOf(send(*scheduler, "entry", submitOf(plainJob("small", "later", {plainStep(1, {1000, 1000, 1})})))).size());
+}
+
+/// review/10, LOST: a gang of the whole fleet waits behind a task that lasts for days, and later tasks have most of the fleet to themselves.
+TEST(SchedulerLoad, gangBehindALastingTaskDoesNotKeepLaterTasksFromAnIdleFleet)
+{
+    loadPolicy = *parseLoadPolicy("worth");
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    for (int number = 1; number <= 4; ++number) {
+        send(*scheduler, "a" + std::to_string(number), reportOf("i-" + std::to_string(number), 1));
+    }
+    Step lasting = plainStep(1, {1000, 1000, 1});
+    lasting.isLongRunning = true;
+    LONGS_EQUAL(1, startsOf(send(*scheduler, "entry", submitOf(plainJob("lasting", "usual", {lasting})))).size());
+    Step gang = plainStep(4, {1000, 1000, 8});
+    gang.isGang = true;
+    CHECK_TRUE(startsOf(send(*scheduler, "entry", submitOf(plainJob("gang", "usual", {gang})))).empty());
+    LONGS_EQUAL(1, startsOf(send(*scheduler, "entry", submitOf(plainJob("small", "usual", {plainStep(1, {1000, 1000, 1})})))).size());
+}
+
+/// LOST: with a steady stream of urgent gangs, a gang of the whole fleet finds the fleet free within three seconds of its turn.
+TEST(SchedulerLoad, reserveForUrgentWorkDoesNotKeepALargeGangFromAnIdleFleet)
+{
+    loadPolicy = *parseLoadPolicy("worth");
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
+    for (int number = 1; number <= 4; ++number) {
+        send(*scheduler, "a" + std::to_string(number), reportOf("i-" + std::to_string(number), 1));
+    }
+    Step urgent = plainStep(2, {1000, 1000, 8});
+    urgent.isGang = true;
+    const std::vector<wire::StartOrder> running = startsOf(send(*scheduler, "entry", submitOf(plainJob("urgent", "urgent", {urgent}))));
+    LONGS_EQUAL(2, running.size());
+    for (const wire::StartOrder &order : running) {
+        wire::EndpointReport report = reportOf(order.endpoint, 1);
+        report.ended = {endOf(1, order.run, wire::RunEnding::Done)};
+        send(*scheduler, "a" + order.endpoint.substr(2), report);
+    }
+    Step large = plainStep(4, {1000, 1000, 8});
+    large.isGang = true;
+    std::size_t started = startsOf(send(*scheduler, "entry", submitOf(plainJob("large", "later", {large})))).size();
+    LONGS_EQUAL(4, started);
+}
--- a/tests/cell/scaletest.cpp
+++ b/tests/cell/scaletest.cpp
@@ -58,13 +58,16 @@
     }
 
     /// The median processor time of a planning round in milliseconds. Each round follows the end of one run.
-    double medianRound(int endpoints)
+    double medianRound(int endpoints, int wideJobs = 0)
     {
         const std::unique_ptr<Scheduler> scheduler = makeScheduler(1);
         for (int number = 0; number < endpoints; ++number) {
             scheduler->receive(agentOf(number), fleetReport(number), now, wall);
         }
         submitLoad(*scheduler, endpoints);
+        for (int number = 0; number < wideJobs; ++number) {
+            scheduler->receive("entry", submitOf(plainJob("wide" + std::to_string(number), "later", {plainStep(200, {11000, 33000, 1})})), now, wall);
+        }
         SchedulerOutput output = settle(*scheduler);
         std::vector<std::pair<std::string, wire::StartOrder>> running = messagesOf<wire::StartOrder>(output);
         std::map<std::string, std::vector<wire::RunRef>> listed;
@@ -97,7 +100,8 @@
             advance(Milliseconds(20));
         }
         std::sort(rounds.begin(), rounds.end());
-        std::printf("endpoints %d: round of decisions %.2f ms median, %.2f ms longest\n", endpoints, rounds[rounds.size() / 2], rounds.back());
+        std::printf(
+            "endpoints %d, wide jobs %d: round of decisions %.2f ms median, %.2f ms longest\n", endpoints, wideJobs, rounds[rounds.size() / 2], rounds.back());
         return rounds[rounds.size() / 2];
     }
 };
@@ -111,3 +115,17 @@
 {
     CHECK(medianRound(200) < 20);
 }
+
+/// With the policy on, all waiting units are planned, and the endpoints' reservations are derived in each round.
+TEST(SchedulerScale, roundStaysShortWithTheLoadPolicyAtTwoHundredEndpoints)
+{
+    loadPolicy = *parseLoadPolicy("worth");
+    CHECK(medianRound(200) < 20);
+}
+
+/// A flood of later work must neither hide waiting units from the planner nor make its rounds longer than the time between them.
+TEST(SchedulerScale, roundStaysShortWithTheLoadPolicyWhenThirtyThousandTasksWaitForAHundredAndSixtyEndpoints)
+{
+    loadPolicy = *parseLoadPolicy("worth");
+    CHECK(medianRound(160, 150) < 20);
+}
