--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -99,6 +99,15 @@
         std::make_unique<HttpServer>(loop_, Address {settings_.peers.ip, settings_.metricsPort}, [this](const HttpRequest &, const HttpResponder &respond) {
             HttpResponse response;
             response.headers["content-type"] = "text/plain; version=0.0.4";
+            if (schedulerCore_) {
+                const cell::LoadGauges &load = schedulerCore_->loadGauges();
+                for (const auto &[service, endpoints] : load.reserved) {
+                    metrics_.set("reserved_endpoints", endpoints, {{"service", service}});
+                }
+                for (const auto &[rank, units] : load.waiting) {
+                    metrics_.set("waiting_units", double(units), {{"rank", std::to_string(static_cast<int>(rank))}});
+                }
+            }
             response.body = metrics_.text();
             respond(std::move(response));
         });
--- a/src/libknapweed/cell/schedulerload.cpp
+++ b/src/libknapweed/cell/schedulerload.cpp
@@ -53,11 +53,11 @@
         used -= capacity->second.free;
         const bool isIdle = dominantShare(used, capacity->second.capacity) < 1 - mostlyIdleShare;
         const double reserved = isIdle ? 0 : reservedEndpoints(forecast, capacity->second.endpoints, options_.loadPolicy, now);
+        loadGauges_.reserved[service] = reserved;
         if (reserved > 0) {
             policy.reserved[service] = reserved;
         }
     }
-    loadGauges_.reserved = policy.reserved;
     if (!policy.reserved.empty() && now - reserveLoggedAt_ >= logInterval) {
         reserveLoggedAt_ = now;
         for (const auto &[service, reserved] : policy.reserved) {
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -226,6 +226,7 @@
         return tasksWithin(countedNeeds(job.spec.steps[key.step]), rank <= Rank::First ? capacity->second.capacity : capacity->second.free) + 1;
     };
     std::vector<Item> items;
+    loadGauges_.waiting = {{Rank::Guaranteed, 0}, {Rank::First, 0}, {Rank::Second, 0}, {Rank::Later, 0}};
     for (auto &[id, job] : jobs_) {
         if (job.isFinished || job.acceptedWrite > storedWrite_) {
             continue;
@@ -252,6 +253,7 @@
             if (!isStepReady || mayRunOnAwaitedAgent(unit)) {
                 continue;
             }
+            ++loadGauges_.waiting[rank];
             const bool isNew = unit.readySince == BootTime();
             if (isNew) {
                 unit.readySince = now;
