--- a/src/libknapweed/cell/settings.cpp
+++ b/src/libknapweed/cell/settings.cpp
@@ -91,6 +91,25 @@
     return static_cast<std::int64_t>(limit->get<double>());
 }
 
+/// The load policy and the times that it depends on, which the platform may leave open.
+LoadPolicyOptions readLoadPolicy(JsonObjectReader &root)
+{
+    const nlohmann::json *name = root.member("load_policy");
+    const std::optional<LoadPolicyOptions> policy = parseLoadPolicy(name == nullptr ? "off" : name->is_string() ? name->get<std::string>() : "");
+    if (!policy) {
+        root.fault("load_policy", describeFound(*name), "off or worth, the latter with names of mechanisms such as worth,-reserve");
+        return {};
+    }
+    LoadPolicyOptions options = *policy;
+    for (const auto &[key, time] : {std::pair("stop_ms", &options.stopTime), std::pair("reclaim_ms", &options.reclaimTime)}) {
+        const nlohmann::json *bound = root.member(key);
+        if (bound != nullptr && !bound->is_null()) {
+            *time = root.duration(key, {Milliseconds(1), Seconds(600), *time});
+        }
+    }
+    return options;
+}
+
 CellSettings readRoot(JsonObjectReader &root, const JsonReport &report)
 {
     CellSettings settings;
@@ -118,6 +137,7 @@
     }
     if (!root.isPresent() || (isRoleKnown && settings.role == ProcessRole::Entry)) {
         settings.configurationApplyTime = root.duration("configuration_apply_ms", {minApplyTime, Seconds(60), defaultApplyTime});
+        settings.loadPolicy = readLoadPolicy(root);
         settings.callers = readAddress(root, "callers");
         settings.readiness = readAddress(root, "readiness");
         const nlohmann::json *advice = root.member("advice");
--- a/src/libknapweed/cell/settings.h
+++ b/src/libknapweed/cell/settings.h
@@ -7,6 +7,7 @@
 #include "base/logging.h"
 #include "base/result.h"
 #include "base/settings.h"
+#include "cell/loadpolicy.h"
 
 #include <optional>
 #include <string>
@@ -34,6 +35,7 @@
     LogLevel logLevel = LogLevel::Info;
     std::optional<Milliseconds> evacuationApplyTime; ///< an evacuation that the store has acknowledged is in force after this time; unset: they are not served
     Milliseconds configurationApplyTime {0}; ///< entry only: a change that the store has acknowledged has to be in force after this time
+    LoadPolicyOptions loadPolicy; ///< entry only: what is delayed when capacity is short, with the times that it depends on
     Address callers; ///< entry only: listen address for callers
     Address advice; ///< entry only: the placement adviser; port 0 if there is none
     Address readiness; ///< entry only: listen address for readiness checks
--- a/tests/settings/cellsettingstest.cpp
+++ b/tests/settings/cellsettingstest.cpp
@@ -49,6 +49,8 @@
         {"{{bounds.graceS}}", "6"},
         {"{{bounds.configApplyMs}}", "3000"},
         {"{{bounds.evacuateMs|json}}", "5000"},
+        {"{{bounds.stopMs|json}}", "900"},
+        {"{{bounds.reclaimMs|json}}", "null"},
         {"{{limits.cpuShare}}", "0.25"},
         {"{{limits.memoryMb|json}}", "160"},
         {"{{limits.maxFds|json}}", "4100"},
@@ -116,6 +118,20 @@
     LONGS_EQUAL(0, value(parseCellSettings(settings.dump())).maximumDescriptors);
 }
 
+TEST(CellSettings, loadPolicyIsOffUnlessItIsSetAndItsMechanismsCanBeSwitchedOff)
+{
+    nlohmann::json settings = entryCell();
+    CHECK(value(parseCellSettings(settings.dump())).loadPolicy == LoadPolicyOptions());
+    settings["load_policy"] = "worth,-reserve,-backfill,admission";
+    settings["stop_ms"] = 700;
+    settings["reclaim_ms"] = nullptr;
+    const LoadPolicyOptions options = value(parseCellSettings(settings.dump())).loadPolicy;
+    CHECK(!options.reservesForUrgentWork && !options.reservesByPredictedEnds);
+    CHECK(options.weighsVictims && options.limitsAdmission);
+    LONGS_EQUAL(700, options.stopTime.count());
+    LONGS_EQUAL(LoadPolicyOptions().reclaimTime.count(), options.reclaimTime.count());
+}
+
 TEST(CellSettings, seedsGetThePeerPort)
 {
     const Result<CellSettings, SettingsError> parsed = parseCellSettings(entryCell().dump());
@@ -159,6 +175,11 @@
         {"memory_mb", "\"160\""},
         {"max_descriptors", "127"},
         {"max_descriptors", "[]"},
+        {"load_policy", "\"cheapest\""},
+        {"load_policy", "\"worth,-everything\""},
+        {"load_policy", "7"},
+        {"stop_ms", "0"},
+        {"reclaim_ms", "\"soon\""},
         {"seeds", "7"},
         {"seeds", "[\"10.1.0.19\"]"},
         {"callers", "\"somewhere:12345\""},
