Take a run as stalled only by comparison with its own pace

The limit was 2.5 s for every task. It is now the time of 3 percent at the pace that the run has shown, or before that at its expected run time with room for the tail, at least 2.5 s, and doubles with each stop. An endpoint is avoided only if two tasks stand still there within 10 s.

--- a/src/libknapweed/cell/fleet.cpp
+++ b/src/libknapweed/cell/fleet.cpp
@@ -1,4 +1,4 @@
-// Computes the free capacity of an endpoint.
+// Computes what the scheduler derives from its view of an endpoint and its runs.
 
 #include "cell/fleet.h"
 
@@ -23,6 +23,11 @@
     return hasSettled(isListed, allocation.percent, now - allocation.firstOrderedAt);
 }
 
+RunProgress progressOf(const Allocation &allocation, BootTime now)
+{
+    return {std::chrono::duration_cast<Milliseconds>(now - allocation.firstOrderedAt), allocation.pace.startPercent, allocation.percent};
+}
+
 Resources freeCapacity(const Endpoint &endpoint)
 {
     Resources free = endpoint.capacity;
--- a/src/libknapweed/cell/fleet.h
+++ b/src/libknapweed/cell/fleet.h
@@ -1,6 +1,8 @@
 // The scheduler's view of the endpoints: their identity and capacity, and all runs that are active or may still be started there.
 #pragma once
 
+#include "cell/runpace.h"
+#include "cell/runprediction.h"
 #include "jobs/job.h"
 
 #include <deque>
@@ -35,7 +37,8 @@
     bool isAdopted = false; ///< not started by this scheduler, so that its start time is unknown
     bool isWhole = false; ///< started without a checkpoint, so that its run time is that of the whole task
     int percent = 0;
-    BootTime progressAt; ///< when percent last changed
+    BootTime progressAt; ///< when percent last changed, or a lack of progress began to count
+    RunPace pace;
     std::string checkpoint; ///< the newest one reported by the endpoint
 };
 
@@ -65,6 +68,9 @@
     int failuresInRow = 0; ///< failed runs since the last success, without those of jobs that fail on all endpoints
     BootTime lastFailure; ///< meaningful while failuresInRow is not 0
     BootTime avoidUntil; ///< no starts before this time, because runs have failed or stalled on it
+    /// When tasks were last stopped for standing still here: by task if it had shown its pace, else by job, because all tasks of a job may be slower than
+    /// expected.
+    std::map<std::string, BootTime> stalls;
 };
 
 /// Whether an endpoint has shown that it survived the start of a run @p age ago: by the run's progress, or by going on for longer than its agent would report
@@ -72,6 +78,9 @@
 bool hasSettled(bool isListed, int percent, Milliseconds age);
 bool hasSettled(const Allocation &allocation, BootTime now);
 
+/// Input of remainingTime().
+RunProgress progressOf(const Allocation &allocation, BootTime now);
+
 /// Capacity that no run uses or may still use.
 Resources freeCapacity(const Endpoint &endpoint);
 
--- a/src/libknapweed/cell/jobtable.h
+++ b/src/libknapweed/cell/jobtable.h
@@ -31,6 +31,7 @@
     bool isStopping = false;
     BootTime readySince; ///< when the unit became ready to start; the epoch before that
     std::set<std::string> failedOn; ///< agents of the endpoints where it failed or stalled
+    int stalls = 0; ///< how often it was stopped for showing no progress
 };
 
 struct Job
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -200,6 +200,7 @@
     void recordCheckpoint(const RunId &run, const std::string &checkpoint);
     void writePendingCheckpoints(BootTime now);
     void checkRuns(Endpoint &endpoint, BootTime now);
+    static void recordStall(Endpoint &endpoint, const RunId &run, const Allocation &allocation, BootTime now);
     void addDueOccurrences(BootTime now, WallTime wall);
     void removeOldJobs(BootTime now);
     void removeOldEarlyCancels(BootTime now);
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -235,6 +235,7 @@
         }
         if (row.percent != allocation.percent) {
             allocation.percent = row.percent;
+            observePercent(allocation.pace, row.percent, now);
             allocation.progressAt = now;
             observeProgress(endpoint, run, allocation, now);
         }
--- a/src/libknapweed/cell/schedulerhealth.cpp
+++ b/src/libknapweed/cell/schedulerhealth.cpp
@@ -3,6 +3,7 @@
 #include "cell/scheduler.h"
 
 #include "base/logging.h"
+#include "cell/runwire.h"
 
 namespace knapweed::cell
 {
@@ -12,10 +13,11 @@
 
 constexpr Milliseconds orderTimeout {1500}; ///< longer than the agent's time-out for a call, so that the answer was lost with its connection
 constexpr Milliseconds stopInterval {1000}; ///< between repeated stop orders for one run
-constexpr Milliseconds stallTimeout {2500}; ///< longest time without progress; healthy tasks show progress in each report
 constexpr Seconds checkpointInterval {2}; ///< between records of a job written only for its checkpoints: the additional work lost if all processes are lost
 constexpr Seconds avoidDuration {6}; ///< how long an endpoint that fails or stalls its runs is given no work
 constexpr std::size_t maxBlamedEndpoints = 2; ///< if a job has failed on more endpoints and succeeded on none, the job itself is the cause
+constexpr Seconds stallWindow {10}; ///< within which tasks that stand still on one endpoint are counted together; longer than the smallest limits differ
+constexpr std::size_t stallsToAvoid = 2; ///< tasks that stand still on an endpoint before it is avoided; a single one may be slower than expected
 constexpr int failuresToAvoid = 3; ///< consecutive failed runs after which an endpoint is avoided; fewer are common with jobs that cannot succeed
 
 } // namespace
@@ -75,17 +77,44 @@
         // The members of a gang end together: a member that has completed its work waits for the slower ones.
         const bool isWaitingForGang = unit != nullptr && unit->indices.size() > 1 && allocation.percent >= 100;
         const bool isWorking = allocation.state == Allocation::State::Listed && unit != nullptr && !unit->isStopping && !isWaitingForGang;
-        if (isWorking && !job->second.spec.steps[run.task.step].isLongRunning && now - allocation.progressAt > stallTimeout) {
+        const Step *step = isWorking ? &job->second.spec.steps[run.task.step] : nullptr;
+        if (step == nullptr || step->isLongRunning || now - allocation.progressAt <= shortestStallLimit) {
+            continue;
+        }
+        const Milliseconds limit = stallLimit(allocation.pace, {runTimeOf(job->second, *step), step->estimate}, unit->stalls);
+        if (now - allocation.progressAt > limit) {
             logEvent(LogLevel::Warning,
                 "run.stalled",
-                {{"job", run.task.job}, {"run", std::to_string(run.run)}, {"endpoint", endpoint.id}, {"percent", std::to_string(allocation.percent)}});
+                {{"job", run.task.job},
+                    {"run", std::to_string(run.run)},
+                    {"endpoint", endpoint.id},
+                    {"percent", std::to_string(allocation.percent)},
+                    {"limit_ms", std::to_string(limit.count())},
+                    {"stalls", std::to_string(unit->stalls)}});
+            recordStall(endpoint, run, allocation, now);
             unit->failedOn.insert(endpoint.agent);
-            endpoint.avoidUntil = now + avoidDuration;
+            ++unit->stalls;
             stopUnit(*unit, now);
         }
     }
 }
 
+/// An endpoint that lets all its tasks stand still is given no work for some time. A task that takes longer than expected is no reason for that.
+void Scheduler::recordStall(Endpoint &endpoint, const RunId &run, const Allocation &allocation, BootTime now)
+{
+    std::erase_if(endpoint.stalls, [now](const auto &stall) {
+        return now - stall.second > stallWindow;
+    });
+    const bool isPaceKnown = timePerPercent(allocation.pace).has_value();
+    endpoint.stalls[isPaceKnown ? nameOf(run.task) : run.task.job] = now;
+    if (endpoint.stalls.size() >= stallsToAvoid) {
+        endpoint.avoidUntil = now + avoidDuration;
+        logEvent(LogLevel::Warning,
+            "endpoint.avoided",
+            {{"endpoint", endpoint.id}, {"reason", "stalls"}, {"within_window", std::to_string(endpoint.stalls.size())}});
+    }
+}
+
 /// Records the checkpoint from which the task resumes if its endpoint is lost.
 void Scheduler::recordCheckpoint(const RunId &run, const std::string &checkpoint)
 {
--- a/src/libknapweed/cell/schedulerstarts.cpp
+++ b/src/libknapweed/cell/schedulerstarts.cpp
@@ -115,6 +115,7 @@
     allocation->second.orderedAt = now;
     allocation->second.firstOrderedAt = now;
     allocation->second.progressAt = now;
+    allocation->second.pace = allocation->second.isWhole ? paceFromStart(now) : RunPace();
     wire::StartOrder order = start.order;
     order.validUntilMs = (endpoint->lastReportSentAt + startOrderValidity).time_since_epoch().count();
     output_.messages.emplace_back(start.agent, std::move(order));
