Keep the speeds of endpoints across a change of scheduler, and learn them from few tasks

Learned speeds ended with the scheduler. It now states them to the agents with its grants, and takes them back from the first reports of a boot (optional fields). Members of a gang, which all show the pace of the slowest one, are not compared with each other any more; a fast gang bounds how slow its members are.

A draining endpoint's report states the time that is left when it is sent; it used to repeat the announced time.

--- a/src/libknapweed/cell/agent.cpp
+++ b/src/libknapweed/cell/agent.cpp
@@ -206,6 +206,9 @@
     if (grant.sentAtMs > 0) {
         leaseExpiresAt_ = std::max(leaseExpiresAt_, BootTime(Milliseconds(grant.sentAtMs)) + options_.lease);
     }
+    if (grant.__isset.speedPermille) {
+        incarnation_->speedPermille = grant.speedPermille;
+    }
     if (grant.endsStored <= incarnation_->endsStored) {
         return;
     }
--- a/src/libknapweed/cell/agent.h
+++ b/src/libknapweed/cell/agent.h
@@ -93,6 +93,7 @@
         bool mayHaveMissedEnds = false; ///< an answer with the end of a run may have been missed since the newest lists
         bool isReplaced = false; ///< the next incarnation answers, so that nothing since hides an end of this one
         std::map<RunId, std::uint64_t> started; ///< started but maybe not listed yet; with the newest renewal sent before the answer
+        std::int32_t speedPermille = 0; ///< relative speed of the endpoint as a scheduler has last stated it; 0: not stated
         bool hasLeft = false; ///< announced since the newest report; its runs end with it
         BootTime leavesAt; ///< earliest time at which the endpoint may be gone; meaningful while draining
         bool isGone = false; ///< the endpoint was due to leave and its address refuses connections: nothing runs there any more
--- a/src/libknapweed/cell/agentreports.cpp
+++ b/src/libknapweed/cell/agentreports.cpp
@@ -84,8 +84,13 @@
     report.memoryMib = incarnation_->status.capacity.memoryMib;
     report.accelerators = incarnation_->status.capacity.accelerators;
     report.draining = incarnation_->status.isDraining;
-    report.leavesInMs = incarnation_->status.remaining.count();
+    const Milliseconds remaining = std::chrono::duration_cast<Milliseconds>(incarnation_->leavesAt - now);
+    report.leavesInMs = incarnation_->status.isDraining ? std::max<std::int64_t>(0, remaining.count()) : incarnation_->status.remaining.count();
     report.generation = generation_;
+    if (incarnation_->speedPermille > 0) {
+        report.__set_speedPermille(incarnation_->speedPermille);
+        report.__set_speedBorn(incarnation_->status.incarnation);
+    }
     if (areLostRunsKnown_ && now < lostRunsExpireAt_) {
         for (const LostRun &lost : lostRuns_) {
             wire::LostRun row;
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -6,6 +6,7 @@
 #include "cell/runwire.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace knapweed::cell
 {
@@ -13,11 +14,20 @@
 namespace
 {
 
+constexpr double noticeableSpeedRatio = 1.05; ///< a smaller change of a speed changes no placement
+
 bool isStep(const JobSpec &spec, int step)
 {
     return step >= 0 && step < static_cast<int>(spec.steps.size());
 }
 
+/// The relative speed that an earlier scheduler, or this one, has given to the agent for this boot of its endpoint; 0 if none.
+double statedSpeed(const wire::EndpointReport &report)
+{
+    const bool isStated = report.__isset.speedPermille && report.__isset.speedBorn && report.speedBorn == report.born && report.speedPermille > 0;
+    return isStated ? double(report.speedPermille) / 1000 : 0;
+}
+
 } // namespace
 
 Endpoint *Scheduler::currentEndpoint(const std::string &agent, std::int64_t incarnation, const std::string &id)
@@ -89,6 +99,9 @@
         endpoint.agent = agent;
         endpoint.id = report.endpoint;
         endpoint.incarnation = report.born;
+        if (statedSpeed(report) > 0) {
+            carrySpeed(speeds_, agent, statedSpeed(report), now);
+        }
         isPlanDue_ = true;
         logEvent(LogLevel::Info,
             "endpoint.joined",
@@ -136,6 +149,11 @@
     grant.endpoint = endpoint.id;
     grant.born = endpoint.incarnation;
     grant.endsStored = endpoint.endsStored;
+    const double speed = relativeSpeed(speeds_, endpoint.agent);
+    const double stated = statedSpeed(report) > 0 ? statedSpeed(report) : 1;
+    if (std::max(speed, stated) >= noticeableSpeedRatio * std::min(speed, stated)) {
+        grant.__set_speedPermille(static_cast<std::int32_t>(std::lround(speed * 1000)));
+    }
     output_.messages.emplace_back(endpoint.agent, grant);
 }
 
--- a/src/libknapweed/cell/schedulerestimates.cpp
+++ b/src/libknapweed/cell/schedulerestimates.cpp
@@ -5,13 +5,19 @@
 #include "cell/objective.h"
 #include "cell/runwire.h"
 
+#include <cmath>
+
 namespace knapweed::cell
 {
 
 namespace
 {
 
-constexpr int minComparedPercent = 10; ///< progress from which a run time is derived; reports are up to half a second old
+constexpr int minComparedPercent = 3; ///< progress from which a run time is derived; less of it says nothing, because percentages are whole
+constexpr Milliseconds minComparedAge {1000}; ///< age from which a run time is derived
+constexpr Milliseconds percentDelay {300}; ///< mean age of a percentage that has just been reported, with the time until the start
+constexpr double percentDelayNoise = 0.2; ///< standard deviation of that in seconds
+constexpr double taskDeviation = 0.25; ///< standard deviation of the logarithm of run times within one step
 
 } // namespace
 
@@ -39,13 +45,25 @@
     }
 }
 
-/// Derives the run time of a task from its progress, once there is enough of it to be compared.
+/// Derives the run time of a task from its progress, once there is enough of it to be compared. The members of a gang only show that none is slower.
 void Scheduler::observeProgress(const Endpoint &endpoint, const RunId &run, const Allocation &allocation, BootTime now)
 {
-    if (allocation.isWhole && allocation.percent >= minComparedPercent && allocation.percent < 100) {
-        const Milliseconds runTime = (now - allocation.firstOrderedAt) * 100 / allocation.percent;
-        observePace(speeds_, {run.task.job, run.task.occurrence, run.task.step}, run.task.index, endpoint.agent, runTime, now);
+    const Milliseconds age = std::chrono::duration_cast<Milliseconds>(now - allocation.firstOrderedAt);
+    if (!allocation.isWhole || allocation.percent < minComparedPercent || allocation.percent >= 100 || age < minComparedAge) {
+        return;
+    }
+    const Milliseconds runTime = (age - percentDelay) * 200 / (2 * allocation.percent + 1);
+    const auto job = jobs_.find(run.task.job);
+    const Step *step = job == jobs_.end() ? nullptr : &job->second.spec.steps[run.task.step];
+    if (step != nullptr && step->isGang) {
+        const std::optional<Milliseconds> learned = runTimes_.learned(job->second.spec.account, job->second.spec.queue);
+        if (learned) {
+            observeGangPace(speeds_, endpoint.agent, runTime, *learned, now);
+        }
+        return;
     }
+    const double noise = std::hypot(percentDelayNoise / std::chrono::duration<double>(age - percentDelay).count(), 0.5 / allocation.percent) / taskDeviation;
+    observePace(speeds_, {run.task.job, run.task.occurrence, run.task.step}, run.task.index, endpoint.agent, runTime, now, 1 / (1 + noise * noise));
 }
 
 /// Expected duration of one run of the step: the median of recent runs of its queue, or of what submitters declared while too few are known.
--- a/src/libknapweed/peers/gen/peers_types.cpp
+++ b/src/libknapweed/peers/gen/peers_types.cpp
@@ -7713,6 +7713,16 @@
 void EndpointReport::__set_lost(const std::vector<LostRun> & val) {
   this->lost = val;
 }
+
+void EndpointReport::__set_speedPermille(const int32_t val) {
+  this->speedPermille = val;
+__isset.speedPermille = true;
+}
+
+void EndpointReport::__set_speedBorn(const int64_t val) {
+  this->speedBorn = val;
+__isset.speedBorn = true;
+}
 std::ostream& operator<<(std::ostream& out, const EndpointReport& obj)
 {
   obj.printTo(out);
@@ -7941,6 +7951,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->speedPermille);
+          this->__isset.speedPermille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->speedBorn);
+          this->__isset.speedBorn = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8066,6 +8092,16 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.speedPermille) {
+    xfer += oprot->writeFieldBegin("speedPermille", ::apache::thrift::protocol::T_I32, 20);
+    xfer += oprot->writeI32(this->speedPermille);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.speedBorn) {
+    xfer += oprot->writeFieldBegin("speedBorn", ::apache::thrift::protocol::T_I64, 21);
+    xfer += oprot->writeI64(this->speedBorn);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8092,6 +8128,8 @@
   swap(a.rack, b.rack);
   swap(a.life, b.life);
   swap(a.lost, b.lost);
+  swap(a.speedPermille, b.speedPermille);
+  swap(a.speedBorn, b.speedBorn);
   swap(a.__isset, b.__isset);
 }
 
@@ -8115,6 +8153,8 @@
   rack = other241.rack;
   life = other241.life;
   lost = other241.lost;
+  speedPermille = other241.speedPermille;
+  speedBorn = other241.speedBorn;
   __isset = other241.__isset;
 }
 EndpointReport::EndpointReport(EndpointReport&& other242) noexcept {
@@ -8137,6 +8177,8 @@
   rack = std::move(other242.rack);
   life = other242.life;
   lost = std::move(other242.lost);
+  speedPermille = other242.speedPermille;
+  speedBorn = other242.speedBorn;
   __isset = other242.__isset;
 }
 EndpointReport& EndpointReport::operator=(const EndpointReport& other243) {
@@ -8159,6 +8201,8 @@
   rack = other243.rack;
   life = other243.life;
   lost = other243.lost;
+  speedPermille = other243.speedPermille;
+  speedBorn = other243.speedBorn;
   __isset = other243.__isset;
   return *this;
 }
@@ -8182,6 +8226,8 @@
   rack = std::move(other244.rack);
   life = other244.life;
   lost = std::move(other244.lost);
+  speedPermille = other244.speedPermille;
+  speedBorn = other244.speedBorn;
   __isset = other244.__isset;
   return *this;
 }
@@ -8207,6 +8253,8 @@
   out << ", " << "rack=" << to_string(rack);
   out << ", " << "life=" << to_string(life);
   out << ", " << "lost=" << to_string(lost);
+  out << ", " << "speedPermille="; (__isset.speedPermille ? (out << to_string(speedPermille)) : (out << "<null>"));
+  out << ", " << "speedBorn="; (__isset.speedBorn ? (out << to_string(speedBorn)) : (out << "<null>"));
   out << ")";
 }
 
@@ -8234,6 +8282,11 @@
 void EndpointGrant::__set_endsStored(const int64_t val) {
   this->endsStored = val;
 }
+
+void EndpointGrant::__set_speedPermille(const int32_t val) {
+  this->speedPermille = val;
+__isset.speedPermille = true;
+}
 std::ostream& operator<<(std::ostream& out, const EndpointGrant& obj)
 {
   obj.printTo(out);
@@ -8302,6 +8355,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->speedPermille);
+          this->__isset.speedPermille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8339,6 +8400,11 @@
   xfer += oprot->writeI64(this->endsStored);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.speedPermille) {
+    xfer += oprot->writeFieldBegin("speedPermille", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->speedPermille);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8351,6 +8417,7 @@
   swap(a.endpoint, b.endpoint);
   swap(a.born, b.born);
   swap(a.endsStored, b.endsStored);
+  swap(a.speedPermille, b.speedPermille);
   swap(a.__isset, b.__isset);
 }
 
@@ -8360,6 +8427,7 @@
   endpoint = other245.endpoint;
   born = other245.born;
   endsStored = other245.endsStored;
+  speedPermille = other245.speedPermille;
   __isset = other245.__isset;
 }
 EndpointGrant::EndpointGrant(EndpointGrant&& other246) noexcept {
@@ -8368,6 +8436,7 @@
   endpoint = std::move(other246.endpoint);
   born = other246.born;
   endsStored = other246.endsStored;
+  speedPermille = other246.speedPermille;
   __isset = other246.__isset;
 }
 EndpointGrant& EndpointGrant::operator=(const EndpointGrant& other247) {
@@ -8376,6 +8445,7 @@
   endpoint = other247.endpoint;
   born = other247.born;
   endsStored = other247.endsStored;
+  speedPermille = other247.speedPermille;
   __isset = other247.__isset;
   return *this;
 }
@@ -8385,6 +8455,7 @@
   endpoint = std::move(other248.endpoint);
   born = other248.born;
   endsStored = other248.endsStored;
+  speedPermille = other248.speedPermille;
   __isset = other248.__isset;
   return *this;
 }
@@ -8396,6 +8467,7 @@
   out << ", " << "endpoint=" << to_string(endpoint);
   out << ", " << "born=" << to_string(born);
   out << ", " << "endsStored=" << to_string(endsStored);
+  out << ", " << "speedPermille="; (__isset.speedPermille ? (out << to_string(speedPermille)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libknapweed/peers/gen/peers_types.h
+++ b/src/libknapweed/peers/gen/peers_types.h
@@ -3030,7 +3030,7 @@
 std::ostream& operator<<(std::ostream& out, const LostRun& obj);
 
 typedef struct _EndpointReport__isset {
-  _EndpointReport__isset() : sequence(false), sentAtMs(false), endpoint(false), born(false), serviceName(false), failureDomain(false), labels(false), milliCores(false), memoryMib(false), accelerators(false), draining(false), isListed(false), running(false), ended(false), generation(false), leavesInMs(false), rack(false), life(false), lost(false) {}
+  _EndpointReport__isset() : sequence(false), sentAtMs(false), endpoint(false), born(false), serviceName(false), failureDomain(false), labels(false), milliCores(false), memoryMib(false), accelerators(false), draining(false), isListed(false), running(false), ended(false), generation(false), leavesInMs(false), rack(false), life(false), lost(false), speedPermille(false), speedBorn(false) {}
   bool sequence :1;
   bool sentAtMs :1;
   bool endpoint :1;
@@ -3050,6 +3050,8 @@
   bool rack :1;
   bool life :1;
   bool lost :1;
+  bool speedPermille :1;
+  bool speedBorn :1;
 } _EndpointReport__isset;
 
 class EndpointReport : public virtual ::apache::thrift::TBase {
@@ -3074,7 +3076,9 @@
                    generation(0),
                    leavesInMs(0),
                    rack(),
-                   life(0) {
+                   life(0),
+                   speedPermille(0),
+                   speedBorn(0) {
   }
 
   virtual ~EndpointReport() noexcept;
@@ -3097,6 +3101,8 @@
   std::string rack;
   int64_t life;
   std::vector<LostRun>  lost;
+  int32_t speedPermille;
+  int64_t speedBorn;
 
   _EndpointReport__isset __isset;
 
@@ -3138,6 +3144,10 @@
 
   void __set_lost(const std::vector<LostRun> & val);
 
+  void __set_speedPermille(const int32_t val);
+
+  void __set_speedBorn(const int64_t val);
+
   bool operator == (const EndpointReport & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -3178,6 +3188,14 @@
       return false;
     if (!(lost == rhs.lost))
       return false;
+    if (__isset.speedPermille != rhs.__isset.speedPermille)
+      return false;
+    else if (__isset.speedPermille && !(speedPermille == rhs.speedPermille))
+      return false;
+    if (__isset.speedBorn != rhs.__isset.speedBorn)
+      return false;
+    else if (__isset.speedBorn && !(speedBorn == rhs.speedBorn))
+      return false;
     return true;
   }
   bool operator != (const EndpointReport &rhs) const {
@@ -3197,12 +3215,13 @@
 std::ostream& operator<<(std::ostream& out, const EndpointReport& obj);
 
 typedef struct _EndpointGrant__isset {
-  _EndpointGrant__isset() : generation(false), sentAtMs(false), endpoint(false), born(false), endsStored(false) {}
+  _EndpointGrant__isset() : generation(false), sentAtMs(false), endpoint(false), born(false), endsStored(false), speedPermille(false) {}
   bool generation :1;
   bool sentAtMs :1;
   bool endpoint :1;
   bool born :1;
   bool endsStored :1;
+  bool speedPermille :1;
 } _EndpointGrant__isset;
 
 class EndpointGrant : public virtual ::apache::thrift::TBase {
@@ -3217,7 +3236,8 @@
                   sentAtMs(0),
                   endpoint(),
                   born(0),
-                  endsStored(0) {
+                  endsStored(0),
+                  speedPermille(0) {
   }
 
   virtual ~EndpointGrant() noexcept;
@@ -3226,6 +3246,7 @@
   std::string endpoint;
   int64_t born;
   int64_t endsStored;
+  int32_t speedPermille;
 
   _EndpointGrant__isset __isset;
 
@@ -3239,6 +3260,8 @@
 
   void __set_endsStored(const int64_t val);
 
+  void __set_speedPermille(const int32_t val);
+
   bool operator == (const EndpointGrant & rhs) const
   {
     if (!(generation == rhs.generation))
@@ -3251,6 +3274,10 @@
       return false;
     if (!(endsStored == rhs.endsStored))
       return false;
+    if (__isset.speedPermille != rhs.__isset.speedPermille)
+      return false;
+    else if (__isset.speedPermille && !(speedPermille == rhs.speedPermille))
+      return false;
     return true;
   }
   bool operator != (const EndpointGrant &rhs) const {
--- a/src/libknapweed/peers/peers.thrift
+++ b/src/libknapweed/peers/peers.thrift
@@ -111,13 +111,16 @@
 /// granted by the answer runs from that time. sequence increases within one incarnation (field life) of the agent's process. isListed means that the lists were
 /// read under this generation's fence, so no order of an older scheduler can take effect on the endpoint any more. lost holds the runs that ended
 /// with the incarnation of the endpoint before this one, if that crashed under the eyes of this process of the agent; it is empty if it left in order.
+/// speedPermille is the endpoint's relative speed as a scheduler has last stated it, for its incarnation born at speedBorn; a new scheduler begins with it.
 struct EndpointReport {
   1: i64 sequence, 2: i64 sentAtMs, 3: string endpoint, 4: i64 born, 5: string serviceName, 6: string failureDomain, 7: list<string> labels,
   8: i64 milliCores, 9: i64 memoryMib, 10: i64 accelerators, 11: bool draining, 12: bool isListed, 13: list<RunRow> running, 14: list<EndRow> ended,
   15: i64 generation, 16: i64 leavesInMs, 17: string rack, 18: i64 life,
-  19: list<LostRun> lost
+  19: list<LostRun> lost,
+  20: optional i32 speedPermille, 21: optional i64 speedBorn
 }
-struct EndpointGrant { 1: i64 generation, 2: i64 sentAtMs, 3: string endpoint, 4: i64 born, 5: i64 endsStored }
+/// speedPermille: stated when it differs noticeably from the one that the agent has returned.
+struct EndpointGrant { 1: i64 generation, 2: i64 sentAtMs, 3: string endpoint, 4: i64 born, 5: i64 endsStored, 6: optional i32 speedPermille }
 /// milliCores, memoryMib and accelerators are the endpoint's capacity for which the start was planned; the agent refuses it if the endpoint has less by then.
 /// validUntilMs is on the agent's boot clock, as sentAtMs of its reports; 0: not stated. The agent carries out no order after it.
 struct StartOrder {
--- a/src/libknapweed/planning/estimates.cpp
+++ b/src/libknapweed/planning/estimates.cpp
@@ -75,6 +75,12 @@
     return declared > Milliseconds::zero() ? std::max(declared, minimumRunTime) : defaultRunTime;
 }
 
+std::optional<Milliseconds> RunEstimates::learned(const std::string &account, const std::string &kind) const
+{
+    const Sample *sample = find(samples_, account, kind);
+    return sample == nullptr ? std::nullopt : std::make_optional(sample->sorted[sample->sorted.size() / 2]);
+}
+
 Milliseconds RunEstimates::quantile(const std::string &account, const std::string &kind, Milliseconds declared, double share) const
 {
     const Sample *sample = find(samples_, account, kind);
--- a/src/libknapweed/planning/estimates.h
+++ b/src/libknapweed/planning/estimates.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -21,6 +22,9 @@
     /// Adds the run time that a submitter declared. Ignores values of zero or less.
     void declare(const std::string &account, const std::string &kind, Milliseconds declared);
 
+    /// The median of the recorded run times of the kind; none while too few are recorded.
+    std::optional<Milliseconds> learned(const std::string &account, const std::string &kind) const;
+
     /// The @p share quantile of the kind's run times.
     Milliseconds quantile(const std::string &account, const std::string &kind, Milliseconds declared, double share) const;
 
