Move urgent gangs off endpoints that leave before the gang's predicted end

With the new option of SchedulerOptions, off by default, it is stopped at once if it has no checkpoints and there is free capacity for all of it elsewhere.

--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -27,6 +27,7 @@
 {
     std::int64_t generation = 0; ///< of this term; sent as the fence of all orders
     Milliseconds lease {0}; ///< how long the runs of an endpoint continue after the agent's last contact
+    bool movesGangsOfLeavingEndpoints = false; ///< urgent gangs that would be lost with an endpoint that leaves are stopped at once and planned again
 };
 
 /// Why the scheduler takes it as certain that a run uses no capacity any more.
@@ -200,6 +201,8 @@
     void recordCheckpoint(const RunId &run, const std::string &checkpoint);
     void writePendingCheckpoints(BootTime now);
     void checkRuns(Endpoint &endpoint, BootTime now);
+    void moveGangs(const Endpoint &endpoint, BootTime now);
+    bool hasRoomElsewhere(const Job &job, const UnitKey &key, const Unit &unit, BootTime now) const;
     static void recordStall(Endpoint &endpoint, const RunId &run, const Allocation &allocation, BootTime now);
     void addDueOccurrences(BootTime now, WallTime wall);
     void removeOldJobs(BootTime now);
--- a/src/libknapweed/cell/schedulerhealth.cpp
+++ b/src/libknapweed/cell/schedulerhealth.cpp
@@ -59,6 +59,7 @@
             }
         } else if (now - endpoint.lastReport < reportTimeout) {
             checkRuns(endpoint, now);
+            moveGangs(endpoint, now);
         }
     }
 }
