--- a/src/libknapweed/cell/jobtable.h
+++ b/src/libknapweed/cell/jobtable.h
@@ -35,6 +35,7 @@
     BootTime reservesSince; ///< since when endpoints are reserved for it; the epoch if none are
     Milliseconds reservedFor {0}; ///< meaningful with reservesSince: the wait that was predicted then
     BootTime preemptsSince; ///< since when others are being stopped for it; the epoch if none are
+    int stalls = 0; ///< how often it was stopped for showing no progress
 };
 
 struct Job
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -31,6 +31,7 @@
     Milliseconds lease {0}; ///< how long the runs of an endpoint continue after the agent's last contact
     bool servesEvacuations = false; ///< nothing is started in an evacuated failure domain, and nothing at all while it is not known which ones are
     LoadPolicyOptions loadPolicy {}; ///< with the default, decisions under load are as without it
+    bool movesGangsOfLeavingEndpoints = false; ///< urgent gangs that would be lost with an endpoint that leaves are stopped at once and planned again
 };
 
 /// Why the scheduler takes it as certain that a run uses no capacity any more.
@@ -233,6 +234,9 @@
     void recordCheckpoint(const RunId &run, const std::string &checkpoint);
     void writePendingCheckpoints(BootTime now);
     void checkRuns(Endpoint &endpoint, BootTime now);
+    void moveGangs(const Endpoint &endpoint, BootTime now);
+    bool hasRoomElsewhere(const Job &job, const UnitKey &key, const Unit &unit, BootTime now) const;
+    static void recordStall(Endpoint &endpoint, const RunId &run, const Allocation &allocation, BootTime now);
     void addDueOccurrences(BootTime now, WallTime wall);
     void removeOldJobs(BootTime now);
     void removeOldEarlyCancels(BootTime now);
