--- a/src/libknapweed/cell/fleet.h
+++ b/src/libknapweed/cell/fleet.h
@@ -37,10 +37,9 @@
     bool isAdopted = false; ///< not started by this scheduler, so that its start time is unknown
     bool isWhole = false; ///< started without a checkpoint, so that its run time is that of the whole task
     int percent = 0;
-    BootTime progressAt; ///< when percent last changed
-    BootTime checkpointAt; ///< when checkpoint last changed; the epoch if it has not
     BootTime progressAt; ///< when percent last changed, or a lack of progress began to count
     RunPace pace;
+    BootTime checkpointAt; ///< when checkpoint last changed; the epoch if it has not
     std::string checkpoint; ///< the newest one reported by the endpoint
 };
 
--- a/src/libknapweed/cell/loadpolicy.cpp
+++ b/src/libknapweed/cell/loadpolicy.cpp
@@ -41,7 +41,7 @@
         {"speeds", &options.placesBySpeed},
         {"order", &options.ordersByWorth},
         {"all", &options.plansAllUnits},
-        {"admission", &options.limitsAdmission}};
+        {"leaving", &options.movesGangsOfLeavingEndpoints}};
     for (const auto &[known, field] : mechanisms) {
         if (name == known) {
             return field;
@@ -70,6 +70,7 @@
     options.placesBySpeed = true;
     options.ordersByWorth = true;
     options.plansAllUnits = true;
+    options.movesGangsOfLeavingEndpoints = true;
     while (std::getline(words, word, ',')) {
         const bool isOff = !word.empty() && word.front() == '-';
         bool *mechanism = mechanismNamed(options, isOff ? word.substr(1) : word);
--- a/src/libknapweed/cell/loadpolicy.h
+++ b/src/libknapweed/cell/loadpolicy.h
@@ -21,15 +21,14 @@
     bool placesBySpeed = false; ///< urgent gangs run where they meet their objective
     bool ordersByWorth = false; ///< units that can still meet their objective go first within a rank
     bool plansAllUnits = false; ///< all waiting units are planned, with one representative for the alike ones that find no capacity
-    bool limitsAdmission = false; ///< submissions that could only be served far too late are refused
+    bool movesGangsOfLeavingEndpoints = false; ///< urgent gangs that would be lost with an endpoint that leaves are stopped at once and planned again
     Milliseconds stopTime {900}; ///< the longest time that stopping a task takes
     Milliseconds reclaimTime {3400}; ///< within which the tasks of a guaranteed unit have to be started
 
     bool operator==(const LoadPolicyOptions &) const = default;
 };
 
-/// Parses "off" or "worth", the latter with the names of single mechanisms to switch off ("worth,-reserve") or, if they are off by default, on
-/// ("worth,admission"). Returns nothing for any other text.
+/// Parses "off" or "worth", the latter with the names of single mechanisms to switch off ("worth,-reserve"). Returns nothing for any other text.
 std::optional<LoadPolicyOptions> parseLoadPolicy(const std::string &text);
 
 /// Whether any mechanism is on.
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -31,7 +31,6 @@
     Milliseconds lease {0}; ///< how long the runs of an endpoint continue after the agent's last contact
     bool servesEvacuations = false; ///< nothing is started in an evacuated failure domain, and nothing at all while it is not known which ones are
     LoadPolicyOptions loadPolicy {}; ///< with the default, decisions under load are as without it
-    bool movesGangsOfLeavingEndpoints = false; ///< urgent gangs that would be lost with an endpoint that leaves are stopped at once and planned again
 };
 
 /// Why the scheduler takes it as certain that a run uses no capacity any more.
@@ -65,7 +64,6 @@
 {
     std::map<std::string, double> reserved; ///< endpoints kept for urgent work, by service
     std::map<Rank, std::size_t> waiting; ///< units by rank, as of the last planning round
-    std::uint64_t rejected = 0; ///< submissions since the beginning of the term
 };
 
 class Scheduler
@@ -254,7 +252,6 @@
     WaitingUnit makeWaitingUnit(const Job &job, const UnitKey &key, const Unit &unit, Rank rank, BootTime now) const;
     std::vector<PlannedEndpoint> plannedEndpoints(
         const std::set<std::string> &guaranteed, BootTime now, std::vector<std::pair<std::string, UnitKey>> &unitIds) const;
-    Milliseconds admissionDelay(const Job &job, BootTime now) const;
     void observeUrgentArrival(const WaitingUnit &waiting, BootTime now);
     void assessRunningParts(const std::vector<ObservedRun> &running, std::vector<PlannedEndpoint> &planned, BootTime now) const;
     PlannerPolicy plannerPolicy(BootTime now);
--- a/src/libknapweed/cell/schedulerleaving.cpp
+++ b/src/libknapweed/cell/schedulerleaving.cpp
@@ -67,7 +67,7 @@
 /// A step with checkpoints is left alone: what it does until the endpoint leaves is not lost, while stopping loses the work since its last checkpoint.
 void Scheduler::moveGangs(const Endpoint &endpoint, BootTime now)
 {
-    if (!options_.movesGangsOfLeavingEndpoints || !endpoint.isDraining || isRecovering_) {
+    if (!options_.loadPolicy.movesGangsOfLeavingEndpoints || !endpoint.isDraining || isRecovering_) {
         return;
     }
     std::vector<std::pair<std::string, UnitKey>> moved;
