--- a/src/libknapweed/cell/endpointspeeds.cpp
+++ b/src/libknapweed/cell/endpointspeeds.cpp
@@ -81,7 +81,7 @@
 }
 
 /// Mean in which samples far from the rest count little (Tukey's biweight). @p prior always counts in full.
-double robustMean(std::vector<Sample> samples, const Prior &prior)
+double robustMean(const std::vector<Sample> &samples, const Prior &prior)
 {
     std::vector<Sample> all = samples; // with the prior
     if (prior.weight > 0) {
@@ -141,7 +141,7 @@
         for (const auto &[index, pace] : paces) {
             usual.push_back({pace.logSeconds - slownessOf(logSlowness, pace.agent), pace.weight});
         }
-        const double level = robustMean(std::move(usual), {0, 0});
+        const double level = robustMean(usual, {0, 0});
         const double share = double(paces.size() - 1) / double(paces.size()); // the task is itself part of what it is compared with
         for (const auto &[index, pace] : paces) {
             const double weight = share * pace.weight * fadedWeight(pace.observedAt, paceHalfLife, now);
