--- a/tests/cell/evacuationstest.cpp
+++ b/tests/cell/evacuationstest.cpp
@@ -22,6 +22,7 @@
 {
     std::vector<EvacuationRecord> log;
     const int length = *rc::gen::inRange(0, 25);
+    log.reserve(static_cast<std::size_t>(length));
     for (int offset = 0; offset < length; ++offset) {
         log.push_back({std::string(1, static_cast<char>('a' + *rc::gen::inRange(0, 3))), offset, *rc::gen::arbitrary<bool>()});
     }
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -90,7 +90,7 @@
         return Process(self.options.build / "src" / "knapweedstaged", place, self.folder, self._settings(place), self.judge.findings, self.judge.history)
 
     def _settings(self, place: Place) -> str:
-        evacuate_ms = int(EVACUATE_S * 1000) if "evacuate" in self.options.faults else None
+        evacuate_ms = int(EVACUATE_S * 1000) if "evacuate" in getattr(self.options, "faults", []) else None
         text = settings_of(place, self.seeds, self.options.lease_ms, SERVICE, evacuate_ms)
         return json.dumps(json.loads(text) | {"peer_listen": f"{place.ip}:{LISTEN}"}) if self.options.has_proxies else text
 
