Leaving gangs: don't count room in an evacuated failure domain

A gang on an endpoint that leaves was stopped although the only room for it was in an evacuated failure domain, where nothing may start, so that it waited. The two features were written apart. The test fails without the change.

--- a/src/libknapweed/cell/schedulerleaving.cpp
+++ b/src/libknapweed/cell/schedulerleaving.cpp
@@ -44,7 +44,7 @@
         const bool hasLabel =
             step.requiredLabel.empty() || std::find(endpoint.labels.begin(), endpoint.labels.end(), step.requiredLabel) != endpoint.labels.end();
         const bool hasRack = step.dataRack.empty() || endpoint.rack == step.dataRack;
-        if (!isUsable || !hasLabel || !hasRack) {
+        if (!isUsable || isInEvacuatedDomain(endpoint) || !hasLabel || !hasRack) {
             continue;
         }
         Resources free = freeCapacity(endpoint);
--- a/tests/cell/leavinggangtest.cpp
+++ b/tests/cell/leavinggangtest.cpp
@@ -11,6 +11,7 @@
 {
     std::unique_ptr<Scheduler> scheduler;
     std::vector<wire::StartOrder> orders;
+    std::string roomDomain; ///< failure domain of i-3
 
     /// A gang of two fills i-1 and i-2; i-3 is free if @p hasRoom.
     void startGang(bool moves, bool hasRoom, const std::string &queue = "urgent", bool hasCheckpoints = false)
@@ -21,6 +22,7 @@
         scheduler->setConfiguration(plainConfiguration());
         scheduler->confirmTerm(now + Seconds(1), now, wall);
         scheduler->confirmLeases(BootTime::max());
+        scheduler->applyEvacuations({0, {}}, now);
         scheduler->beginRecovery(now);
         scheduler->tick(now, wall);
         send(*scheduler, "a1", reportOf("i-1", 1));
@@ -33,10 +35,17 @@
         orders = startsOf(send(*scheduler, "entry", submitOf(job)));
         LONGS_EQUAL(2, orders.size());
         if (hasRoom) {
-            send(*scheduler, "a3", reportOf("i-3", 1));
+            send(*scheduler, "a3", roomReport());
         }
     }
 
+    wire::EndpointReport roomReport() const
+    {
+        wire::EndpointReport report = reportOf("i-3", 1);
+        report.failureDomain = roomDomain;
+        return report;
+    }
+
     /// The gang shows its progress, and i-1 says that it leaves.
     SchedulerOutput drain(int percent, Milliseconds age, Milliseconds remaining)
     {
@@ -51,7 +60,7 @@
             all.messages.insert(all.messages.end(), output.messages.begin(), output.messages.end());
         }
         if (scheduler->endpoints().count("a3") != 0) {
-            const SchedulerOutput output = send(*scheduler, "a3", reportOf("i-3", 1));
+            const SchedulerOutput output = send(*scheduler, "a3", roomReport());
             all.messages.insert(all.messages.end(), output.messages.begin(), output.messages.end());
         }
         advance(Milliseconds(300));
@@ -102,6 +111,16 @@
     LONGS_EQUAL(0, messagesOf<wire::StopOrder>(drain(20, Milliseconds(1000), Milliseconds(1800))).size());
 }
 
+/// Guards against a gang that is stopped although it could only be started again where nothing may start.
+TEST(LeavingGang, gangWithRoomOnlyInAnEvacuatedDomainGoesOn)
+{
+    servesEvacuations = true;
+    roomDomain = "west-b";
+    startGang(true, true);
+    scheduler->applyEvacuations({2, {{"west-b", 1}}}, now);
+    LONGS_EQUAL(0, messagesOf<wire::StopOrder>(drain(20, Milliseconds(1000), Milliseconds(1800))).size());
+}
+
 TEST(LeavingGang, gangWithCheckpointsGoesOn)
 {
     startGang(true, true, "urgent", true);
