Load policy: one table of its mechanisms, one function for the cost of victims

The switches stood in three places, and the planner looked up the cost of each victim by another walk over the fleet. Decisions are unchanged.

--- a/src/knapweedstaged/cellleases.cpp
+++ b/src/knapweedstaged/cellleases.cpp
@@ -28,7 +28,7 @@
     return entryHistory_.entries(now);
 }
 
-/// Without other entries there is no later term to be heard of.
+/// The history of the other entries is kept by each process, because it may become the scheduler.
 void CellEntryTask::maintainLeaseConfirmation()
 {
     const cell::EntryIncarnations others = knownEntries();
--- a/src/libknapweed/cell/loadpolicy.cpp
+++ b/src/libknapweed/cell/loadpolicy.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <map>
 #include <sstream>
 
 namespace knapweed::cell
@@ -32,23 +33,15 @@
     return forecast.rate * std::exp(-std::max(0.0, secondsOf(now - forecast.updatedAt)) / forgetSeconds);
 }
 
-bool *mechanismNamed(LoadPolicyOptions &options, const std::string &name)
-{
-    const std::pair<const char *, bool *> mechanisms[] = {{"reserve", &options.reservesForUrgentWork},
-        {"backfill", &options.reservesByPredictedEnds},
-        {"victims", &options.weighsVictims},
-        {"rack", &options.waitsForRack},
-        {"speeds", &options.placesBySpeed},
-        {"order", &options.ordersByWorth},
-        {"all", &options.plansAllUnits},
-        {"leaving", &options.movesGangsOfLeavingEndpoints}};
-    for (const auto &[known, field] : mechanisms) {
-        if (name == known) {
-            return field;
-        }
-    }
-    return nullptr;
-}
+/// The switch of each mechanism, by its name in the settings.
+const std::map<std::string, bool LoadPolicyOptions::*> mechanisms = {{"reserve", &LoadPolicyOptions::reservesForUrgentWork},
+    {"backfill", &LoadPolicyOptions::reservesByPredictedEnds},
+    {"victims", &LoadPolicyOptions::weighsVictims},
+    {"rack", &LoadPolicyOptions::waitsForRack},
+    {"speeds", &LoadPolicyOptions::placesBySpeed},
+    {"order", &LoadPolicyOptions::ordersByWorth},
+    {"all", &LoadPolicyOptions::plansAllUnits},
+    {"leaving", &LoadPolicyOptions::movesGangsOfLeavingEndpoints}};
 
 } // namespace
 
@@ -63,31 +56,25 @@
     if (!std::getline(words, word, ',') || word != "worth") {
         return std::nullopt;
     }
-    options.reservesForUrgentWork = true;
-    options.reservesByPredictedEnds = true;
-    options.weighsVictims = true;
-    options.waitsForRack = true;
-    options.placesBySpeed = true;
-    options.ordersByWorth = true;
-    options.plansAllUnits = true;
-    options.movesGangsOfLeavingEndpoints = true;
+    for (const auto &[name, isOn] : mechanisms) {
+        options.*isOn = true;
+    }
     while (std::getline(words, word, ',')) {
         const bool isOff = !word.empty() && word.front() == '-';
-        bool *mechanism = mechanismNamed(options, isOff ? word.substr(1) : word);
-        if (mechanism == nullptr) {
+        const auto mechanism = mechanisms.find(isOff ? word.substr(1) : word);
+        if (mechanism == mechanisms.end()) {
             return std::nullopt;
         }
-        *mechanism = !isOff;
+        options.*mechanism->second = !isOff;
     }
     return options;
 }
 
 bool usesLoadPolicy(const LoadPolicyOptions &options)
 {
-    LoadPolicyOptions off;
-    off.stopTime = options.stopTime;
-    off.reclaimTime = options.reclaimTime;
-    return !(options == off);
+    return std::any_of(mechanisms.begin(), mechanisms.end(), [&options](const auto &mechanism) {
+        return options.*mechanism.second;
+    });
 }
 
 double coreEquivalents(const Resources &needs)
--- a/src/libknapweed/cell/planner.cpp
+++ b/src/libknapweed/cell/planner.cpp
@@ -17,30 +17,24 @@
 constexpr std::size_t maxPredictedReservations = 4; ///< blocked units that reserve endpoints at predicted ends; bounds the idle share and the time of a round
 constexpr std::size_t maxReservedGangs = 1; ///< blocked gangs without a guarantee for which endpoints are reserved; more would leave the fleet idle
 
-double costOf(std::size_t unit, const Table &table)
+/// The cost of each unit that the choice stops.
+std::map<std::size_t, double> victimCosts(const Choice &choice, const Table &table)
 {
+    std::map<std::size_t, double> lost;
     for (const PlannedEndpoint &endpoint : table.endpoints) {
         for (const RunningPart &part : endpoint.parts) {
-            if (part.unit == unit) {
-                return part.lostWork;
+            if (choice.victims.count(part.unit) != 0) {
+                lost[part.unit] = part.lostWork;
             }
         }
     }
-    return 0;
+    return lost;
 }
 
 double lostWork(const Choice &choice, const Table &table)
 {
-    std::map<std::size_t, double> lost;
-    for (const PlannedEndpoint &endpoint : table.endpoints) {
-        for (const RunningPart &part : endpoint.parts) {
-            if (choice.victims.count(part.unit) != 0) {
-                lost[part.unit] = part.lostWork;
-            }
-        }
-    }
     double sum = 0;
-    for (const auto &[unit, work] : lost) {
+    for (const auto &[unit, work] : victimCosts(choice, table)) {
         sum += work;
     }
     return sum;
@@ -249,10 +243,10 @@
             allocate(unit, *choice, table);
             markStopped(choice->victims, table);
             plan.preempting.push_back(unit.number);
-            for (const std::size_t victim : choice->victims) {
+            for (const auto &[victim, cost] : victimCosts(*choice, table)) {
                 plan.stops.push_back(victim);
                 plan.preemptors[victim] = unit.number;
-                plan.costs[victim] = costOf(victim, table);
+                plan.costs[victim] = cost;
             }
         } else if (unit.rank != Rank::Guaranteed) {
             reserveBlocked(unit, policy.options, reservations, table, plan);
