Scheduler: one check of a usable endpoint, one count of tasks that fit, one budget

Planning and the moving of gangs repeated the check of an endpoint's state with a time-out each, and the number of tasks that fit into a capacity. The budget for faster endpoints always equalled that for preemption. Decisions are unchanged; two tests set the remaining budget in place of the other.

--- a/src/libknapweed/cell/loadpolicy.cpp
+++ b/src/libknapweed/cell/loadpolicy.cpp
@@ -5,8 +5,10 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <limits>
 #include <map>
 #include <sstream>
+#include <utility>
 
 namespace knapweed::cell
 {
@@ -91,6 +93,19 @@
         {share(needs.milliCores, capacity.milliCores), share(needs.memoryMib, capacity.memoryMib), share(needs.accelerators, capacity.accelerators)});
 }
 
+std::size_t tasksWithin(const Resources &needs, const Resources &capacity)
+{
+    std::int64_t tasks = std::numeric_limits<std::int32_t>::max();
+    for (const auto &[needed, available] : {std::pair(needs.milliCores, capacity.milliCores),
+             std::pair(needs.memoryMib, capacity.memoryMib),
+             std::pair(needs.accelerators, capacity.accelerators)}) {
+        if (needed > 0) {
+            tasks = std::min(tasks, std::max<std::int64_t>(0, available) / needed);
+        }
+    }
+    return static_cast<std::size_t>(tasks);
+}
+
 void observeArrival(ArrivalForecast &forecast, double size, BootTime now)
 {
     forecast.rate = decayed(forecast, now) + size / forgetSeconds;
--- a/src/libknapweed/cell/loadpolicy.h
+++ b/src/libknapweed/cell/loadpolicy.h
@@ -40,6 +40,9 @@
 /// The part of an endpoint that a task uses, by the resource of which it needs the largest share; 0 if the endpoint has no capacity.
 double dominantShare(const Resources &needs, const Resources &capacity);
 
+/// How many tasks fit into a capacity that is not divided among endpoints.
+std::size_t tasksWithin(const Resources &needs, const Resources &capacity);
+
 /// The arrivals of urgent units at one service, as a moving average. All sizes are in endpoints.
 struct ArrivalForecast
 {
--- a/src/libknapweed/cell/planner.cpp
+++ b/src/libknapweed/cell/planner.cpp
@@ -152,7 +152,7 @@
     if (choice) {
         choice->isFree = false;
     }
-    return choice && lostWork(*choice, table) <= unit.speedBudget ? choice : std::nullopt;
+    return choice && lostWork(*choice, table) <= unit.preemptionBudget ? choice : std::nullopt;
 }
 
 /// What has been reserved for blocked units in this round.
--- a/src/libknapweed/cell/planner.h
+++ b/src/libknapweed/cell/planner.h
@@ -42,8 +42,8 @@
     /// Endpoints have crashed under the unit: it is started only where no other run is still starting, and none is started beside it while it is. If the
     /// endpoint crashes then, the cause is known.
     bool startsAlone = false;
-    double preemptionBudget = 0; ///< core-seconds of later work that may be lost for a unit of rank First
-    double speedBudget = 0; ///< the same for a unit of the first two ranks that could start at once on slower endpoints
+    /// Core-seconds of later work that may be lost for a unit of rank First, or for one of the first two ranks that could start at once on slower endpoints.
+    double preemptionBudget = 0;
     bool mayPreempt = true; ///< stopping other work would still let it end in time
     Milliseconds runTime {0}; ///< on an endpoint of the usual speed
     double minSpeed = 0; ///< of the slowest endpoint on which it meets its objective if it starts now; 0: none does, or it does not matter
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -246,6 +246,8 @@
 
     void plan(BootTime now);
     std::set<std::string> guaranteedJobs() const;
+    /// Whether work may be planned on the endpoint, apart from its health.
+    bool isUsable(const Endpoint &endpoint, BootTime now) const;
     void updateServiceCapacity(BootTime now);
     bool isMostlyIdle(const std::string &service, const Step &step) const;
     std::vector<WaitingUnit> waitingUnits(const std::set<std::string> &guaranteed, BootTime now, std::vector<std::pair<std::string, UnitKey>> &unitIds);
--- a/src/libknapweed/cell/schedulerleaving.cpp
+++ b/src/libknapweed/cell/schedulerleaving.cpp
@@ -13,22 +13,8 @@
 namespace
 {
 
-constexpr Milliseconds placementTimeout {1200}; ///< as in planning: an endpoint without a report for longer is given no work
-constexpr Milliseconds predictionMargin {
-    300}; ///< a gang whose predicted end is less than this after the endpoint leaves may still complete; predictions err by more
-
-/// How many tasks with the given needs fit.
-std::int64_t copiesOf(const Resources &needs, const Resources &free)
-{
-    std::int64_t copies = INT32_MAX;
-    const auto limit = [&copies](std::int64_t need, std::int64_t available) {
-        copies = need > 0 ? std::min(copies, std::max<std::int64_t>(0, available / need)) : copies;
-    };
-    limit(needs.milliCores, free.milliCores);
-    limit(needs.memoryMib, free.memoryMib);
-    limit(needs.accelerators, free.accelerators);
-    return copies;
-}
+/// A gang whose predicted end is less than this after the endpoint leaves may still complete; predictions err by more.
+constexpr Milliseconds predictionMargin {300};
 
 } // namespace
 
@@ -37,14 +23,13 @@
 {
     const Step &step = job.spec.steps[key.step];
     const Resources needs = countedNeeds(step);
-    std::map<std::string, std::int64_t> copiesByRack; // all under one name if the rack does not matter
+    std::map<std::string, std::size_t> tasksByRack; // all under one name if the rack does not matter
     for (const auto &[agent, endpoint] : endpoints_) {
-        const bool isUsable = endpoint.isListed && !endpoint.isDraining && now - endpoint.lastReport < placementTimeout && now >= endpoint.avoidUntil
-            && endpoint.service == job.queue.service && unit.failedOn.count(agent) == 0;
+        const bool mayHold = isUsable(endpoint, now) && now >= endpoint.avoidUntil && endpoint.service == job.queue.service && unit.failedOn.count(agent) == 0;
         const bool hasLabel =
             step.requiredLabel.empty() || std::find(endpoint.labels.begin(), endpoint.labels.end(), step.requiredLabel) != endpoint.labels.end();
         const bool hasRack = step.dataRack.empty() || endpoint.rack == step.dataRack;
-        if (!isUsable || isInEvacuatedDomain(endpoint) || !hasLabel || !hasRack) {
+        if (!mayHold || !hasLabel || !hasRack) {
             continue;
         }
         Resources free = freeCapacity(endpoint);
@@ -53,14 +38,14 @@
                 free += needs;
             }
         }
-        std::int64_t copies = copiesOf(needs, free);
+        std::size_t tasks = tasksWithin(needs, free);
         if (step.tasksPerEndpoint > 0) {
-            copies = std::min<std::int64_t>(copies, step.tasksPerEndpoint);
+            tasks = std::min(tasks, static_cast<std::size_t>(step.tasksPerEndpoint));
         }
-        copiesByRack[step.prefersOneRack ? endpoint.rack : std::string()] += copies;
+        tasksByRack[step.prefersOneRack ? endpoint.rack : std::string()] += tasks;
     }
-    return std::any_of(copiesByRack.begin(), copiesByRack.end(), [&unit](const auto &rack) {
-        return rack.second >= std::int64_t(unit.indices.size());
+    return std::any_of(tasksByRack.begin(), tasksByRack.end(), [&unit](const auto &rack) {
+        return rack.second >= unit.indices.size();
     });
 }
 
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -52,20 +52,6 @@
     return isFleetIdle || step.isLongRunning ? rackWait : std::max(rackWait, runTime * (offRackFactor - 1));
 }
 
-/// The number of tasks that fit into the capacity if it is not divided among endpoints.
-std::size_t tasksWithin(const Resources &needs, const Resources &capacity)
-{
-    std::int64_t tasks = std::numeric_limits<std::int32_t>::max();
-    for (const auto &[needed, available] : {std::pair(needs.milliCores, capacity.milliCores),
-             std::pair(needs.memoryMib, capacity.memoryMib),
-             std::pair(needs.accelerators, capacity.accelerators)}) {
-        if (needed > 0) {
-            tasks = std::min(tasks, std::max<std::int64_t>(0, available) / needed);
-        }
-    }
-    return static_cast<std::size_t>(tasks);
-}
-
 double lostWork(const Step &step, const Allocation &allocation, BootTime now)
 {
     double seconds = std::chrono::duration<double>(now - allocation.firstOrderedAt).count();
@@ -102,11 +88,16 @@
     return guaranteed;
 }
 
+bool Scheduler::isUsable(const Endpoint &endpoint, BootTime now) const
+{
+    return endpoint.isListed && !endpoint.isDraining && !isInEvacuatedDomain(endpoint) && now - endpoint.lastReport < workTimeout;
+}
+
 void Scheduler::updateServiceCapacity(BootTime now)
 {
     capacityByService_.clear();
     for (const auto &[agent, endpoint] : endpoints_) {
-        if (endpoint.isListed && !endpoint.isDraining && !isInEvacuatedDomain(endpoint) && now - endpoint.lastReport < workTimeout) {
+        if (isUsable(endpoint, now)) {
             ServiceCapacity &sum = capacityByService_[endpoint.service];
             sum.capacity += endpoint.capacity;
             sum.free += freeCapacity(endpoint);
@@ -155,7 +146,6 @@
     waiting.mayUseSuspects = waiting.rank > Rank::First || now - unit.readySince > suspectWait;
     waiting.startsAlone = !unit.progress.crashes.empty();
     waiting.preemptionBudget = preemptionBudget(waiting.rank, step, waiting.tasks, runTime);
-    waiting.speedBudget = waiting.preemptionBudget;
     if (step.tasksPerEndpoint > 0) {
         waiting.stepName = job.spec.id + '.' + std::to_string(key.occurrence) + '.' + std::to_string(key.step);
         for (const auto &[otherKey, other] : job.units) {
@@ -295,8 +285,7 @@
     std::vector<ObservedRun> running;
     std::vector<PlannedEndpoint> planned;
     for (const auto &[agent, endpoint] : endpoints_) {
-        const bool isUsable = endpoint.isListed && !endpoint.isDraining && now - endpoint.lastReport < workTimeout && now >= endpoint.avoidUntil;
-        if (!isUsable || isInEvacuatedDomain(endpoint)) {
+        if (!isUsable(endpoint, now) || now < endpoint.avoidUntil) {
             continue;
         }
         PlannedEndpoint row;
--- a/tests/cell/loadpolicytest.cpp
+++ b/tests/cell/loadpolicytest.cpp
@@ -299,7 +299,7 @@
     urgent.minSpeed = 0.8;
     urgent.minSpeedAfterStop = 1.1;
     CHECK_TRUE(isStarted(planUnits({urgent}, fleet, policyWith(0)), 1));
-    urgent.speedBudget = 100;
+    urgent.preemptionBudget = 100;
     const Plan plan = planUnits({urgent}, fleet, policyWith(0));
     CHECK_FALSE(isStarted(plan, 1));
     LONGS_EQUAL(1, plan.stops.size());
--- a/tests/cell/loadpropertytest.cpp
+++ b/tests/cell/loadpropertytest.cpp
@@ -27,7 +27,6 @@
     unit.service = "svc";
     unit.runTime = Milliseconds(*rc::gen::inRange(500, 20000));
     unit.preemptionBudget = 1000;
-    unit.speedBudget = 1000;
     unit.minSpeed = *rc::gen::inRange(0, 20) / 10.0;
     unit.minSpeedAfterStop = unit.minSpeed * 1.2;
     return unit;
