Soak: cut off the leader together with other entries and agents

Change: the kind of fault side-partition, and the test soak-side-partition. leader-partition shares its code and draws what it drew before.

--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -141,6 +141,7 @@
             "entry-cut": (self.entry_cut, (2, 6)),
             "leader-cut": (self.leader_cut, (2, 6)),
             "leader-partition": (self.leader_partition, (4, 8)),
+            "side-partition": (self.side_partition, (4, 8)),
         }
 
     async def links_cut(self, rng: random.Random) -> None:
@@ -168,10 +169,20 @@
     async def leader_partition(self, rng: random.Random) -> None:
         """The leader and some agents from the store, from all other entries and from the other agents."""
         for leader in self._leaders():
-            kept = rng.sample(self.agents, rng.randint(1, len(self.agents)))
-            others = [process for process in [*self.entries, *self.agents] if process is not leader and process not in kept]
-            seconds = rng.uniform(*PARTITION_S)
-            await asyncio.gather(self._cut(rng, [leader, *kept], others, seconds, BOTH_WAYS), self._cut_store(rng, leader, seconds))
+            await self._partition(rng, [leader, *rng.sample(self.agents, rng.randint(1, len(self.agents)))])
+
+    async def side_partition(self, rng: random.Random) -> None:
+        """The leader, other entries up to half of them and some agents from the store and from all others. The new leader has no majority then."""
+        for leader in self._leaders():
+            others = [entry for entry in self.entries if entry is not leader]
+            entries = rng.sample(others, rng.randint(1, max(1, len(self.entries) // 2 - 1)))
+            await self._partition(rng, [leader, *entries, *rng.sample(self.agents, rng.randint(1, len(self.agents) // 2))])
+
+    async def _partition(self, rng: random.Random, side: list[Process]) -> None:
+        others = [process for process in [*self.entries, *self.agents] if process not in side]
+        seconds = rng.uniform(*PARTITION_S)
+        cuts = [self._cut_store(rng, process, seconds) for process in side if process in self.entries]
+        await asyncio.gather(self._cut(rng, side, others, seconds, BOTH_WAYS), *cuts)
 
     def _leaders(self) -> list[Process]:
         holder = self.store.groups["scheduler"].holders.get(0, "") if "scheduler" in self.store.groups else ""
