Count the entries that are recorded at the store when leases are extended without it

Two halves of the entries and agents lost each other for 48 s while both reached the store; then the leader's half lost the store too. Tasks there went on, and were started in the other half as well.

Cause: the scheduler without the store and its successor each need a majority of the entries that they know. Entries that come at the same time and that one side only gets to know have the same effect.

Change: the scheduler records the entries that it counts beside the jobs, with their incarnations. A record is replaced only when no earlier scheduler can extend leases any more. New log events: leases.suspended, leases.resumed, entries.recorded.

Who else is touched: the next scheduler waits for up to 15 s and a lease if the recorded entries are mostly out of reach, for agents that don't report to it; innocent tasks there wait as long. An only entry goes on as before once its record is stored. Versions before neither write nor read the record and leave it as it is; with one of them as the scheduler the fault is as it was.

--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -56,9 +56,12 @@
     , relay_([this](const wire::JobCall &call) {
         return sendToScheduler(call);
     })
-    , callerApi_(feed_.configuration(), relay_, [this]() {
-        return feed_.isConfirmed();
-    })
+    , callerApi_(feed_.configuration(),
+          relay_,
+          [this]() {
+              return feed_.isConfirmed();
+          })
+    , incarnation_(incarnationNow())
 {
     budgets_ = makeBudgets(settings_, "callers");
     peers_ = std::make_unique<PeerNetwork>(loop_, PeerNetworkOptions {}, networkEvents());
@@ -70,8 +73,8 @@
     wire::RosterEntry self;
     self.address = self_;
     self.role = wire::Role::Entry;
-    self.incarnation = incarnationNow();
-    member_ = self_ + '/' + std::to_string(self.incarnation);
+    self.incarnation = incarnation_;
+    member_ = self_ + '/' + std::to_string(incarnation_);
     self.region = settings_.region;
     self.failureDomain = settings_.failureDomain;
     self.processorPermille = processorPermille();
--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -57,7 +57,11 @@
     void receive(const std::string &peer, const PeerMessage &message);
     void receiveNotice(const std::string &peer, const wire::SchedulerNotice &notice);
     cell::EntryIncarnations knownEntries();
+    void beginLeaseConfirmation();
+    void loadEntryRecord();
+    void recordEntries(const cell::EntryIncarnations &others);
     void maintainLeaseConfirmation();
+    void confirmLeases();
     void askForLaterTerm();
     void answerLeaseQuestion(const std::string &peer, const wire::SchedulerNotice &question);
     void handleLeaseAnswer(const std::string &peer, const wire::SchedulerNotice &answer);
@@ -108,6 +112,7 @@
     CallRelay relay_;
     CellCallerApi callerApi_;
     std::string self_; ///< peer address of this process
+    const std::int64_t incarnation_; ///< of this process
     std::string member_; ///< member id in the store's group; differs for each incarnation, so that no two terms share a generation
     ProcessBudgets budgets_;
     std::unique_ptr<PeerNetwork> peers_;
@@ -137,6 +142,9 @@
     BootTime confirmedTermAt_ = BootClock::now(); ///< when it did; at first when it started
     BootTime earlierTermConfirmedAt_ = confirmedTermAt_; ///< the same for the terms before that one
     BootTime askedForLaterTermAt_;
+    cell::EntryIncarnations recordedEntries_; ///< as last written in the current term of this process
+    BootTime entriesRecordedAt_; ///< when they were
+    bool areLeasesExtended_ = true; ///< as last logged in the current term of this process
     std::set<std::string> connectedEntries_; ///< other entries with a connection; while there is none, only the store names a new configuration
     MonotonicTime tickedAt_ = std::chrono::steady_clock::now();
     const MonotonicTime startedAt_ = std::chrono::steady_clock::now();
--- a/src/knapweedstaged/cellleadership.cpp
+++ b/src/knapweedstaged/cellleadership.cpp
@@ -206,14 +206,14 @@
     termGeneration_ = generation;
     confirmedGroupGeneration_ = generation;
     termConfirmedUntil_ = BootTime();
-    leaseConfirmation_ = cell::LeaseConfirmation();
-    earlierExtensions_ = cell::EarlierExtensions(BootClock::now(), confirmedTermAt_ + cell::leaseConfirmationLifetime);
+    beginLeaseConfirmation();
     lossDetector_ = cell::LeadershipLossDetector();
     termStartedAt_ = std::chrono::steady_clock::now();
     logEvent(LogLevel::Info, "term.started", {{"generation", std::to_string(generation)}});
     JournalEvents events;
     events.stored = [this](std::uint64_t write) {
         if (schedulerCore_ != nullptr) {
+            leaseConfirmation_.recordStored(write);
             schedulerCore_->stored(write, BootClock::now());
             flush();
         }
@@ -289,10 +289,10 @@
     schedulerCore_->load(loadedRecords_, now, std::chrono::system_clock::now());
     schedulerCore_->setConfiguration(feed_.configuration());
     schedulerCore_->applyEvacuations(feed_.evacuations(), now);
+    loadEntryRecord();
     loadedRecords_.clear();
     schedulerCore_->confirmTerm(termConfirmedUntil_, now, std::chrono::system_clock::now());
     schedulerCore_->beginRecovery(now);
-    earlierExtensions_.addEntries(knownEntries());
     updateEarlierExtensions();
     updateScheduler(termGeneration_, self_, "term");
     for (const wire::RosterEntry &peer : peers_->roster()) {
--- a/src/knapweedstaged/cellleases.cpp
+++ b/src/knapweedstaged/cellleases.cpp
@@ -1,5 +1,7 @@
 // Extension of leases while the store does not answer: questions to the other entries and their answers.
 
+#include "base/logging.h"
+#include "cell/entryrecord.h"
 #include "cellentrytask.h"
 
 #include <algorithm>
@@ -11,6 +13,7 @@
 {
 
 constexpr Milliseconds questionInterval {300}; ///< of a new scheduler, until a majority of the entries has acknowledged its term
+constexpr Seconds entryRecordInterval {1}; ///< at least, between two records of the entries: they come and go by the dozen in a rolling update
 
 } // namespace
 
@@ -28,6 +31,51 @@
     return entryHistory_.entries(now);
 }
 
+void CellEntryTask::beginLeaseConfirmation()
+{
+    leaseConfirmation_ = cell::LeaseConfirmation(self_);
+    earlierExtensions_ = cell::EarlierExtensions(BootClock::now(), confirmedTermAt_ + cell::leaseConfirmationLifetime, self_);
+    recordedEntries_.clear();
+    areLeasesExtended_ = true;
+}
+
+/// Without a readable record, the entries that this process knows are counted alone.
+void CellEntryTask::loadEntryRecord()
+{
+    earlierExtensions_.addEntries(knownEntries());
+    const auto record = loadedRecords_.find(cell::entryRecordKey);
+    if (record == loadedRecords_.end()) {
+        return;
+    }
+    const Result<cell::EntryIncarnations, cell::EntryRecordError> entries = cell::decodeEntries(record->second);
+    if (!isOk(entries)) {
+        logEvent(LogLevel::Error, "entries.unreadable", {{"detail", error(entries).detail}});
+        return;
+    }
+    leaseConfirmation_.recordLoaded(value(entries));
+    earlierExtensions_.recordLoaded(value(entries));
+}
+
+/// Records a change of the counted entries. The record of the earlier schedulers is kept for as long as one of them may extend leases, because the next
+/// scheduler has to wait for them as well.
+void CellEntryTask::recordEntries(const cell::EntryIncarnations &others)
+{
+    const BootTime now = BootClock::now();
+    if (now >= termConfirmedUntil_ || now < earlierExtensions_.end() || now - entriesRecordedAt_ < entryRecordInterval) {
+        return;
+    }
+    cell::EntryIncarnations entries = others;
+    entries[self_] = incarnation_;
+    if (entries == recordedEntries_) {
+        return;
+    }
+    leaseConfirmation_.recordWritten(entries, schedulerCore_->recordEntries(entries));
+    logEvent(LogLevel::Info, "entries.recorded", {{"generation", std::to_string(termGeneration_)}, {"entries", std::to_string(entries.size())}});
+    recordedEntries_ = std::move(entries);
+    entriesRecordedAt_ = now;
+    flush();
+}
+
 /// The history of the other entries is kept by each process, because it may become the scheduler.
 void CellEntryTask::maintainLeaseConfirmation()
 {
@@ -36,7 +84,7 @@
         return;
     }
     leaseConfirmation_.addEntries(others);
-    schedulerCore_->confirmLeases(leaseConfirmation_.confirmedUntil());
+    confirmLeases();
     if (!earlierExtensions_.hasMajority() && BootClock::now() < earlierExtensions_.end()) {
         earlierExtensions_.addEntries(others);
         updateEarlierExtensions();
@@ -44,6 +92,20 @@
             askForLaterTerm();
         }
     }
+    recordEntries(others);
+}
+
+void CellEntryTask::confirmLeases()
+{
+    const BootTime confirmedUntil = leaseConfirmation_.isRecorded() ? leaseConfirmation_.confirmedUntil() : BootTime();
+    schedulerCore_->confirmLeases(confirmedUntil);
+    const bool areExtended = BootClock::now() < std::max(termConfirmedUntil_, confirmedUntil);
+    if (areExtended != areLeasesExtended_) {
+        areLeasesExtended_ = areExtended;
+        logEvent(areExtended ? LogLevel::Info : LogLevel::Warning,
+            areExtended ? "leases.resumed" : "leases.suspended",
+            {{"generation", std::to_string(termGeneration_)}});
+    }
 }
 
 /// Asks the other entries whether they know of a later term. The answers confirm this one for as long as the store doesn't, and end the earlier ones.
@@ -92,7 +154,7 @@
         return;
     }
     leaseConfirmation_.answered(peer, entry->second, BootTime(Milliseconds(answer.askedAtMs)));
-    schedulerCore_->confirmLeases(leaseConfirmation_.confirmedUntil());
+    confirmLeases();
     if (!earlierExtensions_.hasMajority()) {
         const Milliseconds unconfirmedFor(std::max<std::int64_t>(answer.unconfirmedForMs, 0)); // 0 if not stated: an older version
         earlierExtensions_.acknowledged(peer, BootClock::now() - unconfirmedFor + cell::leaseConfirmationLifetime);
@@ -102,6 +164,7 @@
 
 void CellEntryTask::updateEarlierExtensions()
 {
+    earlierExtensions_.removeDeparted(entryHistory_.departed(BootClock::now()));
     schedulerCore_->setEarlierExtensionsEnd(earlierExtensions_.end());
     if (earlierExtensions_.hasMajority()) {
         logEvent(LogLevel::Info, "term.acknowledged", {{"generation", std::to_string(termGeneration_)}});
--- a/src/libknapweed/cell/leaseconfirmation.cpp
+++ b/src/libknapweed/cell/leaseconfirmation.cpp
@@ -3,6 +3,7 @@
 #include "cell/leaseconfirmation.h"
 
 #include <algorithm>
+#include <iterator>
 #include <vector>
 
 namespace knapweed::cell
@@ -11,10 +12,9 @@
 namespace
 {
 
-/// Of @p others and the process itself.
-std::size_t majorityOf(const EntryIncarnations &others)
+std::size_t majorityOf(std::size_t entries)
 {
-    return (others.size() + 1) / 2 + 1;
+    return entries / 2 + 1;
 }
 
 } // namespace
@@ -47,14 +47,34 @@
 {
     EntryIncarnations entries;
     for (const auto &[address, item] : items_) {
-        const bool hasLeft = item.drainingSince != BootTime::max() && now - item.drainingSince > leaseConfirmationLifetime;
-        if (!hasLeft && now - item.seenAt <= entryRetention) {
+        if (!hasLeft(item, now) && now - item.seenAt <= entryRetention) {
             entries[address] = item.incarnation;
         }
     }
     return entries;
 }
 
+EntryIncarnations EntryHistory::departed(BootTime now) const
+{
+    EntryIncarnations entries;
+    for (const auto &[address, item] : items_) {
+        if (hasLeft(item, now)) {
+            entries[address] = item.incarnation;
+        }
+    }
+    return entries;
+}
+
+bool EntryHistory::hasLeft(const Item &item, BootTime now)
+{
+    return item.drainingSince != BootTime::max() && now - item.drainingSince > leaseConfirmationLifetime;
+}
+
+LeaseConfirmation::LeaseConfirmation(std::string self)
+    : self_(std::move(self))
+{
+}
+
 void LeaseConfirmation::termConfirmed(const EntryIncarnations &others, BootTime renewedAt)
 {
     others_ = others;
@@ -78,32 +98,89 @@
     }
 }
 
-BootTime LeaseConfirmation::confirmedUntil() const
+void LeaseConfirmation::recordLoaded(const EntryIncarnations &entries)
 {
-    if (!isTermConfirmed_) {
-        return BootTime();
-    }
-    if (others_.empty()) {
-        return BootTime::max();
+    recordWritten(entries, 0);
+    isRecorded_ = true;
+}
+
+void LeaseConfirmation::recordWritten(const EntryIncarnations &entries, std::uint64_t write)
+{
+    records_[write] = entries;
+}
+
+void LeaseConfirmation::recordStored(std::uint64_t write)
+{
+    const auto firstUnstored = records_.upper_bound(write);
+    if (firstUnstored != records_.begin()) {
+        records_.erase(records_.begin(), std::prev(firstUnstored));
+        isRecorded_ = true;
     }
+}
+
+bool LeaseConfirmation::isRecorded() const
+{
+    return isRecorded_;
+}
+
+/// When the oldest of the questions was sent whose answers make up the most recent majority of @p entries; the epoch if there is none, BootTime::max() if this
+/// entry is one by itself.
+BootTime LeaseConfirmation::majorityAskedAt(const EntryIncarnations &entries) const
+{
     std::vector<BootTime> asked;
-    for (const auto &[entry, askedAt] : askedAt_) {
-        asked.push_back(askedAt);
+    for (const auto &[entry, incarnation] : entries) {
+        const auto voter = voters_.find(entry);
+        const auto askedAt = askedAt_.find(entry);
+        if (entry == self_) {
+            asked.push_back(BootTime::max());
+        } else if (voter != voters_.end() && voter->second == incarnation && askedAt != askedAt_.end()) {
+            asked.push_back(askedAt->second);
+        }
     }
     std::sort(asked.rbegin(), asked.rend());
-    const std::size_t needed = majorityOf(others_) - 1; // besides the scheduler itself
-    if (asked.size() < needed) {
+    const std::size_t needed = majorityOf(entries.size());
+    return asked.size() < needed ? BootTime() : asked[needed - 1];
+}
+
+BootTime LeaseConfirmation::confirmedUntil() const
+{
+    if (!isTermConfirmed_) {
         return BootTime();
     }
-    return std::min(asked[needed - 1] + leaseConfirmationLifetime, renewedAt_ + maxExtensionWithoutStore);
+    EntryIncarnations known = others_;
+    known[self_] = 0;
+    BootTime askedAt = majorityAskedAt(known);
+    for (const auto &[write, entries] : records_) {
+        askedAt = std::min(askedAt, majorityAskedAt(entries));
+    }
+    if (askedAt == BootTime() || askedAt == BootTime::max()) {
+        return askedAt;
+    }
+    return std::min(askedAt + leaseConfirmationLifetime, renewedAt_ + maxExtensionWithoutStore);
 }
 
-EarlierExtensions::EarlierExtensions(BootTime termStartedAt, BootTime ownEnd)
-    : termStartedAt_(termStartedAt)
+EarlierExtensions::EarlierExtensions(BootTime termStartedAt, BootTime ownEnd, std::string self)
+    : self_(std::move(self))
+    , termStartedAt_(termStartedAt)
     , ownEnd_(ownEnd)
 {
 }
 
+void EarlierExtensions::recordLoaded(const EntryIncarnations &entries)
+{
+    recorded_ = entries;
+}
+
+void EarlierExtensions::removeDeparted(const EntryIncarnations &departed)
+{
+    for (const auto &[entry, incarnation] : departed) {
+        const auto found = recorded_.find(entry);
+        if (found != recorded_.end() && found->second <= incarnation) {
+            recorded_.erase(found);
+        }
+    }
+}
+
 void EarlierExtensions::addEntries(const EntryIncarnations &others)
 {
     others_.insert(others.begin(), others.end());
@@ -116,28 +193,38 @@
 
 bool EarlierExtensions::hasMajority() const
 {
-    std::size_t count = 1; // this entry
-    for (const auto &[entry, incarnation] : others_) {
-        count += acknowledged_.count(entry);
-    }
-    return count >= majorityOf(others_);
+    return confirmationsEnd() != BootTime::max();
 }
 
-/// A majority that confirmed an earlier term has an entry in common with the one that has acknowledged this term, so it has expired with the last of these.
 BootTime EarlierExtensions::end() const
 {
-    const BootTime longest = termStartedAt_ + maxExtensionWithoutStore;
-    if (!hasMajority()) {
-        return longest;
-    }
-    std::vector<BootTime> ends {ownEnd_};
-    for (const auto &[entry, end] : acknowledged_) {
-        if (others_.count(entry) != 0) {
-            ends.push_back(end);
+    return std::clamp(confirmationsEnd(), termStartedAt_, termStartedAt_ + maxExtensionWithoutStore);
+}
+
+/// A majority that confirmed an earlier term has an entry in common with the one that has acknowledged this term, so it has expired with the last of these.
+/// BootTime::max() without a majority.
+BootTime EarlierExtensions::confirmationsEnd() const
+{
+    EntryIncarnations known = others_;
+    known[self_] = 0;
+    return std::max(endWithMajorityOf(known), recorded_.empty() ? BootTime() : endWithMajorityOf(recorded_));
+}
+
+/// BootTime::max() without a majority.
+BootTime EarlierExtensions::endWithMajorityOf(const EntryIncarnations &entries) const
+{
+    std::vector<BootTime> ends;
+    for (const auto &[entry, incarnation] : entries) {
+        const auto acknowledged = acknowledged_.find(entry);
+        if (entry == self_) {
+            ends.push_back(ownEnd_);
+        } else if (acknowledged != acknowledged_.end()) {
+            ends.push_back(acknowledged->second);
         }
     }
     std::sort(ends.begin(), ends.end());
-    return std::clamp(ends[majorityOf(others_) - 1], termStartedAt_, longest);
+    const std::size_t needed = majorityOf(entries.size());
+    return ends.size() < needed ? BootTime::max() : ends[needed - 1];
 }
 
 } // namespace knapweed::cell
--- a/src/libknapweed/cell/leaseconfirmation.h
+++ b/src/libknapweed/cell/leaseconfirmation.h
@@ -1,5 +1,6 @@
 // Leases while the store does not answer: until when a scheduler may extend them, and from when on no earlier scheduler does. Both rest on majorities of the
-// entries. Two majorities have an entry in common, and an entry that has acknowledged a term confirms no earlier one. docs/design/lease-confirmation.md.
+// entries. Two majorities of one set have an entry in common, and an entry that has acknowledged a term confirms no earlier one. Both schedulers count the set
+// that is recorded at the store (entryrecord.h), besides those that they know themselves. docs/design/lease-confirmation.md.
 #pragma once
 
 #include "base/clock.h"
@@ -17,7 +18,7 @@
 /// How long an entry counts after it was last seen. A partition lasts longer than an entry stays in the roster (10 s), and its other side still counts.
 constexpr Seconds entryRetention {30};
 
-/// Other entries by peer address, with their incarnation; 0 while it is unknown.
+/// Entries by peer address, with their incarnation; 0 while it is unknown.
 using EntryIncarnations = std::map<std::string, std::int64_t>;
 
 /// The other entries of which a majority is counted.
@@ -30,6 +31,8 @@
 
     /// Entries that shut down are not counted once the answers that they have given have expired.
     EntryIncarnations entries(BootTime now) const;
+    /// The entries that have shut down and not started again, with the incarnation that did.
+    EntryIncarnations departed(BootTime now) const;
 
 private:
     struct Item
@@ -39,6 +42,7 @@
         BootTime drainingSince = BootTime::max();
     };
 
+    static bool hasLeft(const Item &item, BootTime now);
     void removeOld(BootTime now);
 
     std::map<std::string, Item> items_;
@@ -48,6 +52,10 @@
 class LeaseConfirmation
 {
 public:
+    LeaseConfirmation() = default;
+    /// @p self: peer address of this entry, which confirms its own term.
+    explicit LeaseConfirmation(std::string self);
+
     /// The store has confirmed the term by a renewal that was sent at @p renewedAt, when @p others were known. Only these can confirm it from now on: one that
     /// has started since may have acknowledged a later term and forgotten it.
     void termConfirmed(const EntryIncarnations &others, BootTime renewedAt);
@@ -58,12 +66,27 @@
     /// The entry has answered a question that was sent at @p askedAt: it knows of no later term.
     void answered(const std::string &entry, std::int64_t incarnation, BootTime askedAt);
 
-    /// BootTime::max() if no other entry is known.
+    /// The record of an earlier term says that @p entries, which may include this one, are counted.
+    void recordLoaded(const EntryIncarnations &entries);
+    /// A record of @p entries was issued as the write with the number @p write. Until it is stored, the next scheduler may find it or the one before.
+    void recordWritten(const EntryIncarnations &entries, std::uint64_t write);
+    /// All writes up to @p write are stored.
+    void recordStored(std::uint64_t write);
+
+    /// Whether the next scheduler finds a record. Until then it can't know which entries are counted here.
+    bool isRecorded() const;
+
+    /// BootTime::max() if no other entry is known or recorded.
     BootTime confirmedUntil() const;
 
 private:
+    BootTime majorityAskedAt(const EntryIncarnations &entries) const;
+
+    std::string self_;
     EntryIncarnations others_;
     EntryIncarnations voters_; ///< a part of others_
+    std::map<std::uint64_t, EntryIncarnations> records_; ///< those that the next scheduler may find, by write; 0: of an earlier term
+    bool isRecorded_ = false; ///< the first of these is stored
     std::map<std::string, BootTime> askedAt_; ///< when the newest question was sent that the voter has answered
     BootTime renewedAt_;
     bool isTermConfirmed_ = false;
@@ -74,8 +97,13 @@
 {
 public:
     EarlierExtensions() = default;
-    /// @p ownEnd: end of the confirmations that this entry itself has given to earlier schedulers.
-    EarlierExtensions(BootTime termStartedAt, BootTime ownEnd);
+    /// @p self: peer address of this entry. @p ownEnd: end of the confirmations that it has itself given to earlier schedulers.
+    EarlierExtensions(BootTime termStartedAt, BootTime ownEnd, std::string self = {});
+
+    /// An earlier scheduler counts @p entries, which may include this one: a majority of them is needed as well.
+    void recordLoaded(const EntryIncarnations &entries);
+    /// These entries have shut down, so they confirm no term any more unless they have started again.
+    void removeDeparted(const EntryIncarnations &departed);
 
     /// Adds entries that are needed for a majority.
     void addEntries(const EntryIncarnations &others);
@@ -87,7 +115,12 @@
     BootTime end() const;
 
 private:
+    BootTime confirmationsEnd() const;
+    BootTime endWithMajorityOf(const EntryIncarnations &entries) const;
+
+    std::string self_;
     EntryIncarnations others_;
+    EntryIncarnations recorded_;
     std::map<std::string, BootTime> acknowledged_;
     BootTime termStartedAt_;
     BootTime ownEnd_;
--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -127,11 +127,6 @@
     isStoreReachable_ = isReachable;
 }
 
-void Scheduler::confirmLeases(BootTime until)
-{
-    leasesConfirmedUntil_ = until;
-}
-
 void Scheduler::receive(const std::string &peer, const PeerMessage &message, BootTime now, WallTime wall)
 {
     if (const wire::EndpointReport *report = std::get_if<wire::EndpointReport>(&message)) {
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -8,6 +8,7 @@
 #include "cell/evacuations.h"
 #include "cell/fleet.h"
 #include "cell/jobtable.h"
+#include "cell/leaseconfirmation.h"
 #include "cell/loadpolicy.h"
 #include "cell/planner.h"
 #include "peers/codec.h"
@@ -97,6 +98,9 @@
     /// (leaseconfirmation.h).
     void confirmLeases(BootTime until);
 
+    /// Records the entries that are counted for that. Returns the number of the write.
+    std::uint64_t recordEntries(const EntryIncarnations &entries);
+
     /// Jobs whose submission is not durable yet and for which nothing else has been recorded.
     std::vector<std::string> pendingSubmissions() const;
     /// Refuses a submission that is confirmed not stored and will not be stored later, and removes its job.
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -3,6 +3,7 @@
 #include "cell/scheduler.h"
 
 #include "base/logging.h"
+#include "cell/entryrecord.h"
 #include "cell/runwire.h"
 
 #include <algorithm>
@@ -139,6 +140,16 @@
     earlierLeasesEnd_ = std::max(recoveryBeganAt_, end) + options_.lease + leaseMargin;
 }
 
+void Scheduler::confirmLeases(BootTime until)
+{
+    leasesConfirmedUntil_ = until;
+}
+
+std::uint64_t Scheduler::recordEntries(const EntryIncarnations &entries)
+{
+    return write({entryRecordKey, encodeEntries(entries)});
+}
+
 /// Extends the lease of the endpoint. The lease counts from when the agent sent the report, which was before @p now, so it expires no later than recorded here.
 /// A scheduler that reaches neither the store nor a majority of the entries extends none, because a later one may take the leases to have run out.
 void Scheduler::grant(Endpoint &endpoint, const wire::EndpointReport &report, BootTime now)
--- a/tests/cell/leaseconfirmationtest.cpp
+++ b/tests/cell/leaseconfirmationtest.cpp
@@ -1,6 +1,7 @@
 // Tests of the majorities on which leases are extended while the store does not answer. The last group plays two schedulers in all partitions of the entries.
 
 #include "cell/leaseconfirmation.h"
+#include "cell/entryrecord.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -108,6 +109,48 @@
     CHECK_FALSE(isConfirmed());
 }
 
+/// Guards against TWICE: an entry that this one has forgotten may be on the other side of a partition, and the next scheduler there counts it.
+TEST(LeaseConfirmation, aMajorityOfTheRecordedEntriesIsNeededUntilAnotherRecordIsStored)
+{
+    confirmation = LeaseConfirmation("e0");
+    CHECK_FALSE(confirmation.isRecorded());
+    confirmation.recordLoaded(entriesFrom(0, 6));
+    CHECK_TRUE(confirmation.isRecorded());
+    confirmation.termConfirmed(entriesFrom(1, 3), now); // three of the six have been forgotten
+    answer(1, 3);
+    CHECK_FALSE(isConfirmed());
+    confirmation.recordWritten(entriesFrom(0, 3), 7);
+    confirmation.recordStored(6);
+    CHECK_FALSE(isConfirmed());
+    confirmation.recordStored(7);
+    CHECK_TRUE(isConfirmed());
+}
+
+/// Guards against TWICE: the next scheduler may find a record whose storing was not acknowledged.
+TEST(LeaseConfirmation, aMajorityOfEntriesWhoseRecordMayBeStoredIsNeeded)
+{
+    confirmation = LeaseConfirmation("e0");
+    confirmation.recordLoaded(entriesFrom(0, 3));
+    confirmation.termConfirmed(entriesFrom(1, 6), now);
+    confirmation.recordWritten(entriesFrom(0, 6), 7);
+    answer(1, 3);
+    CHECK_FALSE(isConfirmed());
+    answer(3, 4);
+    CHECK_TRUE(isConfirmed());
+}
+
+/// Guards against TWICE: an entry that has restarted since the record may have acknowledged a later term before.
+TEST(LeaseConfirmation, recordedEntriesThatHaveRestartedDoNotConfirm)
+{
+    confirmation = LeaseConfirmation("e0");
+    confirmation.recordLoaded(entriesFrom(0, 3));
+    EntryIncarnations restarted = entriesFrom(1, 3);
+    restarted["e1"] = restarted["e2"] = 2;
+    confirmation.termConfirmed(restarted, now);
+    answer(1, 3, 2);
+    CHECK_FALSE(isConfirmed());
+}
+
 TEST_GROUP(EntryHistory)
 {
     BootTime now = BootTime(Milliseconds(1000000));
@@ -181,6 +224,61 @@
     CHECK_FALSE(extensions.hasMajority());
 }
 
+/// Guards against TWICE: an earlier scheduler counts entries that this one doesn't know.
+TEST(EarlierExtensions, needAcknowledgementsOfAMajorityOfTheRecordedEntries)
+{
+    EarlierExtensions extensions(now, now - Seconds(60), "e5");
+    extensions.addEntries(entriesFrom(6, 8));
+    extensions.recordLoaded(entriesFrom(0, 4));
+    extensions.acknowledged("e6", now);
+    extensions.acknowledged("e7", now);
+    CHECK_FALSE(extensions.hasMajority());
+    extensions.acknowledged("e0", now);
+    extensions.acknowledged("e1", now);
+    CHECK_FALSE(extensions.hasMajority()); // two of four
+    extensions.acknowledged("e2", now + Milliseconds(700));
+    CHECK_TRUE(extensions.hasMajority());
+    CHECK_TRUE(extensions.end() == now + Milliseconds(700));
+}
+
+/// Guards against lost work: the scheduler that has just shut down is recorded, and acknowledges nothing.
+TEST(EarlierExtensions, recordedEntriesThatHaveShutDownAreNotCounted)
+{
+    EarlierExtensions extensions(now, now - Seconds(60), "e1");
+    extensions.recordLoaded(entriesFrom(0, 2));
+    CHECK_FALSE(extensions.hasMajority());
+    extensions.removeDeparted(entriesFrom(0, 1));
+    CHECK_TRUE(extensions.hasMajority());
+}
+
+/// Guards against TWICE: an entry that has started again since it was seen to leave may confirm the earlier term.
+TEST(EarlierExtensions, recordedEntriesThatHaveStartedAgainAreCounted)
+{
+    EarlierExtensions extensions(now, now - Seconds(60), "e1");
+    EntryIncarnations recorded = entriesFrom(0, 2);
+    recorded["e0"] = 2;
+    extensions.recordLoaded(recorded);
+    extensions.removeDeparted(entriesFrom(0, 1));
+    CHECK_FALSE(extensions.hasMajority());
+}
+
+TEST_GROUP(EntryRecord) {};
+
+TEST(EntryRecord, isReadAsWritten)
+{
+    const EntryIncarnations entries = {{"10.1.0.19:7000", 1796600331902}, {"10.2.0.35:7000", 0}};
+    const Result<EntryIncarnations, EntryRecordError> read = decodeEntries(encodeEntries(entries));
+    CHECK_TRUE(isOk(read));
+    CHECK_TRUE(value(read) == entries);
+}
+
+TEST(EntryRecord, unreadableRecordsAreRefusedAsAWhole)
+{
+    for (const char *text : {"", "[]", "{\"a\":1", "{\"a\":1,\"b\":\"2\"}", "{\"a\":1.5}", "null"}) {
+        CHECK_FALSE(isOk(decodeEntries(text)));
+    }
+}
+
 /// Guards against TWICE (review/6), for 2 to 6 entries: the last extension by an earlier scheduler (e0) is before the time from which a new one (e1) counts a
 /// lease. Each other entry is on either side of a partition, or first with the earlier scheduler and later with the new one. One entry may be unknown to
 /// either.
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -23,6 +23,7 @@
 SECONDS = (1, 12)
 BOTH_WAYS = ("silent", "silent", "reset")
 PARTITION_S = (6, 25)  # longer than a lease and an election
+APART_S = 48  # longer than an entry counts another one that it doesn't hear
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: no time to send what is left
 
 Way = tuple[str, str]  # IP numbers of a sender and a receiver
@@ -142,6 +143,7 @@
             "leader-cut": (self.leader_cut, (2, 6)),
             "leader-partition": (self.leader_partition, (4, 8)),
             "side-partition": (self.side_partition, (4, 8)),
+            "regions-apart": (self.regions_apart, (4, 8)),
         }
 
     async def links_cut(self, rng: random.Random) -> None:
@@ -184,6 +186,20 @@
         cuts = [self._cut_store(rng, process, seconds) for process in side if process in self.entries]
         await asyncio.gather(self._cut(rng, side, others, seconds, BOTH_WAYS), *cuts)
 
+    async def regions_apart(self, rng: random.Random) -> None:
+        """Two halves of the entries and agents lose each other. When their entries have forgotten each other, the leader's half loses the store as well."""
+        half, there = len(self.entries) // 2, rng.sample(self.agents, len(self.agents) // 2)
+        entries = [self.entries[:half], self.entries[half:]]
+        sides = [[*entries[0], *there], [*entries[1], *(agent for agent in self.agents if agent not in there)]]
+        seconds = rng.uniform(*PARTITION_S)
+
+        async def cut_store() -> None:
+            await asyncio.sleep(APART_S)
+            with_leader = next((side for side in entries if any(leader in side for leader in self._leaders())), entries[0])
+            await asyncio.gather(*(self._cut_store(rng, entry, seconds) for entry in with_leader))
+
+        await asyncio.gather(self._cut(rng, sides[0], sides[1], APART_S + seconds, BOTH_WAYS), cut_store())
+
     def _leaders(self) -> list[Process]:
         holder = self.store.groups["scheduler"].holders.get(0, "") if "scheduler" in self.store.groups else ""
         return [entry for entry in self.entries if holder.startswith(f"{entry.place.ip}:")]
