Leave out entries that have shut down also after their connections have ended

What callers saw: nothing was measured. It was counted again as soon as its connections ended, for as long as the roster keeps it and 30 s more, so that a scheduler needed more entries for a majority than there were.

Cause: EntryHistory::seen() took an entry that is not known to drain, since there is no connection, for one that doesn't.

Change: once an incarnation has drained it stays out. That is safe because it answers no more questions.

Measured: entriesThatHaveShutDownAreNotCountedAgainWhenTheirConnectionsEnd fails before and passes now.

--- a/src/libknapweed/cell/leaseconfirmation.cpp
+++ b/src/libknapweed/cell/leaseconfirmation.cpp
@@ -28,7 +28,9 @@
         item.incarnation = incarnation;
     }
     item.seenAt = now;
-    item.drainingSince = isDraining ? std::min(item.drainingSince, now) : BootTime::max();
+    if (isDraining) { // for good: without a connection, the peer is not known to drain
+        item.drainingSince = std::min(item.drainingSince, now);
+    }
 }
 
 void EntryHistory::configured(const std::string &address, BootTime now)
--- a/tests/cell/leaseconfirmationtest.cpp
+++ b/tests/cell/leaseconfirmationtest.cpp
@@ -181,6 +181,19 @@
     LONGS_EQUAL(2, history.entries(now).at("a"));
 }
 
+/// Guards against lost work: the roster keeps an entry that has shut down for 10 s, without a connection that says so.
+TEST(EntryHistory, entriesThatHaveShutDownAreNotCountedAgainWhenTheirConnectionsEnd)
+{
+    history.seen("a", 1, true, now);
+    now += leaseConfirmationLifetime + Milliseconds(1);
+    history.seen("a", 1, false, now);
+    LONGS_EQUAL(0, history.entries(now).size());
+    LONGS_EQUAL(1, history.departed(now).at("a"));
+    history.seen("a", 2, false, now);
+    LONGS_EQUAL(1, history.entries(now).size());
+    LONGS_EQUAL(0, history.departed(now).size());
+}
+
 /// Guards against TWICE: a process that has just started knows no other entries, and takes itself for the majority.
 TEST(EntryHistory, configuredEntriesCountBeforeTheyAreSeen)
 {
