Planner: reserve nothing for a gang that waits for work that lasts

Later jobs did not start, with 31 of 32 accelerators free, for as long as the task lasted.

Cause: chooseReserved() takes all running work for work that ends. With the load policy, reservations rest on predicted ends, and a lasting task has none.

Change: work that lasts is not counted on. If the gang fits without it, it reserves there; otherwise it reserves nothing and is tried again in each round.

Who else is touched: a gang that waits for a cancel of the lasting work meets a fleet that may be in use by then, and reserves again from then on. The next scheduler, an only entry and a rolling update: the rule has no state.

--- a/src/libknapweed/cell/planner.cpp
+++ b/src/libknapweed/cell/planner.cpp
@@ -95,12 +95,12 @@
     }
 }
 
-/// The endpoints that are reserved for a blocked unit, regardless of the rank of the work that has to end there first.
+/// The endpoints that are reserved for a blocked unit, regardless of the rank of the work that has to end there first. Work that lasts is not waited for.
 std::optional<Choice> chooseReserved(const WaitingUnit &unit, Table table)
 {
     for (PlannedEndpoint &endpoint : table.endpoints) {
         for (RunningPart &part : endpoint.parts) {
-            part.rank = Rank::Later;
+            part.rank = part.isLasting ? Rank::Guaranteed : Rank::Later;
         }
     }
     WaitingUnit asGuaranteed = unit;
--- a/src/libknapweed/cell/planner.h
+++ b/src/libknapweed/cell/planner.h
@@ -69,6 +69,7 @@
     Rank rank = Rank::Later;
     Resources needs;
     bool isStopping = false;
+    bool isLasting = false; ///< it does not end by itself
     double lostWork = 0; ///< core-seconds lost if the whole unit is stopped, or the cost of that by victimCost()
     int stops = 0; ///< how often the unit has been preempted before
     Milliseconds remaining = Milliseconds::max(); ///< predicted time until the unit ends; the maximum if it does not end by itself
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -312,6 +312,7 @@
             part.unit = number->second;
             part.rank = rankOf(job->second, guaranteed.count(run.task.job) != 0);
             part.needs = allocation.needs;
+            part.isLasting = job->second.spec.steps[key.step].isLongRunning;
             part.isStopping = unit == job->second.units.end() || unit->second.isStopping || unit->second.progress.isDone;
             if (!hasSettled(allocation, now)) {
                 row.hasStartingRuns = true;
--- a/tests/cell/plannertest.cpp
+++ b/tests/cell/plannertest.cpp
@@ -97,6 +97,17 @@
     LONGS_EQUAL(1, plan.blocked.size());
 }
 
+/// Guards against LOST (review/10): a gang that only fits without a task that lasts kept the whole fleet idle for as long as that task lasted.
+TEST(Planner, gangThatWaitsForLastingWorkKeepsNothingFromLaterWork)
+{
+    PlannedEndpoint busy = endpoint("a", "r1", {15000, 63000, 7});
+    busy.parts = {part(7, Rank::Second, {1000, 1000, 1}, 0)};
+    const std::vector<WaitingUnit> units {unit(1, 2, {1000, 1000, 8}), unit(2, 1, {1000, 1000, 1})};
+    CHECK(startOf(planUnits(units, {busy, endpoint("b")}), 2) == nullptr); // kept for the gang until the other work ends
+    busy.parts.front().isLasting = true;
+    CHECK(startOf(planUnits(units, {busy, endpoint("b")}), 2) != nullptr);
+}
+
 TEST(Planner, gangPrefersOneRackAndWaitsForItUntilItMayLeaveIt)
 {
     WaitingUnit gang = unit(1, 2, {1000, 1000, 8});
