Bound the extension of leases by the last entry that is left

What callers would see: TWICE. An entry that has seen all others shut down took itself for the only one and extended leases without a bound. Another one that had started again on the other side of a partition became the scheduler, waited for 15 s and a lease, and started the tasks again. Not seen on real processes.

Cause: an entry without others in its set was an only entry. Since a seed that has shut down stays out of the set until it is seen again; before, it came back into the set as soon as its connection ended.

Change: the bound of 15 s without the store holds whatever the set is. An only entry is one that has no seeds and has seen no other for 30 s; it extends without a bound.

Who else is touched: an entry whose others have all left, for 30 s, or for as long as its settings name them: leases lapse in outages of the store beyond 15 s, as with several entries.

--- a/src/knapweedstaged/cellleases.cpp
+++ b/src/knapweedstaged/cellleases.cpp
@@ -95,11 +95,14 @@
     recordEntries(others);
 }
 
+/// An only entry extends leases without a bound: there is none that could begin a later term.
 void CellEntryTask::confirmLeases()
 {
-    const BootTime confirmedUntil = leaseConfirmation_.isRecorded() ? leaseConfirmation_.confirmedUntil() : BootTime();
+    const BootTime now = BootClock::now();
+    const BootTime byEntries = leaseConfirmation_.isRecorded() ? leaseConfirmation_.confirmedUntil() : BootTime();
+    const BootTime confirmedUntil = entryHistory_.isEmpty(now) ? BootTime::max() : byEntries;
     schedulerCore_->confirmLeases(confirmedUntil);
-    const bool areExtended = BootClock::now() < std::max(termConfirmedUntil_, confirmedUntil);
+    const bool areExtended = now < std::max(termConfirmedUntil_, confirmedUntil);
     if (areExtended != areLeasesExtended_) {
         areLeasesExtended_ = areExtended;
         logEvent(areExtended ? LogLevel::Info : LogLevel::Warning,
--- a/src/libknapweed/cell/leaseconfirmation.cpp
+++ b/src/libknapweed/cell/leaseconfirmation.cpp
@@ -28,7 +28,7 @@
         item.incarnation = incarnation;
     }
     item.seenAt = now;
-    if (isDraining) { // for good: without a connection, the peer is not known to drain
+    if (isDraining) { // an entry does not resume, but without a connection to it nothing says that it drains
         item.drainingSince = std::min(item.drainingSince, now);
     }
 }
@@ -56,6 +56,13 @@
     return entries;
 }
 
+bool EntryHistory::isEmpty(BootTime now) const
+{
+    return std::none_of(items_.begin(), items_.end(), [now](const auto &item) {
+        return now - item.second.seenAt <= entryRetention;
+    });
+}
+
 EntryIncarnations EntryHistory::departed(BootTime now) const
 {
     EntryIncarnations entries;
@@ -155,10 +162,11 @@
     for (const auto &[write, entries] : records_) {
         askedAt = std::min(askedAt, majorityAskedAt(entries));
     }
-    if (askedAt == BootTime() || askedAt == BootTime::max()) {
+    if (askedAt == BootTime()) {
         return askedAt;
     }
-    return std::min(askedAt + leaseConfirmationLifetime, renewedAt_ + maxExtensionWithoutStore);
+    const BootTime longest = renewedAt_ + maxExtensionWithoutStore;
+    return askedAt == BootTime::max() ? longest : std::min(askedAt + leaseConfirmationLifetime, longest);
 }
 
 EarlierExtensions::EarlierExtensions(BootTime termStartedAt, BootTime ownEnd, std::string self)
--- a/src/libknapweed/cell/leaseconfirmation.h
+++ b/src/libknapweed/cell/leaseconfirmation.h
@@ -31,6 +31,8 @@
 
     /// Entries that shut down are not counted once the answers that they have given have expired.
     EntryIncarnations entries(BootTime now) const;
+    /// Whether no other entry is configured, nor has been seen for a while.
+    bool isEmpty(BootTime now) const;
     /// The entries that have shut down and not started again, with the incarnation that did.
     EntryIncarnations departed(BootTime now) const;
 
@@ -76,7 +78,6 @@
     /// Whether the next scheduler finds a record. Until then it can't know which entries are counted here.
     bool isRecorded() const;
 
-    /// BootTime::max() if no other entry is known or recorded.
     BootTime confirmedUntil() const;
 
 private:
--- a/tests/cell/leaseconfirmationtest.cpp
+++ b/tests/cell/leaseconfirmationtest.cpp
@@ -103,6 +103,14 @@
     CHECK_TRUE(isConfirmed()); // the only one
 }
 
+/// Guards against TWICE: a seed that has shut down may have started again on the other side of a partition.
+TEST(LeaseConfirmation, extensionByTheLastEntryIsBounded)
+{
+    confirmation.termConfirmed({}, now);
+    now += maxExtensionWithoutStore;
+    CHECK_FALSE(isConfirmed());
+}
+
 TEST(LeaseConfirmation, nothingIsConfirmedBeforeTheStoreHasConfirmedTheTerm)
 {
     answer(1, 3);
@@ -188,10 +196,13 @@
     now += leaseConfirmationLifetime + Milliseconds(1);
     history.seen("a", 1, false, now);
     LONGS_EQUAL(0, history.entries(now).size());
+    CHECK_FALSE(history.isEmpty(now));
     LONGS_EQUAL(1, history.departed(now).at("a"));
     history.seen("a", 2, false, now);
     LONGS_EQUAL(1, history.entries(now).size());
     LONGS_EQUAL(0, history.departed(now).size());
+    now += entryRetention + Milliseconds(1);
+    CHECK_TRUE(history.isEmpty(now));
 }
 
 /// Guards against TWICE: a process that has just started knows no other entries, and takes itself for the majority.
