Let a challenger wait until the store's confirmation of the leader has expired

What callers would see: TWICE, for up to 0.7 s.

Cause: the new scheduler counts a lease from the start of its term, which rests on the membership of its predecessor having expired. A challenger doesn't wait for that, and the store's last confirmation lets the predecessor extend leases for 1 s.

Change: the term of a challenger counts earlier extensions as over 1 s after its start at the earliest.

Who else is touched: after a challenge, tasks on agents that don't report to the new scheduler wait 1 s longer.

--- a/src/knapweedstaged/cellentrytask.h
+++ b/src/knapweedstaged/cellentrytask.h
@@ -132,6 +132,7 @@
     TimerId leadershipTimer_ = 0;
     bool isGroupCallPending_ = false; ///< a join or a query of the owner is in progress
     bool isLeadershipFree_ = false; ///< result of the last query of the owner
+    bool isChallenging_ = false; ///< the last join was sent while another entry was the leader
     cell::LeaderMonitor leaderMonitor_;
     cell::LeadershipLossDetector lossDetector_; ///< for the current term of this process
 
--- a/src/knapweedstaged/cellleadership.cpp
+++ b/src/knapweedstaged/cellleadership.cpp
@@ -86,6 +86,7 @@
             logEvent(LogLevel::Warning, "leadership.challenged", {{"owner", value(result).member}, {"scheduler", scheduler_}});
         }
         isLeadershipFree_ = false;
+        isChallenging_ = isChallenged;
         join();
     } else {
         scheduleLeadershipCheck(isLeadershipFree_ ? delay : joinInterval);
--- a/src/knapweedstaged/cellleases.cpp
+++ b/src/knapweedstaged/cellleases.cpp
@@ -35,6 +35,9 @@
 {
     leaseConfirmation_ = cell::LeaseConfirmation(self_);
     earlierExtensions_ = cell::EarlierExtensions(BootClock::now(), confirmedTermAt_ + cell::leaseConfirmationLifetime, self_);
+    if (isChallenging_) {
+        earlierExtensions_.confirmedByStore(BootClock::now() + confirmationLifetime);
+    }
     recordedEntries_.clear();
     areLeasesExtended_ = true;
 }
--- a/src/libknapweed/cell/leaseconfirmation.cpp
+++ b/src/libknapweed/cell/leaseconfirmation.cpp
@@ -176,6 +176,11 @@
 {
 }
 
+void EarlierExtensions::confirmedByStore(BootTime end)
+{
+    storeConfirmationEnd_ = end;
+}
+
 void EarlierExtensions::recordLoaded(const EntryIncarnations &entries)
 {
     recorded_ = entries;
@@ -208,7 +213,8 @@
 
 BootTime EarlierExtensions::end() const
 {
-    return std::clamp(confirmationsEnd(), termStartedAt_, termStartedAt_ + maxExtensionWithoutStore);
+    const BootTime earliest = std::max(termStartedAt_, storeConfirmationEnd_);
+    return std::clamp(confirmationsEnd(), earliest, std::max(earliest, termStartedAt_ + maxExtensionWithoutStore));
 }
 
 /// A majority that confirmed an earlier term has an entry in common with the one that has acknowledged this term, so it has expired with the last of these.
--- a/src/libknapweed/cell/leaseconfirmation.h
+++ b/src/libknapweed/cell/leaseconfirmation.h
@@ -101,6 +101,8 @@
     /// @p self: peer address of this entry. @p ownEnd: end of the confirmations that it has itself given to earlier schedulers.
     EarlierExtensions(BootTime termStartedAt, BootTime ownEnd, std::string self = {});
 
+    /// The leadership was not free: until @p end, the store's last confirmation of the earlier scheduler may hold, whatever the entries know.
+    void confirmedByStore(BootTime end);
     /// An earlier scheduler counts @p entries, which may include this one: a majority of them is needed as well.
     void recordLoaded(const EntryIncarnations &entries);
     /// These entries have shut down, so they confirm no term any more unless they have started again.
@@ -124,6 +126,7 @@
     EntryIncarnations recorded_;
     std::map<std::string, BootTime> acknowledged_;
     BootTime termStartedAt_;
+    BootTime storeConfirmationEnd_; ///< of earlier schedulers
     BootTime ownEnd_;
 };
 
--- a/tests/cell/leaseconfirmationtest.cpp
+++ b/tests/cell/leaseconfirmationtest.cpp
@@ -248,6 +248,16 @@
     CHECK_FALSE(extensions.hasMajority());
 }
 
+/// Guards against TWICE: the store may reassign the leadership at once, while its last confirmation of the former scheduler holds.
+TEST(EarlierExtensions, lastAsLongAsTheStoreMayHaveConfirmedAnEarlierTerm)
+{
+    EarlierExtensions extensions(now, now - Seconds(60));
+    extensions.confirmedByStore(now + Seconds(1));
+    CHECK_TRUE(extensions.end() == now + Seconds(1));
+    extensions.addEntries(entriesFrom(1, 4));
+    CHECK_TRUE(extensions.end() == now + maxExtensionWithoutStore);
+}
+
 /// Guards against TWICE: an earlier scheduler counts entries that this one doesn't know.
 TEST(EarlierExtensions, needAcknowledgementsOfAMajorityOfTheRecordedEntries)
 {
--- a/tests/cell/leasehistorytest.cpp
+++ b/tests/cell/leasehistorytest.cpp
@@ -249,6 +249,9 @@
                 endTerm(entry);
             } else if (now_ >= membershipEndsAt_ && random_(3) == 0) {
                 beginTerm(entry);
+            } else if (isPartitioned_ && now_ < membershipEndsAt_ && random_(200) == 0) {
+                beginTerm(entry); // it challenges a leader that it doesn't reach, and the store reassigns the leadership at once
+                entry.term->earlier.confirmedByStore(now_ + leaseConfirmationLifetime);
             }
         }
         if (!entry.term) {
