--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -251,7 +251,7 @@
             kinds += [kind for kind in known if kind not in left_out and (kind == "foreign-reports" or not kind.startswith("foreign-"))]
         elif item:
             kinds.append(item)
-    options.faults = kinds
+    options.faults = list(dict.fromkeys(kinds))  # the jobs of two series of one kind would have the same names
     unknown = [kind for kind in options.faults if kind not in known]
     if unknown:
         parser.error(f"unknown kinds of faults: {', '.join(unknown)}")
