--- a/review/lib3/rig.py
+++ b/review/lib3/rig.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import random
 import shutil
@@ -60,6 +61,18 @@
         return super()._log_append(request, topic, partition)
 
 
+def configuration(version: int, queues: dict[str, int]) -> bytes:
+    """A configuration with one service and these queues: path prefix and priority."""
+    routes = []
+    for prefix, priority in queues.items():
+        route = {"name": f"r{prefix.strip('/')}", "host": HOST, "pathPrefix": prefix, "kind": "non_idempotent", "timeoutMs": 3000, "sloMs": 1000}
+        routes.append(route | {"service": SERVICE, "priority": priority, "maxAttempts": 4, "stretch": 3.0, "public": False})
+    services = [{"name": SERVICE, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": False, "rejectsOverload": False, "spare": False}]
+    limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
+    tenants = [{"name": "t1", "apiKeys": [TOKEN], "priority": 1, "guaranteed": {"gpu": 8}}]
+    return json.dumps({"version": version, "routes": routes, "services": services, "limits": limits, "tenants": tenants}).encode()
+
+
 class Cell:
     def __init__(self, entries: int, agents: int, lease_ms: int, seed: int = 1) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -73,7 +86,10 @@
         self.processes: list[Process] = []
         for index, place in enumerate(places):
             place.store = f"127.{self.net}.0.1:{STORE + index}"
-            text = settings_of(place, seeds_of(places), lease_ms, SERVICE)
+            # The figures of kvf-fitline that the soak leaves out.
+            limits = {"memory_mb": 260, "max_descriptors": 4100} if place.role == "entry" else {"memory_mb": 128, "max_descriptors": 4096}
+            bounds = {"stop_ms": 400, "reclaim_ms": 2900} if place.role == "entry" else {}
+            text = json.dumps(json.loads(settings_of(place, seeds_of(places), lease_ms, SERVICE)) | limits | bounds)
             self.processes.append(Process(PROGRAM, place, self.folder, text, self.judge.findings, self.judge.history))
         self.entries = [process for process in self.processes if process.place.role == "entry"]
         self.agents = [process for process in self.processes if process.place.role == "agent"]
@@ -87,13 +103,13 @@
         zone = index % len(ZONES)
         return Place(role, f"{word}-{ZONES[zone]}-{index + 1}", f"127.{self.net}.{zone + 1}.{host}", ZONES[zone], "")
 
-    async def request(self, method: str, job: str, body: bytes = b"", timeout: float = 3.0, entry: Process | None = None) -> tuple[str, Response | None]:
-        place = (entry or self.rng.choice(self.entries)).place
+    async def request(self, method: str, job: str, body: bytes = b"", timeout: float = 3.0, prefix: str = "/q/") -> tuple[str, Response | None]:
+        place = self.rng.choice(self.entries).place
         headers = {"host": HOST, "authorization": f"Token {TOKEN}", "x-deadline-ms": str(int(timeout * 1000))}
-        return place.name, await call((place.ip, FRONT), method, f"/q/{job}", body, headers, timeout)
+        return place.name, await call((place.ip, FRONT), method, f"{prefix}{job}", body, headers, timeout)
 
     async def start(self) -> None:
-        self.store.configuration(1, SERVICE, TOKEN)
+        self.store.put("keyed.op", "config", configuration(1, {"/q/": 1, "/u/": 0}))
         for process in self.processes:
             ip, _, port = process.place.store.partition(":")
             await self.store.open_for(process.place.name, (ip, int(port)))
