--- a/review/lib3/rig.py
+++ b/review/lib3/rig.py
@@ -27,6 +27,7 @@
 PROGRAM = ROOT / os.environ.get("PROGRAM", "target/build/src/knapweedstaged")  # the run lines of deploy/system.toml
 SERVICE, TOKEN, HOST = "review-service", "review-token", "soak.example"
 RECORD_BYTES, CALL_BYTES = 262_144, 2_097_152  # recordBytes and callBytes of the settings on the pages
+ADVICE = 19000
 ZONES = ("west-a", "west-b", "west-c")
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
@@ -61,12 +62,13 @@
         return super()._log_append(request, topic, partition)
 
 
-def configuration(version: int, queues: dict[str, int]) -> bytes:
-    """A configuration with one service and these queues: path prefix and priority."""
+def configuration(version: int, queues: dict[str, int], advice: dict[str, int] | None = None) -> bytes:
+    """A configuration with one service and these queues: path prefix and priority. With advice, all of them need it."""
     routes = []
     for prefix, priority in queues.items():
         route = {"name": f"r{prefix.strip('/')}", "host": HOST, "pathPrefix": prefix, "kind": "non_idempotent", "timeoutMs": 3000, "sloMs": 1000}
-        routes.append(route | {"service": SERVICE, "priority": priority, "maxAttempts": 4, "stretch": 3.0, "public": False})
+        route |= {"service": SERVICE, "priority": priority, "maxAttempts": 4, "stretch": 3.0, "public": False}
+        routes.append(route | ({"advice": advice} if advice is not None else {}))
     services = [{"name": SERVICE, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": False, "rejectsOverload": False, "spare": False}]
     limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
     tenants = [{"name": "t1", "apiKeys": [TOKEN], "priority": 1, "guaranteed": {"gpu": 8}}]
@@ -74,7 +76,8 @@
 
 
 class Cell:
-    def __init__(self, entries: int, agents: int, lease_ms: int, seed: int = 1) -> None:
+    def __init__(self, entries: int, agents: int, lease_ms: int, seed: int = 1, advice: dict[str, int] | None = None) -> None:
+        self.advice = advice
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.net, self.keeper = free_net()
         self.judge = Judge(self.folder)
@@ -88,7 +91,7 @@
             place.store = f"127.{self.net}.0.1:{STORE + index}"
             # The figures of kvf-fitline that the soak leaves out.
             limits = {"memory_mb": 260, "max_descriptors": 4100} if place.role == "entry" else {"memory_mb": 128, "max_descriptors": 4096}
-            bounds = {"stop_ms": 400, "reclaim_ms": 2900} if place.role == "entry" else {}
+            bounds = {"stop_ms": 400, "reclaim_ms": 2900, "advice": f"127.{self.net}.0.1:{ADVICE}"} if place.role == "entry" else {}
             text = json.dumps(json.loads(settings_of(place, seeds_of(places), lease_ms, SERVICE)) | limits | bounds)
             self.processes.append(Process(PROGRAM, place, self.folder, text, self.judge.findings, self.judge.history))
         self.entries = [process for process in self.processes if process.place.role == "entry"]
@@ -109,7 +112,7 @@
         return place.name, await call((place.ip, FRONT), method, f"{prefix}{job}", body, headers, timeout)
 
     async def start(self) -> None:
-        self.store.put("keyed.op", "config", configuration(1, {"/q/": 1, "/u/": 0}))
+        self.store.put("keyed.op", "config", configuration(1, {"/q/": 1, "/u/": 0}, self.advice))
         for process in self.processes:
             ip, _, port = process.place.store.partition(":")
             await self.store.open_for(process.place.name, (ip, int(port)))
