--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""A task that lasts ends on a busy service, of which one runner is free. LOST is judged from 6 s after the end of its run."""
+"""Jobs come to a queue that needs advice, which takes longer for many runners. LOST is judged once the traffic has been over for finish_s."""
 
 import asyncio
 import json
@@ -8,76 +8,90 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib3"))
 
-from rig import BROKEN, HELD, NOT_RUN, Cell, Record, has_trouble, play  # noqa: E402
+from rig import ADVICE, BROKEN, HELD, NOT_RUN, Cell, Record, has_trouble, play  # noqa: E402
+from soak.httplite import Request, Response, Server  # noqa: E402
 from soak.judge import Job  # noqa: E402
 
-FULL = {"cpu": 52_000, "memMb": 110_000, "gpu": 4}  # a task of pattern-render; two take all accelerators of a runner
-URGENT = {"cpu": 15_000, "memMb": 4_096, "gpu": 1}  # a task of alter-sheet
-LASTING = {"cpu": 4_000, "memMb": 4_096, "gpu": 1}
-URGENT_EVERY_S, URGENT_S, FULL_S, DONE_AT_S, END_S = 3.0, 2.5, 100.0, 12.0, 45.0
-AFTER_RUN_S, IDLE_S = 6.0, 3.0
+RUNNERS = 62  # of kvf-fitline-grown
+ADVICE_TIMES = {"decideMs": 100, "eachMs": 50 if has_trouble() else 5, "validMs": 10_000}  # 3.2 s or 0.41 s for a call that names them all
+MOST_WAITING, MOST_WORKERS = 32, 100
+JOBS, GAP_S = 3, 1.0
+NEEDS = {"cpu": 15_000, "memMb": 4_096, "gpu": 1}  # a task of alter-sheet
+WORK_S, FINISH_S, IDLE_S = 2.5, 14.0, 3.0
 
 
-async def submit(cell: Cell, record: Record, needs: dict[str, int], work_s: float, is_lasting: bool = False, prefix: str = "/q/") -> Job:
-    job = Job(f"{cell.rng.getrandbits(64):016x}", 1, work_s, needs, False, False, False, is_lasting=is_lasting)
-    cell.judge.jobs[job.id] = job
-    step = {"count": 1, **needs, "estMs": int(work_s * 1000)} | ({"longRunning": True} if is_lasting else {})
-    body = json.dumps({"spec": "review", "steps": [step]}).encode()
+class Adviser:
+    """Handles one call at a time, in turn. All calls come from one machine, that of the scheduler."""
+
+    def __init__(self, record: Record) -> None:
+        self.record, self.turn, self.waiting, self.answered = record, asyncio.Lock(), 0, 0
+
+    async def handle(self, request: Request) -> Response:
+        workers, called_at = request.json()["workers"], time.monotonic()
+        if len(workers) > MOST_WORKERS:
+            return Response(400, {})
+        if self.waiting >= MOST_WAITING:
+            return Response(429, {})
+        self.waiting += 1
+        async with self.turn:
+            self.waiting -= 1
+            if time.monotonic() - called_at > 2.9:
+                return Response(429, {})  # its caller has gone, and the next one need not wait for it
+            await asyncio.sleep((ADVICE_TIMES["decideMs"] + ADVICE_TIMES["eachMs"] * len(workers)) / 1000)
+        self.answered += 1
+        step = request.json()["step"]
+        self.record.say(f"advice on {step} for {len(workers)} runners is ready {time.monotonic() - called_at:.2f} s after the call, {self.waiting} calls wait")
+        return Response(200, {"good": [[worker, f"t-{step}-{worker}"] for worker in workers]})
+
+
+async def submit(cell: Cell, record: Record, job: Job) -> None:
+    step = {"count": 1, **NEEDS, "estMs": int(WORK_S * 1000)}
     for _ in range(4):
-        entry, answer = await cell.request("POST", job.id, body, prefix=prefix)
-        record.say(f"POST {prefix}{job.id} {needs} lasting {is_lasting} at {entry}: {answer and answer.status}")
+        entry, answer = await cell.request("POST", job.id, json.dumps({"spec": "review", "steps": [step]}).encode())
+        record.say(f"POST {job.id} at {entry}: {answer and answer.status}")
         if answer is not None and answer.status == 200:
             job.is_accepted = True
-            break
+            return
         await asyncio.sleep(0.5)
-    return job
-
-
-def room_for(cell: Cell, needs: dict[str, int]) -> int:
-    """How many more tasks fit on the runners."""
-    copies = 0
-    for machine in cell.machines:
-        used = {name: sum(run.job.needs[name] for run in machine.boot.runs.values()) for name in needs}
-        copies += min((machine.capacity[name] - used[name]) // needs[name] for name in needs)
-    return copies
 
 
 async def case(record: Record) -> int:
-    cell = Cell(entries=2, agents=4, lease_ms=6000)
-    record.take_notes_of(cell.judge)
+    cell = Cell(entries=2, agents=RUNNERS, lease_ms=6000, advice=ADVICE_TIMES)
+    judge = cell.judge
+    record.take_notes_of(judge)
+    adviser = Adviser(record)
+    server = Server((f"127.{cell.net}.0.1", ADVICE), adviser.handle)
     try:
+        await server.open()
         await cell.start()
-        await asyncio.sleep(1)
-        began = time.monotonic()
-        full = [await submit(cell, record, FULL, FULL_S) for _ in range(6)]
-        lasting = await submit(cell, record, LASTING, 0.5, is_lasting=True)
-        task = cell.judge.tasks(lasting)[0]
-        while time.monotonic() - began < 5 and not all(cell.judge.active.get(cell.judge.tasks(job)[0]) for job in [*full, lasting]):
-            await asyncio.sleep(0.1)
-        if not all(cell.judge.active.get(cell.judge.tasks(job)[0]) for job in [*full, lasting]):
-            record.say("the tasks did not start in time")
+        await asyncio.sleep(3)
+        for _ in range(JOBS):
+            job = Job(f"{cell.rng.getrandbits(64):016x}", 1, WORK_S, NEEDS, False, False, False)
+            judge.jobs[job.id] = job
+            await submit(cell, record, job)
+            await asyncio.sleep(GAP_S)
+        owed = [job for job in judge.jobs.values() if job.is_accepted]
+        if not owed:
             return NOT_RUN
-        ended_at = idle_since = None
-        longest = 0.0
-        next_urgent = time.monotonic()
-        while time.monotonic() - began < END_S:
-            now = time.monotonic()
-            if now >= next_urgent:
-                next_urgent = now + URGENT_EVERY_S
-                await submit(cell, record, URGENT, URGENT_S, prefix="/u/")
-            runs = cell.judge.active.get(task, [])
-            if ended_at is None and has_trouble() and now - began >= DONE_AT_S and runs:
-                ended_at = now
-                record.say(f"{now - began:.1f} s: the task that lasts ends, done")
-                runs[0].boot.end(runs[0], "done")
-            is_owed = ended_at is not None and not cell.judge.active.get(task) and now - ended_at >= AFTER_RUN_S and room_for(cell, LASTING) >= 2
-            idle_since = (idle_since or now) if is_owed else None
-            if idle_since is not None and now - idle_since > longest:
-                longest = now - idle_since
+        ended = time.monotonic()
+        idle_since: dict[str, float] = {}
+        lost: set[str] = set()
+        while time.monotonic() - ended < FINISH_S + IDLE_S + 10 and len(judge.done) < len(owed):
             await asyncio.sleep(0.1)
-        record.say(f"longest time that the task did not run from 6 s after its run, with room for at least two of it: {longest:.1f} s; now running: {bool(cell.judge.active.get(task))}, room for {room_for(cell, LASTING)}")
-        return BROKEN if longest >= IDLE_S else HELD
+            now = time.monotonic()
+            running = sum(len(machine.boot.runs) for machine in cell.machines)
+            is_mostly_idle = running * NEEDS["gpu"] < 8 * len(cell.machines) / 2
+            for job in owed:
+                task = judge.tasks(job)[0]
+                is_waiting = now - ended >= FINISH_S and is_mostly_idle and not judge.done.get(task) and not judge.active.get(task)
+                idle_since[job.id] = idle_since.get(job.id, now) if is_waiting else now
+                if now - idle_since[job.id] >= IDLE_S:
+                    lost.add(job.id)
+        record.say(f"{time.monotonic() - ended:.1f} s after the traffic: done {len(judge.done)} of {len(owed)} accepted jobs, calls for advice answered {adviser.answered}")
+        record.say(f"LOST: {len(lost)} jobs had nothing running for {IDLE_S:.0f} s on an idle service, later than {FINISH_S:.0f} s after the traffic")
+        return BROKEN if lost else HELD
     finally:
+        server.close()
         await cell.stop()
 
 
