Soak: an adviser whose tickets the endpoints ask for

Advice never ran on a site or in the soak. Endpoints start nothing without a valid ticket of the step and of this life. Kinds of faults: adviser-slow, -refuses, -away, -lost. They are no part of 'all', so that commands on record play what they played.

--- a/tests/soak/cell.py
+++ b/tests/soak/cell.py
@@ -15,7 +15,7 @@
 from soak.judge import clock_text
 from soak.planned import CONFIG_APPLY_S, GRACE_S, History
 
-FRONT, READINESS, CONTROL, APP, STORE = 8521, 8523, 8526, 8867, 20000
+FRONT, READINESS, CONTROL, APP, STORE, ADVICE = 8521, 8523, 8526, 8867, 20000, 24000
 PEERS, METRICS = 7000, 7015
 TEMPLATES = Path(__file__).parents[2] / "deploy"
 PR_SET_PDEATHSIG = 1
@@ -29,6 +29,7 @@
     ip: str
     zone: str
     store: str
+    adviser: str | None = None  # address; none where no queue needs advice
 
 
 def settings_of(place: Place, seeds: list[str], lease_ms: int, service: str, evacuate_ms: int | None = None) -> str:
@@ -37,7 +38,7 @@
     fields: dict[str, object] = {"nodeName": place.name, "ip": place.ip, "zone": place.zone, "region": "west", "seeds": seeds, "listen": listen}
     fields |= {"portRange": [PEERS, METRICS], "platform": {"address": place.store}, "limits": {"cpuShare": 0.25}}
     bounds = {"holdMaxMs": lease_ms, "graceS": GRACE_S, "configApplyMs": int(CONFIG_APPLY_S * 1000), "evacuateMs": evacuate_ms}
-    fields |= {"bounds": bounds, "heartbeatMs": 1500, "app": f"{place.ip}:{APP}", "service": service, "advice": None}
+    fields |= {"bounds": bounds, "heartbeatMs": 1500, "app": f"{place.ip}:{APP}", "service": service, "advice": place.adviser}
 
     def fill(match: re.Match[str]) -> str:
         value: object = fields
--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -8,6 +8,7 @@
 import time
 from dataclasses import dataclass, field
 
+from soak.adviser import Adviser
 from soak.httplite import Address, Request, Response, Server, call
 from soak.judge import Job, Judge, clock_text
 from soak.trouble import Trouble, serve
@@ -178,6 +179,9 @@
             return self.answer(409, reason="old")
         if self.lease_until <= self.clock():
             return self.answer(409, reason="late")
+        adviser = self.machine.adviser
+        if adviser is not None and not adviser.is_valid(str(body.get("ticket", "")), task.rpartition(".")[0], self):
+            return self.answer(409, reason="ticket")
         job = self.machine.judge.jobs.get(task.split(".")[0])
         if job is None:
             self.machine.judge.findings.append(f"UNASKED task={task} on {self.id}")
@@ -228,6 +232,7 @@
     def __init__(self, name: str, app: Address, control: Address, zone: str, rack: str, shared: Shared) -> None:
         self.name, self.app, self.control, self.zone, self.rack = name, app, control, zone, rack
         self.service, self.lease_ms, self.judge, self.gangs = shared.service, shared.lease_ms, shared.judge, shared.gangs
+        self.adviser = shared.adviser
         self.rng = random.Random(f"{shared.seed}-{name}")
         self.capacity = {"cpu": 128_000, "memMb": 262_144, "gpu": 8}
         self.boot: Boot | None = None
@@ -337,3 +342,4 @@
     seed: int
     judge: Judge
     gangs: dict[tuple[str, int], Gang] = field(default_factory=dict)
+    adviser: Adviser | None = None  # without whose tickets nothing starts
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Awaitable, Callable
 
+from soak.adviser import Adviser
 from soak.callers import Callers
 from soak.cell import Process
 from soak.endpoint import Boot, Machine
@@ -22,6 +23,8 @@
 QUICK_RESTART_S = (0.001, 0.03)
 # No part of 'all', so that the commands on record play what they played.
 APART = ["agent-restart", "entry-restart", "leader-restart", "entries-away", "cell-kill", "store-away-pause", "store-leader-away", "store-reassign-at-once"]
+ADVISER = ["adviser-slow", "adviser-refuses", "adviser-away", "adviser-lost"]
+APART += ADVISER
 # Work of the operator. These are no impairments; all others are.
 PLANNED = ["entries-roll", "entries-stop", "entry-hup", "entries-hup", "config-change", "config-series", "evacuate"]
 APART += [kind for kind in PLANNED if kind != "config-change"]
@@ -43,9 +46,10 @@
         replace_entry: ReplaceEntry,
         callers: Callers,
         links: Links,
+        adviser: Adviser | None = None,
     ) -> None:
         self.seed, self.judge, self.store, self.machines, self.entries, self.agents = seed, judge, store, machines, entries, agents
-        self.replace = replace_entry
+        self.replace, self.adviser = replace_entry, adviser
         self.version = 1
         self.kinds: dict[str, tuple[Callable[[random.Random], Awaitable[None]], tuple[float, float]]] = {
             "agent-kill": (self.agent_kill, (1, 4)),
@@ -82,6 +86,10 @@
             "store-one-lost": (lambda rng: self.store_trouble(rng, Trouble(lost=0.5, late=0.2, late_s=(0.5, 4)), True), (1, 4)),
             "store-reassign": (self.store_reassign, (3, 10)),
             "store-reassign-at-once": (self.store_reassign_at_once, (3, 10)),
+            "adviser-slow": (self.adviser_slow, (2, 6)),
+            "adviser-refuses": (lambda rng: self.adviser_trouble(rng, Trouble(refused=1)), (2, 6)),
+            "adviser-away": (lambda rng: self.adviser_trouble(rng, self.away(rng)), (4, 10)),
+            "adviser-lost": (lambda rng: self.adviser_trouble(rng, Trouble(lost=0.5)), (2, 6)),
             "lasting-cancel": (lambda rng: callers.cancel_lasting(rng), (0.5, 3)),
             "entries-roll": (self.entries_roll, (0.5, 4)),
             "entries-stop": (self.entries_stop, (4, 9)),
@@ -284,6 +292,18 @@
         finally:
             troubles[:] = [other for other in troubles if other is not trouble]
 
+    async def adviser_slow(self, rng: random.Random) -> None:
+        factor, seconds = rng.uniform(2, 6), rng.uniform(1, 6)
+        self.note(f"adviser slow x{factor:.1f} {seconds:.1f}")
+        if self.adviser is not None:
+            await self.adviser.be_slow(factor, seconds)
+
+    async def adviser_trouble(self, rng: random.Random, trouble: Trouble) -> None:
+        seconds = rng.uniform(0.5, 6)
+        self.note(f"{trouble} at the adviser {seconds:.1f}")
+        if self.adviser is not None:
+            await self._trouble(self.adviser.troubles, trouble, seconds)
+
     async def store_reassign(self, rng: random.Random) -> None:
         self.note("reassign")
         for group in self.store.groups.values():
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,12 +15,13 @@
 import time
 from pathlib import Path
 
+from soak.adviser import Adviser, Times
 from soak.callers import FINISH_S, Callers
-from soak.cell import APP, CONTROL, STORE, Place, Process, settings_of
+from soak.cell import ADVICE, APP, CONTROL, STORE, Place, Process, settings_of
 from soak.channels import Channels
 from soak.endpoint import Machine, Shared
 from soak.evacuations import EVACUATE_S
-from soak.faults import APART, Faults
+from soak.faults import ADVISER, APART, Faults
 from soak.judge import Job, Judge, Violation, clock_text
 from soak.links import LISTEN, Links
 from soak.planned import CONTACT_S
@@ -63,10 +64,12 @@
         self.links = Links()
         self.store = Store(random.Random(f"{options.seed}-store"))
         self.judge.evacuations.store = self.store
-        self.shared = Shared(SERVICE, options.lease_ms, options.seed, self.judge)
         self.entries: list[Process] = []
         self.agents: list[Process] = []
         self.machines: list[Machine] = []
+        self.adviser = Adviser(options.seed, options.advice, self.judge, self.machines) if options.advice else None
+        self.store.advice = options.advice.policy() if options.advice else None
+        self.shared = Shared(SERVICE, options.lease_ms, options.seed, self.judge, adviser=self.adviser)
         places = [self._place("entry", "front", index, 1 + index) for index in range(options.entries)]
         places += [self._place("agent", "side", index, 100 + index) for index in range(options.agents)]
         self.folder, self.places_made, self.entries_made = folder, 0, options.entries
@@ -78,7 +81,7 @@
             self.machines.append(Machine(agent.place.name, (ip, APP), (ip, CONTROL), zone, f"rack-{index // RACK_SIZE}", self.shared))
         self.channels = Channels(self.judge, self.entries, options.open_connections, options.seed) if options.open_connections else None
         self.callers = Callers(self.judge, [entry.place for entry in self.entries], TOKEN, options.seed, options.cancels, self.channels)
-        self.faults = Faults(options.seed, self.judge, self.store, self.machines, self.entries, self.agents, self.replace_entry, self.callers, self.links)
+        self.faults = Faults(options.seed, self.judge, self.store, self.machines, self.entries, self.agents, self.replace_entry, self.callers, self.links, self.adviser)
 
     def _place(self, role: str, word: str, index: int, host: int) -> Place:
         zone = index % len(ZONES)
@@ -86,6 +89,7 @@
 
     def _process(self, place: Place) -> Process:
         place.store = f"127.{self.net}.0.1:{STORE + self.places_made}"
+        place.adviser = f"127.{self.net}.0.1:{ADVICE + self.places_made}" if self.adviser is not None and place.role == "entry" else None
         self.places_made += 1
         return Process(self.options.build / "src" / "knapweedstaged", place, self.folder, self._settings(place), self.judge.findings, self.judge.history)
 
@@ -100,6 +104,9 @@
             await self.links.open_for(process.place.ip)
         ip, _, port = process.place.store.partition(":")
         await self.store.open_for(process.place.name, (ip, int(port)))
+        if self.adviser is not None and process.place.adviser is not None:
+            ip, _, port = process.place.adviser.partition(":")
+            await self.adviser.open_for((ip, int(port)))
 
     async def replace_entry(self, process: Process, is_planned: bool, seed_lag_s: float, is_signalled: bool) -> None:
         """An entry leaves for good, and another one comes at another address. The seeds in the settings of all processes follow after a time."""
@@ -160,6 +167,8 @@
         await asyncio.gather(*(process.stop() for process in self.entries + self.agents))
         for server in self.store.servers + [machine.server for machine in self.machines]:
             server.close()
+        if self.adviser is not None:
+            self.adviser.close()
         self.links.close()
 
 
@@ -214,6 +223,8 @@
     print(f"seed {options.seed} faults {faults}: jobs {len(jobs)} accepted {accepted} succeeded {served} cancelled {cancelled} starts {judge.starts}", end=" ")
     if cell.channels is not None:
         print(f"on open connections {cell.channels.counts}, {judge.history.judged_answers()} answered beside SIGTERM or SIGHUP, longest cut {max((cut.ended_at - cut.sent_at for cut in judge.history.cuts), default=0):.3f} s", end=" ")
+    if cell.adviser is not None:
+        print(cell.adviser.summary(), end=" ")
     print(f"violations {rules or 0} logs {folder}")
     is_finished = not stuck or not options.must_finish
     return 0 if served > 0 and not judge.violations and is_finished else 1
@@ -232,6 +243,7 @@
     parser.add_argument("--rate", type=float, default=1.2, help="jobs a second")
     parser.add_argument("--cancels", type=float, default=0.2, help="share of the jobs that their callers cancel, at any time")
     parser.add_argument("--lease-ms", type=int, default=6000)
+    parser.add_argument("--advice", help="the queue needs advice, with these milliseconds: a call, each endpoint named, a ticket's validity; such as 100,50,3000")
     parser.add_argument("--open-connections", type=int, default=0, help="connections that callers keep open; with them, cut requests and unknown jobs at the end are judged")
     parser.add_argument("--must-finish", action="store_true", help="fail if an accepted job has not ended when the time to settle is over")
     parser.add_argument("--logs", type=Path, help="directory for the logs; by default a new one")
@@ -255,6 +267,9 @@
     unknown = [kind for kind in options.faults if kind not in known]
     if unknown:
         parser.error(f"unknown kinds of faults: {', '.join(unknown)}")
+    options.advice = Times(*(int(word) for word in options.advice.split(","))) if options.advice else None
+    if options.advice is None and any(kind in ADVISER for kind in options.faults):
+        parser.error("faults of the adviser need --advice")
     options.has_proxies = any(kind in faults.cut_kinds for kind in options.faults)
     net, keeper = free_net()
     with keeper:
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -59,6 +59,7 @@
         self.troubles: list[Trouble] = []  # of all callers
         self.own_troubles: dict[str, list[Trouble]] = {}  # by caller
         self.servers: list[Server] = []
+        self.advice: dict[str, int] | None = None  # of the queue, in the configuration
         self.paused_at: float | None = None
         self.paused_s = 0.0
         self._troubled_at = 0.0  # when a call last met a trouble of all callers
@@ -255,6 +256,7 @@
         """The operator's configuration: one service, and one queue that all callers use."""
         route = {"name": "r-soak", "host": "soak.example", "pathPrefix": "/q/", "kind": "non_idempotent", "timeoutMs": 3000, "sloMs": 1000, "priority": 1}
         route |= {"service": service, "maxAttempts": 4, "stretch": 3.0, "public": False}
+        route |= {"advice": self.advice} if self.advice is not None else {}
         services = [{"name": service, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": False, "rejectsOverload": False, "spare": False}]
         limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
         tenants = [{"name": "soak", "apiKeys": [token], "priority": 1, "guaranteed": {"gpu": 16}}]
