Call the adviser by the times that the configuration states, one call at a time

Cause: a call was given up after a constant of 3 s, and repeated with the next round; decideMs and eachMs were decoded and used nowhere. Each call named every endpoint without a ticket, and each step called for itself, so that calls of one machine waited for each other until they were given up, and tickets expired before their reply. On related paths: 429 was repeated at once, a reply with an unreadable row refused endpoints for good, and tickets were kept by an id that the next incarnation may have again.

Change: cell/advisercalls sends one call at a time; when it is overdue follows from the stated times and the measured speed, a late reply still counts, and at most four calls are open. cell/advice names the endpoints that a step probably needs, by stated times and by the share of allowed ones so far. Steps take turns. Validity counts from the reply until a ticket is refused that was valid only so. State is kept by incarnation.

Whom else it touches: the next scheduler (knows no tickets; its machine may have earlier calls at the adviser), an instance that is alone (calls in the same way), rolling updates (the earlier version goes on as before on its machine), innocent tasks (queues without advice take the same path as before).

--- a/src/knapweedstaged/cellentrytask.cpp
+++ b/src/knapweedstaged/cellentrytask.cpp
@@ -133,6 +133,10 @@
                 for (const auto &[rank, units] : load.waiting) {
                     metrics_.set("waiting_units", double(units), {{"rank", std::to_string(static_cast<int>(rank))}});
                 }
+                const cell::AdviserCalls &adviser = schedulerCore_->adviserCalls();
+                metrics_.set("adviser_open_calls", double(adviser.open.size()));
+                metrics_.set("adviser_refusals_in_row", adviser.refusals);
+                metrics_.set("adviser_slowness", adviser.slowness);
             }
             response.body = metrics_.text();
             respond(std::move(response));
--- a/src/knapweedstaged/cellleadership.cpp
+++ b/src/knapweedstaged/cellleadership.cpp
@@ -23,7 +23,6 @@
 constexpr int handOverBackoff = 4; ///< each hand-over multiplies the next delay, because leadership that returns was not acquired by another entry
 constexpr Milliseconds joinTimeout {600}; ///< half a membership lifetime; a slow store answers within 300 ms
 constexpr Milliseconds loadTimeout {2000}; ///< for one page of records
-constexpr Milliseconds adviceTimeout {3000}; ///< the adviser processes calls one at a time, so a call may have to wait for others
 constexpr Milliseconds planDelay {8}; ///< changes within this time share one planning round
 
 } // namespace
@@ -365,18 +364,15 @@
 {
     if (settings_.advice.port == 0) {
         logEvent(LogLevel::Error, "advice.unconfigured", {{"job", std::get<0>(request.step)}});
+        schedulerCore_->handleAdvice(request.number, cell::AdviceFailure::Refused, BootClock::now());
         return;
     }
-    platform::requestAdvice(http_,
-        settings_.advice,
-        request,
-        adviceTimeout,
-        [this, step = request.step, generation = termGeneration_](const std::optional<cell::AdviceReply> &reply) {
-            if (schedulerCore_ != nullptr && termGeneration_ == generation) {
-                schedulerCore_->handleAdviceReply(step, reply);
-                flush();
-            }
-        });
+    platform::requestAdvice(http_, settings_.advice, request, [this, number = request.number, generation = termGeneration_](const cell::AdviceResult &result) {
+        if (schedulerCore_ != nullptr && termGeneration_ == generation) {
+            schedulerCore_->handleAdvice(number, result, BootClock::now());
+            flush();
+        }
+    });
 }
 
 void CellEntryTask::schedulePlan()
--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -168,22 +168,6 @@
     isPlanDue_ = true;
 }
 
-void Scheduler::handleAdviceReply(const StepName &step, const std::optional<AdviceReply> &reply)
-{
-    const auto advice = advice_.find(step);
-    const auto job = jobs_.find(std::get<0>(step));
-    if (advice == advice_.end() || job == jobs_.end()) {
-        return;
-    }
-    if (reply) {
-        recordAdviceReply(advice->second, *reply, job->second.queue.advice.validity);
-        isPlanDue_ = true;
-    } else {
-        advice->second.requested.clear();
-        logEvent(LogLevel::Warning, "advice.failed", {{"job", std::get<0>(step)}, {"step", std::to_string(std::get<2>(step))}});
-    }
-}
-
 void Scheduler::tick(BootTime now, WallTime wall)
 {
     if (now - checkedAt_ >= checkInterval) {
@@ -207,6 +191,7 @@
     refuseHeldCalls(now);
     removeOldJobs(now);
     removeOldEarlyCancels(now);
+    removeOldAdvice(now);
     removeLostEndpoints(now);
 }
 
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "cell/advice.h"
+#include "cell/advisercalls.h"
 #include "cell/configuration.h"
 #include "cell/endpointspeeds.h"
 #include "cell/evacuations.h"
@@ -111,8 +112,8 @@
     /// To be called when all writes up to @p write are durable.
     void stored(std::uint64_t write, BootTime now);
 
-    /// Handles the adviser's reply to the request for @p step. Without a reply the request has failed and will be repeated.
-    void handleAdviceReply(const StepName &step, const std::optional<AdviceReply> &reply);
+    /// Handles the end of the call @p number to the placement adviser. A call that failed is repeated.
+    void handleAdvice(std::int64_t number, const AdviceResult &result, BootTime now);
 
     /// Handles time-outs and due occurrences, and plans.
     void tick(BootTime now, WallTime wall);
@@ -127,6 +128,7 @@
     const std::map<std::string, Job> &jobs() const;
     const std::map<std::string, Endpoint> &endpoints() const;
     const LoadGauges &loadGauges() const;
+    const AdviserCalls &adviserCalls() const;
 
 private:
     struct PendingAnswer
@@ -262,7 +264,12 @@
     void assessRunningParts(const std::vector<ObservedRun> &running, std::vector<PlannedEndpoint> &planned, BootTime now) const;
     PlannerPolicy plannerPolicy(BootTime now);
     void applyLoadPolicy(const Job &job, const UnitKey &key, const Unit &unit, BootTime latestStart, WaitingUnit &waiting, BootTime now) const;
-    void addAdvice(const Job &job, const UnitKey &key, WaitingUnit &waiting, BootTime now);
+    std::set<std::string> advisedAgents(const Job &job, const StepName &step, BootTime now);
+    void callAdviser(const std::vector<WaitingUnit> &units, const std::vector<std::pair<std::string, UnitKey>> &unitIds, const Plan &plan, BootTime now);
+    std::vector<EndpointLife> adviceTargets(const Job &job, const StepAdvice &advice, const WaitingUnit &unit, std::size_t tasks, BootTime now) const;
+    std::string ticketOf(const Job &job, const StepName &step, const Endpoint &endpoint, BootTime now) const;
+    void dropRefusedTicket(const StepName &step, const Endpoint &endpoint, BootTime now);
+    void removeOldAdvice(BootTime now);
     void startUnit(const std::string &jobId, const UnitKey &key, Rank rank, const std::vector<std::string> &agents, BootTime now);
 
     SchedulerOptions options_;
@@ -280,6 +287,7 @@
     LoadGauges loadGauges_;
     BootTime reserveLoggedAt_; ///< when reserved capacity was last logged
     std::map<StepName, StepAdvice> advice_; ///< for steps that have waited in queues that require advice
+    AdviserCalls adviserCalls_;
     std::vector<PendingAnswer> pendingAnswers_; ///< wait until their write, above storedWrite_, is durable
     BootTime confirmedUntil_; ///< end of the time for which the term is confirmed
     BootTime leasesConfirmedUntil_; ///< end of the time for which leases may be extended without a confirmed term
--- a/src/libknapweed/cell/schedulerendpoints.cpp
+++ b/src/libknapweed/cell/schedulerendpoints.cpp
@@ -353,9 +353,8 @@
     }
     logEvent(
         LogLevel::Warning, "run.notstarted", {{"job", run.task.job}, {"run", std::to_string(run.run)}, {"endpoint", endpoint->id}, {"reason", result.detail}});
-    const auto advice = advice_.find({run.task.job, run.task.occurrence, run.task.step});
-    if (result.outcome == wire::StartOutcome::BadTicket && advice != advice_.end()) {
-        advice->second.tickets.erase(endpoint->id);
+    if (result.outcome == wire::StartOutcome::BadTicket) {
+        dropRefusedTicket({run.task.job, run.task.occurrence, run.task.step}, *endpoint, now);
     }
     const auto job = jobs_.find(run.task.job);
     Unit *unit = job == jobs_.end() ? nullptr : unitOf(job->second, run.task);
--- a/src/libknapweed/cell/schedulerplanning.cpp
+++ b/src/libknapweed/cell/schedulerplanning.cpp
@@ -160,31 +160,6 @@
     return waiting;
 }
 
-/// Restricts the unit to endpoints with a ticket if its queue requires one, and requests advice for the endpoints without one.
-void Scheduler::addAdvice(const Job &job, const UnitKey &key, WaitingUnit &waiting, BootTime now)
-{
-    if (!job.queue.advice.isRequired) {
-        return;
-    }
-    const StepName step(job.spec.id, key.occurrence, key.step);
-    StepAdvice &advice = advice_[step];
-    std::set<std::string> usable;
-    waiting.needsAdvice = true;
-    for (const auto &[agent, endpoint] : endpoints_) {
-        if (endpoint.service != job.queue.service || endpoint.isDraining || isInEvacuatedDomain(endpoint) || now - endpoint.lastReport >= workTimeout) {
-            continue;
-        }
-        usable.insert(endpoint.id);
-        if (!ticketFor(advice, endpoint.id, now).empty()) {
-            waiting.advised.insert(agent);
-        }
-    }
-    std::vector<std::string> request = beginAdviceRequest(advice, usable, now);
-    if (!request.empty()) {
-        output_.adviceRequests.push_back({step, std::move(request)});
-    }
-}
-
 std::vector<WaitingUnit> Scheduler::waitingUnits(const std::set<std::string> &guaranteed, BootTime now, std::vector<std::pair<std::string, UnitKey>> &unitIds)
 {
     struct Item
@@ -264,9 +239,18 @@
         items.resize(std::min(items.size(), maxPlannedUnits));
     }
     std::vector<WaitingUnit> units;
+    std::map<StepName, std::set<std::string>> advised;
     for (const Item &item : items) {
         units.push_back(makeWaitingUnit(*item.job, *item.key, *item.unit, std::get<Rank>(item.order), now));
-        addAdvice(*item.job, *item.key, units.back(), now);
+        if (item.job->queue.advice.isRequired) {
+            const StepName step(item.job->spec.id, item.key->occurrence, item.key->step);
+            const auto [agents, isFirst] = advised.try_emplace(step);
+            if (isFirst) {
+                agents->second = advisedAgents(*item.job, step, now);
+            }
+            units.back().needsAdvice = true;
+            units.back().advised = agents->second;
+        }
         applyLoadPolicy(*item.job, *item.key, *item.unit, item.latestStart, units.back(), now);
         if (item.isNew) {
             observeUrgentArrival(units.back(), now);
@@ -352,6 +336,7 @@
     for (const PlannedStart &start : plan.starts) {
         startUnit(unitIds[start.number].first, unitIds[start.number].second, units[start.number].rank, start.agents, now);
     }
+    callAdviser(units, unitIds, plan, now);
     for (const std::size_t number : plan.stops) {
         const auto &[jobId, key] = unitIds[number];
         const std::size_t preemptor = plan.preemptors.at(number);
--- a/src/libknapweed/cell/schedulerstarts.cpp
+++ b/src/libknapweed/cell/schedulerstarts.cpp
@@ -71,12 +71,12 @@
         order.milliCores = endpoint.capacity.milliCores;
         order.memoryMib = endpoint.capacity.memoryMib;
         order.accelerators = endpoint.capacity.accelerators;
-        const auto advice = advice_.find({jobId, key.occurrence, key.step});
-        if (advice != advice_.end()) {
-            order.ticket = ticketFor(advice->second, endpoint.id, now);
-        }
         pendingStarts_.push_back(std::move(pending));
     }
+    const auto advice = advice_.find({jobId, key.occurrence, key.step});
+    if (advice != advice_.end()) {
+        advice->second.callsSinceStart = 0;
+    }
     logEvent(LogLevel::Info,
         "unit.planned",
         {{"job", jobId},
@@ -119,6 +119,11 @@
     allocation->second.progressAt = now;
     allocation->second.pace = allocation->second.isWhole ? paceFromStart(now) : RunPace();
     wire::StartOrder order = start.order;
+    const TaskId &task = start.run.task;
+    const auto advice = advice_.find({task.job, task.occurrence, task.step});
+    if (advice != advice_.end()) {
+        order.ticket = newestTicket(advice->second, {endpoint->id, endpoint->incarnation});
+    }
     order.validUntilMs = (endpoint->lastReportSentAt + startOrderValidity).time_since_epoch().count();
     if (options_.servesEvacuations) {
         order.__set_evacuationPosition(evacuations_.position);
