--- a/tests/cell/advicetest.cpp
+++ b/tests/cell/advicetest.cpp
@@ -22,6 +22,7 @@
 std::vector<AdviceCandidate> candidatesOf(int count)
 {
     std::vector<AdviceCandidate> candidates;
+    candidates.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         candidates.push_back({life("i-" + std::to_string(number)), 8, 0});
     }
