Record a job's advice policy, so that the next scheduler asks for tickets of removed queues

Cause: the record of a job holds the service, priority and attempts of its queue at acceptance, but not the advice policy. The next scheduler took the queue as one without advice, and each start was refused for want of a ticket.

Evidence: AdvisedCell jobsOfARemovedQueueStartAfterAChangeOfTheScheduler fails without the change (nothing started within 14 s), passes with it, without a refused start.

Change: the policy is a part of the record, and of the queue that a loaded job begins with. A configured queue goes before it, as for the other fields.

--- a/src/libknapweed/cell/configuration.h
+++ b/src/libknapweed/cell/configuration.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "jobs/job.h"
 
 #include <cstdint>
 #include <map>
@@ -11,15 +12,6 @@
 namespace knapweed::cell
 {
 
-/// Whether a queue needs placement advice, the adviser's time per call and per endpoint, and how long the tickets are valid.
-struct AdvicePolicy
-{
-    bool isRequired = false;
-    Milliseconds perCall {0};
-    Milliseconds perEndpoint {0};
-    Milliseconds validity {0};
-};
-
 struct Queue
 {
     std::string name;
--- a/src/libknapweed/cell/scheduler.cpp
+++ b/src/libknapweed/cell/scheduler.cpp
@@ -43,6 +43,7 @@
         job.queue.service = job.spec.service;
         job.queue.priority = job.spec.priority;
         job.queue.attempts = job.spec.attempts;
+        job.queue.advice = job.spec.advice;
         addDueUnits(job, now, wall);
         const auto stored = records.find(progressRecordKey(job.spec.id));
         if (stored != records.end()) {
--- a/src/libknapweed/cell/schedulercalls.cpp
+++ b/src/libknapweed/cell/schedulercalls.cpp
@@ -128,6 +128,7 @@
         job.spec.service = queue->service;
         job.spec.priority = queue->priority;
         job.spec.attempts = queue->attempts;
+        job.spec.advice = queue->advice;
     }
     job.spec.acceptedAt = wall;
     const auto early = earlyCancels_.find(call.job);
--- a/src/libknapweed/jobs/job.h
+++ b/src/libknapweed/jobs/job.h
@@ -95,6 +95,17 @@
     Milliseconds latencyTarget {0}; ///< target response time for the users of a long-running task; 0: none
 };
 
+/// Whether a queue needs placement advice, the adviser's time per call and per endpoint, and how long the tickets are valid.
+struct AdvicePolicy
+{
+    bool isRequired = false;
+    Milliseconds perCall {0};
+    Milliseconds perEndpoint {0};
+    Milliseconds validity {0};
+
+    bool operator==(const AdvicePolicy &) const = default;
+};
+
 struct JobSpec
 {
     std::string id;
@@ -103,6 +114,7 @@
     std::string service; ///< service of its queue at acceptance, used after the queue has been removed
     int priority = 0; ///< of its queue at acceptance, like service
     int attempts = 1; ///< of its queue at acceptance, like service
+    AdvicePolicy advice; ///< of its queue at acceptance, like service
     std::string input; ///< passed to each task
     std::vector<Step> steps;
     int occurrences = 0; ///< 0: runs once, immediately
--- a/src/libknapweed/jobs/jobrecord.cpp
+++ b/src/libknapweed/jobs/jobrecord.cpp
@@ -114,6 +114,9 @@
     for (const Step &step : spec.steps) {
         out["steps"].push_back(encodeStep(step));
     }
+    if (spec.advice.isRequired) {
+        out["advice"] = json::array({spec.advice.perCall.count(), spec.advice.perEndpoint.count(), spec.advice.validity.count()});
+    }
     if (spec.occurrences > 0) {
         out["times"] = spec.occurrences;
         out["first"] = std::chrono::duration_cast<Milliseconds>(spec.firstDue.time_since_epoch()).count();
@@ -136,6 +139,13 @@
         spec.service = in.value("service", std::string());
         spec.priority = in.value("priority", 0);
         spec.attempts = in.value("attempts", 1);
+        if (in.contains("advice")) {
+            const json &advice = in.at("advice");
+            const auto time = [&advice](std::size_t index) {
+                return Milliseconds(advice.at(index).get<std::int64_t>());
+            };
+            spec.advice = {true, time(0), time(1), time(2)};
+        }
         spec.input = in.at("input").get<std::string>();
         for (const json &step : in.at("steps")) {
             spec.steps.push_back(decodeStep(step));
--- a/tests/cell/advicetest.cpp
+++ b/tests/cell/advicetest.cpp
@@ -318,6 +318,18 @@
     LONGS_EQUAL(10, startedTasks());
 }
 
+/// Guards against LOST: the next scheduler started the tasks of a queue that is not configured any more without a ticket, and each start was refused.
+TEST(AdvisedCell, jobsOfARemovedQueueStartAfterAChangeOfTheScheduler)
+{
+    open({});
+    submitJobs(3);
+    runFor(Milliseconds(100));
+    LONGS_EQUAL(0, startedTasks());
+    changeScheduler(true);
+    CHECK(runFor(Seconds(30)) < Seconds(14));
+    LONGS_EQUAL(0, rejectedStarts_);
+}
+
 TEST(AdvisedCell, gangStartsWhenItsMembersNeedManyEndpoints)
 {
     open({});
--- a/tests/cell/advisedcell.cpp
+++ b/tests/cell/advisedcell.cpp
@@ -52,7 +52,7 @@
     changeScheduler();
 }
 
-void AdvisedCell::changeScheduler()
+void AdvisedCell::changeScheduler(bool areQueuesRemoved)
 {
     for (Call &call : waiting_) {
         call.isAbandoned = true;
@@ -64,8 +64,10 @@
     for (Queue &queue : configuration.queues) {
         queue.advice = options_.policy;
     }
-    scheduler_ = makeScheduler(++generation_);
-    scheduler_->setConfiguration(configuration);
+    if (areQueuesRemoved) {
+        configuration.queues.clear();
+    }
+    scheduler_ = makeScheduler(++generation_, configuration);
     reportedAt_ = BootTime();
 }
 
--- a/tests/cell/advisedcell.h
+++ b/tests/cell/advisedcell.h
@@ -35,7 +35,7 @@
     void open(const AdvisedCellOptions &options);
     void submitJobs(int count, const std::string &queue = "usual", int tasks = 1, bool isGang = false, std::int64_t accelerators = 1);
     /// The scheduler loses its state; calls that wait at the adviser go on for nobody.
-    void changeScheduler();
+    void changeScheduler(bool areQueuesRemoved = false);
     /// Runs until all jobs have ended or @p span is over. Returns the time that passed.
     Milliseconds runFor(Milliseconds span);
 
--- a/tests/cell/schedulerfixture.h
+++ b/tests/cell/schedulerfixture.h
@@ -23,11 +23,11 @@
     bool servesEvacuations = false;
     LoadPolicyOptions loadPolicy; ///< of the schedulers that makeScheduler() returns
 
-    std::unique_ptr<Scheduler> makeScheduler(std::int64_t generation)
+    std::unique_ptr<Scheduler> makeScheduler(std::int64_t generation, const CellConfiguration &configuration = plainConfiguration())
     {
         std::unique_ptr<Scheduler> scheduler = std::make_unique<Scheduler>(SchedulerOptions {generation, lease, servesEvacuations, loadPolicy});
         scheduler->load(records, now, wall);
-        scheduler->setConfiguration(plainConfiguration());
+        scheduler->setConfiguration(configuration);
         scheduler->confirmTerm(now + Seconds(1), now, wall);
         scheduler->confirmLeases(BootTime::max()); // as the only entry
         scheduler->beginRecovery(now);
--- a/tests/jobs/jobrecordtest.cpp
+++ b/tests/jobs/jobrecordtest.cpp
@@ -18,6 +18,7 @@
     spec.service = "s";
     spec.priority = 2;
     spec.attempts = 4;
+    spec.advice = {true, Milliseconds(100), Milliseconds(50), Milliseconds(3000)};
     spec.input = "text \"with\" \xff bytes";
     spec.occurrences = 3;
     spec.firstDue = WallTime(Milliseconds(1234567));
@@ -47,6 +48,7 @@
     LONGS_EQUAL(0, back.steps.at(1).after.at(0));
     CHECK(back.steps.at(0).needs == step.needs);
     LONGS_EQUAL(4, back.attempts);
+    CHECK(back.advice == spec.advice);
 }
 
 TEST(JobRecord, progressSurvivesARoundTrip)
