Advice: look at the endpoints once a round, and place no unit that has no ticket

Rounds with many waiting steps computed the free capacity of all endpoints for each step, and the planner tried each unit without a ticket on all endpoints.

--- a/src/libknapweed/cell/advice.h
+++ b/src/libknapweed/cell/advice.h
@@ -97,6 +97,7 @@
     EndpointLife endpoint;
     std::size_t tasks = 0; ///< of the step that find capacity there
     int preference = 0; ///< lower is named first
+    std::string rack {};
 };
 
 /// What a step needs the next call for.
--- a/src/libknapweed/cell/plannerchoice.cpp
+++ b/src/libknapweed/cell/plannerchoice.cpp
@@ -194,6 +194,9 @@
 
 std::optional<Choice> chooseAnywhere(const WaitingUnit &unit, Table &table, bool mayPreempt)
 {
+    if (unit.needsAdvice && unit.advised.empty()) {
+        return std::nullopt;
+    }
     const Eligible &eligible = eligibleFor(unit, table);
     const bool isOneRackPreferred = unit.prefersOneRack && unit.tasks > 1;
     const auto dataRack = eligible.byRack.find(unit.dataRack);
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -173,6 +173,13 @@
         double speed = 1; ///< of its endpoint
     };
 
+    /// An endpoint that can be given work, and its capacity that is free.
+    struct UsableEndpoint
+    {
+        const Endpoint *endpoint = nullptr;
+        Resources free;
+    };
+
     /// Total over the endpoints of one service that can be given work.
     struct ServiceCapacity
     {
@@ -266,7 +273,9 @@
     void applyLoadPolicy(const Job &job, const UnitKey &key, const Unit &unit, BootTime latestStart, WaitingUnit &waiting, BootTime now) const;
     std::set<std::string> advisedAgents(const Job &job, const StepName &step, BootTime now);
     void callAdviser(const std::vector<WaitingUnit> &units, const std::vector<std::pair<std::string, UnitKey>> &unitIds, const Plan &plan, BootTime now);
-    std::vector<EndpointLife> adviceTargets(const Job &job, const StepAdvice &advice, const WaitingUnit &unit, std::size_t tasks, BootTime now) const;
+    std::vector<UsableEndpoint> usableEndpoints(BootTime now) const;
+    std::vector<EndpointLife> adviceTargets(
+        const Job &job, const StepAdvice &advice, const WaitingUnit &unit, std::size_t tasks, const std::vector<UsableEndpoint> &endpoints, BootTime now) const;
     std::string ticketOf(const Job &job, const StepName &step, const Endpoint &endpoint, BootTime now) const;
     void dropRefusedTicket(const StepName &step, const Endpoint &endpoint, BootTime now);
     void removeOldAdvice(BootTime now);
--- a/src/libknapweed/cell/scheduleradvice.cpp
+++ b/src/libknapweed/cell/scheduleradvice.cpp
@@ -14,6 +14,9 @@
 {
 
 constexpr Milliseconds urgentLead {2000}; ///< units of the first priority are taken to have waited for advice for so much longer
+constexpr int unwantedPreference = 4; ///< of endpoints on which runs have failed; lower preferences are named first
+constexpr int fullPreference = 2; ///< of endpoints where other work has to be stopped
+constexpr int offRackPreference = 1;
 constexpr Seconds adviceRetention {60}; ///< after the last planning of a unit of the step
 
 /// A step that has found no endpoint in this round.
@@ -37,6 +40,25 @@
     return std::min(tasks, unit.tasksPerEndpoint - std::min(taken, unit.tasksPerEndpoint));
 }
 
+/// Lets the endpoints of the rack on which the unit runs fastest be named before others: that of its data, or for a gang the one with most capacity.
+void preferRack(std::vector<AdviceCandidate> &candidates, const WaitingUnit &unit)
+{
+    std::map<std::string, std::size_t> tasksByRack;
+    for (const AdviceCandidate &candidate : candidates) {
+        tasksByRack[candidate.rack] += candidate.tasks;
+    }
+    std::string preferred = unit.dataRack;
+    if (preferred.empty() && unit.prefersOneRack && unit.tasks > 1 && !tasksByRack.empty()) {
+        const auto widest = std::max_element(tasksByRack.begin(), tasksByRack.end(), [](const auto &left, const auto &right) {
+            return left.second < right.second;
+        });
+        preferred = widest->first;
+    }
+    for (AdviceCandidate &candidate : candidates) {
+        candidate.preference += preferred.empty() || candidate.rack == preferred ? 0 : offRackPreference;
+    }
+}
+
 /// Brings the candidates into an order that differs from job to job, so that jobs that wait at the same time are spread over the endpoints.
 void shuffle(std::vector<AdviceCandidate> &candidates, const std::string &job)
 {
@@ -63,8 +85,12 @@
 /// The agents of the endpoints for which the step has a ticket.
 std::set<std::string> Scheduler::advisedAgents(const Job &job, const StepName &step, BootTime now)
 {
-    advice_[step].usedAt = now;
+    StepAdvice &advice = advice_[step];
+    advice.usedAt = now;
     std::set<std::string> agents;
+    if (advice.tickets.empty()) {
+        return agents;
+    }
     for (const auto &[agent, endpoint] : endpoints_) {
         if (!ticketOf(job, step, endpoint, now).empty()) {
             agents.insert(agent);
@@ -73,6 +99,17 @@
     return agents;
 }
 
+std::vector<Scheduler::UsableEndpoint> Scheduler::usableEndpoints(BootTime now) const
+{
+    std::vector<UsableEndpoint> usable;
+    for (const auto &[agent, endpoint] : endpoints_) {
+        if (isUsable(endpoint, now) && now >= endpoint.avoidUntil) {
+            usable.push_back({&endpoint, freeCapacity(endpoint)});
+        }
+    }
+    return usable;
+}
+
 /// Calls the adviser about the step that has waited longest of those that found no endpoint and could use a further ticket.
 void Scheduler::callAdviser(const std::vector<WaitingUnit> &units, const std::vector<std::pair<std::string, UnitKey>> &unitIds, const Plan &plan, BootTime now)
 {
@@ -99,10 +136,11 @@
     std::stable_sort(waiting.begin(), waiting.end(), [](const WaitingStep &left, const WaitingStep &right) {
         return left.since < right.since;
     });
+    const std::vector<UsableEndpoint> usable = waiting.empty() ? std::vector<UsableEndpoint>() : usableEndpoints(now);
     for (const WaitingStep &next : waiting) {
         const Job &job = jobs_.at(unitIds[next.unit].first);
         StepAdvice &advice = advice_[next.step];
-        const std::vector<EndpointLife> endpoints = adviceTargets(job, advice, units[next.unit], next.tasks, now);
+        const std::vector<EndpointLife> endpoints = adviceTargets(job, advice, units[next.unit], next.tasks, usable, now);
         if (!endpoints.empty()) {
             advice.calledAt = now;
             output_.adviceRequests.push_back(sendAdviserCall(adviserCalls_, next.step, job.queue.name, job.queue.advice, endpoints, now));
@@ -112,46 +150,36 @@
 }
 
 /// The endpoints to name in a call about a step of which @p tasks found no place; none if no further ticket would be of use now.
-std::vector<EndpointLife> Scheduler::adviceTargets(const Job &job, const StepAdvice &advice, const WaitingUnit &unit, std::size_t tasks, BootTime now) const
+std::vector<EndpointLife> Scheduler::adviceTargets(
+    const Job &job, const StepAdvice &advice, const WaitingUnit &unit, std::size_t tasks, const std::vector<UsableEndpoint> &endpoints, BootTime now) const
 {
     const bool mayPreempt = unit.rank == Rank::Guaranteed || (unit.rank == Rank::First && unit.mayPreempt);
     const TicketClock clock = ticketClockFor(adviserCalls_, job.queue.advice);
     const BootTime earliestReply = now + adviceTime(job.queue.advice, 1);
     std::vector<AdviceCandidate> candidates;
-    std::vector<std::string> racks; // of the candidates
-    std::map<std::string, std::size_t> tasksByRack;
     std::size_t advisedTasks = 0;
-    for (const auto &[agent, endpoint] : endpoints_) {
+    for (const UsableEndpoint &usable : endpoints) {
+        const Endpoint &endpoint = *usable.endpoint;
+        const std::string &agent = endpoint.agent;
         const bool hasLabel =
             unit.requiredLabel.empty() || std::find(endpoint.labels.begin(), endpoint.labels.end(), unit.requiredLabel) != endpoint.labels.end();
-        if (endpoint.service != unit.service || !hasLabel || !isUsable(endpoint, now) || now < endpoint.avoidUntil) {
+        if (endpoint.service != unit.service || !hasLabel) {
             continue;
         }
-        const std::size_t free = tasksOn(unit, agent, freeCapacity(endpoint));
+        const std::size_t free = tasksOn(unit, agent, usable.free);
         const std::size_t possible = mayPreempt && free == 0 ? tasksOn(unit, agent, endpoint.capacity) : free;
+        if (possible == 0) {
+            continue;
+        }
         const EndpointLife life {endpoint.id, endpoint.incarnation};
         if (!ticketFor(advice, life, earliestReply, clock).empty()) {
             advisedTasks += possible;
             continue;
         }
         const bool isUnwanted = unit.avoided.count(agent) != 0 || endpoint.failuresInRow > 0;
-        candidates.push_back({life, possible, (isUnwanted ? 4 : 0) + (free == 0 ? 2 : 0)});
-        racks.push_back(endpoint.rack);
-        tasksByRack[endpoint.rack] += possible;
-    }
-    if (candidates.empty()) {
-        return {};
-    }
-    std::string preferredRack = unit.dataRack;
-    if (preferredRack.empty() && unit.prefersOneRack && unit.tasks > 1) {
-        const auto widest = std::max_element(tasksByRack.begin(), tasksByRack.end(), [](const auto &left, const auto &right) {
-            return left.second < right.second;
-        });
-        preferredRack = widest->first;
-    }
-    for (std::size_t i = 0; !preferredRack.empty() && i < candidates.size(); ++i) {
-        candidates[i].preference += racks[i] == preferredRack ? 0 : 1;
+        candidates.push_back({life, possible, (isUnwanted ? unwantedPreference : 0) + (free == 0 ? fullPreference : 0), endpoint.rack});
     }
+    preferRack(candidates, unit);
     shuffle(candidates, job.spec.id);
     // The tasks of a gang need tickets at the same time; others that found no place have no use for the tickets that are there.
     const std::size_t missing = unit.tasks > 1 && tasks > advisedTasks ? tasks - advisedTasks : tasks;
