Advice: say what the share of allowed endpoints counts, and never count more than were named

An adviser that returns rows for endpoints that were not named would have made the share exceed one.

--- a/src/libknapweed/cell/advice.cpp
+++ b/src/libknapweed/cell/advice.cpp
@@ -62,7 +62,7 @@
 
 } // namespace
 
-void recordAnswer(AllowedShare &share, std::size_t allowed, std::size_t named)
+void countNamed(AllowedShare &share, std::size_t allowed, std::size_t named)
 {
     share.allowed += double(allowed);
     share.named += double(named);
--- a/src/libknapweed/cell/advice.h
+++ b/src/libknapweed/cell/advice.h
@@ -67,7 +67,7 @@
     double named = 0;
 };
 
-void recordAnswer(AllowedShare &share, std::size_t allowed, std::size_t named);
+void countNamed(AllowedShare &share, std::size_t allowed, std::size_t named);
 
 /// Expected share for endpoints that have not been named yet, by the queue's other steps and by the step's own replies. Between 0 and 1, exclusive.
 double expectedShare(const AllowedShare &queue, const StepAdvice &advice);
--- a/src/libknapweed/cell/advisercalls.cpp
+++ b/src/libknapweed/cell/advisercalls.cpp
@@ -65,7 +65,7 @@
     calls.isReplyMissing = !isOk(result) && error(result) == AdviceFailure::Unanswered;
     if (isOk(result)) {
         calls.refusals = 0;
-        recordAnswer(calls.shares[call.queue], value(result).allowed.size(), call.endpoints.size());
+        countNamed(calls.shares[call.queue], std::min(value(result).allowed.size(), call.endpoints.size()), call.endpoints.size());
         if (wasFirst) {
             const BootTime begunAt = std::max(call.sentAt, calls.repliedAt);
             const double measured = double((now - begunAt).count()) / double(std::max(call.stated, shortestMeasured).count());
--- a/src/libknapweed/cell/scheduler.h
+++ b/src/libknapweed/cell/scheduler.h
@@ -276,7 +276,6 @@
     std::vector<UsableEndpoint> usableEndpoints(BootTime now) const;
     std::vector<EndpointLife> adviceTargets(
         const Job &job, const StepAdvice &advice, const WaitingUnit &unit, std::size_t tasks, const std::vector<UsableEndpoint> &endpoints, BootTime now) const;
-    std::string ticketOf(const Job &job, const StepName &step, const Endpoint &endpoint, BootTime now) const;
     void dropRefusedTicket(const StepName &step, const Endpoint &endpoint, BootTime now);
     void removeOldAdvice(BootTime now);
     void startUnit(const std::string &jobId, const UnitKey &key, Rank rank, const std::vector<std::string> &agents, BootTime now);
--- a/src/libknapweed/cell/scheduleradvice.cpp
+++ b/src/libknapweed/cell/scheduleradvice.cpp
@@ -73,15 +73,6 @@
 
 } // namespace
 
-std::string Scheduler::ticketOf(const Job &job, const StepName &step, const Endpoint &endpoint, BootTime now) const
-{
-    const auto advice = advice_.find(step);
-    if (advice == advice_.end()) {
-        return std::string();
-    }
-    return ticketFor(advice->second, {endpoint.id, endpoint.incarnation}, now, ticketClockFor(adviserCalls_, job.queue.advice));
-}
-
 /// The agents of the endpoints for which the step has a ticket.
 std::set<std::string> Scheduler::advisedAgents(const Job &job, const StepName &step, BootTime now)
 {
@@ -91,8 +82,9 @@
     if (advice.tickets.empty()) {
         return agents;
     }
+    const TicketClock clock = ticketClockFor(adviserCalls_, job.queue.advice);
     for (const auto &[agent, endpoint] : endpoints_) {
-        if (!ticketOf(job, step, endpoint, now).empty()) {
+        if (!ticketFor(advice, {endpoint.id, endpoint.incarnation}, now, clock).empty()) {
             agents.insert(agent);
         }
     }
