--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -67,8 +67,9 @@
         self.entries: list[Process] = []
         self.agents: list[Process] = []
         self.machines: list[Machine] = []
-        self.adviser = Adviser(options.seed, options.advice, self.judge, self.machines) if options.advice else None
-        self.store.advice = options.advice.policy() if options.advice else None
+        advice: Times | None = getattr(options, "advice", None)  # scripts that drive a cell themselves have no such option
+        self.adviser = Adviser(options.seed, advice, self.judge, self.machines) if advice else None
+        self.store.advice = advice.policy() if advice else None
         self.shared = Shared(SERVICE, options.lease_ms, options.seed, self.judge, adviser=self.adviser)
         places = [self._place("entry", "front", index, 1 + index) for index in range(options.entries)]
         places += [self._place("agent", "side", index, 100 + index) for index in range(options.agents)]
